--- /dev/null
+++ b/crates/seam-config/src/bundle.rs
@@ -0,0 +1,204 @@
+//! Splits a configuration into a manifest and parts, and puts them together again.
+//!
+//! A part holds the deployment, one service, or the customers whose keys share their leading bits.
+//! A change rewrites only the parts that it touches.
+
+use std::collections::BTreeMap;
+
+use seam_protocol::bundle::Deployment;
+use seam_protocol::{Bundle, Customer, CustomerId, Digest, Manifest, Service, ServiceId};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+/// Largest part in bytes.
+pub const LARGEST_PART: usize = 1 << 20;
+/// Leading bits of a customer's key that choose its part.
+pub const CUSTOMER_BITS: u32 = 8;
+/// Name of the part that holds the deployment.
+pub const DEPLOYMENT_PART: &str = "deployment";
+/// First word of the names of parts that hold a service.
+pub const SERVICE_PREFIX: &str = "s/";
+/// First word of the names of parts that hold customers.
+pub const CUSTOMER_PREFIX: &str = "c/";
+
+/// Why parts do not make a bundle.
+#[derive(Debug, Snafu)]
+pub enum BundleError {
+    /// The manifest is not one.
+    #[snafu(display("the manifest cannot be read: {source}"))]
+    Manifest {
+        /// The parser's words.
+        source: serde_json::Error,
+    },
+    /// A part is absent.
+    #[snafu(display("the bundle lacks the part {name:?}"))]
+    Absent {
+        /// Its name.
+        name: String,
+    },
+    /// A part is not what its name says.
+    #[snafu(display("part {name:?} cannot be read: {source}"))]
+    Part {
+        /// Its name.
+        name: String,
+        /// The parser's words.
+        source: serde_json::Error,
+    },
+    /// A part's bytes do not have the digest that the manifest states.
+    #[snafu(display("part {name:?} has the digest {found}, the manifest states {stated}"))]
+    Digest {
+        /// Its name.
+        name: String,
+        /// Digest of its bytes.
+        found: Digest,
+        /// Digest in the manifest.
+        stated: Digest,
+    },
+    /// A part is too large to publish.
+    #[snafu(display("part {name:?} has {size} bytes, at most {LARGEST_PART} can be published"))]
+    Large {
+        /// Its name.
+        name: String,
+        /// Bytes.
+        size: usize,
+    },
+    /// A part of an unknown kind.
+    #[snafu(display("part {name:?} is of no known kind"))]
+    Kind {
+        /// Its name.
+        name: String,
+    },
+}
+
+/// A bundle as bytes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartSet {
+    /// The manifest's bytes.
+    pub manifest: Vec<u8>,
+    /// Each part's bytes by its digest.
+    pub parts: BTreeMap<Digest, Vec<u8>>,
+}
+
+/// Returns the name of the part that holds a customer.
+///
+/// ```
+/// use seam_config::bundle::customer_part;
+/// use seam_protocol::CustomerId;
+/// assert_eq!(customer_part(CustomerId(u64::MAX)), "c/ff");
+/// ```
+#[must_use]
+pub fn customer_part(id: CustomerId) -> String {
+    format!("{CUSTOMER_PREFIX}{:02x}", id.0 >> (64 - CUSTOMER_BITS))
+}
+
+fn bytes<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("plain data always serializes")
+}
+
+/// Splits a bundle into a manifest and parts.
+///
+/// # Errors
+/// [`BundleError::Large`] if a part is too large to publish.
+pub fn split(bundle: &Bundle) -> Result<PartSet, BundleError> {
+    let mut named: BTreeMap<String, Vec<u8>> = BTreeMap::new();
+    named.insert(DEPLOYMENT_PART.to_owned(), bytes(&bundle.deployment));
+    for service in bundle.services.values() {
+        let name = format!("{SERVICE_PREFIX}{}", service.name);
+        named.insert(name, bytes(service));
+    }
+    let mut buckets: BTreeMap<String, BTreeMap<CustomerId, &Customer>> = BTreeMap::new();
+    for (id, customer) in &bundle.customers {
+        let bucket = buckets.entry(customer_part(*id)).or_default();
+        bucket.insert(*id, customer);
+    }
+    for (name, bucket) in buckets {
+        named.insert(name, bytes(&bucket));
+    }
+    let mut manifest = Manifest {
+        revision: bundle.revision,
+        parent: bundle.parent,
+        parts: BTreeMap::new(),
+    };
+    let mut parts = BTreeMap::new();
+    for (name, part) in named {
+        let size = part.len();
+        ensure!(size < LARGEST_PART, LargeSnafu { name, size });
+        let digest = Digest::of(&part);
+        manifest.parts.insert(name, digest);
+        parts.insert(digest, part);
+    }
+    Ok(PartSet {
+        manifest: bytes(&manifest),
+        parts,
+    })
+}
+
+/// Reads a manifest.
+///
+/// # Errors
+/// [`BundleError::Manifest`] if the bytes are not one.
+pub fn manifest(bytes: &[u8]) -> Result<Manifest, BundleError> {
+    serde_json::from_slice(bytes).context(ManifestSnafu)
+}
+
+/// Puts a manifest and its parts together, checking every digest.
+///
+/// # Errors
+/// See [`BundleError`].
+pub fn assemble(set: &PartSet) -> Result<Bundle, BundleError> {
+    let manifest = manifest(&set.manifest)?;
+    let mut deployment = None;
+    let mut services: BTreeMap<ServiceId, Service> = BTreeMap::new();
+    let mut customers: BTreeMap<CustomerId, Customer> = BTreeMap::new();
+    for (name, stated) in &manifest.parts {
+        let part = set.parts.get(stated).context(AbsentSnafu { name })?;
+        let found = Digest::of(part);
+        let stated = *stated;
+        ensure!(
+            found == stated,
+            DigestSnafu {
+                name,
+                found,
+                stated
+            }
+        );
+        if name == DEPLOYMENT_PART {
+            deployment = Some(read::<Deployment>(name, part)?);
+        } else if name.starts_with(SERVICE_PREFIX) {
+            let service: Service = read(name, part)?;
+            services.insert(ServiceId::of(&service.name), service);
+        } else if name.starts_with(CUSTOMER_PREFIX) {
+            customers.append(&mut read(name, part)?);
+        } else {
+            return KindSnafu { name }.fail();
+        }
+    }
+    let name = DEPLOYMENT_PART;
+    Ok(Bundle {
+        revision: manifest.revision,
+        digest: Digest::of(&set.manifest),
+        parent: manifest.parent,
+        deployment: deployment.context(AbsentSnafu { name })?,
+        services,
+        customers,
+    })
+}
+
+fn read<T: serde::de::DeserializeOwned>(name: &str, part: &[u8]) -> Result<T, BundleError> {
+    serde_json::from_slice(part).context(PartSnafu { name })
+}
+
+/// Returns the digest of a manifest's bytes.
+#[must_use]
+pub fn digest(set: &PartSet) -> Digest {
+    Digest::of(&set.manifest)
+}
+
+/// Returns the parts of a manifest that are not held yet.
+#[must_use]
+pub fn missing(manifest: &Manifest, held: &BTreeMap<Digest, Vec<u8>>) -> Vec<Digest> {
+    let digests = manifest.parts.values();
+    digests
+        .filter(|digest| !held.contains_key(digest))
+        .copied()
+        .collect()
+}
--- /dev/null
+++ b/crates/seam-config/src/diff.rs
@@ -0,0 +1,134 @@
+//! What changes from one configuration to the next.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use seam_protocol::Bundle;
+use serde::Serialize;
+
+/// Whether something appeared, went or changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// Only in the new configuration.
+    Added,
+    /// Only in the old one.
+    Removed,
+    /// In both, with other rules.
+    Changed,
+}
+
+/// One difference.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Difference {
+    /// What happened.
+    pub step: Step,
+    /// Kind of the thing.
+    pub kind: &'static str,
+    /// Its name.
+    pub name: String,
+    /// The fields that changed.
+    pub fields: Vec<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.step {
+            Step::Added => '+',
+            Step::Removed => '-',
+            Step::Changed => '~',
+        };
+        write!(f, "{sign} {} {:?}", self.kind, self.name)?;
+        if !self.fields.is_empty() {
+            write!(f, ": {}", self.fields.join(", "))?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns what changes from one bundle to another. Revisions are not compared.
+#[must_use]
+pub fn diff(old: Option<&Bundle>, new: &Bundle) -> Vec<Difference> {
+    let mut found = Vec::new();
+    let deployment = |bundle: &Bundle| BTreeMap::from([(0, bundle.deployment.clone())]);
+    compare(
+        "deployment",
+        old.map(deployment),
+        &deployment(new),
+        |rule| rule.name.clone(),
+        &mut found,
+    );
+    let services = old.map(|old| old.services.clone());
+    compare(
+        "service",
+        services,
+        &new.services,
+        |rule| rule.name.clone(),
+        &mut found,
+    );
+    let customers = old.map(|old| old.customers.clone());
+    compare(
+        "customer",
+        customers,
+        &new.customers,
+        |rule| rule.name.clone(),
+        &mut found,
+    );
+    found
+}
+
+fn compare<K: Ord + Copy, V: PartialEq + Serialize>(
+    kind: &'static str,
+    old: Option<BTreeMap<K, V>>,
+    new: &BTreeMap<K, V>,
+    name: impl Fn(&V) -> String,
+    found: &mut Vec<Difference>,
+) {
+    let old = old.unwrap_or_default();
+    let keys: BTreeSet<K> = old.keys().chain(new.keys()).copied().collect();
+    for key in keys {
+        let (step, value, fields) = match (old.get(&key), new.get(&key)) {
+            (Some(before), Some(after)) if before != after => {
+                (Step::Changed, after, changed(before, after))
+            }
+            (None, Some(after)) => (Step::Added, after, Vec::new()),
+            (Some(before), None) => (Step::Removed, before, Vec::new()),
+            _ => continue,
+        };
+        found.push(Difference {
+            step,
+            kind,
+            name: name(value),
+            fields,
+        });
+    }
+}
+
+fn changed<V: Serialize>(before: &V, after: &V) -> Vec<String> {
+    let table = |value: &V| match serde_json::to_value(value) {
+        Ok(serde_json::Value::Object(table)) => table,
+        _ => serde_json::Map::new(),
+    };
+    let (before, after) = (table(before), table(after));
+    let names: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+    names
+        .into_iter()
+        .filter(|name| before.get(*name) != after.get(*name))
+        .map(|name| long_name(name).to_owned())
+        .collect()
+}
+
+/// Parts of customers use short field names, which a reader should not have to know.
+fn long_name(field: &str) -> &str {
+    match field {
+        "h" => "home",
+        "r" => "residency",
+        "p" => "priority",
+        "w" => "weight",
+        "c" => "concurrency",
+        "q" => "rate",
+        "s" => "services",
+        "k" => "credentials",
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/fair.rs
@@ -0,0 +1,187 @@
+//! Weighted fair queues by customer.
+//!
+//! Start-time fair queuing: a customer's next request gets a virtual start no earlier than the end
+//! of its last one, and the earliest start goes first. A customer with a long backlog so delays
+//! only itself.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use seam_protocol::CustomerId;
+
+use crate::request::Ticket;
+
+/// Virtual microseconds that one request of weight 1 advances its flow.
+const COST: u64 = 1 << 20;
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    waiting: VecDeque<Ticket>,
+    start: u64,
+    weight: u64,
+    running: u32,
+}
+
+/// The queue of one service at one node.
+#[derive(Clone, Debug, Default)]
+pub struct FairQueue {
+    flows: BTreeMap<CustomerId, Flow>,
+    order: BTreeSet<(u64, CustomerId)>,
+    virtual_now: u64,
+    weights: u64,
+    queued: usize,
+    running: u32,
+}
+
+impl FairQueue {
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Appends a request to its customer's flow.
+    ///
+    /// ```
+    /// use seam_core::{Ticket, fair::FairQueue};
+    /// use seam_protocol::CustomerId;
+    /// let mut queue = FairQueue::default();
+    /// for ticket in 0..3 {
+    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    /// }
+    /// queue.push(CustomerId(2), 1, Ticket(9));
+    /// assert_eq!(queue.pop(8), Some(Ticket(0)));
+    /// assert_eq!(queue.pop(8), Some(Ticket(9)));
+    /// ```
+    pub fn push(&mut self, customer: CustomerId, weight: u64, ticket: Ticket) {
+        let now = self.virtual_now;
+        let flow = self.flows.entry(customer).or_insert_with(|| {
+            self.weights += weight;
+            Flow {
+                weight,
+                ..Flow::default()
+            }
+        });
+        if flow.waiting.is_empty() {
+            flow.start = flow.start.max(now);
+            self.order.insert((flow.start, customer));
+        }
+        flow.waiting.push_back(ticket);
+        self.queued += 1;
+    }
+
+    /// Takes the next request of a customer below its cap of the slots and counts it as running.
+    pub fn pop(&mut self, slots: u32) -> Option<Ticket> {
+        let (start, customer) = *self
+            .order
+            .iter()
+            .find(|(_, customer)| self.flows[customer].running < self.cap(*customer, slots))?;
+        self.order.remove(&(start, customer));
+        let flow = self.flows.get_mut(&customer)?;
+        let ticket = flow.waiting.pop_front()?;
+        self.virtual_now = self.virtual_now.max(start);
+        flow.start = start + COST / flow.weight.max(1);
+        flow.running += 1;
+        if !flow.waiting.is_empty() {
+            self.order.insert((flow.start, customer));
+        }
+        self.queued -= 1;
+        self.running += 1;
+        Some(ticket)
+    }
+
+    /// Puts a popped request back at the head of its flow.
+    pub fn unpop(&mut self, customer: CustomerId, ticket: Ticket) {
+        let now = self.virtual_now;
+        let Some(flow) = self.flows.get_mut(&customer) else {
+            return;
+        };
+        self.order.remove(&(flow.start, customer));
+        flow.running = flow.running.saturating_sub(1);
+        self.running = self.running.saturating_sub(1);
+        flow.start = now;
+        self.order.insert((now, customer));
+        flow.waiting.push_front(ticket);
+        self.queued += 1;
+    }
+
+    /// Counts a running request as ended and forgets its flow when that is idle.
+    pub fn end(&mut self, customer: CustomerId) {
+        let Some(flow) = self.flows.get_mut(&customer) else {
+            return;
+        };
+        flow.running = flow.running.saturating_sub(1);
+        self.running = self.running.saturating_sub(1);
+        self.forget_idle(customer);
+    }
+
+    /// Drops a waiting request. Returns whether it waited.
+    pub fn remove(&mut self, customer: CustomerId, ticket: Ticket) -> bool {
+        let Some(flow) = self.flows.get_mut(&customer) else {
+            return false;
+        };
+        let before = flow.waiting.len();
+        flow.waiting.retain(|waiting| *waiting != ticket);
+        let found = flow.waiting.len() < before;
+        self.queued -= usize::from(found);
+        if flow.waiting.is_empty() {
+            self.order.remove(&(flow.start, customer));
+        }
+        self.forget_idle(customer);
+        found
+    }
+
+    fn forget_idle(&mut self, customer: CustomerId) {
+        let flow = &self.flows[&customer];
+        if flow.running == 0 && flow.waiting.is_empty() {
+            self.weights -= flow.weight;
+            self.flows.remove(&customer);
+        }
+    }
+
+    /// Returns the slots that a customer may hold at once.
+    ///
+    /// A sixteenth of the slots stays free for customers below their fair share, so that a backlog
+    /// of one customer never makes the next one wait for a whole service time.
+    fn cap(&self, customer: CustomerId, slots: u32) -> u32 {
+        const RESERVED_PART: u32 = 16;
+        let weight = self.flows[&customer].weight;
+        let fair = (u64::from(slots) * weight).div_ceil(self.weights.max(1)) as u32;
+        fair.max(slots - slots / RESERVED_PART)
+    }
+
+    /// Returns how many requests go before the next one of a customer, under fair service.
+    ///
+    /// ```
+    /// use seam_core::{Ticket, fair::FairQueue};
+    /// use seam_protocol::CustomerId;
+    /// let mut queue = FairQueue::default();
+    /// for ticket in 0..100 {
+    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    /// }
+    /// assert_eq!(queue.ahead(CustomerId(1), 1), 100);
+    /// assert_eq!(queue.ahead(CustomerId(2), 1), 1);
+    /// ```
+    #[must_use]
+    pub fn ahead(&self, customer: CustomerId, weight: u64) -> usize {
+        let flow = self.flows.get(&customer);
+        let own = flow.map_or(0, |flow| flow.waiting.len());
+        let weight = weight.max(1);
+        let known = flow.map_or(0, |flow| flow.weight);
+        let weights = self.weights - known + weight;
+        let rivals = weights.saturating_sub(weight) as usize;
+        let overtaking = (own + 1) * rivals / weight as usize;
+        own + overtaking.min(self.queued - own)
+    }
+
+    /// Returns the customers with a request waiting or running.
+    #[must_use]
+    pub fn customers(&self) -> usize {
+        self.flows.len()
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/gossip.rs
@@ -0,0 +1,118 @@
+//! Whom to send a heartbeat, and when.
+//!
+//! A node sends to a fixed number of peers a period, in rotation, so its traffic does not grow with
+//! the fleet. Records and digests of others ride along. News that must not wait is sent at once.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use seam_protocol::{Bundle, RegionId, Time, VmId};
+
+/// Time between two rounds.
+pub const PERIOD: Duration = Duration::from_secs(1);
+/// Peers of the own region in one round.
+pub const FANOUT: usize = 2;
+/// Records of other nodes in one datagram.
+pub const RECORDS: usize = 7;
+/// Digests of other regions in a datagram inside the region.
+pub const DIGESTS: usize = 1;
+/// Loads in one record.
+pub const LOADS: usize = 4;
+/// Suspects in one datagram.
+pub const SUSPECTS: usize = 4;
+/// Peers of the own region that hear urgent news first.
+pub const URGENT_NEAR: usize = 3;
+/// Nodes of other regions that hear urgent news first.
+pub const URGENT_FAR: usize = 2;
+
+/// Rotation over peers and regions.
+#[derive(Clone, Debug, Default)]
+pub struct Gossip {
+    due: Time,
+    round: usize,
+    near: Vec<VmId>,
+    far: Vec<Vec<VmId>>,
+}
+
+impl Gossip {
+    /// Takes in the published nodes. Each node starts its rotation at its own place.
+    pub fn adopt(&mut self, bundle: &Bundle, me: VmId, region: RegionId) {
+        let of = |region: RegionId| -> Vec<VmId> {
+            bundle
+                .deployment
+                .vms
+                .iter()
+                .filter(|(_, vm)| vm.region == region)
+                .map(|(id, _)| *id)
+                .collect()
+        };
+        self.near = of(region);
+        let place = self.near.iter().position(|vm| *vm == me).unwrap_or(0);
+        self.near.rotate_left(place);
+        self.near.retain(|vm| *vm != me);
+        self.far = bundle
+            .deployment
+            .regions
+            .keys()
+            .filter(|other| **other != region)
+            .map(|other| of(*other))
+            .filter(|nodes| !nodes.is_empty())
+            .collect();
+        let regions = self.far.len().max(1);
+        self.far.rotate_left(place % regions);
+    }
+
+    /// Returns the receivers of a round that is due, near ones and far ones.
+    pub fn due(&mut self, now: Time) -> Option<(Vec<VmId>, Vec<VmId>)> {
+        if now < self.due {
+            return None;
+        }
+        self.due = now + PERIOD;
+        self.round += 1;
+        let round = self.round;
+        let near = pick(&self.near, round, FANOUT);
+        let far = self.far_at(round).into_iter().collect();
+        Some((near, far))
+    }
+
+    fn far_at(&self, round: usize) -> Option<VmId> {
+        let nodes = self.far.get(round % self.far.len().max(1))?;
+        nodes.get((round / self.far.len()) % nodes.len()).copied()
+    }
+
+    /// Returns the rotation's position.
+    #[must_use]
+    pub fn round(&self) -> usize {
+        self.round
+    }
+
+    /// Returns random receivers of news that must not wait.
+    pub fn urgent(&self, rng: &mut Pcg64Mcg) -> Vec<VmId> {
+        let mut receivers = Vec::new();
+        if !self.near.is_empty() {
+            let from = rng.random_range(0..self.near.len());
+            receivers.extend(pick(&self.near, from, URGENT_NEAR));
+        }
+        for _ in 0..URGENT_FAR.min(self.far.len()) {
+            let nodes = &self.far[rng.random_range(0..self.far.len())];
+            receivers.push(nodes[rng.random_range(0..nodes.len())]);
+        }
+        receivers.sort_unstable();
+        receivers.dedup();
+        receivers
+    }
+
+    /// Returns every other published node of the region.
+    #[must_use]
+    pub fn near(&self) -> &[VmId] {
+        &self.near
+    }
+}
+
+fn pick(nodes: &[VmId], round: usize, most: usize) -> Vec<VmId> {
+    let count = nodes.len();
+    (0..most.min(count))
+        .map(|step| nodes[(round * most + step) % count])
+        .collect()
+}
--- /dev/null
+++ b/crates/seam-core/src/lib.rs
@@ -0,0 +1,30 @@
+//! The decisions of one node, without I/O, clock, thread or randomness of their own.
+//!
+//! [`Node::handle`] is the one entry point: it takes the present time and an [`Event`] and appends
+//! typed [`Command`]s that adapters carry out. Everything a node believes lives in [`Node`], so any
+//! program that hands in events and time drives a whole fleet.
+
+pub mod audit;
+pub mod command;
+pub mod event;
+pub mod explain;
+pub mod fair;
+pub mod gossip;
+pub mod keys;
+pub mod limits;
+pub mod node;
+pub mod peers;
+pub mod placement;
+pub mod poison;
+pub mod prefix;
+pub mod request;
+pub mod retry;
+pub mod spill;
+pub mod standing;
+pub mod status;
+pub mod targets;
+
+pub use command::{Command, Refusal};
+pub use event::{Arrival, Event, Hop, KeyName, Origin, Reply};
+pub use node::{Identity, Node};
+pub use request::{AttemptKey, Ticket};
--- /dev/null
+++ b/crates/seam-core/src/limits.rs
@@ -0,0 +1,319 @@
+//! Limits of a customer whose sum over the fleet holds.
+//!
+//! A customer's concurrency is a number of units. Every node derives the same split of the units
+//! over the published nodes. A node that is short borrows from one that has idle units: the lender
+//! stops using them before the borrower starts, and the borrower admits only what ends before the
+//! loan does, so the sum over nodes never exceeds the limit.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use seam_protocol::heartbeat::{Grant, Shortage};
+use seam_protocol::id::rank;
+use seam_protocol::{Bundle, Customer, CustomerId, Reason, Time, VmId};
+
+use crate::command::Refusal;
+use crate::request::Ticket;
+
+/// How long units are lent.
+pub const LOAN: Duration = Duration::from_secs(20);
+/// Longest wait for borrowed units.
+pub const PARK: Duration = Duration::from_secs(2);
+/// Most requests of one customer that wait for units.
+const MOST_PARKED: usize = 64;
+/// Time after which an idle customer is forgotten.
+const IDLE: Duration = Duration::from_secs(60);
+/// Pause between two requests for units of one customer.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    units: u32,
+    until: Time,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    revision: u64,
+    base: u32,
+    running: u32,
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
+    tokens: f64,
+    refilled: Time,
+    used: Time,
+    parked: VecDeque<Ticket>,
+    asked: Option<Time>,
+    turn: usize,
+}
+
+/// What to do with a request under its customer's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Admit it; a unit is charged.
+    Admit,
+    /// Let it wait until units are borrowed.
+    Park,
+    /// Refuse it.
+    Refuse(Refusal),
+}
+
+/// Usage of every customer that was active lately.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    usage: BTreeMap<CustomerId, Usage>,
+}
+
+/// Returns the published nodes that split a customer's units.
+fn holders(bundle: &Bundle, customer: &Customer) -> Vec<VmId> {
+    let vms = &bundle.deployment.vms;
+    let home: Vec<VmId> = vms
+        .iter()
+        .filter(|(_, vm)| Some(vm.region) == customer.home)
+        .map(|(id, _)| *id)
+        .collect();
+    if home.is_empty() {
+        vms.keys().copied().collect()
+    } else {
+        home
+    }
+}
+
+/// Returns a node's own units of a customer's concurrency.
+///
+/// Over the published nodes of one bundle the units sum to the customer's concurrency.
+#[must_use]
+pub fn base_units(bundle: &Bundle, me: VmId, id: CustomerId, customer: &Customer) -> u32 {
+    let nodes = holders(bundle, customer);
+    if !nodes.contains(&me) {
+        return 0;
+    }
+    let count = nodes.len() as u32;
+    let mine = rank(id.0, u64::from(me.0));
+    let before = nodes
+        .iter()
+        .filter(|vm| rank(id.0, u64::from(vm.0)) > mine)
+        .count() as u32;
+    customer.concurrency / count + u32::from(before < customer.concurrency % count)
+}
+
+impl Usage {
+    fn refresh(&mut self, now: Time, bundle: &Bundle, me: VmId, id: CustomerId, rule: &Customer) {
+        self.lent.retain(|loan| loan.until > now);
+        self.borrowed.retain(|loan| loan.until > now);
+        if self.revision != bundle.revision {
+            self.revision = bundle.revision;
+            self.base = base_units(bundle, me, id, rule);
+        }
+        self.used = now;
+    }
+
+    fn lent(&self) -> u32 {
+        self.lent.iter().map(|loan| loan.units).sum()
+    }
+
+    fn own(&self) -> u32 {
+        self.base.saturating_sub(self.lent())
+    }
+
+    fn borrowed(&self, deadline: Time) -> u32 {
+        self.borrowed
+            .iter()
+            .filter(|loan| loan.until >= deadline)
+            .map(|loan| loan.units)
+            .sum()
+    }
+
+    fn room(&self, deadline: Time) -> u32 {
+        (self.own() + self.borrowed(deadline)).saturating_sub(self.running)
+    }
+
+    fn take_token(&mut self, now: Time, rule: &Customer) -> bool {
+        let units = self.own() + self.borrowed(now);
+        let share = f64::from(units.max(1)) / f64::from(rule.concurrency.max(1));
+        let rate = f64::from(rule.rate) * share;
+        let burst = rate.max(1.0);
+        let earned = now.since(self.refilled).as_secs_f64() * rate;
+        self.tokens = (self.tokens + earned).min(burst);
+        self.refilled = now;
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+/// A request under the limits of its customer.
+#[derive(Clone, Copy, Debug)]
+pub struct Asking<'a> {
+    /// The bundle in force.
+    pub bundle: &'a Bundle,
+    /// This node.
+    pub me: VmId,
+    /// The customer's key.
+    pub id: CustomerId,
+    /// The customer's rules.
+    pub rule: &'a Customer,
+    /// When the request ends at the latest.
+    pub deadline: Time,
+}
+
+impl Limits {
+    fn usage(&mut self, now: Time, asking: Asking) -> &mut Usage {
+        let usage = self.usage.entry(asking.id).or_insert_with(|| Usage {
+            tokens: f64::MAX,
+            refilled: now,
+            ..Usage::default()
+        });
+        usage.refresh(now, asking.bundle, asking.me, asking.id, asking.rule);
+        usage
+    }
+
+    /// Decides on a new request.
+    pub fn admit(&mut self, now: Time, asking: Asking, ticket: Ticket) -> Verdict {
+        const RATE_RETRY: Duration = Duration::from_secs(1);
+        let usage = self.usage(now, asking);
+        if !usage.take_token(now, asking.rule) {
+            return Verdict::Refuse(Refusal::not_run(Reason::Rate).after(RATE_RETRY));
+        }
+        if usage.parked.is_empty() && usage.room(asking.deadline) > 0 {
+            usage.running += 1;
+            return Verdict::Admit;
+        }
+        let elsewhere = usage.base < asking.rule.concurrency;
+        if !elsewhere || usage.parked.len() >= MOST_PARKED {
+            return Verdict::Refuse(Refusal::not_run(Reason::Concurrency).after(RATE_RETRY));
+        }
+        usage.parked.push_back(ticket);
+        Verdict::Park
+    }
+
+    /// Returns a unit and the parked request that may go now.
+    pub fn end(&mut self, id: CustomerId) {
+        if let Some(usage) = self.usage.get_mut(&id) {
+            usage.running = usage.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes the next parked request of a customer if there is room for it.
+    pub fn unpark(&mut self, now: Time, asking: Asking) -> Option<Ticket> {
+        let usage = self.usage(now, asking);
+        if usage.parked.is_empty() || usage.room(asking.deadline) == 0 {
+            return None;
+        }
+        usage.running += 1;
+        usage.parked.pop_front()
+    }
+
+    /// Returns the first parked request of a customer.
+    #[must_use]
+    pub fn parked(&self, id: CustomerId) -> Option<Ticket> {
+        self.usage.get(&id)?.parked.front().copied()
+    }
+
+    /// Drops a parked request.
+    pub fn leave(&mut self, id: CustomerId, ticket: Ticket) {
+        if let Some(usage) = self.usage.get_mut(&id) {
+            usage.parked.retain(|parked| *parked != ticket);
+        }
+    }
+
+    /// Returns the customers with parked requests.
+    #[must_use]
+    pub fn short(&self) -> Vec<CustomerId> {
+        self.usage
+            .iter()
+            .filter(|(_, usage)| !usage.parked.is_empty())
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Returns whom to ask for units now, at most once in a while for a customer.
+    pub fn ask(&mut self, now: Time, asking: Asking) -> Option<(VmId, Shortage)> {
+        let usage = self.usage(now, asking);
+        if usage
+            .asked
+            .is_some_and(|asked| now.since(asked) < ASK_AGAIN)
+        {
+            return None;
+        }
+        let mut nodes = holders(asking.bundle, asking.rule);
+        nodes.retain(|vm| *vm != asking.me);
+        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(asking.id.0, u64::from(vm.0))));
+        let most = (asking.rule.concurrency as usize).clamp(1, nodes.len().max(1));
+        let lender = *nodes.get(usage.turn % most)?;
+        usage.turn += 1;
+        usage.asked = Some(now);
+        let units = usage.parked.len() as u32;
+        Some((
+            lender,
+            Shortage {
+                customer: asking.id,
+                units,
+            },
+        ))
+    }
+
+    /// Lends idle units to a node that is short of them.
+    pub fn lend(&mut self, now: Time, asking: Asking, units: u32, asked: u64) -> Option<Grant> {
+        let usage = self.usage(now, asking);
+        let idle = usage.own().saturating_sub(usage.running);
+        let units = units.min(idle);
+        if units == 0 || !usage.parked.is_empty() {
+            return None;
+        }
+        usage.lent.push(Loan {
+            units,
+            until: now + LOAN,
+        });
+        Some(Grant {
+            customer: asking.id,
+            units,
+            asked,
+        })
+    }
+
+    /// Takes in lent units. They count from the time at which this node asked.
+    pub fn borrow(&mut self, now: Time, asking: Asking, grant: Grant) {
+        let until = Time(grant.asked) + LOAN;
+        let usage = self.usage(now, asking);
+        if until > now && grant.asked <= now.0 {
+            usage.borrowed.push(Loan {
+                units: grant.units,
+                until,
+            });
+        }
+    }
+
+    /// Forgets customers without activity.
+    pub fn expire(&mut self, now: Time) {
+        self.usage.retain(|_, usage| {
+            usage.running > 0 || !usage.parked.is_empty() || now.since(usage.used) < IDLE
+        });
+    }
+
+    /// Drops borrowed units, as after a pause.
+    pub fn forget_borrowed(&mut self) {
+        for usage in self.usage.values_mut() {
+            usage.borrowed.clear();
+        }
+    }
+
+    /// Returns the requests of a customer that hold a unit here.
+    #[must_use]
+    pub fn running(&self, id: CustomerId) -> u32 {
+        self.usage.get(&id).map_or(0, |usage| usage.running)
+    }
+
+    /// Returns the customers remembered.
+    pub fn active(&self) -> impl Iterator<Item = CustomerId> + '_ {
+        self.usage.keys().copied()
+    }
+
+    /// Returns the number of customers remembered.
+    #[must_use]
+    pub fn customers(&self) -> usize {
+        self.usage.len()
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node.rs
@@ -0,0 +1,324 @@
+//! One node: its beliefs and the entry point that changes them.
+
+mod admit;
+mod attempts;
+mod config;
+mod dispatch;
+mod finish;
+mod members;
+mod tick;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use seam_protocol::{
+    Bundle, CustomerId, Fingerprint, Incarnation, IssuedKey, RegionId, ServiceId, Time, VmId,
+    key::KEY_LIFETIME,
+};
+
+use crate::audit::{Audit, Change};
+use crate::command::Command;
+use crate::event::Event;
+use crate::fair::FairQueue;
+use crate::gossip::Gossip;
+use crate::keys::KeyTable;
+use crate::limits::{Asking, Limits};
+use crate::peers::Peers;
+use crate::placement::Placement;
+use crate::poison::PoisonTable;
+use crate::prefix::PrefixTable;
+use crate::request::{Attempt, AttemptKey, Request, Ticket};
+use crate::retry::RetryBudget;
+use crate::spill::Spill;
+use crate::standing::Standing;
+use crate::targets::{TargetKey, Targets};
+
+/// Time between two [`Event::Tick`]s.
+pub const TICK: Duration = Duration::from_millis(100);
+/// Time for which a draining node still takes requests, while callers learn of it.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(3);
+/// Most requests held at once.
+pub const MOST_REQUESTS: usize = 20_000;
+
+/// Who a node is.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its region.
+    pub region: RegionId,
+    /// This boot of the process.
+    pub incarnation: Incarnation,
+}
+
+/// State of one service at this node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lane {
+    pub(crate) queue: FairQueue,
+    pub(crate) retries: RetryBudget,
+    pub(crate) mean: Option<f64>,
+}
+
+/// Requests that a target's failure may have been caused by.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashWatch {
+    prints: BTreeSet<Fingerprint>,
+    since: Time,
+}
+
+/// Counts since boot, for metrics.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct Counters {
+    /// Requests taken in from callers.
+    pub arrived: u64,
+    /// Requests taken in from other nodes.
+    pub relayed: u64,
+    /// Requests forwarded to another region.
+    pub sent_away: u64,
+    /// Requests forwarded to the owner of their key.
+    pub sent_owner: u64,
+    /// Whole answers.
+    pub complete: u64,
+    /// Requests refused as not run.
+    pub not_run: u64,
+    /// Requests whose outcome is unknown.
+    pub unknown: u64,
+    /// Repeats answered from the key table.
+    pub replayed: u64,
+    /// Retries.
+    pub retries: u64,
+    /// Ejections of targets.
+    pub ejections: u64,
+    /// Pauses noticed.
+    pub pauses: u64,
+}
+
+/// A node's whole decision state.
+///
+/// ```
+/// use seam_core::{Event, Identity, Node};
+/// use seam_protocol::{Incarnation, RegionId, Time, VmId};
+/// let id = Identity {
+///     vm: VmId::of("vm-1"),
+///     region: RegionId::of("khomas"),
+///     incarnation: Incarnation(1),
+/// };
+/// let mut node = Node::new(id, 7, Time(0));
+/// let mut commands = Vec::new();
+/// node.handle(Time(100_000), Event::Tick, &mut commands);
+/// assert!(commands.is_empty());
+/// assert!(!node.ready(Time(100_000)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub(crate) id: Identity,
+    pub(crate) bundle: Option<Arc<Bundle>>,
+    pub(crate) regions: BTreeMap<VmId, RegionId>,
+    pub(crate) owner_since: Time,
+    pub(crate) moved: BTreeMap<CustomerId, Time>,
+    pub(crate) standing: Standing,
+    pub(crate) peers: Peers,
+    pub(crate) gossip: Gossip,
+    pub(crate) number: u32,
+    pub(crate) targets: Targets,
+    pub(crate) alive: BTreeSet<VmId>,
+    pub(crate) refreshed: Time,
+    pub(crate) lanes: BTreeMap<ServiceId, Lane>,
+    pub(crate) limits: Limits,
+    pub(crate) keys: KeyTable,
+    pub(crate) serial: u64,
+    pub(crate) poison: PoisonTable,
+    pub(crate) crashes: BTreeMap<TargetKey, CrashWatch>,
+    pub(crate) prefixes: PrefixTable,
+    pub(crate) spill: Spill,
+    pub(crate) away: BTreeMap<(RegionId, ServiceId), Away>,
+    pub(crate) placement: Placement,
+    pub(crate) requests: BTreeMap<Ticket, Request>,
+    pub(crate) attempts: BTreeMap<AttemptKey, Attempt>,
+    pub(crate) deadlines: BTreeSet<(Time, Ticket)>,
+    pub(crate) next_attempt: u64,
+    pub(crate) freed: BTreeSet<CustomerId>,
+    pub(crate) drain: Option<Time>,
+    pub(crate) told_ready: bool,
+    pub(crate) fetching: Option<(u64, Time)>,
+    pub(crate) counters: Counters,
+    pub(crate) rng: Pcg64Mcg,
+}
+
+/// Requests sent to a region since its last digest.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Away {
+    since: Time,
+    sent: u32,
+    full: bool,
+}
+
+impl Node {
+    /// Returns a node that has just booted.
+    #[must_use]
+    pub fn new(id: Identity, seed: u64, now: Time) -> Self {
+        Self {
+            id,
+            bundle: None,
+            regions: BTreeMap::new(),
+            owner_since: now,
+            moved: BTreeMap::new(),
+            standing: Standing::new(now),
+            peers: Peers::default(),
+            gossip: Gossip::default(),
+            number: 0,
+            targets: Targets::default(),
+            alive: BTreeSet::from([id.vm]),
+            refreshed: now,
+            lanes: BTreeMap::new(),
+            limits: Limits::default(),
+            keys: KeyTable::default(),
+            serial: 0,
+            poison: PoisonTable::default(),
+            crashes: BTreeMap::new(),
+            prefixes: PrefixTable::default(),
+            spill: Spill::default(),
+            away: BTreeMap::new(),
+            placement: Placement::default(),
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            next_attempt: 0,
+            freed: BTreeSet::new(),
+            drain: None,
+            told_ready: false,
+            fetching: None,
+            counters: Counters::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in one event and appends the commands that follow from it.
+    ///
+    /// `now` is the time on this node's clock and never goes back. Commands are to be carried out
+    /// in order. See [`Node`] for an example.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        if let Some(gap) = self.standing.observe(now) {
+            self.wake(now, gap, out);
+        }
+        match event {
+            Event::Tick => {}
+            Event::Arrive(arrival) => self.arrive(now, &arrival, out),
+            Event::Sending(attempt) => self.sending(now, attempt, out),
+            Event::Silent(attempt) => self.silent(now, attempt, out),
+            Event::Reply(attempt, reply) => self.reply(now, attempt, reply, out),
+            Event::Gone(ticket) => self.gone(now, ticket, out),
+            Event::Probed { target, accepted } => self.probed(now, target, accepted, out),
+            Event::Beat(beat) => self.heard(now, &beat, out),
+            Event::Bundle(bundle) => self.adopt(now, &bundle, out),
+            Event::Confirmed(revision) => self.confirmed(now, revision),
+            Event::VmList(list) => self.vm_list(now, &list, out),
+            Event::Load(target, report) => self.load_report(now, target, report, out),
+            Event::Cache(target, events) => self.cache_events(now, target, &events),
+            Event::Drain { what, on, actor } => self.drain(now, what, on, &actor, out),
+        }
+        self.tick(now, out);
+    }
+
+    /// Returns who this node is.
+    #[must_use]
+    pub fn identity(&self) -> Identity {
+        self.id
+    }
+
+    /// Returns the bundle in force.
+    #[must_use]
+    pub fn bundle(&self) -> Option<&Arc<Bundle>> {
+        self.bundle.as_ref()
+    }
+
+    /// Returns the counts since boot.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Tells whether the node takes new requests and says so to callers and peers.
+    #[must_use]
+    pub fn ready(&self, _now: Time) -> bool {
+        self.bundle.is_some() && self.standing.fresh() && self.drain.is_none()
+    }
+
+    /// Tells whether the node is draining and holds no request any more.
+    #[must_use]
+    pub fn drained(&self, now: Time) -> bool {
+        let grace = self
+            .drain
+            .is_some_and(|since| now.since(since) >= DRAIN_GRACE);
+        grace && self.requests.is_empty()
+    }
+
+    /// Returns the number of requests without a final answer.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Issues an idempotency key to a customer.
+    ///
+    /// Returns `None` while the node is not ready.
+    pub fn issue_key(&mut self, now: Time, customer: CustomerId) -> Option<IssuedKey> {
+        if !self.ready(now) {
+            return None;
+        }
+        self.serial += 1;
+        Some(IssuedKey {
+            vm: self.id.vm,
+            incarnation: self.id.incarnation,
+            region: self.id.region,
+            customer,
+            serial: self.serial,
+            expiry: now + KEY_LIFETIME,
+        })
+    }
+
+    fn asking<'a>(&self, bundle: &'a Bundle, id: CustomerId, deadline: Time) -> Option<Asking<'a>> {
+        Some(Asking {
+            bundle,
+            me: self.id.vm,
+            id,
+            rule: bundle.customers.get(&id)?,
+            deadline,
+        })
+    }
+
+    /// Returns the expected service time of a service.
+    pub(crate) fn expected(&self, service: ServiceId) -> Duration {
+        let measured = self.lanes.get(&service).and_then(|lane| lane.mean);
+        let configured = || {
+            let rule = self.bundle.as_ref()?.services.get(&service)?;
+            Some(Duration::from_millis(rule.expected))
+        };
+        measured
+            .map(Duration::from_secs_f64)
+            .or_else(configured)
+            .unwrap_or_default()
+    }
+
+    fn audit(
+        &self,
+        now: Time,
+        change: Change,
+        subject: impl Into<String>,
+        (old, new): (impl Into<String>, impl Into<String>),
+        cause: impl Into<String>,
+    ) -> Command {
+        Command::Audit(Audit {
+            time: now,
+            change,
+            actor: format!("node {}", self.id.vm),
+            subject: subject.into(),
+            old: old.into(),
+            new: new.into(),
+            cause: cause.into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node/attempts.rs
@@ -0,0 +1,344 @@
+//! Follows an attempt from its first byte to its end.
+
+use std::sync::Arc;
+
+use seam_protocol::{Reason, StoredAnswer, TargetId, Time, VmId};
+
+use super::{CrashWatch, Node};
+use crate::audit::Change;
+use crate::command::{Command, Refusal};
+use crate::event::Reply;
+use crate::request::{Attempt, AttemptKey, Place, Stage, Ticket};
+use crate::targets::{TargetKey, Turn};
+
+/// Attempts that one request may use.
+const MOST_ATTEMPTS: u32 = 4;
+/// Weight of a new sample in the mean service time.
+const SAMPLE: f64 = 0.05;
+
+impl Node {
+    /// Decides at the last moment whether an attempt may still send its first byte.
+    ///
+    /// A process that was paused between a decision and its execution stops here.
+    pub(super) fn sending(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
+        let fresh = self.standing.fresh();
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            out.push(Command::Cancel(key));
+            return;
+        };
+        let live = self
+            .requests
+            .get(&attempt.ticket)
+            .is_some_and(|request| now < request.deadline || request.orphan);
+        if !fresh || !live || attempt.cancelled {
+            attempt.cancelled = true;
+            out.push(Command::Cancel(key));
+            return;
+        }
+        attempt.sent = true;
+    }
+
+    pub(super) fn silent(&mut self, _now: Time, key: AttemptKey, out: &mut Vec<Command>) {
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        attempt.silent = true;
+        match attempt.place {
+            Place::Target(target) => {
+                let state = self.targets.get(target);
+                out.push(Command::Probe {
+                    target: state.id,
+                    address: state.rule.address,
+                });
+            }
+            Place::Node { .. } => {
+                attempt.cancelled = true;
+                out.push(Command::Cancel(key));
+            }
+        }
+    }
+
+    /// Takes in whether a fresh connection to a target was accepted.
+    pub(super) fn probed(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        accepted: bool,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(key) = self.targets.key(target) else {
+            return;
+        };
+        let turn = self.targets.probed(now, key, accepted);
+        self.note_turn(now, turn, "probe", out);
+        if let Some(watch) = self.crashes.remove(&key)
+            && !accepted
+        {
+            self.prefixes.forget(key);
+            self.blame(now, target, &watch, out);
+        }
+        self.cancel_silent(key, accepted, out);
+        let service = self.targets.get(key).service;
+        self.dispatch(now, service, out);
+    }
+
+    /// Ends silent attempts at a target.
+    ///
+    /// Where a fresh connection works, the old one is at fault: a request that may be repeated is
+    /// taken off it, and one that may not be repeated waits for its deadline.
+    fn cancel_silent(&mut self, target: TargetKey, accepted: bool, out: &mut Vec<Command>) {
+        for (key, attempt) in &mut self.attempts {
+            let here = attempt.place == Place::Target(target) && attempt.silent;
+            let repeatable = self
+                .requests
+                .get(&attempt.ticket)
+                .is_some_and(|request| request.repeatable);
+            if here && !attempt.cancelled && (repeatable || !accepted) {
+                attempt.cancelled = true;
+                out.push(Command::Cancel(*key));
+            }
+        }
+    }
+
+    fn blame(&mut self, now: Time, target: TargetId, watch: &CrashWatch, out: &mut Vec<Command>) {
+        let culprit = self.poison.blame(now, &watch.prints);
+        if let Some(print) = culprit {
+            let cause = format!("target {target} crashed under it");
+            let subject = format!("fingerprint {print}");
+            out.push(self.audit(
+                now,
+                Change::Quarantine,
+                subject,
+                ("suspect", "quarantined"),
+                cause,
+            ));
+        }
+        self.beat_urgently(now, out);
+    }
+
+    pub(super) fn note_turn(
+        &mut self,
+        now: Time,
+        turn: Option<Turn>,
+        cause: &str,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(turn) = turn else {
+            return;
+        };
+        self.counters.ejections += 1;
+        out.push(self.audit(
+            now,
+            Change::Ejection,
+            format!("target {}", turn.target),
+            (format!("{:?}", turn.old), format!("{:?}", turn.new)),
+            cause,
+        ));
+    }
+
+    pub(super) fn reply(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        reply: Reply,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(attempt) = self.attempts.remove(&key) else {
+            return;
+        };
+        match attempt.place {
+            Place::Target(target) => self.target_reply(now, attempt, target, reply, out),
+            Place::Node { vm, region } => {
+                if matches!(reply, Reply::NotSent) {
+                    self.peers.unreachable(vm);
+                }
+                if !matches!(reply, Reply::Complete { .. })
+                    && let Some(request) = self.requests.get_mut(&attempt.ticket)
+                {
+                    request.refused.insert(region);
+                    let service = request.service;
+                    self.away.entry((region, service)).or_default().full = true;
+                }
+                self.settle(now, attempt, reply, out);
+            }
+        }
+    }
+
+    fn target_reply(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        target: TargetKey,
+        reply: Reply,
+        out: &mut Vec<Command>,
+    ) {
+        self.targets.end(target, attempt.suspect);
+        let service = self.targets.get(target).service;
+        if let Some(request) = self.requests.get(&attempt.ticket) {
+            let customer = request.customer;
+            self.lane(service).queue.end(customer);
+        }
+        match &reply {
+            Reply::Complete { .. } => self.learn(now, &attempt, target),
+            Reply::NotSent if !attempt.cancelled => {
+                let turn = self.targets.fail(now, target, true);
+                self.note_turn(now, turn, "connection refused", out);
+            }
+            Reply::Broken { .. } if !attempt.cancelled => {
+                let turn = self.targets.fail(now, target, false);
+                self.note_turn(now, turn, "broken connections", out);
+                self.watch_crash(now, &attempt, target, out);
+            }
+            _ => {}
+        }
+        self.settle(now, attempt, reply, out);
+        self.dispatch(now, service, out);
+    }
+
+    fn learn(&mut self, now: Time, attempt: &Attempt, target: TargetKey) {
+        let took = now.since(attempt.started);
+        self.targets.succeed(target, took);
+        let Some(request) = self.requests.get(&attempt.ticket) else {
+            return;
+        };
+        if attempt.suspect {
+            self.poison.absolve(request.fingerprint);
+        }
+        if let Some(prefix) = request.prefix {
+            self.prefixes.note(now, target, prefix);
+        }
+        let service = request.service;
+        let sample = took.as_secs_f64();
+        let before = self.expected(service).as_secs_f64();
+        self.lane(service).mean = Some(before + SAMPLE * (sample - before));
+    }
+
+    /// Remembers whom a target's crash may be due to, and asks whether it crashed.
+    fn watch_crash(
+        &mut self,
+        now: Time,
+        attempt: &Attempt,
+        target: TargetKey,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(request) = self.requests.get(&attempt.ticket) else {
+            return;
+        };
+        let state = self.targets.get(target);
+        let probe = Command::Probe {
+            target: state.id,
+            address: state.rule.address,
+        };
+        let watch = self.crashes.entry(target).or_insert_with(|| {
+            out.push(probe);
+            CrashWatch {
+                since: now,
+                ..CrashWatch::default()
+            }
+        });
+        watch.prints.insert(request.fingerprint);
+    }
+
+    /// Decides what an attempt's end means for its request.
+    fn settle(&mut self, now: Time, attempt: Attempt, reply: Reply, out: &mut Vec<Command>) {
+        let ticket = attempt.ticket;
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        let owner_asked = request.key.is_some() && !request.owned;
+        let repeatable = request.repeatable;
+        match reply {
+            Reply::Complete { answer } => self.complete(now, ticket, answer, out),
+            Reply::NotSent if owner_asked => {
+                self.answer(ticket, Refusal::unknown(Reason::KeyOwner), out);
+            }
+            Reply::Refused(refusal) | Reply::Unsure(refusal) if owner_asked => {
+                self.answer(ticket, refusal, out);
+            }
+            Reply::NotSent => {
+                let refusal = Refusal::not_run(Reason::NoTarget);
+                self.again_or(now, ticket, refusal, false, out);
+            }
+            Reply::Refused(refusal) => {
+                if Self::lasting(refusal.reason) {
+                    self.refuse(now, ticket, refusal, out);
+                } else {
+                    self.again_or(now, ticket, refusal, false, out);
+                }
+            }
+            Reply::Unsure(refusal) => {
+                if repeatable {
+                    self.again_or(now, ticket, refusal, true, out);
+                } else {
+                    self.refuse(now, ticket, refusal, out);
+                }
+            }
+            Reply::Broken { started } => {
+                let reason = if attempt.silent {
+                    Reason::Silent
+                } else {
+                    Reason::Broken
+                };
+                let refusal = Refusal::unknown(reason);
+                if repeatable && !started {
+                    self.again_or(now, ticket, refusal, true, out);
+                } else {
+                    self.refuse(now, ticket, refusal, out);
+                }
+            }
+        }
+    }
+
+    /// Tells whether another node would refuse for the same reason.
+    fn lasting(reason: Reason) -> bool {
+        matches!(
+            reason,
+            Reason::Poison | Reason::Residency | Reason::Service | Reason::Credential
+        )
+    }
+
+    /// Tries a request again, or ends it with a refusal. Retries after a run cost budget.
+    fn again_or(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        refusal: Refusal,
+        costs: bool,
+        out: &mut Vec<Command>,
+    ) {
+        let request = &self.requests[&ticket];
+        let service = request.service;
+        let spent = request.attempts >= MOST_ATTEMPTS || request.budget(now).is_zero();
+        if spent || request.orphan || (costs && !self.lane(service).retries.spend()) {
+            self.refuse(now, ticket, refusal, out);
+            return;
+        }
+        self.counters.retries += 1;
+        if costs {
+            // The request may have run, so a later refusal must not call it not run.
+            self.request_mut(ticket).tainted = true;
+        }
+        self.request_mut(ticket).stage = Stage::Placing;
+        self.place(now, ticket, out);
+    }
+
+    fn complete(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        answer: Option<Arc<StoredAnswer>>,
+        out: &mut Vec<Command>,
+    ) {
+        self.counters.complete += 1;
+        self.finish(now, ticket, crate::keys::Ending::Complete(answer), out);
+    }
+
+    /// Returns the node that an attempt runs at, if any.
+    #[must_use]
+    pub fn attempt_node(&self, key: AttemptKey) -> Option<VmId> {
+        match self.attempts.get(&key)?.place {
+            Place::Node { vm, .. } => Some(vm),
+            Place::Target(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node/config.rs
@@ -0,0 +1,235 @@
+//! Takes in bundles, confirmations and drains.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use seam_protocol::{Bundle, Time, VmId, VmState};
+
+use super::Node;
+use super::admit::owner_region;
+use crate::audit::Change;
+use crate::command::Command;
+use crate::event::Drainable;
+use crate::targets::{Phase, TargetKey};
+
+/// Time after which a fetch that brought nothing is tried at another peer.
+const FETCH_AGAIN: Duration = Duration::from_millis(500);
+
+impl Node {
+    /// Puts a bundle in force if it goes forward.
+    ///
+    /// Of two bundles with one revision the one with the lower digest wins at every node, and an
+    /// alarm is raised.
+    pub(super) fn adopt(&mut self, now: Time, bundle: &Arc<Bundle>, out: &mut Vec<Command>) {
+        let old = self.bundle.clone();
+        if let Some(old) = &old {
+            if old.digest == bundle.digest || old.revision > bundle.revision {
+                return;
+            }
+            if old.revision == bundle.revision {
+                let kept = old.digest.min(bundle.digest);
+                out.push(self.audit(
+                    now,
+                    Change::Conflict,
+                    format!("revision {}", bundle.revision),
+                    (old.digest.to_string(), kept.to_string()),
+                    "two bundles claim one revision; the lower digest wins",
+                ));
+                if old.digest == kept {
+                    return;
+                }
+            }
+        }
+        let revision = |bundle: &Bundle| format!("{} {}", bundle.revision, bundle.digest);
+        let before = old.as_deref().map_or_else(String::new, revision);
+        out.push(self.audit(
+            now,
+            Change::Revision,
+            "configuration",
+            (before, revision(bundle)),
+            "newer revision read whole and checked",
+        ));
+        self.move_ownership(now, old.as_deref(), bundle);
+        self.install(now, old.is_none(), bundle);
+        self.beat_urgently(now, out);
+        let services: Vec<_> = bundle.services.keys().copied().collect();
+        for service in services {
+            self.dispatch(now, service, out);
+        }
+    }
+
+    fn install(&mut self, now: Time, first: bool, bundle: &Arc<Bundle>) {
+        self.bundle = Some(bundle.clone());
+        self.fetching = None;
+        self.regions = bundle
+            .deployment
+            .vms
+            .iter()
+            .map(|(id, vm)| (*id, vm.region))
+            .collect();
+        let regions = bundle.deployment.regions.len();
+        self.peers.adopt(&self.regions, regions, self.id.region);
+        self.gossip.adopt(bundle, self.id.vm, self.id.region);
+        let window = Duration::from_secs(bundle.deployment.repeat_window);
+        self.keys.set_window(window);
+        let mut wanted = BTreeMap::new();
+        for (service_id, service) in &bundle.services {
+            for (id, target) in &service.targets {
+                if target.region == self.id.region {
+                    wanted.insert(*id, (*service_id, target.clone()));
+                }
+            }
+        }
+        self.targets.adopt(now, first, &wanted);
+        self.lanes.retain(|service, lane| {
+            bundle.services.contains_key(service) || lane.queue.queued() > 0
+        });
+        self.refresh_members(now);
+    }
+
+    /// Restarts the repeat window of keys that this node may newly own.
+    fn move_ownership(&mut self, now: Time, old: Option<&Bundle>, new: &Bundle) {
+        let Some(old) = old else {
+            self.owner_since = now;
+            return;
+        };
+        let nodes = |bundle: &Bundle| -> BTreeSet<VmId> {
+            let vms = bundle.deployment.vms.iter();
+            vms.filter(|(_, vm)| vm.region == self.id.region)
+                .map(|(id, _)| *id)
+                .collect()
+        };
+        let (before, after) = (nodes(old), nodes(new));
+        let joined = !before.contains(&self.id.vm);
+        let services = old.services.len() != new.services.len()
+            || old.services.iter().any(|(id, service)| {
+                new.services
+                    .get(id)
+                    .is_none_or(|other| regions_of(service) != regions_of(other))
+            });
+        if joined || services || !before.is_subset(&after) {
+            self.owner_since = now;
+        }
+        let window = self.keys.window();
+        self.moved.retain(|_, since| now.since(*since) < window);
+        for (id, customer) in &new.customers {
+            let Some(earlier) = old.customers.get(id) else {
+                continue;
+            };
+            if earlier.home == customer.home && earlier.residency == customer.residency {
+                continue;
+            }
+            let moved = new.services.values().any(|service| {
+                owner_region(old, service, earlier) != owner_region(new, service, customer)
+            });
+            if moved {
+                self.moved.insert(*id, now);
+            }
+        }
+    }
+
+    /// Takes in the configuration service's word on the newest revision.
+    pub(super) fn confirmed(&mut self, now: Time, revision: u64) {
+        let mine = self.bundle.as_ref().map_or(0, |bundle| bundle.revision);
+        let alone = self.gossip.near().is_empty() && self.regions.len() <= 1;
+        if alone && mine >= revision {
+            self.standing.confirm(now);
+        }
+    }
+
+    /// Asks a peer for a newer revision, at most once in a while.
+    pub(super) fn fetch(&mut self, now: Time, from: VmId, revision: u64, out: &mut Vec<Command>) {
+        let waiting = self
+            .fetching
+            .is_some_and(|(wanted, since)| wanted >= revision && now.since(since) < FETCH_AGAIN);
+        let address = self
+            .bundle
+            .as_ref()
+            .and_then(|bundle| bundle.deployment.vms.get(&from))
+            .map(|vm| vm.peer);
+        if let Some(address) = address.filter(|_| !waiting) {
+            self.fetching = Some((revision, now));
+            out.push(Command::Fetch { from, address });
+        }
+    }
+
+    pub(super) fn drain(
+        &mut self,
+        now: Time,
+        what: Drainable,
+        on: bool,
+        actor: &str,
+        out: &mut Vec<Command>,
+    ) {
+        let (change, subject) = match what {
+            Drainable::Node => {
+                if self.drain.is_some() == on {
+                    return;
+                }
+                self.drain = on.then_some(now);
+                (Change::NodeDrain, format!("node {}", self.id.vm))
+            }
+            Drainable::Target(target) => {
+                let phase = if on { Phase::Drained } else { Phase::Serving };
+                let key = self.targets.key(target);
+                if key
+                    .and_then(|key| self.targets.mark(now, key, phase))
+                    .is_none()
+                {
+                    return;
+                }
+                (Change::TargetDrain, format!("target {target}"))
+            }
+        };
+        let word = |on: bool| if on { "draining" } else { "serving" };
+        let mut line = self.audit(now, change, subject, (word(!on), word(on)), "asked");
+        if let Command::Audit(audit) = &mut line {
+            actor.clone_into(&mut audit.actor);
+        }
+        out.push(line);
+        self.beat_urgently(now, out);
+    }
+
+    /// Takes in the platform's list. VMs and targets that it does not name are left alone.
+    pub(super) fn vm_list(&mut self, now: Time, list: &[VmState], out: &mut Vec<Command>) {
+        let leaving: BTreeSet<&str> = list
+            .iter()
+            .filter(|state| state.leaving)
+            .map(|state| state.name.as_str())
+            .collect();
+        let vms = leaving.iter().map(|name| VmId::of(name)).collect();
+        self.peers.set_leaving(vms);
+        let named: BTreeMap<&str, bool> = list
+            .iter()
+            .map(|state| (state.name.as_str(), state.leaving))
+            .collect();
+        let marks: Vec<(TargetKey, Phase)> = self
+            .targets
+            .all()
+            .filter_map(|(key, state)| {
+                let leaving = *named.get(state.rule.name.as_str())?;
+                match (leaving, state.phase) {
+                    (true, Phase::Leaving | Phase::Drained) | (false, Phase::Drained) => None,
+                    (true, _) => Some((key, Phase::Leaving)),
+                    (false, Phase::Leaving) => Some((key, Phase::Serving)),
+                    (false, _) => None,
+                }
+            })
+            .collect();
+        for (key, phase) in marks {
+            let turn = self.targets.mark(now, key, phase);
+            self.note_turn(now, turn, "platform's list", out);
+        }
+    }
+}
+
+fn regions_of(
+    service: &seam_protocol::Service,
+) -> (
+    BTreeSet<seam_protocol::RegionId>,
+    Option<&BTreeSet<seam_protocol::RegionId>>,
+) {
+    let regions = service.targets.values().map(|target| target.region);
+    (regions.collect(), service.residency.as_ref())
+}
--- /dev/null
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -0,0 +1,365 @@
+//! Chooses the region and the target of a request.
+
+use std::time::Duration;
+
+use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
+
+use super::{Lane, Node};
+use crate::command::{Command, Refusal};
+use crate::request::{Attempt, AttemptKey, Place, Request, Stage, Ticket};
+use crate::spill::{Asked, Choice, Here, There};
+use crate::targets::TargetKey;
+
+/// Shortest advice on when to ask again.
+const LEAST_RETRY: Duration = Duration::from_millis(250);
+/// Longest advice on when to ask again.
+const MOST_RETRY: Duration = Duration::from_secs(30);
+/// Times that a request is sent away before it must stay.
+const MOST_AWAY: usize = 2;
+
+impl Node {
+    /// Places a request that was admitted: here, away, or nowhere.
+    pub(super) fn place(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let request = &self.requests[&ticket];
+        let here = self.here(now, request);
+        let asked = self.asked(now, request);
+        let choice = if request.forwarded() {
+            self.choose_forwarded(request, asked, here)
+        } else {
+            let there = self.there(now, request);
+            self.spill.choose(asked, here, &there)
+        };
+        match choice {
+            Choice::Here => self.enqueue(now, ticket, out),
+            Choice::There(region) => self.send_away(now, ticket, region, out),
+            Choice::Nowhere(wait) => {
+                let reason = match wait {
+                    Some(_) => Reason::Overload,
+                    None => Reason::NoTarget,
+                };
+                let retry = wait.unwrap_or(MOST_RETRY / 10);
+                let refusal = Refusal::not_run(reason).after(retry.clamp(LEAST_RETRY, MOST_RETRY));
+                self.refuse(now, ticket, refusal, out);
+            }
+        }
+    }
+
+    fn asked(&self, now: Time, request: &Request) -> Asked {
+        let weight = self
+            .bundle
+            .as_ref()
+            .map_or(1.0, |bundle| bundle.deployment.weight);
+        Asked {
+            service: request.service,
+            budget: request.budget(now),
+            expected: self.expected(request.service),
+            weight,
+        }
+    }
+
+    /// Predicts the wait for a slot in this region.
+    pub(crate) fn here(&self, now: Time, request: &Request) -> Here {
+        let allowed = self.allows(request, self.id.region);
+        let possible = allowed && self.targets.serving(request.service);
+        Here {
+            possible,
+            wait: self.wait(now, request),
+        }
+    }
+
+    pub(crate) fn allows(&self, request: &Request, region: RegionId) -> bool {
+        let Some(bundle) = &self.bundle else {
+            return false;
+        };
+        let rules = bundle
+            .services
+            .get(&request.service)
+            .zip(bundle.customers.get(&request.customer));
+        rules.is_some_and(|(service, customer)| bundle.allowed(service, customer).contains(&region))
+    }
+
+    fn wait(&self, now: Time, request: &Request) -> Duration {
+        let slots = self.targets.slots(now, request.service);
+        let Some(lane) = self.lanes.get(&request.service) else {
+            return Duration::ZERO;
+        };
+        let weight = self.weight(request);
+        let ahead = lane.queue.ahead(request.customer, weight);
+        let free = slots.saturating_sub(lane.queue.running());
+        if ahead < free as usize {
+            return Duration::ZERO;
+        }
+        let turns = (ahead + 1).saturating_sub(free as usize) as f64 / f64::from(slots.max(1));
+        self.expected(request.service).mul_f64(turns)
+    }
+
+    fn weight(&self, request: &Request) -> u64 {
+        const MOST_PRIORITY: u8 = 3;
+        self.bundle
+            .as_ref()
+            .and_then(|bundle| bundle.customers.get(&request.customer))
+            .map_or(1, |customer| {
+                u64::from(customer.weight.max(1)) << customer.priority.min(MOST_PRIORITY)
+            })
+    }
+
+    /// A forwarded request that could run in its sender's region takes only what is free now.
+    fn choose_forwarded(&self, request: &Request, asked: Asked, here: Here) -> Choice {
+        let keyed = request.key.is_some();
+        let sender = request.hops.last().map(|hop| hop.region);
+        let spilled = !keyed && sender.is_some_and(|region| self.allows(request, region));
+        let fits = here.wait + asked.expected <= asked.budget;
+        if here.possible && fits && (!spilled || here.wait == Duration::ZERO) {
+            Choice::Here
+        } else {
+            Choice::Nowhere(here.possible.then_some(here.wait))
+        }
+    }
+
+    /// Returns the regions that a request may be sent to.
+    pub(crate) fn there(&self, now: Time, request: &Request) -> Vec<There> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let rules = bundle
+            .services
+            .get(&request.service)
+            .zip(bundle.customers.get(&request.customer));
+        let Some((service, customer)) = rules else {
+            return Vec::new();
+        };
+        if request.refused.len() >= MOST_AWAY {
+            return Vec::new();
+        }
+        bundle
+            .allowed(service, customer)
+            .into_iter()
+            .filter(|region| *region != self.id.region && !request.refused.contains(region))
+            .filter_map(|region| self.room_in(now, region, request.service))
+            .collect()
+    }
+
+    /// Returns what is left of a region's room after what this node has sent since its digest.
+    fn room_in(&self, now: Time, region: RegionId, service: ServiceId) -> Option<There> {
+        let room = self.peers.room(now, region, service.tag())?;
+        let heard = self.peers.region_heard(region)?;
+        let away = self.away.get(&(region, service)).copied();
+        let away = away.filter(|away| away.since >= heard).unwrap_or_default();
+        let usable = (f64::from(room.free) * self.spill.ramp(now, region)).ceil() as u32;
+        let free = usable.saturating_sub(away.sent);
+        let bundle = self.bundle.as_ref()?;
+        let trip = Duration::from_micros(2 * bundle.delay(self.id.region, region));
+        let full = away.full || (free == 0 && room.free > 0);
+        let wait = if full {
+            self.expected(service)
+        } else {
+            Duration::from_millis(u64::from(room.wait))
+        };
+        Some(There {
+            region,
+            trip,
+            wait,
+            free,
+        })
+    }
+
+    fn enqueue(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let request = &self.requests[&ticket];
+        let (service, customer) = (request.service, request.customer);
+        let weight = self.weight(request);
+        self.request_mut(ticket).stage = Stage::Queued;
+        let lane = self.lanes.entry(service).or_default();
+        lane.retries.earn();
+        lane.queue.push(customer, weight, ticket);
+        self.dispatch(now, service, out);
+    }
+
+    /// Starts queued requests of a service while targets have slots.
+    pub(super) fn dispatch(&mut self, now: Time, service: ServiceId, out: &mut Vec<Command>) {
+        let mut deferred = Vec::new();
+        loop {
+            let slots = self.targets.slots(now, service);
+            let Some(lane) = self.lanes.get_mut(&service) else {
+                break;
+            };
+            if lane.queue.running() >= slots {
+                break;
+            }
+            let Some(ticket) = lane.queue.pop(slots) else {
+                break;
+            };
+            if self.shed(now, service, ticket, out) {
+                continue;
+            }
+            let request = &self.requests[&ticket];
+            let suspect = self.poison.crashes(request.fingerprint) > 0;
+            let chosen = self.targets.choose(
+                now,
+                service,
+                request.prefix,
+                suspect.then_some(request.fingerprint),
+                &self.prefixes,
+                &mut self.rng,
+            );
+            match chosen {
+                Some(target) => self.send(now, ticket, target, out),
+                None => {
+                    deferred.push(ticket);
+                    // Only a suspect can fail to find a place while others find one.
+                    if !suspect {
+                        break;
+                    }
+                }
+            }
+        }
+        for ticket in deferred.into_iter().rev() {
+            let customer = self.requests[&ticket].customer;
+            self.lane(service).queue.unpop(customer, ticket);
+        }
+    }
+
+    pub(super) fn lane(&mut self, service: ServiceId) -> &mut Lane {
+        self.lanes.entry(service).or_default()
+    }
+
+    /// Refuses a popped request that can no longer end in time. Returns whether it did.
+    fn shed(
+        &mut self,
+        now: Time,
+        service: ServiceId,
+        ticket: Ticket,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        const LEAST_PART: f64 = 0.5;
+        let least = self.expected(service).mul_f64(LEAST_PART);
+        let Some(request) = self.requests.get(&ticket) else {
+            return true;
+        };
+        let customer = request.customer;
+        let quarantined = self.poison.quarantined(request.fingerprint);
+        if request.budget(now) > least && !quarantined {
+            return false;
+        }
+        let reason = if quarantined {
+            Reason::Poison
+        } else {
+            Reason::Deadline
+        };
+        self.lane(service).queue.end(customer);
+        let refusal = Refusal::not_run(reason).after(LEAST_RETRY);
+        self.refuse_popped(now, ticket, refusal, out);
+        true
+    }
+
+    fn send(&mut self, now: Time, ticket: Ticket, target: TargetKey, out: &mut Vec<Command>) {
+        let attempt = self.open_attempt(now, ticket, Place::Target(target));
+        let request = &self.requests[&ticket];
+        let suspect = self.poison.crashes(request.fingerprint) > 0;
+        let keep = request.owned;
+        let budget = request.budget(now);
+        let service = request.service;
+        self.targets.begin(target, suspect);
+        self.request_mut(ticket).stage = Stage::Running(attempt);
+        let state = self.targets.get(target);
+        out.push(Command::Send {
+            ticket,
+            attempt,
+            target: state.id,
+            service,
+            address: state.rule.address,
+            silence: self.silence(service),
+            budget,
+            keep,
+        });
+    }
+
+    fn silence(&self, service: ServiceId) -> Duration {
+        self.bundle
+            .as_ref()
+            .and_then(|bundle| bundle.services.get(&service))
+            .map_or(MOST_RETRY, |rule| Duration::from_millis(rule.silence))
+    }
+
+    fn open_attempt(&mut self, now: Time, ticket: Ticket, place: Place) -> AttemptKey {
+        self.next_attempt += 1;
+        let key = AttemptKey(self.next_attempt);
+        self.request_mut(ticket).attempts += 1;
+        let suspect = self.poison.crashes(self.requests[&ticket].fingerprint) > 0;
+        self.attempts.insert(
+            key,
+            Attempt {
+                ticket,
+                place,
+                started: now,
+                sent: false,
+                silent: false,
+                cancelled: false,
+                suspect,
+            },
+        );
+        key
+    }
+
+    fn send_away(&mut self, now: Time, ticket: Ticket, region: RegionId, out: &mut Vec<Command>) {
+        let service = self.requests[&ticket].service;
+        let heard = self.peers.region_heard(region).unwrap_or(now);
+        let away = self.away.entry((region, service)).or_default();
+        if away.since < heard {
+            *away = super::Away {
+                since: now,
+                ..super::Away::default()
+            };
+        }
+        away.sent += 1;
+        let Some(vm) = self.node_in(now, region, ticket) else {
+            self.request_mut(ticket).refused.insert(region);
+            self.place(now, ticket, out);
+            return;
+        };
+        self.counters.sent_away += 1;
+        self.forward(now, ticket, vm, out);
+    }
+
+    /// Returns a ready node of another region, spread over its nodes by request.
+    fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
+        let nodes = &self.peers.region(now, region)?.nodes;
+        let usable: Vec<VmId> = nodes
+            .iter()
+            .copied()
+            .filter(|vm| self.regions.get(vm) == Some(&region))
+            .filter(|vm| {
+                let peer = self.peers.known(*vm);
+                peer.is_none_or(|peer| peer.record.ready && peer.heard.0 > 0)
+            })
+            .collect();
+        let count = usable.len() as u64;
+        (count > 0).then(|| usable[(ticket.0 % count) as usize])
+    }
+
+    /// Forwards a request to a node, once.
+    pub(super) fn forward(&mut self, now: Time, ticket: Ticket, vm: VmId, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let Some(rule) = bundle.deployment.vms.get(&vm) else {
+            return;
+        };
+        let place = Place::Node {
+            vm,
+            region: rule.region,
+        };
+        let attempt = self.open_attempt(now, ticket, place);
+        let hop = self.own_hop();
+        let request = self.request_mut(ticket);
+        request.stage = Stage::Away(attempt);
+        out.push(Command::Forward {
+            ticket,
+            attempt,
+            vm,
+            address: rule.peer,
+            hops: vec![hop],
+            revision: bundle.revision,
+            budget: request.budget(now),
+        });
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node/finish.rs
@@ -0,0 +1,246 @@
+//! Gives a request its final answer.
+
+use std::sync::Arc;
+
+use seam_protocol::{Outcome, Reason, StoredAnswer, Time};
+
+use super::Node;
+use crate::command::{Command, Refusal};
+use crate::event::KeyName;
+use crate::keys::{Claim, Ending};
+use crate::request::{Request, Stage, Ticket};
+
+impl Node {
+    /// Refuses a request by this node's own decision.
+    ///
+    /// What a refusal may say depends on the request's key. Another copy of a keyed request may
+    /// still be on its way, so "not run" is said only where the key is burnt at the same time, and
+    /// only by the key's owner. A request that may have run is never called not run.
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        refusal: Refusal,
+        out: &mut Vec<Command>,
+    ) {
+        self.leave_queue(ticket);
+        self.refuse_popped(now, ticket, refusal, out);
+    }
+
+    /// Refuses a request that stands in no queue.
+    pub(super) fn refuse_popped(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        mut refusal: Refusal,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        if request.tainted && refusal.outcome == Outcome::NotRun {
+            refusal.outcome = Outcome::Unknown;
+        }
+        let ran = refusal.outcome != Outcome::NotRun;
+        let ending = match &request.key {
+            _ if ran => Ending::Unknown,
+            Some(KeyName::Issued(_)) => Ending::Burnt(refusal.reason),
+            Some(KeyName::Caller { .. }) => {
+                refusal.outcome = Outcome::Unknown;
+                Ending::Free
+            }
+            None => Ending::Free,
+        };
+        if request.key.is_some() && !request.owned {
+            refusal.outcome = Outcome::Unknown;
+        }
+        self.tell(ticket, refusal, out);
+        self.finish(now, ticket, ending, out);
+    }
+
+    /// Passes on a refusal that is final as it is, such as one by a key's owner.
+    pub(super) fn answer(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Command>) {
+        self.tell(ticket, refusal, out);
+        self.forget(ticket, out);
+    }
+
+    pub(super) fn replay(
+        &mut self,
+        ticket: Ticket,
+        answer: Arc<StoredAnswer>,
+        out: &mut Vec<Command>,
+    ) {
+        self.counters.replayed += 1;
+        out.push(Command::Replay { ticket, answer });
+        self.forget(ticket, out);
+    }
+
+    /// Sends a refusal unless the caller has had its answer already.
+    fn tell(&mut self, ticket: Ticket, refusal: Refusal, out: &mut Vec<Command>) {
+        let orphan = self
+            .requests
+            .get(&ticket)
+            .is_none_or(|request| request.orphan);
+        if orphan {
+            return;
+        }
+        match refusal.outcome {
+            Outcome::NotRun => self.counters.not_run += 1,
+            Outcome::Unknown => self.counters.unknown += 1,
+            Outcome::Complete => self.counters.complete += 1,
+        }
+        out.push(Command::Refuse { ticket, refusal });
+    }
+
+    /// Settles a request's key, answers the repeats that waited for it, and forgets the request.
+    pub(super) fn finish(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        ending: Ending,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        let name = request.key.clone().filter(|_| request.owned);
+        self.forget(ticket, out);
+        self.unpark(now, out);
+        let Some(name) = name else {
+            return;
+        };
+        let freed = matches!(ending, Ending::Free);
+        for waiter in self.keys.settle(now, &name, ending) {
+            let verdict = self.keys.verdict(&name);
+            match verdict {
+                Some(Claim::Replay(answer)) => self.replay(waiter, answer, out),
+                Some(Claim::Refuse(refusal)) => self.answer(waiter, refusal, out),
+                _ => {
+                    debug_assert!(freed, "a settled key has a verdict");
+                    let refusal = Refusal::unknown(Reason::Overload);
+                    self.answer(waiter, refusal, out);
+                }
+            }
+        }
+    }
+
+    /// Removes a request and returns what it held.
+    pub(super) fn forget(&mut self, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.remove(&ticket) else {
+            return;
+        };
+        self.deadlines.remove(&(request.deadline, ticket));
+        out.push(Command::Done(ticket));
+        if request.charged {
+            self.limits.end(request.customer);
+            self.freed.insert(request.customer);
+        }
+    }
+
+    /// Takes a request out of whatever queue it stands in.
+    fn leave_queue(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket).cloned() else {
+            return;
+        };
+        match request.stage {
+            Stage::Queued => {
+                self.lane(request.service)
+                    .queue
+                    .remove(request.customer, ticket);
+            }
+            Stage::Parked => self.limits.leave(request.customer, ticket),
+            Stage::Joined => self.leave_key(&request, ticket),
+            Stage::Placing | Stage::Running(_) | Stage::Away(_) => {}
+        }
+    }
+
+    fn leave_key(&mut self, request: &Request, ticket: Ticket) {
+        if let Some(name) = &request.key {
+            self.keys.leave(name, ticket);
+        }
+    }
+
+    /// Takes in that a caller left.
+    ///
+    /// A request that may not be repeated and has a key goes on, so that a repeat gets its answer.
+    /// Every other one is cancelled.
+    pub(super) fn gone(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        match request.stage {
+            Stage::Running(_) | Stage::Away(_) if request.owned => request.orphan = true,
+            Stage::Running(attempt) | Stage::Away(attempt) => {
+                request.orphan = true;
+                self.cancel(attempt, out);
+            }
+            _ => {
+                request.orphan = true;
+                let refusal = Refusal::not_run(Reason::Deadline);
+                self.refuse(now, ticket, refusal, out);
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, key: crate::AttemptKey, out: &mut Vec<Command>) {
+        if let Some(attempt) = self.attempts.get_mut(&key)
+            && !attempt.cancelled
+        {
+            attempt.cancelled = true;
+            out.push(Command::Cancel(key));
+        }
+    }
+
+    /// Gives requests past their deadline their final answer.
+    pub(super) fn expire_requests(&mut self, now: Time, out: &mut Vec<Command>) {
+        while let Some((deadline, ticket)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            self.deadlines.remove(&(deadline, ticket));
+            self.expire_request(now, ticket, out);
+        }
+    }
+
+    fn expire_request(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        let (Stage::Running(key) | Stage::Away(key)) = request.stage else {
+            let refusal = if request.stage == Stage::Joined {
+                Refusal::unknown(Reason::Deadline)
+            } else {
+                Refusal::not_run(Reason::Deadline)
+            };
+            self.refuse(now, ticket, refusal, out);
+            return;
+        };
+        let owned = request.owned;
+        let sent = self.attempts.get(&key).is_some_and(|attempt| attempt.sent);
+        if !sent {
+            // The attempt is cancelled before its first byte, which [`Node::sending`] enforces.
+            self.cancel(key, out);
+            self.end_unsent(key, ticket);
+            self.refuse_popped(now, ticket, Refusal::not_run(Reason::Deadline), out);
+            return;
+        }
+        self.tell(ticket, Refusal::unknown(Reason::Deadline), out);
+        self.request_mut(ticket).orphan = true;
+        if !owned {
+            self.cancel(key, out);
+        }
+    }
+
+    /// Returns the slot of an attempt that will never send.
+    fn end_unsent(&mut self, key: crate::AttemptKey, ticket: Ticket) {
+        let Some(attempt) = self.attempts.remove(&key) else {
+            return;
+        };
+        let crate::request::Place::Target(target) = attempt.place else {
+            return;
+        };
+        self.targets.end(target, attempt.suspect);
+        let request = &self.requests[&ticket];
+        let (service, customer) = (request.service, request.customer);
+        self.lane(service).queue.end(customer);
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node/members.rs
@@ -0,0 +1,339 @@
+//! Heartbeats: what to say, and what to make of what is heard.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use seam_protocol::heartbeat::{ServiceRoom, Shortage};
+use seam_protocol::{
+    CacheEvent, Heartbeat, LoadReport, RegionDigest, ServiceLoad, TargetId, Time, VmId, VmRecord,
+};
+
+use super::Node;
+use crate::command::Command;
+use crate::event::Hop;
+use crate::gossip::{DIGESTS, LOADS, RECORDS, SUSPECTS};
+use crate::limits::Asking;
+use crate::peers::Peers;
+
+/// Ready nodes named in a region's digest.
+const DIGEST_NODES: usize = 4;
+
+impl Node {
+    /// Takes in a heartbeat whose MAC was checked.
+    pub(super) fn heard(&mut self, now: Time, beat: &Heartbeat, out: &mut Vec<Command>) {
+        if beat.from == self.id.vm {
+            return;
+        }
+        let me = (self.id.vm, self.id.incarnation, self.id.region);
+        let news = self.peers.hear(now, me, beat, &self.regions);
+        if news.late {
+            return;
+        }
+        if let Some(echo) = news.echo {
+            self.standing.confirm(echo);
+        }
+        for region in news.returned {
+            self.spill.returned(now, region);
+        }
+        let newest = beat.records.iter().map(|record| record.revision).max();
+        self.compare_revision(now, beat, newest.unwrap_or(0), out);
+        for suspect in &beat.suspects {
+            self.poison.hear(now, *suspect);
+        }
+        for shortage in &beat.shortages {
+            self.lend(now, beat, *shortage, out);
+        }
+        self.take_grants(now, beat, out);
+        if news.members {
+            self.refresh_members(now);
+        }
+        if self.standing_asks(beat) {
+            self.beat_to(now, beat.from, Vec::new(), Vec::new(), out);
+        }
+    }
+
+    /// A sender that does not know this incarnation yet waits for an echo, so it gets one at once.
+    fn standing_asks(&self, beat: &Heartbeat) -> bool {
+        beat.believed != self.id.incarnation && self.bundle.is_some()
+    }
+
+    fn compare_revision(
+        &mut self,
+        now: Time,
+        beat: &Heartbeat,
+        newest: u64,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(bundle) = &self.bundle else {
+            return;
+        };
+        let mine = bundle.revision;
+        let sender = beat.records.first().map_or(0, |record| record.revision);
+        let rival = sender == mine && beat.manifest != bundle.digest.head();
+        if newest > mine || rival {
+            self.fetch(now, beat.from, newest, out);
+        } else if sender < mine && sender > 0 {
+            self.beat_to(now, beat.from, Vec::new(), Vec::new(), out);
+        }
+    }
+
+    fn lend(&mut self, now: Time, beat: &Heartbeat, shortage: Shortage, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let Some(asking) = self.asking(&bundle, shortage.customer, now) else {
+            return;
+        };
+        if !self.standing.fresh() {
+            return;
+        }
+        if let Some(grant) = self.limits.lend(now, asking, shortage.units, beat.sent) {
+            self.beat_to(now, beat.from, Vec::new(), vec![grant], out);
+        }
+    }
+
+    fn take_grants(&mut self, now: Time, beat: &Heartbeat, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        if beat.believed != self.id.incarnation {
+            return;
+        }
+        for grant in &beat.grants {
+            if let Some(asking) = self.asking(&bundle, grant.customer, now) {
+                self.limits.borrow(now, asking, *grant);
+                self.freed.insert(grant.customer);
+            }
+        }
+        self.unpark(now, out);
+    }
+
+    pub(super) fn ask_for_units(&mut self, now: Time, asking: Asking, out: &mut Vec<Command>) {
+        if let Some((lender, shortage)) = self.limits.ask(now, asking) {
+            self.beat_to(now, lender, vec![shortage], Vec::new(), out);
+        }
+    }
+
+    /// Recomputes who is alive, which targets this node uses and its part of each.
+    pub(super) fn refresh_members(&mut self, now: Time) {
+        self.refreshed = now;
+        let mut alive: BTreeSet<VmId> = self
+            .peers
+            .live_in(now, self.id.region)
+            .map(|(vm, _)| vm)
+            .collect();
+        alive.insert(self.id.vm);
+        if alive != self.alive || self.bundle.is_some() {
+            self.targets.subset(self.id.vm, &alive);
+            self.alive = alive;
+        }
+        self.share_slots(now);
+    }
+
+    /// Sets this node's part of the slots of each service by the demand heard in heartbeats.
+    fn share_slots(&mut self, now: Time) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let peers: Vec<_> = self.peers.live_in(now, self.id.region).collect();
+        let mut heard: BTreeMap<_, u32> = BTreeMap::new();
+        for (_, peer) in &peers {
+            for load in &peer.record.loads {
+                *heard.entry(load.service).or_default() += load.running + load.queued;
+            }
+        }
+        let others = peers.len() as f64;
+        for service in bundle.services.keys() {
+            let mine = self
+                .lanes
+                .get(service)
+                .map_or(0, |lane| lane.queue.running() + lane.queue.queued() as u32);
+            let theirs = heard.get(&service.tag()).copied().unwrap_or(0);
+            let mine = f64::from(mine) + 1.0;
+            let share = mine / (mine + f64::from(theirs) + others);
+            self.targets.set_share(*service, share);
+        }
+    }
+
+    /// Sends this round's heartbeats if they are due.
+    pub(super) fn beat(&mut self, now: Time, out: &mut Vec<Command>) {
+        if self.bundle.is_none() {
+            return;
+        }
+        let Some((near, far)) = self.gossip.due(now) else {
+            return;
+        };
+        for vm in near.into_iter().chain(far) {
+            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+        }
+    }
+
+    /// Tells a few nodes at once; each passes the news on.
+    pub(super) fn beat_urgently(&mut self, now: Time, out: &mut Vec<Command>) {
+        for vm in self.gossip.urgent(&mut self.rng) {
+            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+        }
+    }
+
+    pub(super) fn beat_to(
+        &mut self,
+        now: Time,
+        to: VmId,
+        shortages: Vec<Shortage>,
+        grants: Vec<seam_protocol::heartbeat::Grant>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let Some(address) = bundle.deployment.vms.get(&to).map(|vm| vm.peer) else {
+            return;
+        };
+        let near = self.regions.get(&to) == Some(&self.id.region);
+        let mut beat = Heartbeat::empty(self.id.vm, self.id.region);
+        beat.sent = now.0;
+        beat.manifest = bundle.digest.head();
+        if let Some(peer) = self.peers.known(to) {
+            beat.believed = peer.direct;
+            beat.echo = peer.sent;
+        }
+        beat.records.push(self.own_record(bundle.revision));
+        let turn = self.gossip.round();
+        if near {
+            let others = self.peers.freshest(now, self.id.region, to, RECORDS);
+            beat.records.extend(others);
+            beat.digests = self.peers.digests(now, turn, self.id.region, DIGESTS);
+        } else {
+            let region = self.regions.get(&to).copied().unwrap_or_default();
+            if self.standing.fresh() {
+                beat.digests.push(self.own_digest(now));
+            }
+            beat.digests
+                .extend(self.peers.digests(now, turn, region, DIGESTS));
+        }
+        beat.suspects = self.poison.news(SUSPECTS);
+        beat.shortages = shortages;
+        beat.grants = grants;
+        out.push(Command::Beat {
+            to,
+            address,
+            beat: Box::new(beat),
+        });
+    }
+
+    fn own_record(&mut self, revision: u64) -> VmRecord {
+        self.number += 1;
+        let mut loads: Vec<ServiceLoad> = self
+            .lanes
+            .iter()
+            .map(|(service, lane)| ServiceLoad {
+                service: service.tag(),
+                running: lane.queue.running(),
+                queued: lane.queue.queued() as u32,
+            })
+            .filter(|load| load.running + load.queued > 0)
+            .collect();
+        loads.sort_by_key(|load| std::cmp::Reverse(load.running + load.queued));
+        loads.truncate(LOADS);
+        VmRecord {
+            vm: self.id.vm,
+            incarnation: self.id.incarnation,
+            number: self.number,
+            revision,
+            ready: self.standing.fresh() && self.drain.is_none(),
+            loads,
+        }
+    }
+
+    /// Sums up this region for other regions.
+    fn own_digest(&self, now: Time) -> RegionDigest {
+        let mut nodes: Vec<VmId> = self
+            .peers
+            .live_in(now, self.id.region)
+            .filter(|(vm, _)| self.peers.ready(now, *vm))
+            .map(|(vm, _)| vm)
+            .collect();
+        let from = self.gossip.round() % nodes.len().max(1);
+        nodes.rotate_left(from);
+        if self.standing.fresh() && self.drain.is_none() {
+            nodes.insert(0, self.id.vm);
+        }
+        nodes.truncate(DIGEST_NODES);
+        RegionDigest {
+            region: self.id.region,
+            vm: self.id.vm,
+            incarnation: self.id.incarnation,
+            number: self.number,
+            age: 0,
+            revision: self.bundle.as_ref().map_or(0, |bundle| bundle.revision),
+            nodes,
+            rooms: self.rooms(now),
+        }
+    }
+
+    fn rooms(&self, now: Time) -> Vec<ServiceRoom> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let mut slots: BTreeMap<_, u32> = BTreeMap::new();
+        for (_, state) in self.targets.all() {
+            if state.phase == crate::targets::Phase::Serving {
+                *slots.entry(state.service).or_default() += state.rule.slots;
+            }
+        }
+        let mut rooms = Vec::new();
+        for (service, slots) in slots.into_iter().filter(|(_, slots)| *slots > 0) {
+            if !bundle.services.contains_key(&service) {
+                continue;
+            }
+            let (running, queued) = self.regional_load(now, service);
+            let free = slots.saturating_sub(running);
+            let turns = f64::from((queued + 1).saturating_sub(free)) / f64::from(slots);
+            let wait = self.expected(service).mul_f64(turns);
+            rooms.push(ServiceRoom {
+                service: service.tag(),
+                free,
+                wait: wait.as_millis() as u32,
+            });
+        }
+        rooms
+    }
+
+    /// Returns running and queued requests of a service over the live nodes of this region.
+    fn regional_load(&self, now: Time, service: seam_protocol::ServiceId) -> (u32, u32) {
+        let own = self.lanes.get(&service).map_or((0, 0), |lane| {
+            (lane.queue.running(), lane.queue.queued() as u32)
+        });
+        self.peers
+            .live_in(now, self.id.region)
+            .filter_map(|(_, peer)| Peers::load(peer, service.tag()))
+            .fold(own, |(running, queued), load| {
+                (running + load.running, queued + load.queued)
+            })
+    }
+
+    pub(super) fn load_report(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        report: LoadReport,
+        out: &mut Vec<Command>,
+    ) {
+        if let Some(key) = self.targets.key(target) {
+            self.targets.report(now, key, report);
+            let service = self.targets.get(key).service;
+            self.dispatch(now, service, out);
+        }
+    }
+
+    pub(super) fn cache_events(&mut self, now: Time, target: TargetId, events: &[CacheEvent]) {
+        if let Some(key) = self.targets.key(target) {
+            self.prefixes.correct(now, key, events);
+        }
+    }
+
+    /// Returns this node as a hop, for adapters that forward on its behalf.
+    #[must_use]
+    pub fn hop(&self) -> Hop {
+        self.own_hop()
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/node/tick.rs
@@ -0,0 +1,161 @@
+//! What passes with time alone.
+
+use std::time::Duration;
+
+use seam_protocol::{Reason, Time, VmId};
+
+use super::Node;
+use crate::audit::Change;
+use crate::command::{Command, Order, Refusal};
+use crate::limits::PARK;
+use crate::placement::Wanted;
+use crate::request::Ticket;
+
+/// Time between two refreshes of membership and shares.
+const REFRESH: Duration = Duration::from_millis(500);
+/// Nodes of the region that are told of a change of readiness at once; the rest hear it passed on.
+const MOST_TOLD: usize = 16;
+/// Time for which a crash waits for its probe.
+const CRASH_WATCH: Duration = Duration::from_secs(10);
+
+impl Node {
+    /// Runs what is due. Each part checks its own time, so calling often costs little.
+    pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.expire_requests(now, out);
+        self.tell_readiness(now, out);
+        self.beat(now, out);
+        if now.since(self.refreshed) >= REFRESH {
+            self.refresh(now, out);
+        }
+        self.unpark(now, out);
+    }
+
+    /// Tells every node of the region and some of others at once when readiness changes.
+    fn tell_readiness(&mut self, now: Time, out: &mut Vec<Command>) {
+        let ready = self.ready(now);
+        if ready == self.told_ready {
+            return;
+        }
+        self.told_ready = ready;
+        let near: Vec<VmId> = self.gossip.near().iter().copied().take(MOST_TOLD).collect();
+        for vm in near {
+            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+        }
+        self.beat_urgently(now, out);
+    }
+
+    fn refresh(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.peers.expire(now);
+        self.refresh_members(now);
+        self.keys.expire(now);
+        self.poison.expire(now);
+        self.limits.expire(now);
+        self.crashes
+            .retain(|_, watch| now.since(watch.since) < CRASH_WATCH);
+        for (target, address) in self.targets.due_probes(now) {
+            out.push(Command::Probe { target, address });
+        }
+        self.ask_for_parked(now, out);
+        self.order(now, out);
+        let services: Vec<_> = self.lanes.keys().copied().collect();
+        for service in services {
+            self.dispatch(now, service, out);
+        }
+    }
+
+    /// Drops beliefs after a pause.
+    pub(super) fn wake(&mut self, now: Time, gap: Duration, out: &mut Vec<Command>) {
+        self.counters.pauses += 1;
+        self.peers.forget();
+        self.placement.forget();
+        self.limits.forget_borrowed();
+        self.away.clear();
+        out.push(self.audit(
+            now,
+            Change::Pause,
+            "beliefs about peers",
+            ("held", "dropped"),
+            format!("no event for {} ms", gap.as_millis()),
+        ));
+        self.refresh_members(now);
+        self.beat_urgently(now, out);
+    }
+
+    /// Lets parked requests go on where units came free, and ends those that waited too long.
+    pub(super) fn unpark(&mut self, now: Time, out: &mut Vec<Command>) {
+        while let Some(customer) = self.freed.pop_first() {
+            while let Some(ticket) = self.unpark_next(now, customer) {
+                self.request_mut(ticket).charged = true;
+                self.proceed(now, ticket, out);
+            }
+        }
+    }
+
+    fn unpark_next(&mut self, now: Time, customer: seam_protocol::CustomerId) -> Option<Ticket> {
+        let bundle = self.bundle.clone()?;
+        let first = self.limits.parked(customer)?;
+        let deadline = self.requests.get(&first)?.deadline;
+        let asking = self.asking(&bundle, customer, deadline)?;
+        self.limits.unpark(now, asking)
+    }
+
+    fn ask_for_parked(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        for customer in self.limits.short() {
+            self.freed.insert(customer);
+            while let Some(ticket) = self.limits.parked(customer) {
+                let waited = self
+                    .requests
+                    .get(&ticket)
+                    .map_or(PARK, |request| now.since(request.arrived));
+                if waited < PARK {
+                    break;
+                }
+                self.limits.leave(customer, ticket);
+                let refusal = Refusal::not_run(Reason::Concurrency).after(PARK);
+                self.refuse_popped(now, ticket, refusal, out);
+            }
+            if let Some(asking) = self.asking(&bundle, customer, now) {
+                self.ask_for_units(now, asking, out);
+            }
+        }
+    }
+
+    fn order(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        if !self.standing.fresh() {
+            return;
+        }
+        let live: Vec<_> = self.alive.iter().copied().collect();
+        let next = self
+            .placement
+            .next(now, &bundle, self.id.vm, &live, &self.targets);
+        if let Some(wanted) = next {
+            self.give(now, wanted, out);
+        }
+    }
+
+    fn give(&mut self, now: Time, wanted: Wanted, out: &mut Vec<Command>) {
+        let state = self.targets.get(wanted.target);
+        let (Order::Load(model) | Order::Unload(model)) = &wanted.order;
+        let subject = format!("target {}", state.id);
+        let line = self.audit(
+            now,
+            Change::Order,
+            subject,
+            ("", model.as_str()),
+            format!("wanted placement, fence {}", wanted.fence),
+        );
+        out.push(Command::Order {
+            target: state.id,
+            address: state.rule.address,
+            order: wanted.order,
+            fence: wanted.fence,
+        });
+        out.push(line);
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/retry.rs
@@ -0,0 +1,43 @@
+//! A budget that keeps retries a small part of the load.
+
+/// Retries earned by each first attempt, in hundredths.
+const EARNED: u32 = 10;
+/// Hundredths of a retry that one retry costs.
+const COST: u32 = 100;
+/// Most retries saved, in hundredths.
+const MOST: u32 = 20 * COST;
+
+/// Retries that a service may still spend.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    saved: u32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { saved: MOST / 2 }
+    }
+}
+
+impl RetryBudget {
+    /// Earns a part of a retry from a first attempt.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + EARNED).min(MOST);
+    }
+
+    /// Spends one retry. Returns whether there was one.
+    ///
+    /// ```
+    /// use seam_core::retry::RetryBudget;
+    /// let mut budget = RetryBudget::default();
+    /// let spent = (0..1000).filter(|_| budget.spend()).count();
+    /// assert_eq!(spent, 10);
+    /// ```
+    pub fn spend(&mut self) -> bool {
+        let enough = self.saved >= COST;
+        if enough {
+            self.saved -= COST;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/spill.rs
@@ -0,0 +1,152 @@
+//! Where a request goes: its own region first, another one when that is clearly sooner.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use seam_protocol::{RegionId, ServiceId, Time};
+
+/// Part of the threshold at which a service that is being sent away comes back.
+const HYSTERESIS: f64 = 0.7;
+/// Time over which a region that was cut off gets its share of traffic back.
+pub const RETURN_RAMP: Duration = Duration::from_secs(30);
+/// Part of a returning region's room that is used at once.
+const FIRST_PART: f64 = 0.1;
+
+/// What is known of serving a request here.
+#[derive(Clone, Copy, Debug)]
+pub struct Here {
+    /// Whether a target here takes work and residency allows it.
+    pub possible: bool,
+    /// Predicted wait for a slot.
+    pub wait: Duration,
+}
+
+/// What is known of serving a request in another region.
+#[derive(Clone, Copy, Debug)]
+pub struct There {
+    /// The region.
+    pub region: RegionId,
+    /// Round trip to it.
+    pub trip: Duration,
+    /// Predicted wait for a slot there.
+    pub wait: Duration,
+    /// Slots without a request, less what this node has sent since.
+    pub free: u32,
+}
+
+/// A request to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// Service.
+    pub service: ServiceId,
+    /// Time until the deadline.
+    pub budget: Duration,
+    /// Expected service time.
+    pub expected: Duration,
+    /// Weight of tail latency against the share sent away, 0 to 1.
+    pub weight: f64,
+}
+
+/// Where to serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// In this region.
+    Here,
+    /// In another region.
+    There(RegionId),
+    /// Nowhere in time; a request may be tried again after this time.
+    Nowhere(Option<Duration>),
+}
+
+/// Remembers which services are being sent away, and regions that came back.
+#[derive(Clone, Debug, Default)]
+pub struct Spill {
+    sending: BTreeMap<ServiceId, bool>,
+    returned: BTreeMap<RegionId, Time>,
+}
+
+impl Spill {
+    /// Notes that a region is heard of again after a partition.
+    pub fn returned(&mut self, now: Time, region: RegionId) {
+        self.returned.insert(region, now);
+    }
+
+    /// Returns the part of a region's room that may be used now, 0 to 1.
+    ///
+    /// ```
+    /// use seam_core::spill::{RETURN_RAMP, Spill};
+    /// use seam_protocol::{RegionId, Time};
+    /// let mut spill = Spill::default();
+    /// assert!(spill.ramp(Time(0), RegionId(1)) >= 1.0);
+    /// spill.returned(Time(0), RegionId(1));
+    /// assert!(spill.ramp(Time(0), RegionId(1)) < 0.2);
+    /// assert!(spill.ramp(Time(0) + RETURN_RAMP, RegionId(1)) >= 1.0);
+    /// ```
+    #[must_use]
+    pub fn ramp(&self, now: Time, region: RegionId) -> f64 {
+        let Some(since) = self.returned.get(&region) else {
+            return 1.0;
+        };
+        let risen = now.since(*since).as_secs_f64() / RETURN_RAMP.as_secs_f64();
+        (FIRST_PART + (1.0 - FIRST_PART) * risen).min(1.0)
+    }
+
+    /// Chooses the region of a request.
+    ///
+    /// A request leaves when this region cannot serve it in time, or when the gain exceeds the
+    /// reluctance: the part of the request's slack that the weight gives to staying home.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::spill::{Asked, Choice, Here, Spill, There};
+    /// use seam_protocol::{RegionId, ServiceId};
+    /// let asked = Asked {
+    ///     service: ServiceId(1),
+    ///     budget: Duration::from_secs(10),
+    ///     expected: Duration::from_secs(1),
+    ///     weight: 1.0,
+    /// };
+    /// let there = There {
+    ///     region: RegionId(2),
+    ///     trip: Duration::from_millis(160),
+    ///     wait: Duration::ZERO,
+    ///     free: 3,
+    /// };
+    /// let idle = Here { possible: true, wait: Duration::ZERO };
+    /// let busy = Here { possible: true, wait: Duration::from_secs(1) };
+    /// let mut spill = Spill::default();
+    /// assert_eq!(spill.choose(asked, idle, &[there]), Choice::Here);
+    /// assert_eq!(spill.choose(asked, busy, &[there]), Choice::There(RegionId(2)));
+    /// ```
+    pub fn choose(&mut self, asked: Asked, here: Here, there: &[There]) -> Choice {
+        let best = there
+            .iter()
+            .filter(|there| there.free > 0 || there.wait > Duration::ZERO)
+            .filter(|there| there.trip + there.wait + asked.expected <= asked.budget)
+            .min_by_key(|there| (there.trip + there.wait, there.region));
+        let fits = here.possible && here.wait + asked.expected <= asked.budget;
+        let Some(best) = best else {
+            let wait = here.possible.then_some(here.wait);
+            return if fits {
+                Choice::Here
+            } else {
+                Choice::Nowhere(wait)
+            };
+        };
+        if !fits {
+            return Choice::There(best.region);
+        }
+        let cost = best.trip + best.wait;
+        let slack = asked.budget.saturating_sub(asked.expected + cost);
+        let sending = self.sending.entry(asked.service).or_default();
+        let factor = if *sending { HYSTERESIS } else { 1.0 };
+        let reluctance = slack.mul_f64((1.0 - asked.weight).clamp(0.0, 1.0));
+        let threshold = (cost + reluctance).mul_f64(factor);
+        *sending = here.wait > threshold;
+        if *sending {
+            Choice::There(best.region)
+        } else {
+            Choice::Here
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-core/src/status.rs
@@ -0,0 +1,255 @@
+//! What a node believes, for the administration API.
+
+use std::net::SocketAddr;
+
+use seam_protocol::{CustomerId, ServiceId, TargetId, Time};
+use serde::Serialize;
+
+use crate::node::{Counters, Node};
+use crate::targets::Phase;
+
+/// A node's beliefs at one time.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Whether its beliefs are fresh.
+    pub fresh: bool,
+    /// Whether it is draining.
+    pub draining: bool,
+    /// Revision in force, zero for none.
+    pub revision: u64,
+    /// Digest of the manifest in force.
+    pub digest: String,
+    /// Requests without a final answer.
+    pub held: usize,
+    /// Keys held.
+    pub keys: usize,
+    /// Fingerprints in quarantine.
+    pub quarantine: Vec<String>,
+    /// Other nodes.
+    pub peers: Vec<PeerStatus>,
+    /// Targets of this region.
+    pub targets: Vec<TargetStatus>,
+    /// Services.
+    pub services: Vec<ServiceStatus>,
+    /// Counts since boot.
+    pub counters: Counters,
+}
+
+/// What is believed of a node.
+#[derive(Clone, Debug, Serialize)]
+pub struct PeerStatus {
+    /// Name.
+    pub name: String,
+    /// Name of its region.
+    pub region: String,
+    /// Whether it was heard of within its lease.
+    pub alive: bool,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Revision in force there.
+    pub revision: u64,
+    /// Milliseconds since it was heard of.
+    pub age_ms: Option<u64>,
+}
+
+/// What is believed of a target.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetStatus {
+    /// Name.
+    pub name: String,
+    /// Name of its service.
+    pub service: String,
+    /// Whether it takes new work.
+    pub phase: String,
+    /// This node's requests there.
+    pub running: u32,
+    /// Requests of this node that it may run at once.
+    pub cap: u32,
+    /// Estimated requests of all nodes there.
+    pub load: u32,
+    /// Models that it reports as loaded.
+    pub models: Vec<String>,
+}
+
+/// Load of a service at this node.
+#[derive(Clone, Debug, Serialize)]
+pub struct ServiceStatus {
+    /// Name.
+    pub name: String,
+    /// Requests at targets.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Expected service time in milliseconds.
+    pub expected_ms: u64,
+}
+
+/// A customer's usage at this node.
+#[derive(Clone, Debug, Serialize)]
+pub struct UsageStatus {
+    /// Name.
+    pub name: String,
+    /// Requests that hold a unit here.
+    pub running: u32,
+    /// Requests in flight that it may have over the whole fleet.
+    pub concurrency: u32,
+}
+
+impl Node {
+    /// Returns what this node believes.
+    ///
+    /// ```
+    /// use seam_core::{Identity, Node};
+    /// use seam_protocol::{Incarnation, RegionId, Time, VmId};
+    /// let id = Identity { vm: VmId(1), region: RegionId(1), incarnation: Incarnation(1) };
+    /// let node = Node::new(id, 1, Time(0));
+    /// assert_eq!(node.status(Time(0)).revision, 0);
+    /// ```
+    #[must_use]
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            ready: self.ready(now),
+            fresh: self.standing.fresh(),
+            draining: self.drain.is_some(),
+            revision: self.bundle.as_ref().map_or(0, |bundle| bundle.revision),
+            digest: self
+                .bundle
+                .as_ref()
+                .map_or_else(String::new, |bundle| bundle.digest.to_string()),
+            held: self.requests.len(),
+            keys: self.keys.len(),
+            quarantine: self
+                .poison
+                .quarantine()
+                .map(|print| print.to_string())
+                .collect(),
+            peers: self.peer_status(now),
+            targets: self.target_status(now),
+            services: self.service_status(),
+            counters: self.counters,
+        }
+    }
+
+    fn peer_status(&self, now: Time) -> Vec<PeerStatus> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let others = bundle.deployment.vms.iter();
+        others
+            .filter(|(id, _)| **id != self.id.vm)
+            .map(|(id, vm)| {
+                let known = self.peers.known(*id);
+                PeerStatus {
+                    name: vm.name.clone(),
+                    region: bundle.deployment.regions[&vm.region].name.clone(),
+                    alive: self.peers.alive(now, *id).is_some(),
+                    ready: self.peers.ready(now, *id),
+                    revision: known.map_or(0, |peer| peer.record.revision),
+                    age_ms: known.map(|peer| now.since(peer.heard).as_millis() as u64),
+                }
+            })
+            .collect()
+    }
+
+    fn target_status(&self, now: Time) -> Vec<TargetStatus> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let name = |service| bundle.services.get(&service).map(|rule| rule.name.clone());
+        self.targets
+            .all()
+            .map(|(_, state)| TargetStatus {
+                name: state.rule.name.clone(),
+                service: name(state.service).unwrap_or_default(),
+                phase: match state.phase {
+                    Phase::Serving => "serving",
+                    Phase::Ejected(_) => "ejected",
+                    Phase::Probing => "probing",
+                    Phase::Leaving => "leaving",
+                    Phase::Drained => "drained",
+                    Phase::Gone => "gone",
+                }
+                .to_owned(),
+                running: state.running,
+                cap: state.cap(now),
+                load: state.load(now),
+                models: state
+                    .report
+                    .as_ref()
+                    .map_or_else(Vec::new, |report| report.1.models.clone()),
+            })
+            .collect()
+    }
+
+    fn service_status(&self) -> Vec<ServiceStatus> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        bundle
+            .services
+            .iter()
+            .map(|(id, service)| {
+                let lane = self.lanes.get(id);
+                ServiceStatus {
+                    name: service.name.clone(),
+                    running: lane.map_or(0, |lane| lane.queue.running()),
+                    queued: lane.map_or(0, |lane| lane.queue.queued()),
+                    expected_ms: self.expected(*id).as_millis() as u64,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the targets that this node uses, with their services and addresses.
+    #[must_use]
+    pub fn used_targets(&self) -> Vec<(TargetId, ServiceId, SocketAddr)> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        bundle
+            .services
+            .keys()
+            .flat_map(|service| self.targets.of(*service))
+            .map(|(_, state)| (state.id, state.service, state.rule.address))
+            .collect()
+    }
+
+    /// Returns the number of other regions heard of within their lease.
+    #[must_use]
+    pub fn regions_known(&self, now: Time) -> usize {
+        let Some(bundle) = &self.bundle else {
+            return 0;
+        };
+        let regions = bundle.deployment.regions.keys();
+        regions
+            .filter(|region| self.peers.region(now, **region).is_some())
+            .count()
+    }
+
+    /// Tells whether a target stands in this node's region.
+    #[must_use]
+    pub fn knows_target(&self, target: TargetId) -> bool {
+        self.targets.key(target).is_some()
+    }
+
+    /// Returns the usage of the customers that were active here lately.
+    #[must_use]
+    pub fn usage(&self) -> Vec<UsageStatus> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        self.limits
+            .active()
+            .filter_map(|id: CustomerId| {
+                let rule = bundle.customers.get(&id)?;
+                Some(UsageStatus {
+                    name: rule.name.clone(),
+                    running: self.limits.running(id),
+                    concurrency: rule.concurrency,
+                })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -0,0 +1,59 @@
+//! `seamctl status`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use http::Method;
+
+use super::{cell, print_json, print_list, print_table};
+use crate::error::CtlError;
+use crate::node;
+
+/// Show what a node believes: itself, other nodes, targets, customers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// address of a node's administration API
+    #[argh(option)]
+    admin: SocketAddr,
+
+    /// file with the API's token
+    #[argh(option)]
+    token_file: PathBuf,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Status {
+    /// Runs the command.
+    pub fn run(self) -> Result<ExitCode, CtlError> {
+        let status = node::call(self.admin, &self.token_file, Method::GET, "/v1/status")?;
+        let usage = node::call(self.admin, &self.token_file, Method::GET, "/v1/customers")?;
+        if self.json {
+            let mut whole = status;
+            whole["customers"] = usage;
+            print_json(&whole);
+            return Ok(ExitCode::SUCCESS);
+        }
+        let head = ["ready", "draining", "revision", "digest", "held", "keys"];
+        let row = head.iter().map(|field| cell(&status[*field])).collect();
+        print_table(&head, &[row]);
+        println!();
+        print_list(
+            &status["peers"],
+            &["name", "region", "alive", "ready", "revision", "age_ms"],
+        );
+        println!();
+        print_list(
+            &status["targets"],
+            &["name", "service", "phase", "running", "cap", "load"],
+        );
+        println!();
+        print_list(&usage, &["name", "running", "concurrency"]);
+        Ok(ExitCode::SUCCESS)
+    }
+}
--- /dev/null
+++ b/crates/seam-ctl/src/main.rs
@@ -0,0 +1,51 @@
+//! The operators' command line.
+//!
+//! Exit codes: 0 for success, 1 for a refusal or failure, 2 for arguments that do not parse, 3 for
+//! a difference that `diff` found.
+
+mod commands;
+mod error;
+mod node;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use commands::Command;
+
+/// Publishes configurations and talks to the nodes of a toucanseam deployment.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// Exit code for arguments that do not parse.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["seamctl"], words.get(1..).unwrap_or_default()) {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(USAGE);
+        }
+    };
+    seam_http::start_workers(1);
+    match commands::run(arguments.command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            if let Some(help) = error.help() {
+                eprintln!("help: {help}");
+            }
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-emulator/src/fleet.rs
@@ -0,0 +1,267 @@
+//! Real nodes on loopback addresses, with stand-ins around them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use seam_config::settings::{
+    Listen, LogFormat, LogSettings, Platform as PlatformSettings, Secrets,
+};
+use seam_config::{PartSet, Settings, split};
+use seam_node::Daemon;
+use seam_node::daemon::Serving;
+use seam_protocol::{Bundle, Digest, Kind, TargetId, VmId, VmState};
+
+use crate::engine::{Engine, Pace};
+use crate::plain::Plain;
+use crate::platform::Platform;
+
+/// Token of the administration API with the role `operate`.
+pub const OPERATE: &str = "operate-token";
+/// Token of the administration API with the role `read`.
+pub const READ: &str = "read-token";
+/// Secret of the fleet.
+pub const SECRET: &[u8] = b"a secret of the emulated fleet";
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Most looks at a condition.
+const MOST_LOOKS: usize = 1000;
+
+/// How targets behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Paces {
+    /// Engines.
+    pub engine: Pace,
+    /// Time that a plain service takes.
+    pub plain: Duration,
+}
+
+impl Default for Paces {
+    fn default() -> Self {
+        Self {
+            engine: Pace {
+                first: Duration::from_millis(20),
+                gap: Duration::from_millis(5),
+                tokens: 8,
+                fenced: true,
+            },
+            plain: Duration::from_millis(2),
+        }
+    }
+}
+
+/// A fleet of nodes in this process.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: Platform,
+    /// Plain services by target.
+    pub plains: BTreeMap<TargetId, Plain>,
+    /// Engines by target.
+    pub engines: BTreeMap<TargetId, Engine>,
+    /// Nodes by VM.
+    pub nodes: BTreeMap<VmId, Daemon<Serving>>,
+    /// The bundle published last.
+    pub bundle: Bundle,
+}
+
+/// Returns the settings of a node on addresses of the system's choice.
+#[must_use]
+pub fn settings(name: &str, region: &str, platform: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: name.to_owned(),
+        region: region.to_owned(),
+        centre: String::new(),
+        workers: 1,
+        drain_limit: 60,
+        listen: Listen {
+            caller: any,
+            peer: any,
+            admin: any,
+        },
+        platform: PlatformSettings {
+            config: platform,
+            vms: platform,
+            directory: platform,
+        },
+        secrets: Secrets {
+            fleet: SECRET.to_vec(),
+            operate: OPERATE.to_owned(),
+            read: READ.to_owned(),
+        },
+        log: LogSettings {
+            format: LogFormat::Human,
+            level: "warn".to_owned(),
+            modules: BTreeMap::new(),
+        },
+    }
+}
+
+fn start_node(settings: Settings) -> Daemon<Serving> {
+    const TRIES: usize = 20;
+    // The port that the system gives for TCP may be taken for UDP.
+    for _ in 1..TRIES {
+        if let Ok(daemon) = Daemon::new(settings.clone()).serve() {
+            return daemon;
+        }
+    }
+    Daemon::new(settings)
+        .serve()
+        .expect("the system has ports to give")
+}
+
+impl Fleet {
+    /// Starts stand-ins and nodes for a configuration, with addresses of the system's choice.
+    #[must_use]
+    pub fn start(mut bundle: Bundle, paces: Paces) -> Self {
+        let platform = Platform::default();
+        let mut plains = BTreeMap::new();
+        let mut engines = BTreeMap::new();
+        for service in bundle.services.values_mut() {
+            for (id, target) in &mut service.targets {
+                target.address = match service.kind {
+                    Kind::Plain => {
+                        let plain = Plain::start(&target.name, paces.plain);
+                        let address = plain.address();
+                        plains.insert(*id, plain);
+                        address
+                    }
+                    Kind::Engine => {
+                        let engine = Engine::start(&target.name, paces.engine);
+                        let address = engine.address();
+                        engines.insert(*id, engine);
+                        address
+                    }
+                };
+            }
+        }
+        let mut nodes = BTreeMap::new();
+        for (id, vm) in &mut bundle.deployment.vms {
+            let region = &bundle.deployment.regions[&vm.region].name;
+            let node = start_node(settings(&vm.name, region, platform.address()));
+            vm.caller = node.listen.caller;
+            vm.peer = node.listen.peer;
+            nodes.insert(*id, node);
+        }
+        let mut fleet = Self {
+            platform,
+            plains,
+            engines,
+            nodes,
+            bundle,
+        };
+        fleet.publish(|_| {});
+        fleet
+    }
+
+    /// Changes the configuration and publishes it as the next revision.
+    ///
+    /// # Panics
+    /// If the changed configuration is too large to publish.
+    pub fn publish(&mut self, change: impl FnOnce(&mut Bundle)) {
+        change(&mut self.bundle);
+        self.bundle.parent = (self.bundle.revision > 0).then_some(self.bundle.digest);
+        self.bundle.revision += 1;
+        let set = split(&self.bundle).expect("a test's configuration is small");
+        self.bundle.digest = Digest::of(&set.manifest);
+        put(&self.platform, &set);
+    }
+
+    /// Sets the platform's list.
+    pub fn list(&self, leaving: &[&str]) {
+        let states = leaving.iter().map(|name| VmState {
+            name: (*name).to_owned(),
+            leaving: true,
+        });
+        self.platform.set_vms(states.collect());
+    }
+
+    /// Returns a node by name.
+    ///
+    /// # Panics
+    /// If no node has the name.
+    #[must_use]
+    pub fn node(&self, name: &str) -> &Daemon<Serving> {
+        &self.nodes[&VmId::of(name)]
+    }
+
+    /// Returns a node's address for callers.
+    #[must_use]
+    pub fn caller(&self, name: &str) -> SocketAddr {
+        self.node(name).listen.caller
+    }
+
+    /// Waits until every node is ready, hears of every node of its region and of every region.
+    pub async fn settled(&self) {
+        let revision = self.bundle.revision;
+        let nodes = self.nodes.values();
+        for node in nodes {
+            until(|| {
+                let status = node.hub().read(seam_core::Node::status);
+                let own = &node.hub().settings().region;
+                let near = status.peers.iter().filter(|peer| peer.region == *own);
+                let known = node.hub().read(seam_core::Node::regions_known);
+                let regions = self.bundle.deployment.regions.len();
+                status.ready
+                    && status.revision == revision
+                    && near.into_iter().all(|peer| peer.alive)
+                    && known + 1 >= regions
+            })
+            .await;
+        }
+    }
+}
+
+/// Writes a bundle to a platform, the manifest last.
+pub fn put(platform: &Platform, set: &PartSet) {
+    for (digest, part) in &set.parts {
+        platform.put(&format!("part-{digest}"), part.clone());
+    }
+    platform.put("manifest", set.manifest.clone());
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+/// If it does not hold after many looks.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    for _ in 0..MOST_LOOKS {
+        if holds() {
+            return;
+        }
+        Timer::after(LOOK).await;
+    }
+    panic!("the condition never held");
+}
+
+/// Token of the customer whose home is khomas.
+pub const WINDHOEK: &str = "salon-windhoek-token";
+/// Token of the customer whose data stays in erongo.
+pub const SWAKOP: &str = "salon-swakop-token";
+
+/// Returns the example deployment with three regions and nine VMs.
+///
+/// # Panics
+/// If the example has faults.
+#[must_use]
+pub fn hamutenya() -> Bundle {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hamutenya");
+    match seam_config::gather(&[folder]) {
+        Ok(bundle) => bundle,
+        Err(error) => panic!("the example has faults: {error}"),
+    }
+}
+
+/// Runs a test against a settled fleet of the example deployment.
+pub fn with_fleet<F: Future<Output = ()>>(test: impl FnOnce(Fleet) -> F) {
+    const WORKERS: usize = 2;
+    static START: std::sync::Once = std::sync::Once::new();
+    START.call_once(|| seam_http::start_workers(WORKERS));
+    seam_http::block_on(async {
+        let fleet = Fleet::start(hamutenya(), Paces::default());
+        fleet.settled().await;
+        test(fleet).await;
+    });
+}
--- /dev/null
+++ b/crates/seam-emulator/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for the platform, the targets and the callers.
+
+pub mod caller;
+pub mod engine;
+pub mod fleet;
+pub mod load;
+pub mod plain;
+pub mod platform;
+pub mod run;
+
+pub use caller::{Answer, Caller};
+pub use engine::Engine;
+pub use fleet::Fleet;
+pub use plain::Plain;
+pub use platform::Platform;
--- /dev/null
+++ b/crates/seam-emulator/src/run.rs
@@ -0,0 +1,60 @@
+//! A stand-in's server, which can be stopped, crashed or silenced.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use async_executor::Task;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use seam_http::{Body, Listener, Stop, lock, serve, spawn};
+
+/// A running server. Dropping it closes its address.
+#[derive(Debug)]
+pub struct Server {
+    /// Address in use.
+    pub address: SocketAddr,
+    stop: Stop,
+    task: Mutex<Option<Task<()>>>,
+}
+
+impl Server {
+    /// Starts a server on an address of the system's choice.
+    ///
+    /// # Panics
+    /// If the system has no port to give.
+    pub fn start<F, R>(handler: F) -> Self
+    where
+        F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(any, handler)
+    }
+
+    /// Starts a server on a given address.
+    ///
+    /// # Panics
+    /// If the address is in use.
+    pub fn start_at<F, R>(address: SocketAddr, handler: F) -> Self
+    where
+        F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let listener = Listener::bind(address).expect("the address is free");
+        let address = listener.address;
+        let stop = Stop::default();
+        let task = spawn(serve(listener, stop.clone(), handler));
+        Self {
+            address,
+            stop,
+            task: Mutex::new(Some(task)),
+        }
+    }
+
+    /// Closes the address at once, so that new connections are refused.
+    pub fn close(&self) {
+        self.stop.stop();
+        lock(&self.task).take();
+    }
+}
--- /dev/null
+++ b/crates/seam-harness/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drives real decision cores in virtual time through small fakes.
--- /dev/null
+++ b/crates/seam-node/src/admin.rs
@@ -0,0 +1,170 @@
+//! The administration API, on its own address.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
+use seam_core::Event;
+use seam_core::event::Drainable;
+use seam_http::{Body, Listener, Stop, full, json, serve};
+use seam_protocol::{CustomerId, Digest, ServiceId, TargetId};
+use serde::Serialize;
+
+use crate::hub::Hub;
+
+/// What a token may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Role {
+    Read,
+    Operate,
+}
+
+#[derive(Serialize)]
+struct Fault<'a> {
+    error: &'a str,
+    help: &'a str,
+}
+
+/// Serves operators until stopped.
+pub async fn serve_operators(hub: Arc<Hub>, listener: Listener, stop: Stop) {
+    serve(listener, stop, move |request, _| {
+        let hub = hub.clone();
+        async move { handle(&hub, &request) }
+    })
+    .await;
+}
+
+fn fault(status: StatusCode, error: &str, help: &str) -> Response<Body> {
+    json(status, &Fault { error, help })
+}
+
+fn role(hub: &Hub, request: &Request<Incoming>) -> Option<Role> {
+    let shown = request.headers().get(header::AUTHORIZATION)?;
+    let token = shown.to_str().ok()?.strip_prefix("Bearer ")?;
+    // Digests are compared, so the time taken tells nothing of the token.
+    let shown = Digest::of(token.as_bytes());
+    let secrets = hub.secrets();
+    if shown == Digest::of(secrets.operate.as_bytes()) {
+        Some(Role::Operate)
+    } else if shown == Digest::of(secrets.read.as_bytes()) {
+        Some(Role::Read)
+    } else {
+        None
+    }
+}
+
+fn handle(hub: &Arc<Hub>, request: &Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path();
+    match path {
+        "/health" => return json(StatusCode::OK, "alive"),
+        "/ready" => return ready(hub),
+        _ => {}
+    }
+    let Some(role) = role(hub, request) else {
+        let help = "send the token of the role `read` or `operate` as a bearer token";
+        return fault(StatusCode::UNAUTHORIZED, "no valid token", help);
+    };
+    let wanted = if request.method() == Method::GET {
+        Role::Read
+    } else {
+        Role::Operate
+    };
+    if role < wanted {
+        let help = "this call needs the token of the role `operate`";
+        return fault(
+            StatusCode::FORBIDDEN,
+            "the role `read` changes nothing",
+            help,
+        );
+    }
+    match (request.method(), path) {
+        (&Method::GET, "/v1/status") => json(StatusCode::OK, &hub.read(seam_core::Node::status)),
+        (&Method::GET, "/v1/customers") => json(StatusCode::OK, &hub.read(|node, _| node.usage())),
+        (&Method::GET, "/v1/audit") => json(StatusCode::OK, &hub.trail.lines()),
+        (&Method::GET, "/v1/manifest") => manifest(hub),
+        (&Method::GET, "/v1/explain") => explain(hub, request),
+        (&Method::GET, "/metrics") => metrics(hub),
+        (&Method::POST, "/v1/drain") => drain(hub, request, true),
+        (&Method::POST, "/v1/undrain") => drain(hub, request, false),
+        _ => {
+            let help = "see docs/openapi.yaml for the calls";
+            fault(StatusCode::NOT_FOUND, "no such call", help)
+        }
+    }
+}
+
+fn ready(hub: &Hub) -> Response<Body> {
+    let ready = hub.read(seam_core::Node::ready);
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    json(status, &ready)
+}
+
+fn manifest(hub: &Hub) -> Response<Body> {
+    let (revision, bytes) = hub.store.manifest();
+    if revision == 0 {
+        let help = "publish a configuration, or wait until this node has read it";
+        return fault(StatusCode::NOT_FOUND, "no configuration is in force", help);
+    }
+    let mut answer = Response::new(full(bytes));
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+fn metrics(hub: &Hub) -> Response<Body> {
+    let status = hub.read(seam_core::Node::status);
+    let mut answer = Response::new(full(hub.metrics.text(&status)));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// Returns a parameter of the query.
+fn parameter(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy().into_owned())
+}
+
+fn explain(hub: &Hub, request: &Request<Incoming>) -> Response<Body> {
+    let named = parameter(request, "customer").zip(parameter(request, "service"));
+    let Some((customer, service)) = named else {
+        let help = "add ?customer=NAME&service=NAME";
+        return fault(StatusCode::BAD_REQUEST, "a parameter is missing", help);
+    };
+    let (customer, service) = (CustomerId::of(&customer), ServiceId::of(&service));
+    match hub.read(|node, now| node.explain(now, customer, service)) {
+        Some(explanation) => json(StatusCode::OK, &explanation),
+        None => {
+            let help = "both must be in the configuration in force";
+            fault(StatusCode::NOT_FOUND, "no such customer or service", help)
+        }
+    }
+}
+
+/// Drains this node, or a target on this node's belief.
+fn drain(hub: &Arc<Hub>, request: &Request<Incoming>, on: bool) -> Response<Body> {
+    let what = match parameter(request, "target") {
+        None => Drainable::Node,
+        Some(name) => {
+            let target = TargetId::of(&name);
+            let known = hub.read(|node, _| node.knows_target(target));
+            if !known {
+                let help = "the target must stand in this node's region";
+                return fault(StatusCode::NOT_FOUND, "no such target", help);
+            }
+            Drainable::Target(target)
+        }
+    };
+    let actor = parameter(request, "actor").unwrap_or_else(|| "operator".to_owned());
+    hub.handle(Event::Drain { what, on, actor });
+    json(StatusCode::OK, &hub.read(seam_core::Node::status))
+}
--- /dev/null
+++ b/crates/seam-node/src/daemon.rs
@@ -0,0 +1,279 @@
+//! The life of the process: starting, serving, draining.
+
+use std::marker::PhantomData;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_channel::Receiver;
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use seam_config::Settings;
+use seam_config::settings::Listen;
+use seam_core::event::Drainable;
+use seam_core::node::TICK;
+use seam_core::{Event, Identity, Node};
+use seam_http::{Connection, Listener, Stop, spawn};
+use seam_protocol::{Incarnation, RegionId, VmId};
+use snafu::{ResultExt, Snafu};
+
+use crate::beats::Beats;
+use crate::hub::{Errand, Hub};
+use crate::watch::HttpPlatform;
+use crate::{admin, front, link, polls, watch};
+
+/// Time between two looks at what a drain still waits for.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Why a node could not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address} for {purpose}: {source}"))]
+    Bind {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// The system's words.
+        source: std::io::Error,
+    },
+}
+
+/// The addresses are not bound yet.
+#[derive(Debug)]
+pub struct Starting;
+/// Requests are served.
+#[derive(Debug)]
+pub struct Serving;
+/// New requests are refused, those in flight end.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A node's process in one phase of its life.
+#[derive(Debug)]
+pub struct Daemon<Phase> {
+    hub: Arc<Hub>,
+    errands: Receiver<Errand>,
+    stop: Stop,
+    tasks: Vec<Task<()>>,
+    /// Addresses in use.
+    pub listen: Listen,
+    phase: PhantomData<Phase>,
+}
+
+impl Daemon<Starting> {
+    /// Prepares a node.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let incarnation = boot_number();
+        let id = Identity {
+            vm: VmId::of(&settings.name),
+            region: RegionId::of(&settings.region),
+            incarnation,
+        };
+        let listen = settings.listen;
+        let node = Node::new(id, incarnation.0, seam_protocol::Time(0));
+        let (hub, errands) = Hub::new(settings, node);
+        Self {
+            hub,
+            errands,
+            stop: Stop::default(),
+            tasks: Vec::new(),
+            listen,
+            phase: PhantomData,
+        }
+    }
+
+    /// Binds the addresses and starts to serve.
+    ///
+    /// # Errors
+    /// [`DaemonError::Bind`] for an address that cannot be bound.
+    pub fn serve(mut self) -> Result<Daemon<Serving>, DaemonError> {
+        let caller = bind(self.listen.caller, "callers")?;
+        let admin = bind(self.listen.admin, "the administration API")?;
+        let peer = bind(self.listen.peer, "other nodes")?;
+        self.listen = Listen {
+            caller: caller.address,
+            peer: peer.address,
+            admin: admin.address,
+        };
+        let address = peer.address;
+        let purpose = "heartbeats";
+        let beats = Beats::bind(address).context(BindSnafu { address, purpose })?;
+        self.start(caller, peer, admin, Arc::new(beats));
+        Ok(Daemon {
+            hub: self.hub,
+            errands: self.errands,
+            stop: self.stop,
+            tasks: self.tasks,
+            listen: self.listen,
+            phase: PhantomData,
+        })
+    }
+
+    fn start(&mut self, caller: Listener, peer: Listener, admin: Listener, beats: Arc<Beats>) {
+        let hub = &self.hub;
+        let settings = hub.settings();
+        let platform = HttpPlatform {
+            config: settings.platform.config,
+            vms: settings.platform.vms,
+            directory: settings.platform.directory,
+        };
+        let seed = hub.read(|node, _| node.identity().incarnation.0);
+        let stop = || self.stop.clone();
+        let receiver = beats.clone();
+        let heard = hub.clone();
+        let tasks = vec![
+            spawn(front::serve_callers(hub.clone(), caller, stop())),
+            spawn(link::serve_peers(hub.clone(), peer, stop())),
+            spawn(admin::serve_operators(hub.clone(), admin, stop())),
+            spawn(async move { receiver.receive(&heard).await }),
+            spawn(run_errands(hub.clone(), self.errands.clone(), beats)),
+            spawn(tick(hub.clone())),
+            spawn(watch::watch_config(hub.clone(), platform, seed)),
+            spawn(watch::watch_vms(hub.clone(), platform, seed)),
+            spawn(watch::watch_directory(hub.clone(), platform)),
+            spawn(polls::poll_targets(hub.clone())),
+        ];
+        self.tasks = tasks;
+    }
+}
+
+impl<Phase> Daemon<Phase> {
+    /// Returns the shared state.
+    #[must_use]
+    pub fn hub(&self) -> &Arc<Hub> {
+        &self.hub
+    }
+
+    /// Ends the process's tasks at once, as a crash would.
+    pub fn abort(self) {
+        drop(self.tasks);
+    }
+}
+
+impl Daemon<Serving> {
+    /// Takes no new requests from now on.
+    #[must_use]
+    pub fn drain(self, actor: &str) -> Daemon<Draining> {
+        self.hub.handle(Event::Drain {
+            what: Drainable::Node,
+            on: true,
+            actor: actor.to_owned(),
+        });
+        Daemon {
+            hub: self.hub,
+            errands: self.errands,
+            stop: self.stop,
+            tasks: self.tasks,
+            listen: self.listen,
+            phase: PhantomData,
+        }
+    }
+
+    /// Reads again what settings can change while the process runs: secrets' tokens and logs.
+    pub fn reload(&self, path: &Path) {
+        match seam_config::settings::load(path) {
+            Ok(fresh) => {
+                let mut settings = (*self.hub.settings()).clone();
+                settings.secrets.operate = fresh.secrets.operate;
+                settings.secrets.read = fresh.secrets.read;
+                settings.drain_limit = fresh.drain_limit;
+                settings.log = fresh.log;
+                crate::logs::set_level(&settings.log);
+                *seam_http::sync::write(&self.hub.settings) = Arc::new(settings);
+                log::info!("settings read again from {}", path.display());
+            }
+            Err(error) => log::error!("settings not changed: {error}"),
+        }
+    }
+}
+
+impl Daemon<Draining> {
+    /// Waits until no request is in flight, a limit passes, or `cut` ends. Returns how many
+    /// requests were cut off.
+    pub async fn finish(self, cut: impl Future<Output = ()>) -> usize {
+        let limit = Duration::from_secs(self.hub.settings().drain_limit);
+        let hub = self.hub.clone();
+        let drained = async {
+            while !hub.read(seam_core::Node::drained) {
+                Timer::after(DRAIN_LOOK).await;
+            }
+        };
+        let late = async {
+            Timer::after(limit).await;
+        };
+        drained.or(late).or(cut).await;
+        let left = self.hub.read(|node, _| node.held());
+        if left > 0 {
+            log::warn!("{left} requests in flight were cut off by the drain's limit");
+        }
+        self.stop.stop();
+        // The last bytes of answers that have ended leave before the connections close.
+        Timer::after(DRAIN_LOOK).await;
+        left
+    }
+}
+
+fn bind(address: std::net::SocketAddr, purpose: &'static str) -> Result<Listener, DaemonError> {
+    Listener::bind(address).context(BindSnafu { address, purpose })
+}
+
+/// Returns a number for this boot. Boots of one VM differ even if its clock is set back.
+fn boot_number() -> Incarnation {
+    let clock = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_micros() as u64);
+    let process = u64::from(std::process::id());
+    let place = Box::new(0u8);
+    let address = std::ptr::from_ref(&*place) as u64;
+    Incarnation(seam_protocol::id::rank(clock, process ^ address.rotate_left(32)) | 1)
+}
+
+async fn tick(hub: Arc<Hub>) {
+    loop {
+        Timer::after(TICK).await;
+        hub.handle(Event::Tick);
+    }
+}
+
+async fn run_errands(hub: Arc<Hub>, errands: Receiver<Errand>, beats: Arc<Beats>) {
+    while let Ok(errand) = errands.recv().await {
+        match errand {
+            Errand::Beat(to, beat) => beats.send(&hub, to, &beat).await,
+            Errand::Probe(target, address) => {
+                let hub = hub.clone();
+                spawn(async move {
+                    let accepted = Connection::open(address).await.is_ok();
+                    hub.handle(Event::Probed { target, accepted });
+                })
+                .detach();
+            }
+            Errand::Fetch(_, address) => {
+                let hub = hub.clone();
+                spawn(async move { fetch(&hub, address).await }).detach();
+            }
+            Errand::Order(address, order, fence) => {
+                spawn(async move {
+                    if let Err(error) = polls::give(address, &order, fence).await {
+                        log::warn!("order to {address} failed: {error}");
+                    }
+                })
+                .detach();
+            }
+        }
+    }
+}
+
+async fn fetch(hub: &Hub, address: std::net::SocketAddr) {
+    match link::newest(hub, address).await {
+        Ok(set) => {
+            if let Err(error) = watch::adopt(hub, set) {
+                log::warn!("bundle of {address} not taken: {error}");
+            }
+        }
+        Err(error) => log::debug!("no bundle from {address}: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/seam-node/src/front/answer.rs
@@ -0,0 +1,59 @@
+//! Turns the pieces of an answer into an HTTP answer.
+
+use async_channel::Receiver;
+use futures_lite::stream;
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use seam_core::Refusal;
+use seam_http::{Body, BodyError, full};
+use seam_protocol::{Outcome, Reason, StoredAnswer};
+
+use crate::outlet::Piece;
+use crate::problem::{label, problem};
+
+/// Waits for the head of an answer and returns it with a body that follows the pieces.
+pub async fn answer(reader: Receiver<Piece>, id: &str) -> Response<Body> {
+    match reader.recv().await {
+        Ok(Piece::Refusal(refusal)) => problem(id, refusal, ""),
+        Ok(Piece::Replay(stored)) => replay(&stored, id),
+        Ok(Piece::Head(status, fields)) => {
+            let mut answer = Response::new(body(reader));
+            *answer.status_mut() = status;
+            *answer.headers_mut() = fields;
+            label(&mut answer, id, Outcome::Complete);
+            answer
+        }
+        Ok(Piece::Data(_) | Piece::End) | Err(_) => {
+            problem(id, Refusal::unknown(Reason::Broken), "the answer was lost")
+        }
+    }
+}
+
+fn replay(stored: &StoredAnswer, id: &str) -> Response<Body> {
+    let mut answer = Response::new(full(stored.body.clone()));
+    *answer.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    for field in &stored.fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            answer.headers_mut().append(name, value);
+        }
+    }
+    label(&mut answer, id, Outcome::Complete);
+    answer
+}
+
+/// Follows the pieces of a body. One that ends without its end marker breaks the connection, so
+/// that no caller takes a cut answer as whole.
+fn body(reader: Receiver<Piece>) -> Body {
+    let frames = stream::unfold(Some(reader), |reader| async move {
+        let reader = reader?;
+        match reader.recv().await {
+            Ok(Piece::Data(bytes)) => Some((Ok(Frame::data(bytes)), Some(reader))),
+            Ok(Piece::End) => None,
+            _ => Some((Err(BodyError::Cut), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
--- /dev/null
+++ b/crates/seam-node/src/hub.rs
@@ -0,0 +1,348 @@
+//! The tables that every worker shares, and the one way to change the decision state.
+//!
+//! Lock order: `core`, then `snapshot`, then `routes`, then the trail's and the store's locks. A
+//! holder of a later lock never takes an earlier one. Commands are carried out under `core`, so
+//! those of one request keep their order; carrying one out only hands it to a channel or task.
+
+use seam_http::lock;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use std::time::Instant;
+
+use async_channel::Sender;
+use seam_config::Settings;
+use seam_config::settings::Secrets;
+use seam_core::command::Order;
+use seam_core::{AttemptKey, Command, Event, Node, Refusal, Ticket};
+use seam_protocol::{
+    Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredAnswer, TargetId, Time, VmId,
+};
+
+use crate::link::Links;
+use crate::metrics::Metrics;
+use crate::store::Store;
+use crate::targets::Pool;
+use crate::trail::Trail;
+
+/// The bundle in force with the index of its credentials.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The bundle.
+    pub bundle: Arc<Bundle>,
+    /// Customers by the digest of a token.
+    pub credentials: BTreeMap<Digest, CustomerId>,
+}
+
+impl Snapshot {
+    fn new(bundle: Arc<Bundle>) -> Self {
+        let credentials = bundle
+            .customers
+            .iter()
+            .flat_map(|(id, customer)| customer.credentials.iter().map(|digest| (*digest, *id)))
+            .collect();
+        Self {
+            bundle,
+            credentials,
+        }
+    }
+}
+
+/// What the task of a request is told.
+#[derive(Clone, Debug)]
+pub enum Directive {
+    /// Try a target.
+    Send(ToTarget),
+    /// Try a node.
+    Forward(ToNode),
+    /// Stop an attempt.
+    Cancel(AttemptKey),
+    /// Answer with a refusal.
+    Refuse(Refusal),
+    /// Answer with a kept answer.
+    Replay(Arc<StoredAnswer>),
+    /// Nothing more follows.
+    Done,
+}
+
+/// An attempt at a target.
+#[derive(Clone, Copy, Debug)]
+pub struct ToTarget {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The target.
+    pub target: TargetId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Longest time without progress.
+    pub silence: std::time::Duration,
+    /// Time until the deadline.
+    pub budget: std::time::Duration,
+    /// Whether to keep the answer.
+    pub keep: bool,
+}
+
+/// An attempt at another node.
+#[derive(Clone, Debug)]
+pub struct ToNode {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Path of the request.
+    pub hops: Vec<seam_core::Hop>,
+    /// Revision by which it was routed.
+    pub revision: u64,
+    /// Time until the deadline.
+    pub budget: std::time::Duration,
+}
+
+/// Something to be done outside any request.
+#[derive(Debug)]
+pub enum Errand {
+    /// Send a heartbeat.
+    Beat(SocketAddr, Box<Heartbeat>),
+    /// Try a fresh connection.
+    Probe(TargetId, SocketAddr),
+    /// Ask a peer for its newest revision.
+    Fetch(VmId, SocketAddr),
+    /// Give an order.
+    Order(SocketAddr, Order, u64),
+}
+
+/// What every part of the process shares.
+#[derive(Debug)]
+pub struct Hub {
+    core: Mutex<Node>,
+    snapshot: RwLock<Option<Arc<Snapshot>>>,
+    routes: Mutex<BTreeMap<Ticket, Sender<Directive>>>,
+    attempts: Mutex<BTreeMap<AttemptKey, Ticket>>,
+    errands: Sender<Errand>,
+    start: Instant,
+    tickets: AtomicU64,
+    /// The node's settings.
+    pub settings: RwLock<Arc<Settings>>,
+    /// The audit trail.
+    pub trail: Trail,
+    /// Parts of bundles.
+    pub store: Store,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Connections to other nodes.
+    pub links: Links,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+impl Hub {
+    /// Makes a hub and the receiver of its errands.
+    #[must_use]
+    pub fn new(settings: Settings, node: Node) -> (Arc<Self>, async_channel::Receiver<Errand>) {
+        let (errands, receiver) = async_channel::unbounded();
+        let hub = Self {
+            core: Mutex::new(node),
+            snapshot: RwLock::new(None),
+            routes: Mutex::default(),
+            attempts: Mutex::default(),
+            errands,
+            start: Instant::now(),
+            tickets: AtomicU64::new(0),
+            links: Links::new(&settings.secrets.fleet),
+            settings: RwLock::new(Arc::new(settings)),
+            trail: Trail::default(),
+            store: Store::default(),
+            pool: Pool::default(),
+            metrics: Metrics::new(),
+        };
+        (Arc::new(hub), receiver)
+    }
+
+    /// Returns the time on this process's clock.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Returns a new name for a request.
+    #[must_use]
+    pub fn ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        seam_http::sync::read(&self.settings).clone()
+    }
+
+    /// Returns the secrets in force.
+    #[must_use]
+    pub fn secrets(&self) -> Secrets {
+        self.settings().secrets.clone()
+    }
+
+    /// Returns the bundle in force with its index.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        seam_http::sync::read(&self.snapshot).clone()
+    }
+
+    /// Reads from the decision state.
+    pub fn read<T>(&self, look: impl FnOnce(&Node, Time) -> T) -> T {
+        let core = lock(&self.core);
+        look(&core, self.now())
+    }
+
+    /// Changes the decision state otherwise than by an event.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Node, Time) -> T) -> T {
+        let mut core = lock(&self.core);
+        let now = self.now();
+        change(&mut core, now)
+    }
+
+    /// Hands an event to the decisions and carries out what follows.
+    pub fn handle(&self, event: Event) {
+        let mut core = lock(&self.core);
+        let now = self.now();
+        let mut commands = Vec::new();
+        core.handle(now, event, &mut commands);
+        self.index(&core);
+        for command in commands {
+            self.perform(command);
+        }
+    }
+
+    /// Asks for leave to send the first byte of an attempt.
+    #[must_use]
+    pub fn may_send(&self, attempt: AttemptKey) -> bool {
+        let mut core = lock(&self.core);
+        let now = self.now();
+        let mut commands = Vec::new();
+        core.handle(now, Event::Sending(attempt), &mut commands);
+        let mut leave = true;
+        for command in commands {
+            if matches!(command, Command::Cancel(key) if key == attempt) {
+                leave = false;
+            } else {
+                self.perform(command);
+            }
+        }
+        leave
+    }
+
+    /// Rebuilds the index of credentials when another bundle came into force.
+    fn index(&self, core: &Node) {
+        let Some(bundle) = core.bundle() else {
+            return;
+        };
+        let held = self.snapshot();
+        let same = held.is_some_and(|held| Arc::ptr_eq(&held.bundle, bundle));
+        if !same {
+            let snapshot = Arc::new(Snapshot::new(bundle.clone()));
+            *seam_http::sync::write(&self.snapshot) = Some(snapshot);
+        }
+    }
+
+    /// Registers the task of a request.
+    pub fn register(&self, ticket: Ticket, sender: Sender<Directive>) {
+        let mut routes = lock(&self.routes);
+        routes.insert(ticket, sender);
+    }
+
+    fn direct(&self, ticket: Ticket, directive: Directive) {
+        let routes = lock(&self.routes);
+        if let Some(sender) = routes.get(&ticket) {
+            let _ = sender.try_send(directive);
+        }
+    }
+
+    fn perform(&self, command: Command) {
+        match command {
+            Command::Send {
+                ticket,
+                attempt,
+                target,
+                service,
+                address,
+                silence,
+                budget,
+                keep,
+            } => {
+                self.name_attempt(attempt, ticket);
+                let to = ToTarget {
+                    attempt,
+                    target,
+                    service,
+                    address,
+                    silence,
+                    budget,
+                    keep,
+                };
+                self.direct(ticket, Directive::Send(to));
+            }
+            Command::Forward {
+                ticket,
+                attempt,
+                vm: _,
+                address,
+                hops,
+                revision,
+                budget,
+            } => {
+                self.name_attempt(attempt, ticket);
+                let to = ToNode {
+                    attempt,
+                    address,
+                    hops,
+                    revision,
+                    budget,
+                };
+                self.direct(ticket, Directive::Forward(to));
+            }
+            Command::Refuse { ticket, refusal } => {
+                self.metrics.refused(refusal);
+                self.direct(ticket, Directive::Refuse(refusal));
+            }
+            Command::Replay { ticket, answer } => self.direct(ticket, Directive::Replay(answer)),
+            Command::Cancel(attempt) => {
+                let attempts = lock(&self.attempts);
+                let ticket = attempts.get(&attempt).copied();
+                drop(attempts);
+                if let Some(ticket) = ticket {
+                    self.direct(ticket, Directive::Cancel(attempt));
+                }
+            }
+            Command::Done(ticket) => {
+                self.direct(ticket, Directive::Done);
+                lock(&self.routes).remove(&ticket);
+            }
+            Command::Probe { target, address } => self.errand(Errand::Probe(target, address)),
+            Command::Beat { address, beat, .. } => self.errand(Errand::Beat(address, beat)),
+            Command::Fetch { from, address } => self.errand(Errand::Fetch(from, address)),
+            Command::Order {
+                address,
+                order,
+                fence,
+                ..
+            } => self.errand(Errand::Order(address, order, fence)),
+            Command::Audit(audit) => self.trail.append(audit),
+        }
+    }
+
+    fn errand(&self, errand: Errand) {
+        let _ = self.errands.try_send(errand);
+    }
+
+    fn name_attempt(&self, attempt: AttemptKey, ticket: Ticket) {
+        let mut attempts = lock(&self.attempts);
+        attempts.insert(attempt, ticket);
+    }
+
+    /// Forgets an attempt that has ended.
+    pub fn forget_attempt(&self, attempt: AttemptKey) {
+        lock(&self.attempts).remove(&attempt);
+    }
+}
--- /dev/null
+++ b/crates/seam-node/src/inbound.rs
@@ -0,0 +1,116 @@
+//! A request as it was read, whoever handed it in.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Method, header};
+use seam_core::KeyName;
+use seam_protocol::{CustomerId, Digest, Fingerprint, Kind, Service, ServiceId};
+
+/// Prefix of header fields that belong to the system.
+pub const OWN_PREFIX: &str = "seam-";
+/// Header field with the caller's time limit in milliseconds.
+pub const DEADLINE_FIELD: &str = "seam-deadline-ms";
+/// Header field with the outcome of a request.
+pub const OUTCOME_FIELD: &str = "seam-outcome";
+/// Header field with the request's identifier.
+pub const REQUEST_FIELD: &str = "seam-request-id";
+/// Header field that tells a target the customer's name.
+pub const CUSTOMER_FIELD: &str = "seam-customer";
+/// Header field with an idempotency key.
+pub const KEY_FIELD: &str = "idempotency-key";
+
+/// Bytes at the head of a prompt that stand for its prefix.
+const PREFIX_BYTES: usize = 1024;
+/// Shortest body whose prefix is worth following.
+const LEAST_PREFIX: usize = 256;
+
+/// Header fields that concern one connection only.
+const HOP_FIELDS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+];
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct Inbound {
+    /// Identifier for logs and answers.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path below the service, with the query.
+    pub path: String,
+    /// End-to-end header fields.
+    pub fields: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The customer's name.
+    pub name: String,
+    /// The service.
+    pub service: ServiceId,
+    /// Whether it may be repeated.
+    pub repeatable: bool,
+    /// Its idempotency key.
+    pub key: Option<KeyName>,
+    /// The key as the caller wrote it.
+    pub key_text: String,
+    /// Time until the deadline.
+    pub budget: Duration,
+}
+
+/// Removes header fields that concern one connection or belong to the system.
+pub fn strip(fields: &mut HeaderMap) {
+    let named: Vec<HeaderName> = fields
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_FIELDS.into_iter().chain(named) {
+        fields.remove(name);
+    }
+    fields.remove("keep-alive");
+    fields.remove("proxy-connection");
+    let own: Vec<HeaderName> = fields
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        fields.remove(name);
+    }
+}
+
+impl Inbound {
+    /// Digests what makes two requests the same for a target.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut bytes = Vec::with_capacity(self.body.len() + self.path.len() + 32);
+        bytes.extend_from_slice(&self.service.0.to_be_bytes());
+        bytes.extend_from_slice(self.method.as_str().as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(self.path.as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(&self.body);
+        Fingerprint(Digest::of(&bytes).head())
+    }
+
+    /// Digests the head of the prompt, for engines.
+    #[must_use]
+    pub fn prefix(&self, service: &Service) -> Option<u64> {
+        let long = self.body.len() >= LEAST_PREFIX;
+        (service.kind == Kind::Engine && long).then(|| {
+            let head = &self.body[..self.body.len().min(PREFIX_BYTES)];
+            Digest::of(head).head()
+        })
+    }
+}
--- /dev/null
+++ b/crates/seam-node/src/lib.rs
@@ -0,0 +1,22 @@
+//! Adapters around the decisions of `seam-core`: the toucanseam process as a library.
+
+pub mod admin;
+pub mod beats;
+pub mod daemon;
+pub mod drive;
+pub mod front;
+pub mod hub;
+pub mod inbound;
+pub mod link;
+pub mod logs;
+pub mod metrics;
+pub mod outlet;
+pub mod polls;
+pub mod problem;
+pub mod store;
+pub mod targets;
+pub mod trail;
+pub mod watch;
+
+pub use daemon::{Daemon, DaemonError};
+pub use hub::Hub;
--- /dev/null
+++ b/crates/seam-node/src/link/channel.rs
@@ -0,0 +1,107 @@
+//! HTTP/2 connections to other nodes, shared by every exchange with a node.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::task::{Context, Poll};
+
+use http::{Request, Response, Uri};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::SendRequest;
+use seam_http::client::open_http2;
+use seam_http::{ClientError, lock};
+use seam_protocol::peer::peer_client::PeerClient;
+use tonic::metadata::MetadataValue;
+use tower_service::Service;
+
+use super::PROOF_FIELD;
+
+/// One connection as a service that `tonic` can call.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    sender: SendRequest<tonic::body::Body>,
+}
+
+impl Service<Request<tonic::body::Body>> for Channel {
+    type Response = Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), hyper::Error>> {
+        self.sender.poll_ready(context)
+    }
+
+    fn call(&mut self, request: Request<tonic::body::Body>) -> Self::Future {
+        Box::pin(self.sender.send_request(request))
+    }
+}
+
+/// Open connections by address.
+#[derive(Debug)]
+pub struct Links {
+    open: Mutex<BTreeMap<SocketAddr, Channel>>,
+    proof: String,
+}
+
+impl Links {
+    /// Returns no connections yet.
+    #[must_use]
+    pub fn new(secret: &[u8]) -> Self {
+        Self {
+            open: Mutex::default(),
+            proof: super::proof(secret),
+        }
+    }
+
+    /// Returns the proof that nodes show each other.
+    #[must_use]
+    pub fn proof(&self) -> &str {
+        &self.proof
+    }
+
+    /// Returns a client of a node, on the open connection if there is one.
+    ///
+    /// # Errors
+    /// The error of a new connection, on which nothing was sent.
+    ///
+    /// # Panics
+    /// Never: an address makes a valid URI.
+    pub async fn client(&self, address: SocketAddr) -> Result<PeerClient<Channel>, ClientError> {
+        let held = self.held(address);
+        let channel = match held.filter(|channel| !channel.sender.is_closed()) {
+            Some(channel) => channel,
+            None => self.connect(address).await?,
+        };
+        let origin: Uri = format!("http://{address}")
+            .parse()
+            .expect("an address makes a valid URI");
+        Ok(PeerClient::with_origin(channel, origin))
+    }
+
+    fn held(&self, address: SocketAddr) -> Option<Channel> {
+        let open = lock(&self.open);
+        open.get(&address).cloned()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Channel, ClientError> {
+        let sender = open_http2(address).await?;
+        let channel = Channel { sender };
+        let mut open = lock(&self.open);
+        open.insert(address, channel.clone());
+        Ok(channel)
+    }
+
+    /// Drops a connection that failed, so that the next exchange opens a fresh one.
+    pub fn forget(&self, address: SocketAddr) {
+        lock(&self.open).remove(&address);
+    }
+
+    /// Adds the proof of membership to a call.
+    pub fn prove<T>(&self, request: &mut tonic::Request<T>) {
+        if let Ok(value) = MetadataValue::try_from(self.proof.as_str()) {
+            request.metadata_mut().insert(PROOF_FIELD, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-node/src/link/client.rs
@@ -0,0 +1,199 @@
+//! Calls to other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::{FutureExt, stream};
+use http::StatusCode;
+use seam_config::PartSet;
+use seam_config::bundle::manifest;
+use seam_core::{Refusal, Reply};
+use seam_protocol::peer::{
+    NewestRequest, PartRequest, ReplyFrame, RequestFrame, RequestHead, reply_frame, request_frame,
+};
+use seam_protocol::{Digest, Outcome, Reason};
+use snafu::{ResultExt, Snafu};
+use tonic::Streaming;
+
+use super::wire;
+use crate::drive::Progress;
+use crate::hub::{Hub, ToNode};
+use crate::inbound::Inbound;
+use crate::outlet::Outlet;
+use crate::targets::Keeper;
+
+/// Bytes of a body in one frame.
+const FRAME: usize = 64 << 10;
+/// Time for one call that reads a manifest or part.
+const CALL: Duration = Duration::from_secs(3);
+/// Time beyond a request's own limit for its refusal to travel.
+const TRAVEL: Duration = Duration::from_secs(1);
+
+/// Why a peer's bundle could not be read.
+#[derive(Debug, Snafu)]
+pub enum FetchError {
+    /// No connection.
+    #[snafu(display("{source}"))]
+    Link {
+        /// Why.
+        source: seam_http::ClientError,
+    },
+    /// The peer refused or failed.
+    #[snafu(display("the peer answered {status}"))]
+    Call {
+        /// Its word.
+        status: tonic::Status,
+    },
+    /// The parts do not make a bundle.
+    #[snafu(display("{source}"))]
+    Bundle {
+        /// Why.
+        source: seam_config::BundleError,
+    },
+}
+
+fn frames(to: &ToNode, inbound: &Inbound) -> Vec<RequestFrame> {
+    let head = RequestHead {
+        id: inbound.id.clone(),
+        customer: inbound.customer.0,
+        service: inbound.service.0,
+        method: inbound.method.as_str().to_owned(),
+        path: inbound.path.clone(),
+        headers: wire::headers(&inbound.fields),
+        hops: wire::wire_hops(&to.hops),
+        revision: to.revision,
+        budget_micros: to.budget.as_micros() as u64,
+        key: inbound.key_text.clone(),
+        repeatable: inbound.repeatable,
+        fingerprint: inbound.fingerprint().0,
+        prefix: None,
+    };
+    let mut frames = vec![request_frame::Frame::Head(head)];
+    let chunks = inbound.body.chunks(FRAME);
+    frames.extend(chunks.map(|chunk| request_frame::Frame::Body(chunk.to_vec())));
+    frames.push(request_frame::Frame::End(true));
+    frames
+        .into_iter()
+        .map(|frame| RequestFrame { frame: Some(frame) })
+        .collect()
+}
+
+/// Forwards a request to a node and passes its answer on. Returns how that ended.
+pub async fn forward(
+    hub: &Arc<Hub>,
+    to: ToNode,
+    inbound: &Inbound,
+    outlet: &Outlet,
+    progress: &Progress,
+) -> Reply {
+    let Ok(mut client) = hub.links.client(to.address).await else {
+        return Reply::NotSent;
+    };
+    if !hub.may_send(to.attempt) {
+        return Reply::NotSent;
+    }
+    progress.sent();
+    let mut request = tonic::Request::new(stream::iter(frames(&to, inbound)));
+    hub.links.prove(&mut request);
+    let late = async {
+        Timer::after(to.budget + TRAVEL).await;
+        Err(tonic::Status::deadline_exceeded("no answer in time"))
+    };
+    match client.forward(request).or(late).await {
+        Ok(answer) => pass_on(answer.into_inner(), outlet).await,
+        Err(status) if status.code() == tonic::Code::PermissionDenied => {
+            Reply::Refused(Refusal::not_run(Reason::NotReady))
+        }
+        Err(_) => {
+            hub.links.forget(to.address);
+            Reply::Broken { started: false }
+        }
+    }
+}
+
+async fn pass_on(mut frames: Streaming<ReplyFrame>, outlet: &Outlet) -> Reply {
+    let mut keeper = Keeper::new(false, StatusCode::OK, &http::HeaderMap::new());
+    let mut started = false;
+    loop {
+        let frame = match frames.message().await {
+            Ok(Some(frame)) => frame.frame,
+            Ok(None) | Err(_) => return Reply::Broken { started },
+        };
+        match frame {
+            Some(reply_frame::Frame::Head(head)) => {
+                if let Some(refusal) = &head.refusal {
+                    return refused(wire::refusal(refusal));
+                }
+                let status = StatusCode::from_u16(head.status as u16);
+                let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+                started = true;
+                outlet.head(status, wire::fields(&head.headers)).await;
+            }
+            Some(reply_frame::Frame::Body(bytes)) => {
+                keeper.add(&bytes);
+                outlet.data(Bytes::from(bytes)).await;
+            }
+            Some(reply_frame::Frame::End(_)) if started => {
+                outlet.end().await;
+                return Reply::Complete { answer: None };
+            }
+            _ => return Reply::Broken { started },
+        }
+    }
+}
+
+fn refused(refusal: Refusal) -> Reply {
+    match refusal.outcome {
+        Outcome::NotRun => Reply::Refused(refusal),
+        Outcome::Unknown | Outcome::Complete => Reply::Unsure(refusal),
+    }
+}
+
+async fn in_time<T>(call: impl Future<Output = Result<T, tonic::Status>>) -> Result<T, FetchError> {
+    let late = async {
+        Timer::after(CALL).await;
+        Err(tonic::Status::deadline_exceeded("no answer in time"))
+    };
+    let answer = call.or(late).await;
+    answer.map_err(|status| FetchError::Call { status })
+}
+
+/// Reads a node's newest manifest and the parts that this node lacks.
+///
+/// # Errors
+/// See [`FetchError`].
+pub async fn newest(hub: &Hub, address: SocketAddr) -> Result<PartSet, FetchError> {
+    let mut client = hub.links.client(address).await.context(LinkSnafu)?;
+    let mut request = tonic::Request::new(NewestRequest {});
+    hub.links.prove(&mut request);
+    let answer = in_time(client.newest(request)).await?.into_inner();
+    let read = manifest(&answer.manifest).context(BundleSnafu)?;
+    let mut set = PartSet {
+        manifest: answer.manifest,
+        parts: std::collections::BTreeMap::new(),
+    };
+    for digest in read.parts.values() {
+        let part = match hub.store.part(*digest) {
+            Some(part) => part,
+            None => part(hub, &mut client, *digest).await?,
+        };
+        set.parts.insert(*digest, part);
+    }
+    Ok(set)
+}
+
+async fn part(
+    hub: &Hub,
+    client: &mut seam_protocol::peer::peer_client::PeerClient<super::channel::Channel>,
+    digest: Digest,
+) -> Result<Vec<u8>, FetchError> {
+    let mut request = tonic::Request::new(PartRequest {
+        digest: digest.to_string(),
+    });
+    hub.links.prove(&mut request);
+    let answer = in_time(client.part(request)).await?;
+    Ok(answer.into_inner().part)
+}
--- /dev/null
+++ b/crates/seam-node/src/link/server.rs
@@ -0,0 +1,230 @@
+//! Answers other nodes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use futures_lite::{Stream, StreamExt, stream};
+use http::Method;
+use http_body_util::BodyExt;
+use seam_core::Origin;
+use seam_http::{BodyError, Listener, Stop, serve};
+use seam_protocol::peer::peer_server::{Peer, PeerServer};
+use seam_protocol::peer::{
+    ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame, ReplyHead, RequestFrame,
+    RequestHead, reply_frame, request_frame,
+};
+use seam_protocol::{CustomerId, ServiceId};
+use tonic::{Request, Response, Status, Streaming};
+use tower_service::Service;
+
+use super::{PROOF_FIELD, wire};
+use crate::drive;
+use crate::hub::Hub;
+use crate::inbound::Inbound;
+use crate::outlet::Piece;
+
+/// Largest body of a forwarded request in bytes.
+const LARGEST_BODY: usize = 1 << 30;
+
+/// The link's server.
+#[derive(Clone)]
+struct PeerAdapter {
+    hub: Arc<Hub>,
+}
+
+type Frames = Pin<Box<dyn Stream<Item = Result<ReplyFrame, Status>> + Send>>;
+
+impl PeerAdapter {
+    /// Refuses whoever does not know the deployment's secret.
+    fn check<T>(&self, request: &Request<T>) -> Result<(), Status> {
+        let shown = request.metadata().get(PROOF_FIELD);
+        let shown = shown.map(tonic::metadata::MetadataValue::as_bytes);
+        let right = self.hub.links.proof().as_bytes();
+        let same = shown.is_some_and(|shown| {
+            let differ = shown.iter().zip(right).fold(0, |acc, (a, b)| acc | (a ^ b));
+            shown.len() == right.len() && differ == 0
+        });
+        if same {
+            Ok(())
+        } else {
+            Err(Status::permission_denied("no proof of membership"))
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerAdapter {
+    type ForwardStream = Frames;
+
+    async fn forward(
+        &self,
+        request: Request<Streaming<RequestFrame>>,
+    ) -> Result<Response<Frames>, Status> {
+        self.check(&request)?;
+        let (head, body) = read(request.into_inner()).await?;
+        let origin = Origin::Peer {
+            hops: wire::hops(&head.hops),
+            revision: head.revision,
+        };
+        let inbound = inbound(&self.hub, head, body)?;
+        let reader = drive::start(&self.hub, inbound, origin);
+        Ok(Response::new(Box::pin(replies(reader))))
+    }
+
+    async fn newest(
+        &self,
+        request: Request<NewestRequest>,
+    ) -> Result<Response<ManifestReply>, Status> {
+        self.check(&request)?;
+        let (revision, manifest) = self.hub.store.manifest();
+        if revision == 0 {
+            return Err(Status::not_found("no configuration in force"));
+        }
+        Ok(Response::new(ManifestReply { revision, manifest }))
+    }
+
+    async fn part(&self, request: Request<PartRequest>) -> Result<Response<PartReply>, Status> {
+        self.check(&request)?;
+        let text = request.into_inner().digest;
+        let digest = text
+            .parse()
+            .map_err(|_| Status::invalid_argument("not a digest"))?;
+        match self.hub.store.part(digest) {
+            Some(part) => Ok(Response::new(PartReply { part })),
+            None => Err(Status::not_found("no such part")),
+        }
+    }
+}
+
+/// Reads a whole forwarded request. Without its end marker it is not whole and does not run.
+async fn read(mut frames: Streaming<RequestFrame>) -> Result<(RequestHead, Vec<u8>), Status> {
+    let cut = || Status::data_loss("the request was cut off");
+    let Some(RequestFrame {
+        frame: Some(request_frame::Frame::Head(head)),
+    }) = frames.message().await?
+    else {
+        return Err(cut());
+    };
+    let mut body = Vec::new();
+    loop {
+        let frame = frames.message().await?.ok_or_else(cut)?;
+        match frame.frame {
+            Some(request_frame::Frame::Body(bytes)) if body.len() + bytes.len() <= LARGEST_BODY => {
+                body.extend_from_slice(&bytes);
+            }
+            Some(request_frame::Frame::End(_)) => return Ok((head, body)),
+            _ => return Err(cut()),
+        }
+    }
+}
+
+fn inbound(hub: &Hub, head: RequestHead, body: Vec<u8>) -> Result<Inbound, Status> {
+    let malformed = |what: &str| Status::invalid_argument(what.to_owned());
+    let snapshot = hub
+        .snapshot()
+        .ok_or_else(|| Status::unavailable("not ready"))?;
+    let customer = CustomerId(head.customer);
+    let service = ServiceId(head.service);
+    let bundle = &snapshot.bundle;
+    let name = bundle
+        .customers
+        .get(&customer)
+        .map(|rule| rule.name.clone());
+    let rule = bundle.services.get(&service);
+    let service_name = rule.map(|rule| rule.name.as_str()).unwrap_or_default();
+    let secret = hub.secrets().fleet;
+    let key = wire::key_name(&secret, customer, service_name, &head.key)
+        .map_err(|_| malformed("not an idempotency key"))?;
+    let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| malformed("method"))?;
+    // The stricter of the two nodes' rules holds.
+    let repeatable = rule.is_some_and(|rule| rule.repeatable(method.as_str(), &head.path));
+    Ok(Inbound {
+        id: head.id,
+        method,
+        path: head.path,
+        fields: wire::fields(&head.headers),
+        body: body.into(),
+        customer,
+        name: name.unwrap_or_default(),
+        service,
+        repeatable: repeatable && head.repeatable,
+        key,
+        key_text: head.key,
+        budget: Duration::from_micros(head.budget_micros),
+    })
+}
+
+fn replies(reader: Receiver<Piece>) -> impl Stream<Item = Result<ReplyFrame, Status>> + Send {
+    stream::unfold(Some(reader), |reader| async move {
+        let reader = reader?;
+        let piece = reader.recv().await.ok()?;
+        let (frames, last) = frames(piece);
+        Some((frames, (!last).then_some(reader)))
+    })
+    .map(stream::iter)
+    .flatten()
+}
+
+/// Returns the frames of a piece and whether it is the last one.
+fn frames(piece: Piece) -> (Vec<Result<ReplyFrame, Status>>, bool) {
+    let (frames, last) = match piece {
+        Piece::Refusal(refusal) => {
+            let head = ReplyHead {
+                status: u32::from(refusal.reason.status()),
+                headers: Vec::new(),
+                refusal: Some(wire::wire_refusal(refusal)),
+            };
+            (vec![reply_frame::Frame::Head(head)], true)
+        }
+        Piece::Replay(answer) => {
+            let headers = answer
+                .fields
+                .iter()
+                .map(|field| seam_protocol::peer::Header {
+                    name: field.name.clone(),
+                    value: field.value.clone(),
+                });
+            let head = ReplyHead {
+                status: u32::from(answer.status),
+                headers: headers.collect(),
+                refusal: None,
+            };
+            let frames = vec![
+                reply_frame::Frame::Head(head),
+                reply_frame::Frame::Body(answer.body.clone()),
+                reply_frame::Frame::End(true),
+            ];
+            (frames, true)
+        }
+        Piece::Head(status, fields) => {
+            let head = ReplyHead {
+                status: u32::from(status.as_u16()),
+                headers: wire::headers(&fields),
+                refusal: None,
+            };
+            (vec![reply_frame::Frame::Head(head)], false)
+        }
+        Piece::Data(bytes) => (vec![reply_frame::Frame::Body(bytes.to_vec())], false),
+        Piece::End => (vec![reply_frame::Frame::End(true)], true),
+    };
+    let frames = frames
+        .into_iter()
+        .map(|frame| Ok(ReplyFrame { frame: Some(frame) }))
+        .collect();
+    (frames, last)
+}
+
+/// Serves other nodes until stopped.
+pub async fn serve_peers(hub: Arc<Hub>, listener: Listener, stop: Stop) {
+    let server = PeerServer::new(PeerAdapter { hub });
+    serve(listener, stop, move |request, _| {
+        let mut server = server.clone();
+        async move {
+            let Ok(answer) = server.call(request).await;
+            answer.map(|body| body.map_err(|_| BodyError::Cut).boxed_unsync())
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/seam-node/src/main.rs
@@ -0,0 +1,93 @@
+//! The process on each entry VM.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use seam_config::Settings;
+use seam_node::daemon::{Draining, Serving};
+use seam_node::{Daemon, logs};
+
+/// Entry node of a toucanseam deployment.
+#[derive(FromArgs)]
+struct Arguments {
+    /// file with the node's settings, in TOML
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match seam_config::settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if arguments.check {
+        println!("{} is valid", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logs::start(&settings.log) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    seam_http::start_workers(settings.workers);
+    seam_http::block_on(run(arguments.settings, settings))
+}
+
+async fn run(path: PathBuf, settings: Settings) -> ExitCode {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let mut signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => {
+            log::error!("signals cannot be read: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let daemon = match Daemon::new(settings).serve() {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            log::error!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let listen = daemon.listen;
+    log::info!(
+        "serving callers on {}, nodes on {}, operators on {}",
+        listen.caller,
+        listen.peer,
+        listen.admin
+    );
+    let daemon = serve(daemon, &path, &mut signals).await;
+    let cut = async {
+        while let Some(Ok(signal)) = signals.next().await {
+            if signal != Signal::Hup {
+                break;
+            }
+        }
+    };
+    let left = daemon.finish(cut).await;
+    log::info!("stopped with {left} requests cut off");
+    ExitCode::SUCCESS
+}
+
+/// Serves until a signal asks for a drain.
+async fn serve(daemon: Daemon<Serving>, path: &Path, signals: &mut Signals) -> Daemon<Draining> {
+    while let Some(Ok(signal)) = signals.next().await {
+        if signal == Signal::Hup {
+            daemon.reload(path);
+        } else {
+            break;
+        }
+    }
+    log::info!("draining");
+    daemon.drain("signal")
+}
--- /dev/null
+++ b/crates/seam-node/src/metrics.rs
@@ -0,0 +1,174 @@
+//! Counters by `opentelemetry`, shown in the text form of Prometheus.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use seam_core::Refusal;
+use seam_core::status::Status;
+
+/// The process's metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    platform: Counter<u64>,
+    beats: Counter<u64>,
+    beat_bytes: Counter<u64>,
+    gauges: Gauges,
+}
+
+#[derive(Debug)]
+struct Gauges {
+    ready: Gauge<u64>,
+    revision: Gauge<u64>,
+    held: Gauge<u64>,
+    keys: Gauge<u64>,
+    peers: Gauge<u64>,
+    queued: Gauge<u64>,
+    running: Gauge<u64>,
+    load: Gauge<u64>,
+    serving: Gauge<u64>,
+    quarantine: Gauge<u64>,
+    events: Gauge<u64>,
+}
+
+impl Gauges {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            ready: gauge("seam_ready", "1 if the node takes new requests"),
+            revision: gauge("seam_revision", "revision in force"),
+            held: gauge("seam_requests_held", "requests without a final answer"),
+            keys: gauge("seam_keys_held", "idempotency keys held"),
+            peers: gauge("seam_peers_alive", "nodes heard of within their lease"),
+            queued: gauge("seam_queued", "requests that wait, by service"),
+            running: gauge("seam_running", "requests at targets, by service"),
+            load: gauge("seam_target_load", "estimated requests at a target"),
+            serving: gauge("seam_target_serving", "1 if a target takes new work"),
+            quarantine: gauge("seam_quarantine", "fingerprints in quarantine"),
+            events: gauge("seam_events", "events since boot, by kind"),
+        }
+    }
+
+    fn set(&self, status: &Status) {
+        let alive = status.peers.iter().filter(|peer| peer.alive).count();
+        self.ready.record(u64::from(status.ready), &[]);
+        self.revision.record(status.revision, &[]);
+        self.held.record(status.held as u64, &[]);
+        self.keys.record(status.keys as u64, &[]);
+        self.peers.record(alive as u64, &[]);
+        self.quarantine.record(status.quarantine.len() as u64, &[]);
+        for service in &status.services {
+            let label = [KeyValue::new("service", service.name.clone())];
+            self.queued.record(service.queued as u64, &label);
+            self.running.record(u64::from(service.running), &label);
+        }
+        for target in &status.targets {
+            let label = [KeyValue::new("target", target.name.clone())];
+            self.load.record(u64::from(target.load), &label);
+            let serving = u64::from(target.phase == "serving");
+            self.serving.record(serving, &label);
+        }
+        let counters = &status.counters;
+        for (kind, count) in [
+            ("arrived", counters.arrived),
+            ("relayed", counters.relayed),
+            ("sent_away", counters.sent_away),
+            ("sent_owner", counters.sent_owner),
+            ("complete", counters.complete),
+            ("not_run", counters.not_run),
+            ("unknown", counters.unknown),
+            ("replayed", counters.replayed),
+            ("retries", counters.retries),
+            ("ejections", counters.ejections),
+            ("pauses", counters.pauses),
+        ] {
+            self.events.record(count, &[KeyValue::new("kind", kind)]);
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Makes counters that stand at zero.
+    ///
+    /// # Panics
+    /// If the registry refuses the exporter, which it does only for a second one.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a new registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("toucanseam");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            refusals: counter("seam_refusals", "refusals by reason and outcome"),
+            platform: counter("seam_platform_calls", "calls to the platform by kind"),
+            beats: counter("seam_beats", "heartbeats by direction"),
+            beat_bytes: counter("seam_beat_bytes", "bytes of heartbeats by direction"),
+            gauges: Gauges::new(&meter),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, refusal: Refusal) {
+        let labels = [
+            KeyValue::new("reason", refusal.reason.slug()),
+            KeyValue::new("outcome", refusal.outcome.to_string()),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_call(&self, kind: &'static str, good: bool) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("good", good)];
+        self.platform.add(1, &labels);
+    }
+
+    /// Counts a heartbeat sent.
+    pub fn beat_sent(&self, bytes: usize) {
+        self.beat("sent", bytes);
+    }
+
+    /// Counts a heartbeat heard.
+    pub fn beat_heard(&self, bytes: usize) {
+        self.beat("heard", bytes);
+    }
+
+    /// Counts a datagram that is not a heartbeat of this deployment.
+    pub fn beat_refused(&self) {
+        self.beat("refused", 0);
+    }
+
+    fn beat(&self, direction: &'static str, bytes: usize) {
+        let label = [KeyValue::new("direction", direction)];
+        self.beats.add(1, &label);
+        self.beat_bytes.add(bytes as u64, &label);
+    }
+
+    /// Returns every metric as text.
+    #[must_use]
+    pub fn text(&self, status: &Status) -> Vec<u8> {
+        self.gauges.set(status);
+        let mut text = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
