--- /dev/null
+++ b/crates/seam-node/src/outlet.rs
@@ -0,0 +1,117 @@
+//! Where the answer to one request goes, piece by piece.
+
+use seam_http::lock;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use seam_core::Refusal;
+use seam_protocol::StoredAnswer;
+
+/// Pieces that wait for a slow reader, which is what holds back a fast target.
+const DEPTH: usize = 8;
+
+/// A piece of an answer.
+#[derive(Debug)]
+pub enum Piece {
+    /// The system's own refusal. Nothing follows.
+    Refusal(Refusal),
+    /// A kept answer. Nothing follows.
+    Replay(Arc<StoredAnswer>),
+    /// Status and header fields of a target's answer.
+    Head(StatusCode, HeaderMap),
+    /// Bytes of its body.
+    Data(Bytes),
+    /// The whole body has passed.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Open,
+    Started,
+    Closed,
+}
+
+/// The writing end, shared by the tasks of a request.
+#[derive(Clone, Debug)]
+pub struct Outlet {
+    pieces: Sender<Piece>,
+    phase: Arc<Mutex<Phase>>,
+}
+
+/// Makes an outlet and its reading end.
+///
+/// Without [`Piece::End`], a refusal or a kept answer, the answer was cut off.
+#[must_use]
+pub fn outlet() -> (Outlet, Receiver<Piece>) {
+    let (pieces, reader) = async_channel::bounded(DEPTH);
+    let phase = Arc::new(Mutex::new(Phase::Open));
+    (Outlet { pieces, phase }, reader)
+}
+
+impl Outlet {
+    fn turn(&self, from: Phase, to: Phase) -> bool {
+        let mut phase = lock(&self.phase);
+        let right = *phase == from;
+        if right {
+            *phase = to;
+        }
+        right
+    }
+
+    fn phase(&self) -> Phase {
+        *lock(&self.phase)
+    }
+
+    /// Tells whether a part of an answer has passed.
+    #[must_use]
+    pub fn started(&self) -> bool {
+        self.phase() == Phase::Started
+    }
+
+    /// Ends with a piece that is an answer by itself, or cuts off an answer that has started.
+    pub fn finish(&self, piece: Piece) {
+        if self.turn(Phase::Open, Phase::Closed) {
+            let _ = self.pieces.try_send(piece);
+        }
+        self.close();
+    }
+
+    /// Starts an answer. Returns whether this was the first one.
+    pub async fn head(&self, status: StatusCode, fields: HeaderMap) -> bool {
+        let first = self.turn(Phase::Open, Phase::Started);
+        if first {
+            let _ = self.pieces.send(Piece::Head(status, fields)).await;
+        }
+        first
+    }
+
+    /// Passes bytes on once the reader has room. Bytes for a reader that left are dropped.
+    pub async fn data(&self, bytes: Bytes) {
+        if self.started() {
+            let _ = self.pieces.send(Piece::Data(bytes)).await;
+        }
+    }
+
+    /// Ends a whole answer.
+    pub async fn end(&self) {
+        if self.turn(Phase::Started, Phase::Closed) {
+            let _ = self.pieces.send(Piece::End).await;
+            self.pieces.close();
+        }
+    }
+
+    /// Closes the outlet. What was passed before can still be read.
+    pub fn close(&self) {
+        *lock(&self.phase) = Phase::Closed;
+        self.pieces.close();
+    }
+
+    /// Waits until the reader has left or the outlet is closed.
+    pub async fn closed(&self) {
+        self.pieces.closed().await;
+    }
+}
--- /dev/null
+++ b/crates/seam-node/tests/new_revisions.rs
@@ -0,0 +1,87 @@
+//! Changes of the configuration and how they reach every node.
+
+use seam_emulator::fleet::{until, with_fleet};
+use seam_emulator::{Caller, Fleet};
+use seam_protocol::{Customer, CustomerId, Digest};
+
+fn newcomer() -> Customer {
+    Customer {
+        name: "salon-new".into(),
+        home: None,
+        residency: None,
+        priority: 1,
+        weight: 1,
+        concurrency: 18,
+        rate: 100,
+        services: std::collections::BTreeSet::new(),
+        credentials: vec![Digest::of(b"new-token")],
+    }
+}
+
+fn revisions(fleet: &Fleet) -> Vec<u64> {
+    let nodes = fleet.nodes.values();
+    nodes
+        .map(|node| node.hub().read(seam_core::Node::status).revision)
+        .collect()
+}
+
+#[test]
+fn in_force_everywhere() {
+    with_fleet(|mut fleet| async move {
+        let refused = Caller::new(fleet.caller("oshana-2"), "new-token");
+        assert_eq!(
+            refused.get("/booking-desk/slots").await.unwrap().status,
+            401
+        );
+        fleet.publish(|bundle| {
+            bundle
+                .customers
+                .insert(CustomerId::of("salon-new"), newcomer());
+        });
+        until(|| revisions(&fleet).iter().all(|revision| *revision == 2)).await;
+        for node in fleet.nodes.values() {
+            let caller = Caller::new(node.listen.caller, "new-token");
+            let answer = caller.get("/booking-desk/slots").await.unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
+
+#[test]
+fn by_peers_alone() {
+    with_fleet(|mut fleet| async move {
+        // One node reads the change; then the service fails for every other one.
+        let first = fleet.nodes.values().next().unwrap().hub().clone();
+        fleet.platform.set_down(true);
+        fleet
+            .bundle
+            .customers
+            .insert(CustomerId::of("salon-new"), newcomer());
+        fleet.bundle.parent = Some(fleet.bundle.digest);
+        fleet.bundle.revision += 1;
+        let set = seam_config::split(&fleet.bundle).unwrap();
+        seam_node::watch::adopt(&first, set).unwrap();
+        until(|| revisions(&fleet).iter().all(|revision| *revision == 2)).await;
+    });
+}
+
+#[test]
+fn never_back() {
+    with_fleet(|mut fleet| async move {
+        let old = seam_config::split(&fleet.bundle).unwrap();
+        fleet.publish(|bundle| bundle.deployment.weight = 0.9);
+        until(|| revisions(&fleet).iter().all(|revision| *revision == 2)).await;
+        seam_emulator::fleet::put(&fleet.platform, &old);
+        fleet.publish(|bundle| bundle.deployment.weight = 0.7);
+        until(|| revisions(&fleet).iter().all(|revision| *revision == 3)).await;
+        for node in fleet.nodes.values() {
+            let lines = node.hub().trail.lines();
+            let back = lines.iter().filter(|line| {
+                line.audit.change == seam_core::audit::Change::Revision
+                    && line.audit.new.starts_with("1 ")
+                    && !line.audit.old.is_empty()
+            });
+            assert_eq!(back.count(), 0);
+        }
+    });
+}
--- /dev/null
+++ b/crates/seam-node/tests/node_drains.rs
@@ -0,0 +1,88 @@
+//! Drains of nodes and targets.
+
+use std::time::Duration;
+
+use futures_lite::future;
+use http_body_util::BodyExt;
+use seam_emulator::Caller;
+use seam_emulator::engine::Pace;
+use seam_emulator::fleet::{Fleet, Paces, WINDHOEK, hamutenya, until, with_fleet};
+use seam_http::Connection;
+use seam_protocol::VmId;
+
+#[test]
+fn stream_survives() {
+    seam_http::start_workers(2);
+    seam_http::block_on(async {
+        let engine = Pace {
+            gap: Duration::from_millis(150),
+            tokens: 30,
+            ..Paces::default().engine
+        };
+        let paces = Paces {
+            engine,
+            ..Paces::default()
+        };
+        let mut fleet = Fleet::start(hamutenya(), paces);
+        fleet.settled().await;
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK);
+        let mut connection = Connection::open(caller.node).await.unwrap();
+        let request = caller.request(http::Method::POST, "/seam-stylist/chat", "slow");
+        let answer = connection.send(request).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        let node = fleet
+            .nodes
+            .remove(&VmId::of("khomas-1"))
+            .unwrap()
+            .drain("test");
+        let cut = node.finish(future::pending());
+        let whole = answer.into_body().collect();
+        let (cut, whole) = future::zip(cut, whole).await;
+        let text = String::from_utf8_lossy(&whole.unwrap().to_bytes()).into_owned();
+        assert!(text.ends_with("data: [DONE]\n\n"));
+        assert_eq!(cut, 0);
+    });
+}
+
+#[test]
+fn callers_told() {
+    with_fleet(|mut fleet| async move {
+        let node = fleet.nodes.remove(&VmId::of("khomas-1")).unwrap();
+        let drained = node.listen.caller.to_string();
+        let draining = node.drain("test");
+        let other = fleet.node("khomas-2").hub();
+        let peer = |name: &str| {
+            let status = other.read(seam_core::Node::status);
+            status
+                .peers
+                .into_iter()
+                .find(|peer| peer.name == name)
+                .unwrap()
+        };
+        until(|| !peer("khomas-1").ready).await;
+        let caller = Caller::new(fleet.caller("khomas-2"), WINDHOEK);
+        let entries = caller.get("/v1/entries").await.unwrap();
+        assert!(!entries.text().contains(&drained), "{}", entries.text());
+        assert_eq!(draining.finish(future::pending()).await, 0);
+    });
+}
+
+#[test]
+fn leaving_target() {
+    with_fleet(|fleet| async move {
+        fleet.list(&["booking-desk-khomas-1"]);
+        let hub = fleet.node("khomas-1").hub();
+        until(|| {
+            let status = hub.read(seam_core::Node::status);
+            status
+                .targets
+                .iter()
+                .any(|target| target.phase == "leaving")
+        })
+        .await;
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK);
+        let answer = caller.get("/booking-desk/slots").await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(!answer.text().contains("booking-desk-khomas-1"));
+    });
+}
--- /dev/null
+++ b/crates/seam-node/tests/plain_calls.rs
@@ -0,0 +1,67 @@
+//! Calls of a plain service through one node.
+
+use seam_emulator::Caller;
+use seam_emulator::fleet::{WINDHOEK, with_fleet};
+use seam_emulator::plain::Echo;
+
+#[test]
+fn whole_answer() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK).with("seam-region", "oshana");
+        let answer = caller
+            .post("/booking-desk/slots?day=3", "two")
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.field("seam-outcome"), "complete");
+        assert!(!answer.field("seam-request-id").is_empty());
+        let echo: Echo = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(echo.line, "POST /slots?day=3");
+        assert_eq!(echo.body, "two");
+        assert_eq!(echo.target, "booking-desk-khomas-1");
+    });
+}
+
+#[test]
+fn wrong_credential() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), "not-a-token");
+        let answer = caller.get("/booking-desk/slots").await.unwrap();
+        assert_eq!(answer.status, 401);
+        assert_eq!(answer.field("content-type"), "application/problem+json");
+        let problem = answer.problem().unwrap();
+        assert_eq!(problem.kind, "/problems/credential");
+        assert_eq!(problem.outcome, seam_protocol::Outcome::NotRun);
+        assert!(fleet.plains.values().all(|plain| plain.runs().is_empty()));
+    });
+}
+
+#[test]
+fn unknown_service() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK);
+        let answer = caller.get("/booking-dsk/slots").await.unwrap();
+        assert_eq!(answer.status, 404);
+        assert!(answer.text().contains("booking-dsk"));
+    });
+}
+
+#[test]
+fn bad_deadline() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK).with("seam-deadline-ms", "x");
+        let answer = caller.get("/booking-desk/slots").await.unwrap();
+        assert_eq!(answer.status, 400);
+        assert!(answer.text().contains("seam-deadline-ms"));
+    });
+}
+
+#[test]
+fn large_body() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), WINDHOEK);
+        let body = "x".repeat((1 << 20) + 1);
+        let answer = caller.post("/booking-desk/slots", &body).await.unwrap();
+        assert_eq!(answer.status, 413);
+    });
+}
--- /dev/null
+++ b/crates/seam-node/tests/region_hops.rs
@@ -0,0 +1,48 @@
+//! Requests that may run only in another region than the one called.
+
+use seam_emulator::Caller;
+use seam_emulator::fleet::{SWAKOP, WINDHOEK, with_fleet};
+use seam_protocol::{CustomerId, RegionId};
+
+#[test]
+fn forwarded_home() {
+    with_fleet(|fleet| async move {
+        let caller = Caller::new(fleet.caller("khomas-1"), SWAKOP);
+        let answer = caller.get("/booking-desk/slots").await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(answer.text().contains("booking-desk-erongo-1"));
+        let stream = caller.post("/seam-stylist/chat", "notes").await.unwrap();
+        assert!(stream.text().contains("seam-stylist-erongo"));
+        assert!(stream.text().ends_with("data: [DONE]\n\n"));
+    });
+}
+
+#[test]
+fn refused_residency() {
+    with_fleet(|mut fleet| async move {
+        // Residency that no target satisfies cannot be published by the command line, but a node
+        // must refuse it all the same.
+        fleet.publish(|bundle| {
+            let customer = CustomerId::of("salon-swakop");
+            let rule = bundle.customers.get_mut(&customer).unwrap();
+            rule.residency = Some([RegionId::of("nowhere")].into());
+        });
+        fleet.settled().await;
+        let caller = Caller::new(fleet.caller("khomas-1"), SWAKOP);
+        let answer = caller.get("/booking-desk/slots").await.unwrap();
+        assert_eq!(answer.status, 403);
+        assert_eq!(answer.problem().unwrap().kind, "/problems/residency");
+        assert!(fleet.plains.values().all(|plain| plain.runs().is_empty()));
+    });
+}
+
+#[test]
+fn own_region_first() {
+    with_fleet(|fleet| async move {
+        for region in ["khomas", "erongo", "oshana"] {
+            let caller = Caller::new(fleet.caller(&format!("{region}-1")), WINDHOEK);
+            let answer = caller.get("/booking-desk/slots").await.unwrap();
+            assert!(answer.text().contains(&format!("booking-desk-{region}-1")));
+        }
+    });
+}
--- /dev/null
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -0,0 +1,162 @@
+//! What nodes tell each other, several times within a lease.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, VmId};
+
+/// Load of one service at one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service, in short.
+    pub service: ServiceTag,
+    /// Requests at targets.
+    pub running: u32,
+    /// Requests queued.
+    pub queued: u32,
+}
+
+/// State of one VM as it said itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmRecord {
+    /// The VM.
+    pub vm: VmId,
+    /// The boot of its process.
+    pub incarnation: Incarnation,
+    /// Rises with each record of an incarnation.
+    pub number: u32,
+    /// Revision in force there.
+    pub revision: u64,
+    /// Whether it takes new requests.
+    pub ready: bool,
+    /// Loads of its busiest services.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// Capacity of one service in a region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRoom {
+    /// The service, in short.
+    pub service: ServiceTag,
+    /// Slots without a request.
+    pub free: u32,
+    /// Predicted wait in milliseconds of a request that arrives now.
+    pub wait: u32,
+}
+
+/// State of a region as one of its nodes sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionDigest {
+    /// The region.
+    pub region: RegionId,
+    /// The node that made the digest.
+    pub vm: VmId,
+    /// The boot of its process.
+    pub incarnation: Incarnation,
+    /// Rises with each digest of an incarnation.
+    pub number: u32,
+    /// Age in milliseconds, summed over the nodes it passed.
+    pub age: u32,
+    /// Revision in force at the maker.
+    pub revision: u64,
+    /// Ready nodes, a few.
+    pub nodes: Vec<VmId>,
+    /// Capacity by service.
+    pub rooms: Vec<ServiceRoom>,
+}
+
+/// A fingerprint that crashed targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Suspect {
+    /// What makes two requests the same.
+    pub fingerprint: Fingerprint,
+    /// Crashes ascribed to it.
+    pub crashes: u8,
+}
+
+/// A customer that is short of concurrency at the sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shortage {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Further units that the sender could use now.
+    pub units: u32,
+}
+
+/// Concurrency units lent to the receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Units lent.
+    pub units: u32,
+    /// The receiver's own time of the shortage that this grant answers, in microseconds.
+    pub asked: u64,
+}
+
+/// One datagram between two nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: VmId,
+    /// The sender's region.
+    pub region: RegionId,
+    /// The sender's time, in microseconds, echoed in grants.
+    pub sent: u64,
+    /// The receiver's incarnation as the sender last heard it, zero if unknown.
+    pub believed: Incarnation,
+    /// The receiver's own `sent` time that the sender last heard from that incarnation.
+    pub echo: u64,
+    /// Digest of the manifest in force at the sender.
+    pub manifest: u64,
+    /// The sender's record first, then fresh ones of other VMs.
+    pub records: Vec<VmRecord>,
+    /// Digests of regions.
+    pub digests: Vec<RegionDigest>,
+    /// Fingerprints that crashed targets.
+    pub suspects: Vec<Suspect>,
+    /// Customers short of concurrency at the sender.
+    pub shortages: Vec<Shortage>,
+    /// Units lent to the receiver.
+    pub grants: Vec<Grant>,
+}
+
+impl Heartbeat {
+    /// Encodes for a datagram.
+    ///
+    /// # Panics
+    /// Never: plain data always encodes.
+    ///
+    /// ```
+    /// use seam_protocol::{Heartbeat, Incarnation, RegionId, VmId};
+    /// let beat = Heartbeat::empty(VmId(1), RegionId(2));
+    /// assert_eq!(Heartbeat::decode(&beat.encode()), Some(beat));
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("a heartbeat of plain data always encodes")
+    }
+
+    /// Decodes a datagram, `None` if it is not a heartbeat.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// Returns a heartbeat without records.
+    #[must_use]
+    pub fn empty(from: VmId, region: RegionId) -> Self {
+        Self {
+            from,
+            region,
+            sent: 0,
+            believed: Incarnation(0),
+            echo: 0,
+            manifest: 0,
+            records: Vec::new(),
+            digests: Vec::new(),
+            suspects: Vec::new(),
+            shortages: Vec::new(),
+            grants: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-protocol/src/lib.rs
@@ -0,0 +1,36 @@
+//! Types shared by every toucanseam package: names, bundles, heartbeats and outcomes.
+
+mod macros;
+
+pub mod answer;
+pub mod bundle;
+pub mod digest;
+pub mod heartbeat;
+pub mod id;
+pub mod key;
+pub mod outcome;
+pub mod report;
+pub mod time;
+
+/// Generated messages and service of the link between nodes.
+///
+/// `proto/peer.proto` is the source; the generated file is committed, so the build needs no
+/// generator.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod peer {
+    include!("generated/seam_peer.rs");
+}
+
+pub use answer::{Field, StoredAnswer};
+pub use bundle::{
+    Bundle, Customer, DataCentre, Kind, Manifest, Region, Route, Service, Target, Vm,
+};
+pub use digest::Digest;
+pub use heartbeat::{Heartbeat, RegionDigest, ServiceLoad, VmRecord};
+pub use id::{
+    CentreId, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, ServiceTag, TargetId, VmId,
+};
+pub use key::{IssuedKey, KeyError};
+pub use outcome::{Outcome, Problem, Reason};
+pub use report::{CacheEvent, LoadReport, VmState};
+pub use time::Time;
--- /dev/null
+++ b/crates/seam-protocol/src/macros.rs
@@ -0,0 +1,35 @@
+//! Derives that the same kinds of types share.
+
+/// Derives the common set for plain data that travels between processes.
+#[macro_export]
+macro_rules! message {
+    ($($(#[$meta:meta])* pub $kind:ident $name:ident $body:tt)*) => {
+        $(
+            $(#[$meta])*
+            #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+            pub $kind $name $body
+        )*
+    };
+}
+
+/// Defines a small ordered `Copy` key around an integer.
+#[macro_export]
+macro_rules! small_key {
+    ($($(#[$meta:meta])* $name:ident($int:ty);)*) => {
+        $(
+            $(#[$meta])*
+            #[derive(
+                Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+                serde::Serialize, serde::Deserialize,
+            )]
+            #[serde(transparent)]
+            pub struct $name(pub $int);
+
+            impl std::fmt::Display for $name {
+                fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                    write!(f, "{:x}", self.0)
+                }
+            }
+        )*
+    };
+}
