--- a/crates/seam-core/src/limits.rs
+++ b/crates/seam-core/src/limits.rs
@@ -1,9 +1,13 @@
 //! Limits of a customer whose sum over the fleet holds.
 //!
 //! A customer's concurrency is a number of units. Every node derives the same split of the units
-//! over the published nodes. A node that is short borrows from one that has idle units: the lender
+//! over the published nodes. A node that is short borrows from nodes that have idle units: a lender
 //! stops using them before the borrower starts, and the borrower admits only what ends before the
 //! loan does, so the sum over nodes never exceeds the limit.
+//!
+//! Each request for units states how many the borrower still holds of that lender, so it renews
+//! and returns at the same time. A borrower takes only the grant that answers its newest request,
+//! which makes late and repeated datagrams harmless.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -16,7 +20,7 @@
 use crate::request::Ticket;
 
 /// How long units are lent.
-pub const LOAN: Duration = Duration::from_secs(20);
+pub const LOAN: Duration = Duration::from_secs(60);
 /// Longest wait for borrowed units.
 pub const PARK: Duration = Duration::from_secs(2);
 /// Most requests of one customer that wait for units.
@@ -24,7 +28,13 @@
 /// Time after which an idle customer is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
 /// Pause between two requests for units of one customer.
-const ASK_AGAIN: Duration = Duration::from_millis(400);
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Lenders asked at once.
+const LENDERS: usize = 4;
+/// Units asked for beyond those that are short.
+const SPARE: u32 = 2;
+/// Time after which a loan is renewed or returned.
+const REVIEW: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug)]
 struct Loan {
@@ -37,8 +47,9 @@
     revision: u64,
     base: u32,
     running: u32,
-    lent: Vec<Loan>,
-    borrowed: Vec<Loan>,
+    lent: BTreeMap<VmId, Loan>,
+    borrowed: BTreeMap<VmId, Loan>,
+    asked_of: BTreeMap<VmId, Time>,
     tokens: f64,
     refilled: Time,
     used: Time,
@@ -99,8 +110,8 @@
 
 impl Usage {
     fn refresh(&mut self, now: Time, bundle: &Bundle, me: VmId, id: CustomerId, rule: &Customer) {
-        self.lent.retain(|loan| loan.until > now);
-        self.borrowed.retain(|loan| loan.until > now);
+        self.lent.retain(|_, loan| loan.until > now);
+        self.borrowed.retain(|_, loan| loan.until > now);
         if self.revision != bundle.revision {
             self.revision = bundle.revision;
             self.base = base_units(bundle, me, id, rule);
@@ -109,7 +120,7 @@
     }
 
     fn lent(&self) -> u32 {
-        self.lent.iter().map(|loan| loan.units).sum()
+        self.lent.values().map(|loan| loan.units).sum()
     }
 
     fn own(&self) -> u32 {
@@ -118,7 +129,7 @@
 
     fn borrowed(&self, deadline: Time) -> u32 {
         self.borrowed
-            .iter()
+            .values()
             .filter(|loan| loan.until >= deadline)
             .map(|loan| loan.units)
             .sum()
@@ -128,6 +139,31 @@
         (self.own() + self.borrowed(deadline)).saturating_sub(self.running)
     }
 
+    /// Returns the next few nodes to ask: those that lent before, then others in turn.
+    fn lenders(&mut self, asking: Asking) -> Vec<VmId> {
+        let mut nodes = holders(asking.bundle, asking.rule);
+        nodes.retain(|vm| *vm != asking.me);
+        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(asking.id.0, u64::from(vm.0))));
+        // Nodes beyond the units have none to lend.
+        nodes.truncate(asking.rule.concurrency as usize + 1);
+        let count = nodes.len();
+        let from = self.turn;
+        self.turn += LENDERS;
+        (0..LENDERS.min(count))
+            .map(|step| nodes[(from + step) % count])
+            .collect()
+    }
+
+    /// Builds a request to a lender and notes its time.
+    fn request(&mut self, now: Time, customer: CustomerId, lender: VmId, more: u32) -> Shortage {
+        self.asked_of.insert(lender, now);
+        Shortage {
+            customer,
+            held: self.borrowed.get(&lender).map_or(0, |loan| loan.units),
+            more,
+        }
+    }
+
     fn take_token(&mut self, now: Time, rule: &Customer) -> bool {
         let units = self.own() + self.borrowed(now);
         let share = f64::from(units.max(1)) / f64::from(rule.concurrency.max(1));
@@ -230,43 +266,79 @@
     }
 
     /// Returns whom to ask for units now, at most once in a while for a customer.
-    pub fn ask(&mut self, now: Time, asking: Asking) -> Option<(VmId, Shortage)> {
+    pub fn ask(&mut self, now: Time, asking: Asking) -> Vec<(VmId, Shortage)> {
         let usage = self.usage(now, asking);
         if usage
             .asked
             .is_some_and(|asked| now.since(asked) < ASK_AGAIN)
         {
-            return None;
+            return Vec::new();
         }
-        let mut nodes = holders(asking.bundle, asking.rule);
-        nodes.retain(|vm| *vm != asking.me);
-        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(asking.id.0, u64::from(vm.0))));
-        let most = (asking.rule.concurrency as usize).clamp(1, nodes.len().max(1));
-        let lender = *nodes.get(usage.turn % most)?;
-        usage.turn += 1;
         usage.asked = Some(now);
-        let units = usage.parked.len() as u32;
-        Some((
-            lender,
-            Shortage {
-                customer: asking.id,
-                units,
-            },
-        ))
+        let lenders = usage.lenders(asking);
+        let more = usage.parked.len() as u32 + SPARE;
+        lenders
+            .into_iter()
+            .map(|vm| (vm, usage.request(now, asking.id, vm, more)))
+            .collect()
+    }
+
+    /// Returns the requests that renew loans in use and return those that are not.
+    pub fn review(&mut self, now: Time, asking: Asking) -> Vec<(VmId, Shortage)> {
+        let usage = self.usage(now, asking);
+        let due: Vec<VmId> = usage
+            .borrowed
+            .keys()
+            .copied()
+            .filter(|vm| {
+                let asked = usage.asked_of.get(vm);
+                asked.is_none_or(|asked| now.since(*asked) >= REVIEW)
+            })
+            .collect();
+        let mut requests = Vec::new();
+        for vm in due {
+            let spare = usage.room(now).saturating_sub(SPARE);
+            if let Some(loan) = usage.borrowed.get_mut(&vm) {
+                loan.units -= loan.units.min(spare);
+            }
+            requests.push((vm, usage.request(now, asking.id, vm, 0)));
+        }
+        requests
+    }
+
+    /// Returns the customers with borrowed units.
+    #[must_use]
+    pub fn borrowers(&self) -> Vec<CustomerId> {
+        self.usage
+            .iter()
+            .filter(|(_, usage)| !usage.borrowed.is_empty())
+            .map(|(id, _)| *id)
+            .collect()
     }
 
-    /// Lends idle units to a node that is short of them.
-    pub fn lend(&mut self, now: Time, asking: Asking, units: u32, asked: u64) -> Option<Grant> {
+    /// Renews, takes back and lends units as a node asks. `asked` is that node's own time.
+    pub fn lend(
+        &mut self,
+        now: Time,
+        asking: Asking,
+        (to, shortage): (VmId, Shortage),
+        asked: u64,
+    ) -> Option<Grant> {
         let usage = self.usage(now, asking);
-        let idle = usage.own().saturating_sub(usage.running);
-        let units = units.min(idle);
-        if units == 0 || !usage.parked.is_empty() {
+        let before = usage.lent.remove(&to).map_or(0, |loan| loan.units);
+        let held = shortage.held.min(before);
+        let idle = usage.own().saturating_sub(usage.running + held);
+        let more = if usage.parked.is_empty() {
+            shortage.more.min(idle)
+        } else {
+            0
+        };
+        let units = held + more;
+        if units == 0 {
             return None;
         }
-        usage.lent.push(Loan {
-            units,
-            until: now + LOAN,
-        });
+        let until = now + LOAN;
+        usage.lent.insert(to, Loan { units, until });
         Some(Grant {
             customer: asking.id,
             units,
@@ -275,14 +347,14 @@
     }
 
     /// Takes in lent units. They count from the time at which this node asked.
-    pub fn borrow(&mut self, now: Time, asking: Asking, grant: Grant) {
-        let until = Time(grant.asked) + LOAN;
+    pub fn borrow(&mut self, now: Time, asking: Asking, from: VmId, grant: Grant) {
         let usage = self.usage(now, asking);
-        if until > now && grant.asked <= now.0 {
-            usage.borrowed.push(Loan {
-                units: grant.units,
-                until,
-            });
+        let asked = Time(grant.asked);
+        let newest = usage.asked_of.get(&from) == Some(&asked);
+        let until = asked + LOAN;
+        if newest && until > now {
+            let units = grant.units;
+            usage.borrowed.insert(from, Loan { units, until });
         }
     }
 
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -15,8 +15,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use seam_protocol::{
-    Bundle, CustomerId, Fingerprint, Incarnation, IssuedKey, RegionId, ServiceId, Time, VmId,
-    key::KEY_LIFETIME,
+    Bundle, CustomerId, Fingerprint, Incarnation, IssuedKey, RegionId, ServiceId, TargetId, Time,
+    VmId, key::KEY_LIFETIME,
 };
 
 use crate::audit::{Audit, Change};
@@ -96,6 +96,30 @@
     pub pauses: u64,
 }
 
+/// Which decisions are replaced by the plainest ones, to measure what they are worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Customers are served by weighted fair queues; otherwise in order of arrival.
+    pub fair: bool,
+    /// Targets are chosen by load and prefix within limits; otherwise at random without limits.
+    pub informed: bool,
+    /// Requests go to another region when that is sooner; otherwise only if none is allowed here.
+    pub spill: bool,
+    /// Requests that cannot end in time are refused early.
+    pub shed: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            fair: true,
+            informed: true,
+            spill: true,
+            shed: true,
+        }
+    }
+}
+
 /// A node's whole decision state.
 ///
 /// ```
@@ -115,6 +139,7 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     pub(crate) id: Identity,
+    pub(crate) policy: Policy,
     pub(crate) bundle: Option<Arc<Bundle>>,
     pub(crate) regions: BTreeMap<VmId, RegionId>,
     pub(crate) owner_since: Time,
@@ -140,6 +165,7 @@
     pub(crate) attempts: BTreeMap<AttemptKey, Attempt>,
     pub(crate) deadlines: BTreeSet<(Time, Ticket)>,
     pub(crate) next_attempt: u64,
+    pub(crate) listed: BTreeMap<TargetId, bool>,
     pub(crate) freed: BTreeSet<CustomerId>,
     pub(crate) drain: Option<Time>,
     pub(crate) told_ready: bool,
@@ -160,8 +186,15 @@
     /// Returns a node that has just booted.
     #[must_use]
     pub fn new(id: Identity, seed: u64, now: Time) -> Self {
+        Self::with_policy(id, seed, now, Policy::default())
+    }
+
+    /// Returns a node that has just booted and follows a policy.
+    #[must_use]
+    pub fn with_policy(id: Identity, seed: u64, now: Time, policy: Policy) -> Self {
         Self {
             id,
+            policy,
             bundle: None,
             regions: BTreeMap::new(),
             owner_since: now,
@@ -187,6 +220,7 @@
             attempts: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             next_attempt: 0,
+            listed: BTreeMap::new(),
             freed: BTreeSet::new(),
             drain: None,
             told_ready: false,
@@ -280,6 +314,20 @@
         })
     }
 
+    /// Returns the requests in flight of each customer that hold a unit here.
+    pub fn in_flight(&self) -> impl Iterator<Item = (CustomerId, u32)> + '_ {
+        self.limits.active().map(|id| (id, self.limits.running(id)))
+    }
+
+    /// Returns the key of the flow that a customer's requests join.
+    pub(crate) fn flow(&self, customer: CustomerId) -> CustomerId {
+        if self.policy.fair {
+            customer
+        } else {
+            CustomerId(0)
+        }
+    }
+
     fn asking<'a>(&self, bundle: &'a Bundle, id: CustomerId, deadline: Time) -> Option<Asking<'a>> {
         Some(Asking {
             bundle,
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use seam_protocol::{Reason, StoredAnswer, TargetId, Time, VmId};
+use seam_protocol::{Reason, RegionId, StoredAnswer, TargetId, Time, VmId};
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
@@ -19,7 +19,8 @@
 impl Node {
     /// Decides at the last moment whether an attempt may still send its first byte.
     ///
-    /// A process that was paused between a decision and its execution stops here.
+    /// A process that was paused between a decision and its execution stops here, and so does a
+    /// request whose residency changed in between.
     pub(super) fn sending(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
         let fresh = self.standing.fresh();
         let Some(attempt) = self.attempts.get_mut(&key) else {
@@ -30,7 +31,15 @@
             .requests
             .get(&attempt.ticket)
             .is_some_and(|request| now < request.deadline || request.orphan);
-        if !fresh || !live || attempt.cancelled {
+        let attempt = *attempt;
+        let allowed = self
+            .requests
+            .get(&attempt.ticket)
+            .is_some_and(|request| self.allows(request, self.region_of(attempt.place)));
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        if !fresh || !live || !allowed || attempt.cancelled {
             attempt.cancelled = true;
             out.push(Command::Cancel(key));
             return;
@@ -38,6 +47,14 @@
         attempt.sent = true;
     }
 
+    /// Returns the region in which an attempt runs.
+    fn region_of(&self, place: Place) -> RegionId {
+        match place {
+            Place::Target(_) => self.id.region,
+            Place::Node { region, .. } => region,
+        }
+    }
+
     pub(super) fn silent(&mut self, _now: Time, key: AttemptKey, out: &mut Vec<Command>) {
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
@@ -175,7 +192,7 @@
         self.targets.end(target, attempt.suspect);
         let service = self.targets.get(target).service;
         if let Some(request) = self.requests.get(&attempt.ticket) {
-            let customer = request.customer;
+            let customer = self.flow(request.customer);
             self.lane(service).queue.end(customer);
         }
         match &reply {
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Bundle, Time, VmId, VmState};
+use seam_protocol::{Bundle, TargetId, Time, VmId, VmState};
 
 use super::Node;
 use super::admit::owner_region;
@@ -52,6 +52,8 @@
         ));
         self.move_ownership(now, old.as_deref(), bundle);
         self.install(now, old.is_none(), bundle);
+        // The list may have been read before the target was configured here.
+        self.mark_listed(now, out);
         self.beat_urgently(now, out);
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
@@ -200,15 +202,20 @@
             .collect();
         let vms = leaving.iter().map(|name| VmId::of(name)).collect();
         self.peers.set_leaving(vms);
-        let named: BTreeMap<&str, bool> = list
+        self.listed = list
             .iter()
-            .map(|state| (state.name.as_str(), state.leaving))
+            .map(|state| (TargetId::of(&state.name), state.leaving))
             .collect();
+        self.mark_listed(now, out);
+    }
+
+    /// Applies the platform's list to the targets that are configured now.
+    fn mark_listed(&mut self, now: Time, out: &mut Vec<Command>) {
         let marks: Vec<(TargetKey, Phase)> = self
             .targets
             .all()
             .filter_map(|(key, state)| {
-                let leaving = *named.get(state.rule.name.as_str())?;
+                let leaving = *self.listed.get(&state.id)?;
                 match (leaving, state.phase) {
                     (true, Phase::Leaving | Phase::Drained) | (false, Phase::Drained) => None,
                     (true, _) => Some((key, Phase::Leaving)),
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
+use seam_protocol::{Fingerprint, Reason, RegionId, ServiceId, Time, VmId};
 
 use super::{Lane, Node};
 use crate::command::{Command, Refusal};
@@ -29,6 +29,11 @@
             let there = self.there(now, request);
             self.spill.choose(asked, here, &there)
         };
+        let choice = match choice {
+            Choice::There(_) if here.possible && !self.policy.spill => Choice::Here,
+            Choice::Nowhere(Some(_)) if !self.policy.shed => Choice::Here,
+            choice => choice,
+        };
         match choice {
             Choice::Here => self.enqueue(now, ticket, out),
             Choice::There(region) => self.send_away(now, ticket, region, out),
@@ -79,12 +84,12 @@
     }
 
     fn wait(&self, now: Time, request: &Request) -> Duration {
-        let slots = self.targets.slots(now, request.service);
+        let slots = self.slots(now, request.service);
         let Some(lane) = self.lanes.get(&request.service) else {
             return Duration::ZERO;
         };
         let weight = self.weight(request);
-        let ahead = lane.queue.ahead(request.customer, weight);
+        let ahead = lane.queue.ahead(self.flow(request.customer), weight);
         let free = slots.saturating_sub(lane.queue.running());
         if ahead < free as usize {
             return Duration::ZERO;
@@ -93,6 +98,15 @@
         self.expected(request.service).mul_f64(turns)
     }
 
+    fn slots(&self, now: Time, service: ServiceId) -> u32 {
+        const NO_LIMIT: u32 = 1 << 20;
+        if self.policy.informed {
+            self.targets.slots(now, service)
+        } else {
+            NO_LIMIT
+        }
+    }
+
     fn weight(&self, request: &Request) -> u64 {
         const MOST_PRIORITY: u8 = 3;
         self.bundle
@@ -165,7 +179,7 @@
 
     fn enqueue(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
         let request = &self.requests[&ticket];
-        let (service, customer) = (request.service, request.customer);
+        let (service, customer) = (request.service, self.flow(request.customer));
         let weight = self.weight(request);
         self.request_mut(ticket).stage = Stage::Queued;
         let lane = self.lanes.entry(service).or_default();
@@ -178,7 +192,7 @@
     pub(super) fn dispatch(&mut self, now: Time, service: ServiceId, out: &mut Vec<Command>) {
         let mut deferred = Vec::new();
         loop {
-            let slots = self.targets.slots(now, service);
+            let slots = self.slots(now, service);
             let Some(lane) = self.lanes.get_mut(&service) else {
                 break;
             };
@@ -193,13 +207,11 @@
             }
             let request = &self.requests[&ticket];
             let suspect = self.poison.crashes(request.fingerprint) > 0;
-            let chosen = self.targets.choose(
+            let chosen = self.choose(
                 now,
                 service,
                 request.prefix,
                 suspect.then_some(request.fingerprint),
-                &self.prefixes,
-                &mut self.rng,
             );
             match chosen {
                 Some(target) => self.send(now, ticket, target, out),
@@ -213,11 +225,25 @@
             }
         }
         for ticket in deferred.into_iter().rev() {
-            let customer = self.requests[&ticket].customer;
+            let customer = self.flow(self.requests[&ticket].customer);
             self.lane(service).queue.unpop(customer, ticket);
         }
     }
 
+    fn choose(
+        &mut self,
+        now: Time,
+        service: ServiceId,
+        prefix: Option<u64>,
+        suspect: Option<Fingerprint>,
+    ) -> Option<TargetKey> {
+        if !self.policy.informed {
+            return self.targets.any(service, &mut self.rng);
+        }
+        self.targets
+            .choose(now, service, prefix, suspect, &self.prefixes, &mut self.rng)
+    }
+
     pub(super) fn lane(&mut self, service: ServiceId) -> &mut Lane {
         self.lanes.entry(service).or_default()
     }
@@ -235,13 +261,18 @@
         let Some(request) = self.requests.get(&ticket) else {
             return true;
         };
-        let customer = request.customer;
+        let customer = self.flow(request.customer);
         let quarantined = self.poison.quarantined(request.fingerprint);
-        if request.budget(now) > least && !quarantined {
+        let in_time = request.budget(now) > least || !self.policy.shed;
+        // A revision that came into force while the request waited may forbid it here.
+        let allowed = self.allows(request, self.id.region);
+        if in_time && !quarantined && allowed {
             return false;
         }
         let reason = if quarantined {
             Reason::Poison
+        } else if !allowed {
+            Reason::Residency
         } else {
             Reason::Deadline
         };
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -144,9 +144,8 @@
         };
         match request.stage {
             Stage::Queued => {
-                self.lane(request.service)
-                    .queue
-                    .remove(request.customer, ticket);
+                let flow = self.flow(request.customer);
+                self.lane(request.service).queue.remove(flow, ticket);
             }
             Stage::Parked => self.limits.leave(request.customer, ticket),
             Stage::Joined => self.leave_key(&request, ticket),
@@ -240,7 +239,7 @@
         };
         self.targets.end(target, attempt.suspect);
         let request = &self.requests[&ticket];
-        let (service, customer) = (request.service, request.customer);
+        let (service, customer) = (request.service, self.flow(request.customer));
         self.lane(service).queue.end(customer);
     }
 }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -28,14 +28,18 @@
         if news.late {
             return;
         }
-        if let Some(echo) = news.echo {
-            self.standing.confirm(echo);
-        }
         for region in news.returned {
             self.spill.returned(now, region);
         }
         let newest = beat.records.iter().map(|record| record.revision).max();
-        self.compare_revision(now, beat, newest.unwrap_or(0), out);
+        let newest = newest.unwrap_or(0);
+        let mine = self.bundle.as_ref().map_or(0, |bundle| bundle.revision);
+        if let Some(echo) = news.echo
+            && newest <= mine
+        {
+            self.standing.confirm(echo);
+        }
+        self.compare_revision(now, beat, newest, out);
         for suspect in &beat.suspects {
             self.poison.hear(now, *suspect);
         }
@@ -86,7 +90,10 @@
         if !self.standing.fresh() {
             return;
         }
-        if let Some(grant) = self.limits.lend(now, asking, shortage.units, beat.sent) {
+        if let Some(grant) = self
+            .limits
+            .lend(now, asking, (beat.from, shortage), beat.sent)
+        {
             self.beat_to(now, beat.from, Vec::new(), vec![grant], out);
         }
     }
@@ -100,7 +107,7 @@
         }
         for grant in &beat.grants {
             if let Some(asking) = self.asking(&bundle, grant.customer, now) {
-                self.limits.borrow(now, asking, *grant);
+                self.limits.borrow(now, asking, beat.from, *grant);
                 self.freed.insert(grant.customer);
             }
         }
@@ -108,7 +115,7 @@
     }
 
     pub(super) fn ask_for_units(&mut self, now: Time, asking: Asking, out: &mut Vec<Command>) {
-        if let Some((lender, shortage)) = self.limits.ask(now, asking) {
+        for (lender, shortage) in self.limits.ask(now, asking) {
             self.beat_to(now, lender, vec![shortage], Vec::new(), out);
         }
     }
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -56,6 +56,7 @@
             out.push(Command::Probe { target, address });
         }
         self.ask_for_parked(now, out);
+        self.review_loans(now, out);
         self.order(now, out);
         let services: Vec<_> = self.lanes.keys().copied().collect();
         for service in services {
@@ -123,6 +124,21 @@
         }
     }
 
+    /// Renews or returns borrowed units.
+    fn review_loans(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        for customer in self.limits.borrowers() {
+            let Some(asking) = self.asking(&bundle, customer, now) else {
+                continue;
+            };
+            for (lender, shortage) in self.limits.review(now, asking) {
+                self.beat_to(now, lender, vec![shortage], Vec::new(), out);
+            }
+        }
+    }
+
     fn order(&mut self, now: Time, out: &mut Vec<Command>) {
         let Some(bundle) = self.bundle.clone() else {
             return;
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -332,6 +332,16 @@
         })
     }
 
+    /// Chooses any target that takes work, whatever its load.
+    pub fn any(&self, service: ServiceId, rng: &mut Pcg64Mcg) -> Option<TargetKey> {
+        let serving: Vec<TargetKey> = self
+            .of(service)
+            .filter(|(_, state)| state.phase == Phase::Serving)
+            .map(|(key, _)| key)
+            .collect();
+        (!serving.is_empty()).then(|| serving[rng.random_range(0..serving.len())])
+    }
+
     fn fill(&self, now: Time, key: TargetKey) -> f64 {
         let state = self.get(key);
         f64::from(state.load(now)) / f64::from(state.rule.slots.max(1))
--- /dev/null
+++ b/crates/seam-harness/examples/fuzz.rs
@@ -0,0 +1,47 @@
+//! Runs random histories against the oracle for as long as asked.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use seam_harness::machine::Campaign;
+use seam_harness::tamper::Tamper;
+
+/// Runs random histories of callers and faults against the oracle.
+#[derive(FromArgs)]
+struct Arguments {
+    /// seed of the campaign
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// number of histories
+    #[argh(option, default = "200")]
+    cases: u32,
+
+    /// most steps of a history
+    #[argh(option, default = "200")]
+    steps: usize,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let campaign = Campaign {
+        seed: arguments.seed,
+        cases: arguments.cases,
+        steps: arguments.steps,
+        tamper: Tamper::None,
+    };
+    match campaign.run() {
+        Ok(totals) => {
+            println!("{totals:#?}");
+            ExitCode::SUCCESS
+        }
+        Err(failure) => {
+            println!("broken promises: {:#?}", failure.breaches);
+            println!("after {} steps:", failure.steps.len());
+            for step in &failure.steps {
+                println!("  {step:?}");
+            }
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-harness/src/link.rs
@@ -0,0 +1,72 @@
+//! Links between nodes, regions and the platform.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use seam_protocol::{RegionId, VmId};
+
+/// One-way delay inside a region.
+pub const NEAR: Duration = Duration::from_micros(700);
+/// One-way delay between a caller and a node.
+pub const CALLER: Duration = Duration::from_millis(1);
+/// Spread of a delay.
+const SPREAD: f64 = 0.2;
+
+/// What is cut.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    regions: BTreeSet<(RegionId, RegionId)>,
+    nodes: BTreeSet<VmId>,
+    /// Part of heartbeats that are lost.
+    pub loss: f64,
+}
+
+fn pair(a: RegionId, b: RegionId) -> (RegionId, RegionId) {
+    (a.min(b), a.max(b))
+}
+
+impl Links {
+    /// Cuts or restores the link between two regions.
+    pub fn set_regions(&mut self, a: RegionId, b: RegionId, cut: bool) {
+        if cut {
+            self.regions.insert(pair(a, b));
+        } else {
+            self.regions.remove(&pair(a, b));
+        }
+    }
+
+    /// Cuts or restores a node's links to all other nodes.
+    pub fn set_node(&mut self, vm: VmId, cut: bool) {
+        if cut {
+            self.nodes.insert(vm);
+        } else {
+            self.nodes.remove(&vm);
+        }
+    }
+
+    /// Restores everything.
+    pub fn heal(&mut self) {
+        self.regions.clear();
+        self.nodes.clear();
+    }
+
+    /// Tells whether one node reaches another.
+    #[must_use]
+    pub fn open(&self, from: (VmId, RegionId), to: (VmId, RegionId)) -> bool {
+        let cut = self.nodes.contains(&from.0) || self.nodes.contains(&to.0);
+        !cut && !self.regions.contains(&pair(from.1, to.1))
+    }
+
+    /// Tells whether anything is cut.
+    #[must_use]
+    pub fn any_cut(&self) -> bool {
+        !self.regions.is_empty() || !self.nodes.is_empty()
+    }
+}
+
+/// Spreads a delay a little.
+pub fn spread(rng: &mut Pcg64Mcg, delay: Duration) -> Duration {
+    delay.mul_f64(1.0 + SPREAD * rng.random_range(0.0..1.0))
+}
--- /dev/null
+++ b/crates/seam-harness/src/scenario.rs
@@ -0,0 +1,363 @@
+//! A small test language in TOML: a fleet, what callers do, faults at times, what must hold.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use seam_protocol::{CustomerId, Outcome, RegionId, ServiceId, Time, VmId};
+use serde::Deserialize;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::fault::Fault;
+use crate::oracle::Breach;
+use crate::sizes::{self, WRITER};
+use crate::traffic::{Peak, Traffic};
+use crate::world::{Call, KeyChoice, OpId, World};
+
+/// Why a scenario cannot be run.
+#[derive(Debug, Snafu)]
+pub enum ScenarioError {
+    /// The text is not a scenario.
+    #[snafu(display("{source}"))]
+    Text {
+        /// The parser's words.
+        source: toml::de::Error,
+    },
+    /// A call that is not defined.
+    #[snafu(display("no call is named {name:?}"))]
+    Call {
+        /// The name.
+        name: String,
+    },
+    /// An unknown deployment.
+    #[snafu(display("no deployment is named {name:?}; use \"hamutenya\" or \"bulabula\""))]
+    Deployment {
+        /// The name.
+        name: String,
+    },
+}
+
+/// A scenario.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it shows.
+    pub shows: String,
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Seed of every draw.
+    #[serde(default)]
+    pub seed: u64,
+    /// End in seconds.
+    pub end_s: f64,
+    /// Requests sent from this second on are counted.
+    #[serde(default)]
+    pub count_from_s: f64,
+    /// Requests sent until this second are counted.
+    pub count_until_s: Option<f64>,
+    /// Open-loop callers.
+    #[serde(default)]
+    pub traffic: Vec<TrafficLine>,
+    /// Single calls.
+    #[serde(default)]
+    pub call: Vec<CallLine>,
+    /// Repeats of single calls.
+    #[serde(default)]
+    pub resend: Vec<ResendLine>,
+    /// Faults.
+    #[serde(default)]
+    pub fault: Vec<FaultLine>,
+    /// What must hold, besides every promise.
+    #[serde(default)]
+    pub expect: Expect,
+}
+
+/// `[[traffic]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TrafficLine {
+    customer: String,
+    region: String,
+    #[serde(default = "writer")]
+    service: String,
+    rate: f64,
+    #[serde(default)]
+    from_s: f64,
+    until_s: Option<f64>,
+    #[serde(default)]
+    key: KeyLine,
+    #[serde(default)]
+    prefixes: u64,
+    #[serde(default = "ten")]
+    deadline_s: f64,
+    peak: Option<PeakLine>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PeakLine {
+    middle_s: f64,
+    width_s: f64,
+    factor: f64,
+}
+
+/// `[[call]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallLine {
+    name: String,
+    at_s: f64,
+    customer: String,
+    vm: String,
+    #[serde(default = "writer")]
+    service: String,
+    #[serde(default)]
+    key: KeyLine,
+    #[serde(default)]
+    poison: bool,
+    #[serde(default = "ten")]
+    deadline_s: f64,
+}
+
+/// `[[resend]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResendLine {
+    call: String,
+    at_s: f64,
+    vm: String,
+}
+
+/// `[[fault]]`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct FaultLine {
+    at_s: f64,
+    #[serde(flatten)]
+    fault: Fault,
+}
+
+/// `[expect]`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expect {
+    /// Least share of counted requests with a whole answer in time, by region of the caller.
+    #[serde(default)]
+    good_share: BTreeMap<String, f64>,
+    /// Most share of counted answers from another region, by region of the caller.
+    #[serde(default)]
+    away_share: BTreeMap<String, f64>,
+    /// What single calls were told, sending by sending.
+    #[serde(default)]
+    told: BTreeMap<String, Vec<String>>,
+    /// How often single calls ran.
+    #[serde(default)]
+    runs: BTreeMap<String, usize>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum KeyLine {
+    #[default]
+    None,
+    Issued,
+    Caller,
+}
+
+impl KeyLine {
+    fn choice(self) -> KeyChoice {
+        match self {
+            Self::None => KeyChoice::None,
+            Self::Issued => KeyChoice::Issued,
+            Self::Caller => KeyChoice::Caller,
+        }
+    }
+}
+
+fn writer() -> String {
+    WRITER.to_owned()
+}
+
+fn ten() -> f64 {
+    10.0
+}
+
+fn time(seconds: f64) -> Time {
+    Time(0) + Duration::from_secs_f64(seconds.max(0.0))
+}
+
+/// A scenario's result.
+#[derive(Debug)]
+pub struct Report {
+    /// Promises that were broken.
+    pub breaches: Vec<Breach>,
+    /// Expectations that were not met, in words.
+    pub unmet: Vec<String>,
+    /// The world at the end.
+    pub world: World,
+}
+
+/// Single steps of a scenario by time.
+enum Act<'a> {
+    Call(&'a CallLine),
+    Resend(&'a ResendLine),
+    Count(bool),
+}
+
+impl Scenario {
+    /// Reads a scenario.
+    ///
+    /// ```
+    /// use seam_harness::scenario::Scenario;
+    /// let text = "shows = \"nothing\"\ndeployment = \"hamutenya\"\nend_s = 1";
+    /// let report = Scenario::read(text).unwrap().run().unwrap();
+    /// assert!(report.breaches.is_empty());
+    /// ```
+    ///
+    /// # Errors
+    /// [`ScenarioError::Text`] with the place.
+    pub fn read(text: &str) -> Result<Self, ScenarioError> {
+        toml::from_str(text).context(TextSnafu)
+    }
+
+    /// Runs the scenario.
+    ///
+    /// # Errors
+    /// If it names something that it does not define.
+    pub fn run(&self) -> Result<Report, ScenarioError> {
+        let size = match self.deployment.as_str() {
+            "hamutenya" => sizes::hamutenya(),
+            "bulabula" => sizes::bulabula(),
+            name => return DeploymentSnafu { name }.fail(),
+        };
+        let mut world = World::new(sizes::bundle(&size), self.seed);
+        for line in &self.traffic {
+            world.add_traffic(self.traffic_of(line));
+        }
+        for line in &self.fault {
+            world.fault_at(time(line.at_s), line.fault.clone());
+        }
+        let ops = self.play(&mut world)?;
+        world.run_until(time(self.end_s));
+        let unmet = self.unmet(&world, &ops);
+        Ok(Report {
+            breaches: world.oracle.breaches.clone(),
+            unmet,
+            world,
+        })
+    }
+
+    fn play(&self, world: &mut World) -> Result<BTreeMap<String, OpId>, ScenarioError> {
+        let until = self.count_until_s.unwrap_or(self.end_s);
+        let mut acts = vec![
+            (self.count_from_s, Act::Count(true)),
+            (until, Act::Count(false)),
+        ];
+        acts.extend(self.call.iter().map(|line| (line.at_s, Act::Call(line))));
+        acts.extend(
+            self.resend
+                .iter()
+                .map(|line| (line.at_s, Act::Resend(line))),
+        );
+        acts.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let mut ops = BTreeMap::new();
+        for (at, act) in acts {
+            world.run_until(time(at));
+            match act {
+                Act::Count(on) => world.stats.counting = on,
+                Act::Call(line) => {
+                    if let Some(op) = world.call(line.call()) {
+                        ops.insert(line.name.clone(), op);
+                    }
+                }
+                Act::Resend(line) => {
+                    let name = &line.call;
+                    let op = ops.get(name).context(CallSnafu { name })?;
+                    world.resend(*op, VmId::of(&line.vm));
+                }
+            }
+        }
+        Ok(ops)
+    }
+
+    fn traffic_of(&self, line: &TrafficLine) -> Traffic {
+        Traffic {
+            customer: CustomerId::of(&line.customer),
+            region: RegionId::of(&line.region),
+            service: ServiceId::of(&line.service),
+            rate: line.rate,
+            peak: line.peak.map(|peak| Peak {
+                middle: time(peak.middle_s),
+                width: Duration::from_secs_f64(peak.width_s),
+                factor: peak.factor,
+            }),
+            from: time(line.from_s),
+            until: time(line.until_s.unwrap_or(self.end_s)),
+            repeatable: line.service == WRITER,
+            key: line.key.choice(),
+            prefixes: line.prefixes,
+            budget: Duration::from_secs_f64(line.deadline_s),
+        }
+    }
+
+    fn unmet(&self, world: &World, ops: &BTreeMap<String, OpId>) -> Vec<String> {
+        let mut unmet = Vec::new();
+        let tally = |region: &String| world.stats.regions.get(&RegionId::of(region));
+        for (region, least) in &self.expect.good_share {
+            let share = tally(region).map_or(0.0, crate::stats::Tally::good_share);
+            if share < *least {
+                unmet.push(format!("{region}: good share {share:.4}, expected {least}"));
+            }
+        }
+        for (region, most) in &self.expect.away_share {
+            let share = tally(region).map_or(0.0, crate::stats::Tally::away_share);
+            if share > *most {
+                unmet.push(format!("{region}: away share {share:.4}, at most {most}"));
+            }
+        }
+        for (name, wanted) in &self.expect.told {
+            let told = told(world, ops.get(name));
+            if told != *wanted {
+                unmet.push(format!(
+                    "call {name:?} was told {told:?}, expected {wanted:?}"
+                ));
+            }
+        }
+        for (name, wanted) in &self.expect.runs {
+            let op = ops.get(name).and_then(|op| world.oracle.ops.get(op));
+            let runs = op.map_or(0, |op| op.runs.len());
+            if runs != *wanted {
+                unmet.push(format!("call {name:?} ran {runs} times, expected {wanted}"));
+            }
+        }
+        unmet
+    }
+}
+
+fn told(world: &World, op: Option<&OpId>) -> Vec<String> {
+    let Some(op) = op.and_then(|op| world.oracle.ops.get(op)) else {
+        return vec!["no key".to_owned()];
+    };
+    op.sendings
+        .iter()
+        .map(|sending| match world.oracle.sendings[sending].told {
+            Some(Outcome::Complete) => "complete".to_owned(),
+            Some(Outcome::NotRun) => "not_run".to_owned(),
+            Some(Outcome::Unknown) => "unknown".to_owned(),
+            None => "nothing".to_owned(),
+        })
+        .collect()
+}
+
+impl CallLine {
+    fn call(&self) -> Call {
+        Call {
+            customer: CustomerId::of(&self.customer),
+            service: ServiceId::of(&self.service),
+            vm: VmId::of(&self.vm),
+            repeatable: self.service == WRITER,
+            key: self.key.choice(),
+            prefix: None,
+            poison: self.poison,
+            budget: Duration::from_secs_f64(self.deadline_s),
+        }
+    }
+}
--- /dev/null
+++ b/crates/seam-harness/src/sizes.rs
@@ -0,0 +1,308 @@
+//! Deployments to run in a world.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use seam_protocol::bundle::{Deployment, Link};
+use seam_protocol::{
+    Bundle, CentreId, Customer, CustomerId, DataCentre, Digest, Kind, Region, RegionId, Route,
+    Service, ServiceId, Target, TargetId, Vm, VmId,
+};
+
+/// What a deployment is made of.
+#[derive(Clone, Debug)]
+pub struct Size {
+    /// Name.
+    pub name: &'static str,
+    /// Regions with the VMs in each.
+    pub regions: Vec<(String, usize)>,
+    /// One-way delay between regions in microseconds.
+    pub delay: u64,
+    /// Weight of tail latency.
+    pub weight: f64,
+    /// Services.
+    pub services: Vec<ServiceSize>,
+    /// Customers.
+    pub customers: usize,
+    /// Concurrency of each customer.
+    pub concurrency: u32,
+}
+
+/// What a service is made of.
+#[derive(Clone, Debug)]
+pub struct ServiceSize {
+    /// Name.
+    pub name: String,
+    /// Kind.
+    pub kind: Kind,
+    /// Targets in each region, in the order of the regions.
+    pub targets: Vec<usize>,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Expected service time in milliseconds.
+    pub expected: u64,
+    /// Default deadline in milliseconds.
+    pub deadline: u64,
+}
+
+/// Name of the service whose POST requests may not be repeated.
+pub const DESK: &str = "desk";
+/// Name of the service of model engines.
+pub const WRITER: &str = "writer";
+
+fn named(names: &[&str], nodes: usize) -> Vec<(String, usize)> {
+    names
+        .iter()
+        .map(|name| ((*name).to_owned(), nodes))
+        .collect()
+}
+
+fn writer(targets: Vec<usize>, expected: u64, deadline: u64) -> ServiceSize {
+    ServiceSize {
+        name: WRITER.to_owned(),
+        kind: Kind::Engine,
+        targets,
+        slots: 8,
+        expected,
+        deadline,
+    }
+}
+
+fn desk(targets: Vec<usize>) -> ServiceSize {
+    ServiceSize {
+        name: DESK.to_owned(),
+        kind: Kind::Plain,
+        targets,
+        slots: 16,
+        expected: 30,
+        deadline: 5000,
+    }
+}
+
+/// Returns a deployment of three regions with tail latency first.
+#[must_use]
+pub fn hamutenya() -> Size {
+    Size {
+        name: "hamutenya",
+        regions: named(&["khomas", "erongo", "oshana"], 3),
+        delay: 80_000,
+        weight: 0.8,
+        services: vec![writer(vec![6, 4, 2], 1500, 10_000), desk(vec![1, 1, 1])],
+        customers: 60,
+        concurrency: 64,
+    }
+}
+
+/// Returns a deployment of three regions with the share sent away first.
+#[must_use]
+pub fn bulabula() -> Size {
+    Size {
+        name: "bulabula",
+        regions: named(&["suva", "lautoka", "labasa"], 3),
+        delay: 80_000,
+        weight: 0.2,
+        services: vec![writer(vec![9, 6, 3], 2500, 20_000), desk(vec![1, 1, 1])],
+        customers: 60,
+        concurrency: 64,
+    }
+}
+
+/// Returns a deployment of many regions.
+#[must_use]
+pub fn large(regions: usize, nodes: usize, services: usize, customers: usize) -> Size {
+    Size {
+        name: "large",
+        regions: (0..regions)
+            .map(|index| {
+                let share = nodes / regions + usize::from(index < nodes % regions);
+                (format!("region-{index}"), share)
+            })
+            .collect(),
+        delay: 80_000,
+        weight: 0.5,
+        services: (0..services)
+            .map(|index| ServiceSize {
+                name: format!("model-{index}"),
+                kind: Kind::Engine,
+                targets: (0..regions)
+                    .map(|region| 1 + (region + index) % 3)
+                    .collect(),
+                slots: 8,
+                expected: 1500,
+                deadline: 10_000,
+            })
+            .collect(),
+        customers,
+        concurrency: 64,
+    }
+}
+
+/// Returns a customer's name.
+#[must_use]
+pub fn customer_name(index: usize) -> String {
+    format!("customer-{index}")
+}
+
+/// Returns a target's name.
+#[must_use]
+pub fn target_name(service: &str, region: &str, index: usize) -> String {
+    format!("{service}-{region}-{index}")
+}
+
+/// Returns a VM's name.
+#[must_use]
+pub fn vm_name(region: &str, index: usize) -> String {
+    format!("{region}-{index}")
+}
+
+fn address(number: usize) -> SocketAddr {
+    let [_, a, b, c] = (number as u32).to_be_bytes();
+    SocketAddr::from(([10, a, b, c], 80))
+}
+
+/// Makes a configuration of a size, with revision 1.
+///
+/// Every third customer is bound to a home, every ninth of those to its home region alone.
+#[must_use]
+pub fn bundle(size: &Size) -> Bundle {
+    let mut number = 0;
+    let mut next = || {
+        number += 1;
+        address(number)
+    };
+    let mut vms = BTreeMap::new();
+    for (region, count) in &size.regions {
+        for index in 0..*count {
+            let name = vm_name(region, index);
+            let vm = Vm {
+                region: RegionId::of(region),
+                centre: CentreId::of(&format!("{region}-{}", index % 3)),
+                caller: next(),
+                peer: next(),
+                name: name.clone(),
+            };
+            vms.insert(VmId::of(&name), vm);
+        }
+    }
+    let services = size.services.iter().map(|service| {
+        let mut targets = BTreeMap::new();
+        for ((region, _), count) in size.regions.iter().zip(&service.targets) {
+            for index in 0..*count {
+                let name = target_name(&service.name, region, index);
+                let target = Target {
+                    region: RegionId::of(region),
+                    centre: CentreId::of(&format!("{region}-{}", index % 3)),
+                    address: next(),
+                    slots: service.slots,
+                    fenced: index % 2 == 0,
+                    name: name.clone(),
+                };
+                targets.insert(TargetId::of(&name), target);
+            }
+        }
+        (ServiceId::of(&service.name), service_rule(service, targets))
+    });
+    let services: BTreeMap<ServiceId, Service> = services.collect();
+    let mut bundle = Bundle {
+        revision: 1,
+        digest: Digest::default(),
+        parent: None,
+        deployment: deployment(size, vms),
+        services,
+        customers: customers(size),
+    };
+    seal(&mut bundle);
+    bundle
+}
+
+/// Gives a bundle a digest of its own.
+pub fn seal(bundle: &mut Bundle) {
+    let text = format!(
+        "{} {} {:?} {}",
+        bundle.revision,
+        bundle.customers.len(),
+        bundle.customers.values().next_back(),
+        bundle.deployment.weight
+    );
+    bundle.digest = Digest::of(text.as_bytes());
+}
+
+fn service_rule(service: &ServiceSize, targets: BTreeMap<TargetId, Target>) -> Service {
+    let once = match service.kind {
+        Kind::Plain => vec![Route {
+            method: "POST".to_owned(),
+            path: "/".to_owned(),
+        }],
+        Kind::Engine => Vec::new(),
+    };
+    Service {
+        name: service.name.clone(),
+        kind: service.kind,
+        residency: None,
+        once,
+        deadline: service.deadline,
+        silence: 3000,
+        expected: service.expected,
+        refuses: BTreeSet::new(),
+        body: 1 << 20,
+        models: BTreeMap::new(),
+        targets,
+    }
+}
+
+fn deployment(size: &Size, vms: BTreeMap<VmId, Vm>) -> Deployment {
+    let names: Vec<&String> = size.regions.iter().map(|(name, _)| name).collect();
+    let mut links = Vec::new();
+    for (index, from) in names.iter().enumerate() {
+        for to in &names[index + 1..] {
+            links.push(Link {
+                from: RegionId::of(from),
+                to: RegionId::of(to),
+                delay: size.delay,
+            });
+        }
+    }
+    let regions = names.iter().map(|name| {
+        let centres = (0..3).map(|index| format!("{name}-{index}"));
+        let centres = centres
+            .map(|name| (CentreId::of(&name), DataCentre { name }))
+            .collect();
+        let region = Region {
+            name: (*name).clone(),
+            centres,
+        };
+        (RegionId::of(name), region)
+    });
+    Deployment {
+        name: size.name.to_owned(),
+        weight: size.weight,
+        regions: regions.collect(),
+        links,
+        vms,
+        loads: 60,
+        repeat_window: 60,
+    }
+}
+
+fn customers(size: &Size) -> BTreeMap<CustomerId, Customer> {
+    (0..size.customers)
+        .map(|index| {
+            let name = customer_name(index);
+            let region = RegionId::of(&size.regions[index / 3 % size.regions.len()].0);
+            let bound = index % 3 == 0;
+            let strict = index % 9 == 0;
+            let customer = Customer {
+                home: bound.then_some(region),
+                residency: strict.then(|| BTreeSet::from([region])),
+                priority: 1,
+                weight: 1,
+                concurrency: size.concurrency,
+                rate: 100_000,
+                services: BTreeSet::new(),
+                credentials: vec![Digest::of(name.as_bytes())],
+                name: name.clone(),
+            };
+            (CustomerId::of(&name), customer)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/seam-harness/tests/histories.rs
@@ -0,0 +1,19 @@
+//! Random histories of callers and faults keep every promise.
+
+use seam_harness::machine::Campaign;
+use seam_harness::tamper::Tamper;
+use yare::parameterized;
+
+#[parameterized(first = { 1 }, second = { 2 }, third = { 3 }, fourth = { 4 })]
+fn keep_promises(seed: u64) {
+    let campaign = Campaign {
+        seed,
+        cases: 100,
+        steps: 400,
+        tamper: Tamper::None,
+    };
+    match campaign.run() {
+        Ok(totals) => assert!(totals.complete > 1000, "{totals:?}"),
+        Err(failure) => panic!("{:?} after {:?}", failure.breaches, failure.steps),
+    }
+}
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -78,8 +78,10 @@
 pub struct Shortage {
     /// The customer.
     pub customer: CustomerId,
+    /// Units lent by the receiver that the sender keeps; the others it has stopped using.
+    pub held: u32,
     /// Further units that the sender could use now.
-    pub units: u32,
+    pub more: u32,
 }
 
 /// Concurrency units lent to the receiver.
@@ -87,7 +89,7 @@
 pub struct Grant {
     /// The customer.
     pub customer: CustomerId,
-    /// Units lent.
+    /// All units lent to the receiver from now on.
     pub units: u32,
     /// The receiver's own time of the shortage that this grant answers, in microseconds.
     pub asked: u64,
