Split slots by whole parts over nodes and keep heavy customers apart

Nodes claimed slots by their raw queues, so a large customer's queue took the slots of nodes at which small ones called; parts were rounded up at each node, so engines queued inside; and the large customer's prompts drove others' prefixes out of every cache. Change: slots go to nodes by what they want up to a part by the weights of their customers, in whole parts that sum to the slots; a customer that dominates a node is kept on targets of its own; slots stay free for those who want little only while someone dominates.

--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -115,7 +115,7 @@
             targets: self
                 .targets
                 .of(service)
-                .filter(|(_, state)| state.open(now))
+                .filter(|(_, state)| state.open(now, false))
                 .map(|(_, state)| (state.rule.name.clone(), state.load(now)))
                 .collect(),
             decision,
--- a/crates/seam-core/src/fair.rs
+++ b/crates/seam-core/src/fair.rs
@@ -13,6 +13,12 @@
 /// Virtual microseconds that one request of weight 1 advances its flow.
 const COST: u64 = 1 << 20;
 
+/// Slots kept free for customers that want little, for each root of the slots that they want now:
+/// arrivals at random vary by about that root.
+const MARGIN: f64 = 1.0;
+/// Most part of the slots kept free.
+const MOST_RESERVED: f64 = 0.25;
+
 #[derive(Clone, Debug, Default)]
 struct Flow {
     waiting: VecDeque<Ticket>,
@@ -21,6 +27,23 @@
     running: u32,
 }
 
+/// Fills slots by rising wants for each unit of weight.
+///
+/// Returns the level at which the slots run out, and the slots of those who want less than that.
+fn fill(wants: &[(f64, f64)], slots: f64) -> (f64, f64) {
+    let mut left = slots;
+    let mut weights: f64 = wants.iter().map(|(_, weight)| weight).sum();
+    for (want, weight) in wants {
+        let level = left / weights;
+        if *want >= level {
+            return (level, slots - left);
+        }
+        left -= want * weight;
+        weights -= weight;
+    }
+    (f64::INFINITY, slots - left)
+}
+
 /// The queue of one service at one node.
 #[derive(Clone, Debug, Default)]
 pub struct FairQueue {
@@ -75,12 +98,16 @@
         self.queued += 1;
     }
 
-    /// Takes the next request of a customer below its cap of the slots and counts it as running.
+    /// Takes the next request of a customer below its part of the slots and counts it as running.
     pub fn pop(&mut self, slots: u32) -> Option<Ticket> {
-        let (start, customer) = *self
-            .order
-            .iter()
-            .find(|(_, customer)| self.flows[customer].running < self.cap(*customer, slots))?;
+        if self.running >= slots {
+            return None;
+        }
+        let level = self.level(slots);
+        let (start, customer) = *self.order.iter().find(|(_, customer)| {
+            let flow = &self.flows[customer];
+            f64::from(flow.running) < level * flow.weight as f64
+        })?;
         self.order.remove(&(start, customer));
         let flow = self.flows.get_mut(&customer)?;
         let ticket = flow.waiting.pop_front()?;
@@ -144,15 +171,30 @@
         }
     }
 
-    /// Returns the slots that a customer may hold at once.
+    /// Returns the slots for each unit of weight that a customer may hold at once.
     ///
-    /// A sixteenth of the slots stays free for customers below their fair share, so that a backlog
-    /// of one customer never makes the next one wait for a whole service time.
-    fn cap(&self, customer: CustomerId, slots: u32) -> u32 {
-        const RESERVED_PART: u32 = 16;
-        let weight = self.flows[&customer].weight;
-        let fair = (u64::from(slots) * weight).div_ceil(self.weights.max(1)) as u32;
-        fair.max(slots - slots / RESERVED_PART)
+    /// The slots are filled like vessels: whoever wants less than its part gets it all, and the
+    /// rest is shared by the others. Some slots stay free for arrivals of those that want little, so
+    /// that they find one at once instead of waiting for another's request to end.
+    fn level(&self, slots: u32) -> f64 {
+        // Without a heavy customer the order of starts alone is fair, and no slot stays free.
+        if self.heavy().is_empty() {
+            return f64::INFINITY;
+        }
+        let mut wants: Vec<(f64, f64)> = self
+            .flows
+            .values()
+            .map(|flow| {
+                let wanted = f64::from(flow.running) + flow.waiting.len() as f64;
+                let weight = flow.weight as f64;
+                (wanted / weight, weight)
+            })
+            .collect();
+        wants.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let slots = f64::from(slots);
+        let (_, little) = fill(&wants, slots);
+        let reserved = (MARGIN * little.sqrt()).min(slots * MOST_RESERVED);
+        fill(&wants, slots - reserved).0
     }
 
     /// Returns how many requests go before the next one of a customer, under fair service.
@@ -179,6 +221,47 @@
         own + overtaking.min(self.queued - own)
     }
 
+    /// Returns the customers that run far more than the others for their weight, with their parts
+    /// of all running requests.
+    ///
+    /// ```
+    /// use seam_core::{Ticket, fair::FairQueue};
+    /// use seam_protocol::CustomerId;
+    /// let mut queue = FairQueue::default();
+    /// for ticket in 0..9 {
+    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    /// }
+    /// for customer in 2..5 {
+    ///     queue.push(CustomerId(customer), 1, Ticket(customer));
+    /// }
+    /// while queue.pop(12).is_some() {}
+    /// let heavy = queue.heavy();
+    /// assert_eq!(heavy.len(), 1);
+    /// assert_eq!(heavy[0].0, CustomerId(1));
+    /// ```
+    #[must_use]
+    pub fn heavy(&self) -> Vec<(CustomerId, f64)> {
+        const FACTOR: u64 = 2;
+        const LEAST: u32 = 3;
+        const LEAST_PART: u32 = 4;
+        let heavy = self.flows.iter().filter(|(_, flow)| {
+            let others = u64::from(self.running - flow.running);
+            let weights = self.weights - flow.weight;
+            let own = u64::from(flow.running) * weights;
+            let large = flow.running >= LEAST && flow.running * LEAST_PART >= self.running;
+            large && others > 0 && own > FACTOR * others * flow.weight
+        });
+        heavy
+            .map(|(id, flow)| (*id, f64::from(flow.running) / f64::from(self.running)))
+            .collect()
+    }
+
+    /// Returns the sum of the weights of active customers.
+    #[must_use]
+    pub fn weights(&self) -> u64 {
+        self.weights
+    }
+
     /// Returns the customers with a request waiting or running.
     #[must_use]
     pub fn customers(&self) -> usize {
--- a/crates/seam-core/src/lib.rs
+++ b/crates/seam-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod prefix;
 pub mod request;
 pub mod retry;
+pub mod share;
 pub mod spill;
 pub mod standing;
 pub mod status;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -60,6 +60,10 @@
     pub(crate) queue: FairQueue,
     pub(crate) retries: RetryBudget,
     pub(crate) mean: Option<f64>,
+    /// Slots wanted lately, which falls slowly.
+    pub(crate) peak: f64,
+    /// Weights of active customers lately.
+    pub(crate) weights: f64,
 }
 
 /// Requests that a target's failure may have been caused by.
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use seam_protocol::{Fingerprint, Reason, RegionId, ServiceId, Time, VmId};
+use seam_protocol::{CustomerId, Reason, RegionId, ServiceId, Time, VmId};
 
 use super::{Lane, Node};
 use crate::command::{Command, Refusal};
 use crate::request::{Attempt, AttemptKey, Place, Request, Stage, Ticket};
 use crate::spill::{Asked, Choice, Here, There};
-use crate::targets::TargetKey;
+use crate::targets::{TargetKey, Wish};
 
 /// Shortest advice on when to ask again.
 const LEAST_RETRY: Duration = Duration::from_millis(250);
@@ -191,6 +191,7 @@
     /// Starts queued requests of a service while targets have slots.
     pub(super) fn dispatch(&mut self, now: Time, service: ServiceId, out: &mut Vec<Command>) {
         let mut deferred = Vec::new();
+        let heavy = self.lane(service).queue.heavy();
         loop {
             let slots = self.slots(now, service);
             let Some(lane) = self.lanes.get_mut(&service) else {
@@ -210,8 +211,12 @@
             let chosen = self.choose(
                 now,
                 service,
-                request.prefix,
-                suspect.then_some(request.fingerprint),
+                Wish {
+                    prefix: request.prefix,
+                    suspect: suspect.then_some(request.fingerprint),
+                    customer: self.flow(request.customer),
+                    heavy: &heavy,
+                },
             );
             match chosen {
                 Some(target) => self.send(now, ticket, target, out),
@@ -234,14 +239,13 @@
         &mut self,
         now: Time,
         service: ServiceId,
-        prefix: Option<u64>,
-        suspect: Option<Fingerprint>,
+        wish: Wish,
     ) -> Option<TargetKey> {
         if !self.policy.informed {
             return self.targets.any(service, &mut self.rng);
         }
         self.targets
-            .choose(now, service, prefix, suspect, &self.prefixes, &mut self.rng)
+            .choose(now, service, wish, &self.prefixes, &mut self.rng)
     }
 
     pub(super) fn lane(&mut self, service: ServiceId) -> &mut Lane {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -13,6 +13,8 @@
 use crate::gossip::{DIGESTS, LOADS, RECORDS, SUSPECTS};
 use crate::limits::Asking;
 use crate::peers::Peers;
+use crate::share::{Claim, split};
+use crate::targets::sharers;
 
 /// Ready nodes named in a region's digest.
 const DIGEST_NODES: usize = 4;
@@ -136,28 +138,64 @@
         self.share_slots(now);
     }
 
-    /// Sets this node's part of the slots of each service by the demand heard in heartbeats.
+    /// Sets this node's part of the slots of each target by the demand heard in heartbeats.
+    ///
+    /// Nodes are served like customers: each gets what it wants up to a part in proportion to the
+    /// weights of its customers. A long queue of one customer so takes no slots from the nodes at
+    /// which others call.
     fn share_slots(&mut self, now: Time) {
         let Some(bundle) = self.bundle.clone() else {
             return;
         };
-        let peers: Vec<_> = self.peers.live_in(now, self.id.region).collect();
-        let mut heard: BTreeMap<_, u32> = BTreeMap::new();
-        for (_, peer) in &peers {
-            for load in &peer.record.loads {
-                *heard.entry(load.service).or_default() += load.running + load.queued;
+        let mut parts = Vec::new();
+        for service in bundle.services.keys() {
+            let own = self.own_load(*service);
+            let targets = self.targets.of(*service).count() as f64;
+            for (key, state) in self.targets.of(*service) {
+                let mut claims = vec![Claim::of(self.id.vm, Some(own), targets)];
+                for vm in sharers(state.id, &self.alive) {
+                    if let Some(peer) = self.peers.alive(now, vm) {
+                        let load = Peers::load(peer, service.tag());
+                        claims.push(Claim::of(vm, load, targets));
+                    }
+                }
+                let split = split(state.rule.slots, state.id, &claims);
+                parts.push((key, split[0]));
             }
         }
-        let others = peers.len() as f64;
-        for service in bundle.services.keys() {
-            let mine = self
-                .lanes
-                .get(service)
-                .map_or(0, |lane| lane.queue.running() + lane.queue.queued() as u32);
-            let theirs = heard.get(&service.tag()).copied().unwrap_or(0);
-            let mine = f64::from(mine) + 1.0;
-            let share = mine / (mine + f64::from(theirs) + others);
-            self.targets.set_share(*service, share);
+        for (key, part) in parts {
+            self.targets.set_part(key, part);
+        }
+    }
+
+    /// Lets the remembered demand of each service fall towards the present one.
+    pub(super) fn smooth_demand(&mut self) {
+        const KEPT: f64 = 0.9;
+        for lane in self.lanes.values_mut() {
+            let demand = f64::from(lane.queue.running()) + lane.queue.queued() as f64;
+            lane.peak = (lane.peak * KEPT).max(demand);
+            lane.weights = (lane.weights * KEPT).max(lane.queue.weights() as f64);
+        }
+    }
+
+    fn own_load(&self, service: seam_protocol::ServiceId) -> ServiceLoad {
+        const MARGIN: f64 = 1.0;
+        let tag = service.tag();
+        let Some(lane) = self.lanes.get(&service) else {
+            return ServiceLoad {
+                service: tag,
+                running: 0,
+                queued: 0,
+                weight: 0,
+                wanted: 0,
+            };
+        };
+        ServiceLoad {
+            service: tag,
+            running: lane.queue.running(),
+            queued: lane.queue.queued() as u32,
+            weight: lane.weights.ceil() as u32,
+            wanted: (lane.peak + MARGIN * lane.peak.sqrt()).ceil() as u32,
         }
     }
 
@@ -231,13 +269,9 @@
         self.number += 1;
         let mut loads: Vec<ServiceLoad> = self
             .lanes
-            .iter()
-            .map(|(service, lane)| ServiceLoad {
-                service: service.tag(),
-                running: lane.queue.running(),
-                queued: lane.queue.queued() as u32,
-            })
-            .filter(|load| load.running + load.queued > 0)
+            .keys()
+            .map(|service| self.own_load(*service))
+            .filter(|load| load.wanted > 0)
             .collect();
         loads.sort_by_key(|load| std::cmp::Reverse(load.running + load.queued));
         loads.truncate(LOADS);
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -46,6 +46,7 @@
 
     fn refresh(&mut self, now: Time, out: &mut Vec<Command>) {
         self.peers.expire(now);
+        self.smooth_demand();
         self.refresh_members(now);
         self.keys.expire(now);
         self.poison.expire(now);
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use seam_protocol::{CustomerId, ServiceId, TargetId, Time};
+use seam_protocol::{CustomerId, RegionId, ServiceId, TargetId, Time};
 use serde::Serialize;
 
 use crate::node::{Counters, Node};
@@ -228,6 +228,19 @@
             .count()
     }
 
+    /// Tells whether this node would send new work to a target.
+    #[must_use]
+    pub fn believes_serving(&self, target: TargetId) -> bool {
+        let key = self.targets.key(target);
+        key.is_some_and(|key| self.targets.get(key).phase == Phase::Serving)
+    }
+
+    /// Tells whether a region was heard of within its lease.
+    #[must_use]
+    pub fn hears_region(&self, now: Time, region: RegionId) -> bool {
+        self.peers.region(now, region).is_some()
+    }
+
     /// Tells whether a target stands in this node's region.
     #[must_use]
     pub fn knows_target(&self, target: TargetId) -> bool {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use seam_protocol::id::rank;
-use seam_protocol::{Fingerprint, LoadReport, ServiceId, Target, TargetId, Time, VmId};
+use seam_protocol::{CustomerId, Fingerprint, LoadReport, ServiceId, Target, TargetId, Time, VmId};
 
 use crate::prefix::PrefixTable;
 
@@ -71,8 +71,8 @@
     pub report: Option<(Time, LoadReport, u32)>,
     /// Fingerprints of running suspects.
     pub suspects: u32,
-    /// This node's part of the target's slots, 0 to 1.
-    pub share: f64,
+    /// This node's part of the target's slots.
+    pub part: u32,
     failures: u32,
     ejections: u32,
     since: Option<Time>,
@@ -92,7 +92,7 @@
             running: 0,
             report: None,
             suspects: 0,
-            share: 1.0,
+            part: 1,
             failures: 0,
             ejections: 0,
             since,
@@ -101,15 +101,24 @@
         }
     }
 
-    /// Returns the requests that this node may run there at once.
-    #[must_use]
-    pub fn cap(&self, now: Time) -> u32 {
+    /// Returns this node's part of the slots, lowered while the target is slow or new.
+    fn own_part(&self, now: Time) -> f64 {
         let ramp = self.since.map_or(1.0, |since| {
             let risen = now.since(since).as_secs_f64() / SLOW_START.as_secs_f64();
             (FIRST_PART + (1.0 - FIRST_PART) * risen).min(1.0)
         });
-        let share = (self.limit * self.share * ramp).ceil();
-        share.clamp(1.0, f64::from(self.rule.slots.max(1))) as u32
+        let slots = f64::from(self.rule.slots.max(1));
+        f64::from(self.part) * ramp * self.limit / slots
+    }
+
+    /// Returns the requests that this node may run there at once while others are quiet there.
+    ///
+    /// That is more than its part, since nodes need not spread their requests evenly.
+    #[must_use]
+    pub fn cap(&self, now: Time) -> u32 {
+        const UNEVEN: f64 = 1.5;
+        let most = f64::from(self.rule.slots.max(1));
+        (self.own_part(now) * UNEVEN).ceil().clamp(1.0, most) as u32
     }
 
     /// Returns the estimated requests of all nodes that run there.
@@ -126,11 +135,21 @@
     }
 
     /// Tells whether it can take one more request of this node.
+    ///
+    /// Within its part a node need not ask what others do. Beyond it the reported load must leave
+    /// room, and some to spare since it is old.
     #[must_use]
-    pub fn open(&self, now: Time) -> bool {
-        self.phase == Phase::Serving
-            && self.running < self.cap(now)
-            && self.load(now) < self.rule.slots.max(1)
+    pub fn open(&self, now: Time, heavy: bool) -> bool {
+        const SPARE: u32 = 2;
+        if self.phase != Phase::Serving {
+            return false;
+        }
+        let part = self.own_part(now).round() as u32;
+        if self.running < part {
+            return true;
+        }
+        let room = self.load(now) + SPARE <= self.rule.slots || self.load(now) == 0;
+        !heavy && self.running < self.cap(now) && room
     }
 
     /// Adjusts the concurrency limit to a measured service time.
@@ -151,6 +170,19 @@
     }
 }
 
+/// What a request wants of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Wish<'a> {
+    /// Digest of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// The fingerprint of a request that is suspected of crashing targets.
+    pub suspect: Option<Fingerprint>,
+    /// The customer.
+    pub customer: CustomerId,
+    /// Customers that run far more than the others, with their parts of the load.
+    pub heavy: &'a [(CustomerId, f64)],
+}
+
 /// A change of a target's phase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turn {
@@ -162,6 +194,18 @@
     pub new: Phase,
 }
 
+/// Returns the nodes that use a target, by rendezvous, so that churn moves only the share of who
+/// left. In a small region that is every node.
+#[must_use]
+pub fn sharers(target: TargetId, alive: &BTreeSet<VmId>) -> Vec<VmId> {
+    let mut nodes: Vec<VmId> = alive.iter().copied().collect();
+    if nodes.len() > SHARERS {
+        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(u64::from(target.0), u64::from(vm.0))));
+        nodes.truncate(SHARERS);
+    }
+    nodes
+}
+
 /// Arena of the targets of this node's region. A key stays valid for the life of the process.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -205,12 +249,11 @@
 
     /// Chooses the targets that this node uses, and so its connections.
     ///
-    /// In a small region a node uses every target; in a large one each target is used by
-    /// [`SHARERS`] nodes, by rendezvous, so that churn moves only the share of who left.
+    /// See [`sharers`].
     pub fn subset(&mut self, me: VmId, alive: &BTreeSet<VmId>) {
         self.by_service.clear();
         for (index, state) in self.arena.iter().enumerate() {
-            if state.phase == Phase::Gone || !Self::sharer(state.id, me, alive) {
+            if state.phase == Phase::Gone || !sharers(state.id, alive).contains(&me) {
                 continue;
             }
             self.by_service
@@ -220,24 +263,9 @@
         }
     }
 
-    fn sharer(target: TargetId, me: VmId, alive: &BTreeSet<VmId>) -> bool {
-        if alive.len() <= SHARERS {
-            return true;
-        }
-        let key = u64::from(target.0);
-        let mine = rank(key, u64::from(me.0));
-        let before = alive
-            .iter()
-            .filter(|vm| rank(key, u64::from(vm.0)) > mine)
-            .count();
-        before < SHARERS
-    }
-
-    /// Sets this node's part of each target of a service.
-    pub fn set_share(&mut self, service: ServiceId, share: f64) {
-        for key in self.by_service.get(&service).into_iter().flatten() {
-            self.arena[key.0 as usize].share = share;
-        }
+    /// Sets this node's part of a target's slots.
+    pub fn set_part(&mut self, key: TargetKey, part: u32) {
+        self.get_mut(key).part = part;
     }
 
     /// Returns the key of a target.
@@ -277,10 +305,17 @@
     /// Returns the slots of this node for a service, free or not.
     #[must_use]
     pub fn slots(&self, now: Time, service: ServiceId) -> u32 {
-        self.of(service)
-            .filter(|(_, state)| state.phase == Phase::Serving)
-            .map(|(_, state)| state.cap(now))
-            .sum()
+        let serving = self
+            .of(service)
+            .filter(|(_, state)| state.phase == Phase::Serving);
+        // Parts of slots are rounded once for all targets; rounding each up would promise more than
+        // there is.
+        let slots: f64 = serving.map(|(_, state)| state.own_part(now)).sum();
+        if slots > 0.0 {
+            slots.round().max(1.0) as u32
+        } else {
+            0
+        }
     }
 
     /// Returns whether any target of a service takes work.
@@ -298,27 +333,28 @@
         &self,
         now: Time,
         service: ServiceId,
-        prefix: Option<u64>,
-        suspect: Option<Fingerprint>,
+        wish: Wish,
         prefixes: &PrefixTable,
         rng: &mut Pcg64Mcg,
     ) -> Option<TargetKey> {
-        let open: Vec<TargetKey> = self
+        let heavy = wish.heavy.iter().any(|(id, _)| *id == wish.customer);
+        let mut open: Vec<TargetKey> = self
             .of(service)
-            .filter(|(_, state)| state.open(now))
-            .filter(|(_, state)| suspect.is_none() || state.suspects == 0)
+            .filter(|(_, state)| state.open(now, heavy))
+            .filter(|(_, state)| wish.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
             .collect();
+        self.keep_apart(service, wish, &mut open);
         if open.is_empty() {
             return None;
         }
-        if let Some(print) = suspect {
-            // Nodes agree on a place, so suspects of two nodes seldom meet.
+        if let Some(print) = wish.suspect {
+            // Nodes agree on the order, so suspects of two nodes seldom meet.
             return open
                 .into_iter()
                 .max_by_key(|key| rank(print.0, u64::from(self.get(*key).id.0)));
         }
-        if let Some(prefix) = prefix
+        if let Some(prefix) = wish.prefix
             && let Some(key) = self.affine(now, &open, prefix, prefixes)
         {
             return Some(key);
@@ -332,6 +368,37 @@
         })
     }
 
+    /// Keeps heavy customers and the others on different targets.
+    ///
+    /// A heavy customer gets as many targets as its part of the load, the first ones in an order of
+    /// its own on which all nodes agree. The others use the rest while one of them is open. So the
+    /// prompts of a heavy customer drive those of others out of few caches only.
+    fn keep_apart(&self, service: ServiceId, wish: Wish, open: &mut Vec<TargetKey>) {
+        let mut serving: Vec<TargetKey> = self
+            .of(service)
+            .filter(|(_, state)| state.phase == Phase::Serving)
+            .map(|(key, _)| key)
+            .collect();
+        let count = serving.len();
+        if wish.heavy.is_empty() || count < 2 {
+            return;
+        }
+        let mut apart: BTreeSet<TargetKey> = BTreeSet::new();
+        for (customer, part) in wish.heavy {
+            let order = |key: &TargetKey| rank(customer.0, u64::from(self.get(*key).id.0));
+            serving.sort_by_key(|key| std::cmp::Reverse(order(key)));
+            let own = ((part * count as f64).round() as usize).clamp(1, count - 1);
+            if *customer == wish.customer {
+                open.retain(|key| serving[..own].contains(key));
+                return;
+            }
+            apart.extend(&serving[..own]);
+        }
+        if open.iter().any(|key| !apart.contains(key)) {
+            open.retain(|key| !apart.contains(key));
+        }
+    }
+
     /// Chooses any target that takes work, whatever its load.
     pub fn any(&self, service: ServiceId, rng: &mut Pcg64Mcg) -> Option<TargetKey> {
         let serving: Vec<TargetKey> = self
--- a/crates/seam-harness/src/stats.rs
+++ b/crates/seam-harness/src/stats.rs
@@ -25,6 +25,12 @@
     pub reasons: BTreeMap<Reason, u64>,
     /// Latency of whole answers in microseconds.
     pub latency: Histogram<u64>,
+    /// Time from the call to the start of its run, in microseconds.
+    pub wait: Histogram<u64>,
+    /// Time from a request's arrival at its target to the start of its run, in microseconds.
+    pub inside: Histogram<u64>,
+    /// Runs that found their prefix cached.
+    pub hits: u64,
 }
 
 impl Default for Tally {
@@ -38,6 +44,9 @@
             away: 0,
             reasons: BTreeMap::new(),
             latency: Histogram::new(3).expect("three digits are supported"),
+            wait: Histogram::new(3).expect("three digits are supported"),
+            inside: Histogram::new(3).expect("three digits are supported"),
+            hits: 0,
         }
     }
 }
@@ -72,7 +81,10 @@
         for (reason, count) in &other.reasons {
             *self.reasons.entry(*reason).or_default() += count;
         }
+        self.hits += other.hits;
         let _ = self.latency.add(&other.latency);
+        let _ = self.wait.add(&other.wait);
+        let _ = self.inside.add(&other.inside);
     }
 }
 
--- a/crates/seam-harness/src/world.rs
+++ b/crates/seam-harness/src/world.rs
@@ -197,6 +197,9 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) attempt: AttemptKey,
     pub(crate) finished: bool,
+    pub(crate) arrived: Time,
+    pub(crate) started: Time,
+    pub(crate) hit: bool,
 }
 
 /// The platform's services.
@@ -389,6 +392,30 @@
         self.slots.get(&vm)?.node.as_ref()
     }
 
+    /// Returns the time on a process's own clock.
+    #[must_use]
+    pub fn local(&self, vm: VmId) -> Time {
+        self.slots
+            .get(&vm)
+            .map_or(Time(0), |slot| slot.local(self.now))
+    }
+
+    /// Returns the number of attempts on silent connections.
+    #[must_use]
+    pub fn mute_flights(&self) -> usize {
+        let flights = self.slots.values().flat_map(|slot| slot.flights.values());
+        flights.filter(|flight| flight.mute).count()
+    }
+
+    /// Returns running and waiting requests of each target.
+    #[must_use]
+    pub fn fills(&self) -> Vec<(usize, usize)> {
+        let targets = self.targets.values();
+        targets
+            .map(|fake| (fake.running.len(), fake.waiting.len()))
+            .collect()
+    }
+
     /// Returns the newest configuration published.
     #[must_use]
     pub fn newest(&self) -> &Bundle {
--- a/crates/seam-harness/src/world/callers.rs
+++ b/crates/seam-harness/src/world/callers.rs
@@ -150,6 +150,11 @@
             .and_then(|run| self.oracle.runs.get(&run))
             .map(|run| run.region);
         let away = ran_in.is_some_and(|ran| ran != region);
+        let place = run.and_then(|run| self.places.get(&run));
+        let hit = place.is_some_and(|place| place.hit);
+        let asked = deadline - call.budget;
+        let wait = place.map_or(Duration::ZERO, |place| place.started.since(asked));
+        let inside = place.map_or(Duration::ZERO, |place| place.started.since(place.arrived));
         let took = call.budget.saturating_sub(deadline.since(now)) + CALLER;
         self.stats
             .note(call.customer, region, |tally| match outcome {
@@ -159,6 +164,9 @@
                     tally.late += u64::from(!in_time);
                     tally.away += u64::from(away);
                     let _ = tally.latency.record(took.as_micros() as u64);
+                let _ = tally.wait.record(wait.as_micros() as u64);
+                let _ = tally.inside.record(inside.as_micros() as u64);
+                tally.hits += u64::from(hit);
                 }
                 Outcome::NotRun => tally.not_run += 1,
                 _ => tally.unknown += 1,
--- a/crates/seam-harness/src/world/platform.rs
+++ b/crates/seam-harness/src/world/platform.rs
@@ -84,6 +84,15 @@
             .collect()
     }
 
+    /// Publishes a revision that the service shows to one node only, as before an outage.
+    pub fn publish_to_one(&mut self, vm: VmId) {
+        self.platform.down = true;
+        self.publish(|bundle| bundle.deployment.weight = 0.52);
+        let event = Event::Bundle(self.platform.newest.clone());
+        let incarnation = self.slots[&vm].incarnation;
+        self.after(NEAR, Happening::Deliver(vm, incarnation, event));
+    }
+
     /// Publishes a changed configuration as the next revision.
     pub fn publish(&mut self, change: impl FnOnce(&mut Bundle)) {
         let mut bundle = (*self.platform.newest).clone();
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -79,6 +79,9 @@
             incarnation,
             attempt,
             finished: false,
+            arrived: now,
+            started: now,
+            hit: false,
         };
         self.places.insert(run, place);
         let op = self.oracle.sendings[&sending].op;
@@ -124,8 +127,14 @@
         let Some(fake) = self.targets.get_mut(&target) else {
             return;
         };
+        let before = fake.hits;
         let span = fake.service_time(&mut self.rng, call.prefix);
+        let hit = fake.hits > before;
         fake.running.insert(run, now);
+        if let Some(place) = self.places.get_mut(&run) {
+            place.started = now;
+            place.hit = hit;
+        }
         if call.poison {
             self.after(POISON, Happening::Crash(target, RESTART));
         } else {
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -13,6 +13,10 @@
     pub running: u32,
     /// Requests queued.
     pub queued: u32,
+    /// Sum of the weights of the customers that are active there.
+    pub weight: u32,
+    /// Slots that the node could use, with a margin for arrivals before its next word.
+    pub wanted: u32,
 }
 
 /// State of one VM as it said itself.
