--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -74,7 +74,9 @@
         };
         let request = Request::new(now, &arrival);
         let allowed = bundle.allowed(rule, who);
-        let here = self.here(now, &request);
+        let mut here = self.here(now, &request);
+        let near = self.near(now, &request).filter(|_| !here.possible);
+        here.possible |= near.is_some();
         let there = self.there(now, &request);
         let regions = bundle
             .deployment
--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -13,12 +13,14 @@
 pub const PERIOD: Duration = Duration::from_secs(1);
 /// Peers of the own region in one round.
 pub const FANOUT: usize = 2;
+/// Rounds between two datagrams to other regions.
+pub const FAR_ROUNDS: usize = 2;
 /// Records of other nodes in one datagram.
-pub const RECORDS: usize = 7;
+pub const RECORDS: usize = 4;
 /// Digests of other regions in a datagram inside the region.
 pub const DIGESTS: usize = 1;
 /// Loads in one record.
-pub const LOADS: usize = 4;
+pub const LOADS: usize = 3;
 /// Suspects in one datagram.
 pub const SUSPECTS: usize = 4;
 /// Peers of the own region that hear urgent news first.
@@ -72,7 +74,11 @@
         self.round += 1;
         let round = self.round;
         let near = pick(&self.near, round, FANOUT);
-        let far = self.far_at(round).into_iter().collect();
+        let far = if round.is_multiple_of(FAR_ROUNDS) {
+            self.far_at(round / FAR_ROUNDS).into_iter().collect()
+        } else {
+            Vec::new()
+        };
         Some((near, far))
     }
 
--- a/crates/seam-core/src/limits.rs
+++ b/crates/seam-core/src/limits.rs
@@ -30,11 +30,13 @@
 /// Pause between two requests for units of one customer.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// Lenders asked at once.
-const LENDERS: usize = 4;
+const LENDERS: usize = 3;
+/// Units that one node holds, so far as there are that many.
+const UNITS_HELD: u32 = 8;
 /// Units asked for beyond those that are short.
 const SPARE: u32 = 2;
 /// Time after which a loan is renewed or returned.
-const REVIEW: Duration = Duration::from_secs(5);
+const REVIEW: Duration = Duration::from_secs(15);
 
 #[derive(Clone, Copy, Debug)]
 struct Loan {
@@ -75,19 +77,25 @@
     usage: BTreeMap<CustomerId, Usage>,
 }
 
-/// Returns the published nodes that split a customer's units.
-fn holders(bundle: &Bundle, customer: &Customer) -> Vec<VmId> {
+/// Returns the published nodes that split a customer's units, by rank, the first one first.
+///
+/// Few nodes hold many units each, so that a node that is short finds them with few questions.
+fn holders(bundle: &Bundle, id: CustomerId, customer: &Customer) -> Vec<VmId> {
     let vms = &bundle.deployment.vms;
     let home: Vec<VmId> = vms
         .iter()
         .filter(|(_, vm)| Some(vm.region) == customer.home)
         .map(|(id, _)| *id)
         .collect();
-    if home.is_empty() {
+    let mut nodes = if home.is_empty() {
         vms.keys().copied().collect()
     } else {
         home
-    }
+    };
+    nodes.sort_by_key(|vm| std::cmp::Reverse(rank(id.0, u64::from(vm.0))));
+    let most = customer.concurrency.div_ceil(UNITS_HELD).max(1) as usize;
+    nodes.truncate(most);
+    nodes
 }
 
 /// Returns a node's own units of a customer's concurrency.
@@ -95,17 +103,12 @@
 /// Over the published nodes of one bundle the units sum to the customer's concurrency.
 #[must_use]
 pub fn base_units(bundle: &Bundle, me: VmId, id: CustomerId, customer: &Customer) -> u32 {
-    let nodes = holders(bundle, customer);
-    if !nodes.contains(&me) {
+    let nodes = holders(bundle, id, customer);
+    let Some(place) = nodes.iter().position(|vm| *vm == me) else {
         return 0;
-    }
+    };
     let count = nodes.len() as u32;
-    let mine = rank(id.0, u64::from(me.0));
-    let before = nodes
-        .iter()
-        .filter(|vm| rank(id.0, u64::from(vm.0)) > mine)
-        .count() as u32;
-    customer.concurrency / count + u32::from(before < customer.concurrency % count)
+    customer.concurrency / count + u32::from((place as u32) < customer.concurrency % count)
 }
 
 impl Usage {
@@ -141,11 +144,8 @@
 
     /// Returns the next few nodes to ask: those that lent before, then others in turn.
     fn lenders(&mut self, asking: Asking) -> Vec<VmId> {
-        let mut nodes = holders(asking.bundle, asking.rule);
+        let mut nodes = holders(asking.bundle, asking.id, asking.rule);
         nodes.retain(|vm| *vm != asking.me);
-        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(asking.id.0, u64::from(vm.0))));
-        // Nodes beyond the units have none to lend.
-        nodes.truncate(asking.rule.concurrency as usize + 1);
         let count = nodes.len();
         let from = self.turn;
         self.turn += LENDERS;
@@ -276,7 +276,7 @@
         }
         usage.asked = Some(now);
         let lenders = usage.lenders(asking);
-        let more = usage.parked.len() as u32 + SPARE;
+        let more = usage.parked.len() as u32 + usage.running / 4 + SPARE;
         lenders
             .into_iter()
             .map(|vm| (vm, usage.request(now, asking.id, vm, more)))
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -131,6 +131,9 @@
     /// Returns who decides on a request's key, `None` without a key.
     fn owner_of(&self, arrival: &Arrival) -> Option<Owner> {
         let bundle = self.bundle.as_ref()?;
+        if arrival.repeatable {
+            return None;
+        }
         let owner = match arrival.key.as_ref()? {
             KeyName::Issued(key) if key.customer != arrival.customer => Owner::Gone,
             KeyName::Issued(key) if key.vm == self.id.vm => {
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -169,7 +169,10 @@
                 if matches!(reply, Reply::NotSent) {
                     self.peers.unreachable(vm);
                 }
-                if !matches!(reply, Reply::Complete { .. })
+                let missed = region == self.id.region && matches!(reply, Reply::NotSent);
+                let served = matches!(reply, Reply::Complete { .. });
+                if !served
+                    && !missed
                     && let Some(request) = self.requests.get_mut(&attempt.ticket)
                 {
                     request.refused.insert(region);
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Bundle, TargetId, Time, VmId, VmState};
+use seam_protocol::{Bundle, Kind, TargetId, Time, VmId, VmState};
 
 use super::Node;
 use super::admit::owner_region;
@@ -83,6 +83,11 @@
                 }
             }
         }
+        let everywhere = bundle.services.iter();
+        let everywhere = everywhere
+            .filter(|(_, rule)| rule.kind == Kind::Plain || !rule.once.is_empty())
+            .map(|(id, _)| *id);
+        self.targets.set_everywhere(everywhere.collect());
         self.targets.adopt(now, first, &wanted);
         self.lanes.retain(|service, lane| {
             bundle.services.contains_key(service) || lane.queue.queued() > 0
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -1,27 +1,39 @@
 //! Chooses the region and the target of a request.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use seam_protocol::id::rank;
 use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
 
 use super::{Lane, Node};
 use crate::command::{Command, Refusal};
 use crate::request::{Attempt, AttemptKey, Place, Request, Stage, Ticket};
 use crate::spill::{Asked, Choice, Here, There};
-use crate::targets::{TargetKey, Wish};
+use crate::targets::{Spread, TargetKey, Wish, users};
 
 /// Shortest advice on when to ask again.
 const LEAST_RETRY: Duration = Duration::from_millis(250);
 /// Longest advice on when to ask again.
 const MOST_RETRY: Duration = Duration::from_secs(30);
 /// Times that a request is sent away before it must stay.
-const MOST_AWAY: usize = 2;
+const MOST_AWAY: usize = 3;
 
 impl Node {
     /// Places a request that was admitted: here, away, or nowhere.
     pub(super) fn place(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
         let request = &self.requests[&ticket];
-        let here = self.here(now, request);
+        if request.forwarded() {
+            let service = request.service;
+            self.be_guest(now, service);
+        }
+        let request = &self.requests[&ticket];
+        let mut here = self.here(now, request);
+        let near = self.near(now, request).filter(|_| !here.possible);
+        if near.is_some() {
+            here.possible = true;
+            here.wait = self.wait_near(now, request.service);
+        }
         let asked = self.asked(now, request);
         let choice = if request.forwarded() {
             self.choose_forwarded(request, asked, here)
@@ -35,7 +47,10 @@
             choice => choice,
         };
         match choice {
-            Choice::Here => self.enqueue(now, ticket, out),
+            Choice::Here => match near {
+                Some(vm) => self.forward(now, ticket, vm, out),
+                None => self.enqueue(now, ticket, out),
+            },
             Choice::There(region) => self.send_away(now, ticket, region, out),
             Choice::Nowhere(wait) => {
                 let reason = match wait {
@@ -72,6 +87,49 @@
         }
     }
 
+    /// Returns a node of this region that uses a service's targets, for a node that uses none.
+    /// Requests with one prefix go to one node.
+    pub(crate) fn near(&self, now: Time, request: &Request) -> Option<VmId> {
+        let region = self.id.region;
+        let tried = request.refused.contains(&region) || request.forwarded();
+        if tried || !self.allows(request, region) || !self.targets.serving_near(request.service) {
+            return None;
+        }
+        let seed = request.prefix.unwrap_or(request.fingerprint.0);
+        users(self.targets.spread(request.service), &self.active(now))
+            .into_iter()
+            .filter(|vm| *vm != self.id.vm)
+            .max_by_key(|vm| rank(seed, u64::from(vm.0)))
+    }
+
+    /// Returns the nodes of this region that take new requests.
+    pub(crate) fn active(&self, now: Time) -> BTreeSet<VmId> {
+        let alive = self.alive.iter().copied();
+        alive
+            .filter(|vm| *vm == self.id.vm || self.peers.ready(now, *vm))
+            .collect()
+    }
+
+    /// Uses a service's targets for a while, since another node believes that this one does.
+    ///
+    /// That node may have noticed first that a user of the service is gone, or know few nodes here.
+    fn be_guest(&mut self, now: Time, service: ServiceId) {
+        const STAY: Duration = Duration::from_secs(10);
+        if !self.targets.serving(service) && self.targets.serving_near(service) {
+            self.targets.stay(service, now + STAY);
+            self.refresh_members(now);
+        }
+    }
+
+    /// Predicts the wait at the nodes of this region that use a service's targets.
+    fn wait_near(&self, now: Time, service: ServiceId) -> Duration {
+        let slots = self.targets.spread(service).slots;
+        let (running, queued) = self.regional_load(now, service);
+        let turns = f64::from((running + queued + 1).saturating_sub(slots));
+        self.expected(service)
+            .mul_f64(turns / f64::from(slots.max(1)))
+    }
+
     pub(crate) fn allows(&self, request: &Request, region: RegionId) -> bool {
         let Some(bundle) = &self.bundle else {
             return false;
@@ -121,7 +179,9 @@
     fn choose_forwarded(&self, request: &Request, asked: Asked, here: Here) -> Choice {
         let keyed = request.key.is_some();
         let sender = request.hops.last().map(|hop| hop.region);
-        let spilled = !keyed && sender.is_some_and(|region| self.allows(request, region));
+        let spilled = !keyed
+            && sender
+                .is_some_and(|region| region != self.id.region && self.allows(request, region));
         let fits = here.wait + asked.expected <= asked.budget;
         if here.possible && fits && (!spilled || here.wait == Duration::ZERO) {
             Choice::Here
@@ -353,7 +413,7 @@
     /// Returns a ready node of another region, spread over its nodes by request.
     fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
         let nodes = &self.peers.region(now, region)?.nodes;
-        let usable: Vec<VmId> = nodes
+        let usable: BTreeSet<VmId> = nodes
             .iter()
             .copied()
             .filter(|vm| self.regions.get(vm) == Some(&region))
@@ -362,8 +422,22 @@
                 peer.is_none_or(|peer| peer.record.ready && peer.heard.0 > 0)
             })
             .collect();
-        let count = usable.len() as u64;
-        (count > 0).then(|| usable[(ticket.0 % count) as usize])
+        // The users of a small service are few, and the same nodes rank first there.
+        let service = self.requests.get(&ticket)?.service;
+        let slots = self
+            .bundle
+            .as_ref()?
+            .services
+            .get(&service)?
+            .slots_in(region);
+        let spread = Spread {
+            service,
+            slots,
+            everywhere: false,
+        };
+        let users = users(spread, &usable);
+        let count = users.len() as u64;
+        (count > 0).then(|| users[(ticket.0 % count) as usize])
     }
 
     /// Forwards a request to a node, once.
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -1,8 +1,9 @@
 //! Heartbeats: what to say, and what to make of what is heard.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
-use seam_protocol::heartbeat::{ServiceRoom, Shortage};
+use seam_protocol::heartbeat::{Grant, ServiceRoom, Shortage};
 use seam_protocol::{
     CacheEvent, Heartbeat, LoadReport, RegionDigest, ServiceLoad, TargetId, Time, VmId, VmRecord,
 };
@@ -45,15 +46,13 @@
         for suspect in &beat.suspects {
             self.poison.hear(now, *suspect);
         }
-        for shortage in &beat.shortages {
-            self.lend(now, beat, *shortage, out);
-        }
+        self.lend(now, beat, out);
         self.take_grants(now, beat, out);
         if news.members {
             self.refresh_members(now);
         }
         if self.standing_asks(beat) {
-            self.beat_to(now, beat.from, Vec::new(), Vec::new(), out);
+            self.beat_to(now, beat.from, out);
         }
     }
 
@@ -78,25 +77,24 @@
         if newest > mine || rival {
             self.fetch(now, beat.from, newest, out);
         } else if sender < mine && sender > 0 {
-            self.beat_to(now, beat.from, Vec::new(), Vec::new(), out);
+            self.beat_to(now, beat.from, out);
         }
     }
 
-    fn lend(&mut self, now: Time, beat: &Heartbeat, shortage: Shortage, out: &mut Vec<Command>) {
-        let Some(bundle) = self.bundle.clone() else {
+    fn lend(&mut self, now: Time, beat: &Heartbeat, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone().filter(|_| self.standing.fresh()) else {
             return;
         };
-        let Some(asking) = self.asking(&bundle, shortage.customer, now) else {
-            return;
-        };
-        if !self.standing.fresh() {
-            return;
+        let mut grants = Vec::new();
+        for shortage in &beat.shortages {
+            let Some(asking) = self.asking(&bundle, shortage.customer, now) else {
+                continue;
+            };
+            let asked = (beat.from, *shortage);
+            grants.extend(self.limits.lend(now, asking, asked, beat.sent));
         }
-        if let Some(grant) = self
-            .limits
-            .lend(now, asking, (beat.from, shortage), beat.sent)
-        {
-            self.beat_to(now, beat.from, Vec::new(), vec![grant], out);
+        if !grants.is_empty() {
+            self.word_to(now, beat.from, Vec::new(), grants, out);
         }
     }
 
@@ -118,7 +116,7 @@
 
     pub(super) fn ask_for_units(&mut self, now: Time, asking: Asking, out: &mut Vec<Command>) {
         for (lender, shortage) in self.limits.ask(now, asking) {
-            self.beat_to(now, lender, vec![shortage], Vec::new(), out);
+            self.word_to(now, lender, vec![shortage], Vec::new(), out);
         }
     }
 
@@ -131,10 +129,9 @@
             .map(|(vm, _)| vm)
             .collect();
         alive.insert(self.id.vm);
-        if alive != self.alive || self.bundle.is_some() {
-            self.targets.subset(self.id.vm, &alive);
-            self.alive = alive;
-        }
+        self.alive = alive;
+        let active = self.active(now);
+        self.targets.subset(now, self.id.vm, &active);
         self.share_slots(now);
     }
 
@@ -147,13 +144,15 @@
         let Some(bundle) = self.bundle.clone() else {
             return;
         };
+        let active = self.active(now);
         let mut parts = Vec::new();
         for service in bundle.services.keys() {
             let own = self.own_load(*service);
             let targets = self.targets.of(*service).count() as f64;
+            let spread = self.targets.spread(*service);
             for (key, state) in self.targets.of(*service) {
                 let mut claims = vec![Claim::of(self.id.vm, Some(own), targets)];
-                for vm in sharers(state.id, &self.alive) {
+                for vm in sharers(state.id, spread, &active) {
                     if let Some(peer) = self.peers.alive(now, vm) {
                         let load = Peers::load(peer, service.tag());
                         claims.push(Claim::of(vm, load, targets));
@@ -210,42 +209,24 @@
             return;
         };
         for vm in near.into_iter().chain(far) {
-            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+            self.beat_to(now, vm, out);
         }
     }
 
     /// Tells a few nodes at once; each passes the news on.
     pub(super) fn beat_urgently(&mut self, now: Time, out: &mut Vec<Command>) {
         for vm in self.gossip.urgent(&mut self.rng) {
-            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+            self.beat_to(now, vm, out);
         }
     }
 
-    pub(super) fn beat_to(
-        &mut self,
-        now: Time,
-        to: VmId,
-        shortages: Vec<Shortage>,
-        grants: Vec<seam_protocol::heartbeat::Grant>,
-        out: &mut Vec<Command>,
-    ) {
-        let Some(bundle) = self.bundle.clone() else {
+    /// Sends a whole heartbeat.
+    pub(super) fn beat_to(&mut self, now: Time, to: VmId, out: &mut Vec<Command>) {
+        let Some((address, mut beat)) = self.start_beat(now, to) else {
             return;
         };
-        let Some(address) = bundle.deployment.vms.get(&to).map(|vm| vm.peer) else {
-            return;
-        };
-        let near = self.regions.get(&to) == Some(&self.id.region);
-        let mut beat = Heartbeat::empty(self.id.vm, self.id.region);
-        beat.sent = now.0;
-        beat.manifest = bundle.digest.head();
-        if let Some(peer) = self.peers.known(to) {
-            beat.believed = peer.direct;
-            beat.echo = peer.sent;
-        }
-        beat.records.push(self.own_record(bundle.revision));
         let turn = self.gossip.round();
-        if near {
+        if self.regions.get(&to) == Some(&self.id.region) {
             let others = self.peers.freshest(now, self.id.region, to, RECORDS);
             beat.records.extend(others);
             beat.digests = self.peers.digests(now, turn, self.id.region, DIGESTS);
@@ -258,13 +239,39 @@
                 .extend(self.peers.digests(now, turn, region, DIGESTS));
         }
         beat.suspects = self.poison.news(SUSPECTS);
+        out.push(Command::Beat { to, address, beat });
+    }
+
+    /// Sends a short heartbeat about concurrency units.
+    pub(super) fn word_to(
+        &mut self,
+        now: Time,
+        to: VmId,
+        shortages: Vec<Shortage>,
+        grants: Vec<Grant>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some((address, mut beat)) = self.start_beat(now, to) else {
+            return;
+        };
         beat.shortages = shortages;
         beat.grants = grants;
-        out.push(Command::Beat {
-            to,
-            address,
-            beat: Box::new(beat),
-        });
+        out.push(Command::Beat { to, address, beat });
+    }
+
+    /// Starts a heartbeat with what each one says.
+    fn start_beat(&mut self, now: Time, to: VmId) -> Option<(SocketAddr, Box<Heartbeat>)> {
+        let bundle = self.bundle.clone()?;
+        let address = bundle.deployment.vms.get(&to)?.peer;
+        let mut beat = Box::new(Heartbeat::empty(self.id.vm, self.id.region));
+        beat.sent = now.0;
+        beat.manifest = bundle.digest.head();
+        if let Some(peer) = self.peers.known(to) {
+            beat.believed = peer.direct;
+            beat.echo = peer.sent;
+        }
+        beat.records.push(self.own_record(bundle.revision));
+        Some((address, beat))
     }
 
     fn own_record(&mut self, revision: u64) -> VmRecord {
@@ -342,7 +349,7 @@
     }
 
     /// Returns running and queued requests of a service over the live nodes of this region.
-    fn regional_load(&self, now: Time, service: seam_protocol::ServiceId) -> (u32, u32) {
+    pub(super) fn regional_load(&self, now: Time, service: seam_protocol::ServiceId) -> (u32, u32) {
         let own = self.lanes.get(&service).map_or((0, 0), |lane| {
             (lane.queue.running(), lane.queue.queued() as u32)
         });
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -1,7 +1,9 @@
 //! What passes with time alone.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use seam_protocol::heartbeat::Shortage;
 use seam_protocol::{Reason, Time, VmId};
 
 use super::Node;
@@ -39,7 +41,7 @@
         self.told_ready = ready;
         let near: Vec<VmId> = self.gossip.near().iter().copied().take(MOST_TOLD).collect();
         for vm in near {
-            self.beat_to(now, vm, Vec::new(), Vec::new(), out);
+            self.beat_to(now, vm, out);
         }
         self.beat_urgently(now, out);
     }
@@ -130,14 +132,18 @@
         let Some(bundle) = self.bundle.clone() else {
             return;
         };
+        let mut requests: BTreeMap<VmId, Vec<Shortage>> = BTreeMap::new();
         for customer in self.limits.borrowers() {
             let Some(asking) = self.asking(&bundle, customer, now) else {
                 continue;
             };
             for (lender, shortage) in self.limits.review(now, asking) {
-                self.beat_to(now, lender, vec![shortage], Vec::new(), out);
+                requests.entry(lender).or_default().push(shortage);
             }
         }
+        for (lender, shortages) in requests {
+            self.word_to(now, lender, shortages, Vec::new(), out);
+        }
     }
 
     fn order(&mut self, now: Time, out: &mut Vec<Command>) {
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -41,7 +41,7 @@
     pub service: ServiceId,
     /// Whether it may be repeated.
     pub repeatable: bool,
-    /// Its idempotency key.
+    /// Its idempotency key, if it may not be repeated. Otherwise a key changes nothing.
     pub key: Option<KeyName>,
     /// Whether this node's key table decides on its key.
     pub owned: bool,
@@ -83,7 +83,7 @@
             customer: arrival.customer,
             service: arrival.service,
             repeatable: arrival.repeatable,
-            key: arrival.key.clone(),
+            key: arrival.key.clone().filter(|_| !arrival.repeatable),
             owned: false,
             owner: None,
             fingerprint: arrival.fingerprint,
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -30,8 +30,11 @@
 const STALE_REPORT: Duration = Duration::from_secs(10);
 /// Load above the mean at which prefix affinity yields.
 const AFFINITY_BOUND: f64 = 1.25;
-/// Nodes that share one target in a large region.
-const SHARERS: usize = 8;
+/// Most nodes that share one target.
+const MOST_SHARERS: usize = 8;
+/// Slots of a service for each node that uses its targets. Smaller parts would idle at one node
+/// while requests wait at another.
+const SLOTS_A_NODE: u32 = 16;
 /// Mean-to-floor ratio of service times above which a target's limit falls.
 const SLOW_RATIO: f64 = 3.0;
 /// Weight of a new sample in a mean.
@@ -117,20 +120,26 @@
     #[must_use]
     pub fn cap(&self, now: Time) -> u32 {
         const UNEVEN: f64 = 1.5;
-        let most = f64::from(self.rule.slots.max(1));
-        (self.own_part(now) * UNEVEN).ceil().clamp(1.0, most) as u32
+        let most = self.rule.slots.max(1);
+        if 2 * self.load(now) <= most {
+            return most;
+        }
+        (self.own_part(now) * UNEVEN)
+            .ceil()
+            .clamp(1.0, f64::from(most)) as u32
+    }
+
+    fn reported(&self, now: Time) -> Option<&(Time, LoadReport, u32)> {
+        let report = self.report.as_ref()?;
+        (now.since(report.0) < STALE_REPORT).then_some(report)
     }
 
     /// Returns the estimated requests of all nodes that run there.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
-        let others = self
-            .report
-            .as_ref()
-            .filter(|(heard, _, _)| now.since(*heard) < STALE_REPORT)
-            .map_or(0, |(_, report, own)| {
-                (report.running + report.waiting).saturating_sub(*own)
-            });
+        let others = self.reported(now).map_or(0, |(_, report, own)| {
+            (report.running + report.waiting).saturating_sub(*own)
+        });
         self.running + others
     }
 
@@ -148,8 +157,9 @@
         if self.running < part {
             return true;
         }
+        let known = self.reported(now).is_some();
         let room = self.load(now) + SPARE <= self.rule.slots || self.load(now) == 0;
-        !heavy && self.running < self.cap(now) && room
+        known && !heavy && self.running < self.cap(now) && room
     }
 
     /// Adjusts the concurrency limit to a measured service time.
@@ -194,14 +204,41 @@
     pub new: Phase,
 }
 
-/// Returns the nodes that use a target, by rendezvous, so that churn moves only the share of who
-/// left. In a small region that is every node.
+/// Who uses a service's targets in a region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spread {
+    /// The service.
+    pub service: ServiceId,
+    /// Slots of all its targets in the region.
+    pub slots: u32,
+    /// Whether every node uses it, since a request's node may be fixed by its key.
+    pub everywhere: bool,
+}
+
+/// Returns the nodes that use a service's targets, by rendezvous, so that churn moves only the
+/// share of who left. Other nodes of the region hand them their requests.
 #[must_use]
-pub fn sharers(target: TargetId, alive: &BTreeSet<VmId>) -> Vec<VmId> {
+pub fn users(spread: Spread, alive: &BTreeSet<VmId>) -> Vec<VmId> {
     let mut nodes: Vec<VmId> = alive.iter().copied().collect();
-    if nodes.len() > SHARERS {
+    if spread.everywhere {
+        return nodes;
+    }
+    let most = (spread.slots / SLOTS_A_NODE).max(1) as usize;
+    if nodes.len() > most {
+        let key = u64::from(spread.service.0);
+        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(key, u64::from(vm.0))));
+        nodes.truncate(most);
+    }
+    nodes
+}
+
+/// Returns those of a service's users that use one target.
+#[must_use]
+pub fn sharers(target: TargetId, spread: Spread, alive: &BTreeSet<VmId>) -> Vec<VmId> {
+    let mut nodes = users(spread, alive);
+    if nodes.len() > MOST_SHARERS && !spread.everywhere {
         nodes.sort_by_key(|vm| std::cmp::Reverse(rank(u64::from(target.0), u64::from(vm.0))));
-        nodes.truncate(SHARERS);
+        nodes.truncate(MOST_SHARERS);
     }
     nodes
 }
@@ -212,6 +249,8 @@
     arena: Vec<TargetState>,
     keys: BTreeMap<TargetId, TargetKey>,
     by_service: BTreeMap<ServiceId, Vec<TargetKey>>,
+    everywhere: BTreeSet<ServiceId>,
+    guest: BTreeMap<ServiceId, Time>,
 }
 
 impl Targets {
@@ -250,17 +289,35 @@
     /// Chooses the targets that this node uses, and so its connections.
     ///
     /// See [`sharers`].
-    pub fn subset(&mut self, me: VmId, alive: &BTreeSet<VmId>) {
-        self.by_service.clear();
-        for (index, state) in self.arena.iter().enumerate() {
-            if state.phase == Phase::Gone || !sharers(state.id, alive).contains(&me) {
-                continue;
+    pub fn subset(&mut self, now: Time, me: VmId, alive: &BTreeSet<VmId>) {
+        self.guest.retain(|_, until| *until > now);
+        let mut spreads: BTreeMap<ServiceId, Spread> = BTreeMap::new();
+        for (_, state) in self.all() {
+            let spread = spreads.entry(state.service).or_insert(Spread {
+                service: state.service,
+                slots: 0,
+                everywhere: self.everywhere.contains(&state.service),
+            });
+            spread.slots += state.rule.slots;
+        }
+        let mut by_service: BTreeMap<ServiceId, Vec<TargetKey>> = BTreeMap::new();
+        for (key, state) in self.all() {
+            let guest = self.guest.contains_key(&state.service);
+            if guest || sharers(state.id, spreads[&state.service], alive).contains(&me) {
+                by_service.entry(state.service).or_default().push(key);
             }
-            self.by_service
-                .entry(state.service)
-                .or_default()
-                .push(TargetKey(index as u32));
         }
+        self.by_service = by_service;
+    }
+
+    /// Uses a service's targets until a time, whoever its users are.
+    pub fn stay(&mut self, service: ServiceId, until: Time) {
+        self.guest.insert(service, until);
+    }
+
+    /// Names the services that every node uses.
+    pub fn set_everywhere(&mut self, services: BTreeSet<ServiceId>) {
+        self.everywhere = services;
     }
 
     /// Sets this node's part of a target's slots.
@@ -318,6 +375,27 @@
         }
     }
 
+    /// Returns how a service's targets are spread over nodes.
+    #[must_use]
+    pub fn spread(&self, service: ServiceId) -> Spread {
+        let slots = self
+            .all()
+            .filter(|(_, state)| state.service == service)
+            .map(|(_, state)| state.rule.slots);
+        Spread {
+            service,
+            slots: slots.sum(),
+            everywhere: self.everywhere.contains(&service),
+        }
+    }
+
+    /// Returns whether any target of a service in this region takes work, whoever uses it.
+    #[must_use]
+    pub fn serving_near(&self, service: ServiceId) -> bool {
+        self.all()
+            .any(|(_, state)| state.service == service && state.phase == Phase::Serving)
+    }
+
     /// Returns whether any target of a service takes work.
     #[must_use]
     pub fn serving(&self, service: ServiceId) -> bool {
--- /dev/null
+++ b/crates/seam-harness/examples/capacity/calls.rs
@@ -0,0 +1,70 @@
+//! Calls to the configuration service, bytes of a change, and the time until it is everywhere.
+
+use std::time::Duration;
+
+use seam_harness::sizes;
+use seam_harness::world::SETTLED;
+use seam_harness::{Fault, World};
+use seam_protocol::VmId;
+
+/// Prints the tables.
+pub fn print() {
+    println!("## Changes of the configuration\n");
+    println!(
+        "| nodes | calls at a change | seconds by the service | seconds by one peer | calls when the service is back |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for (regions, nodes) in [(4, 20), (8, 80), (16, 200), (25, 370)] {
+        let size = sizes::large(regions, nodes, 4, 60);
+        let mut world = World::new(sizes::bundle(&size), 7);
+        world.run_for(SETTLED * 2);
+        let before = world.platform_calls();
+        let start = world.now;
+        world.publish(|bundle| bundle.deployment.weight = 0.61);
+        world.run_for(Duration::from_secs(10));
+        let first = world.newest().revision;
+        let by_service = world.last_adoption(first).map(|last| last.since(start));
+        let calls = world.platform_calls() - before;
+        let start = world.now;
+        let vm: VmId = world.vms()[nodes / 2];
+        world.publish_to_one(vm);
+        world.run_for(Duration::from_secs(20));
+        let second = world.newest().revision;
+        let by_peer = world.last_adoption(second).map(|last| last.since(start));
+        let before = world.platform_calls();
+        world.fault(&Fault::ServiceUp);
+        world.run_for(Duration::from_secs(35));
+        let back = world.platform_calls() - before;
+        let cell = |span: Option<Duration>| {
+            span.map_or_else(
+                || "never".to_owned(),
+                |span| format!("{:.2}", span.as_secs_f64()),
+            )
+        };
+        println!(
+            "| {nodes} | {calls} | {} | {} | {back} |",
+            cell(by_service),
+            cell(by_peer)
+        );
+    }
+    let mut bundle = sizes::bundle(&sizes::large(25, 370, 30, 28_000));
+    let old = seam_config::split(&bundle).expect("small parts");
+    if let Some(customer) = bundle.customers.values_mut().next() {
+        customer.rate += 1;
+    }
+    bundle.revision += 1;
+    let new = seam_config::split(&bundle).expect("small parts");
+    let fresh = new
+        .parts
+        .iter()
+        .filter(|(digest, _)| !old.parts.contains_key(digest));
+    let sizes: Vec<usize> = fresh.map(|(_, part)| part.len()).collect();
+    let whole: usize = new.parts.values().map(Vec::len).sum();
+    println!(
+        "\n28,000 customers: {} parts, {whole} bytes; a change of one customer moves a manifest of {} bytes and {} part of {} bytes.\n",
+        new.parts.len(),
+        new.manifest.len(),
+        sizes.len(),
+        sizes.iter().sum::<usize>()
+    );
+}
--- /dev/null
+++ b/crates/seam-harness/examples/capacity/cpu.rs
@@ -0,0 +1,198 @@
+//! Processor time of decisions.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use seam_core::{AttemptKey, Command, Event, Node, Reply};
+use seam_harness::sizes::{self, Size, customer_name};
+use seam_protocol::{Heartbeat, Time, VmRecord};
+
+use crate::fit;
+use crate::memory::{arrival, first_peer, node};
+
+const ROUNDS: usize = 4000;
+
+fn micros(rounds: usize, mut run: impl FnMut(usize)) -> f64 {
+    const REPEATS: usize = 5;
+    let mut best = f64::INFINITY;
+    for repeat in 0..REPEATS {
+        let start = Instant::now();
+        for round in 0..rounds {
+            run(repeat * rounds + round);
+        }
+        best = best.min(start.elapsed().as_secs_f64() * 1e6 / rounds as f64);
+    }
+    best
+}
+
+/// Runs one request from its arrival to its answer.
+fn request(node: &mut Node, now: Time, number: u64, customer: &str, out: &mut Vec<Command>) {
+    out.clear();
+    node.handle(now, arrival(number, customer, "model-0"), out);
+    let attempt = out.iter().find_map(|command| match command {
+        Command::Send { attempt, .. } | Command::Forward { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt: AttemptKey = attempt.unwrap_or_default();
+    node.handle(now, Event::Sending(attempt), out);
+    node.handle(
+        now,
+        Event::Reply(attempt, Reply::Complete { answer: None }),
+        out,
+    );
+}
+
+fn routing(size: &Size, customers: usize) -> f64 {
+    let bundle = Arc::new(sizes::bundle(size));
+    let (mut node, now) = node(&bundle);
+    let names: Vec<String> = (0..customers).map(customer_name).collect();
+    let mut out = Vec::new();
+    micros(ROUNDS, |round| {
+        let now = Time(now.0 + round as u64);
+        let name = &names[round % names.len()];
+        request(&mut node, now, round as u64 + 1, name, &mut out);
+    })
+}
+
+fn beat(bundle: &seam_protocol::Bundle, records: usize) -> Heartbeat {
+    let (vm, region) = first_peer(bundle);
+    let mut beat = Heartbeat::empty(vm, region);
+    let others = bundle.deployment.vms.iter();
+    let others = others.filter(|(id, rule)| rule.region == region && **id != vm);
+    let ids = std::iter::once(vm).chain(others.map(|(id, _)| *id));
+    beat.records = ids
+        .take(records)
+        .map(|vm| VmRecord {
+            vm,
+            incarnation: seam_protocol::Incarnation(9),
+            number: 1,
+            revision: bundle.revision,
+            ready: true,
+            loads: Vec::new(),
+        })
+        .collect();
+    beat.manifest = bundle.digest.head();
+    beat
+}
+
+fn intake(size: &Size) -> f64 {
+    let bundle = Arc::new(sizes::bundle(size));
+    let (mut node, now) = node(&bundle);
+    let mut beat = beat(&bundle, 8);
+    let mut out = Vec::new();
+    micros(ROUNDS, |round| {
+        beat.sent = round as u64 + 1;
+        beat.believed = node.identity().incarnation;
+        for record in &mut beat.records {
+            record.number = round as u32 + 2;
+        }
+        let now = Time(now.0 + 1 + round as u64);
+        out.clear();
+        node.handle(now, Event::Beat(beat.clone()), &mut out);
+    })
+}
+
+fn tick(size: &Size) -> f64 {
+    let bundle = Arc::new(sizes::bundle(size));
+    let (mut node, now) = node(&bundle);
+    let mut out = Vec::new();
+    micros(400, |round| {
+        let now = Time(now.0 + 100_000 * (1 + round as u64));
+        out.clear();
+        node.handle(now, Event::Tick, &mut out);
+    })
+}
+
+fn load(customers: usize, whole: bool) -> f64 {
+    const ROUNDS: usize = 3;
+    let size = sizes::large(25, 370, 30, customers);
+    let old = Arc::new(sizes::bundle(&size));
+    let mut changed = (*old).clone();
+    changed.revision += 1;
+    if let Some(customer) = changed.customers.values_mut().next() {
+        customer.rate += 1;
+    }
+    sizes::seal(&mut changed);
+    let set = seam_config::split(&changed).expect("small parts");
+    let (fresh, now) = node(&old);
+    micros(ROUNDS, |_| {
+        let read = if whole {
+            seam_config::assemble(&set).expect("whole parts")
+        } else {
+            changed.clone()
+        };
+        let mut node = fresh.clone();
+        let mut out = Vec::new();
+        node.handle(now, Event::Bundle(Arc::new(read)), &mut out);
+        black_box(out.len());
+    })
+}
+
+fn points(sizes: &[usize], mut measure: impl FnMut(usize) -> f64) -> Vec<(f64, f64)> {
+    sizes
+        .iter()
+        .map(|size| (*size as f64, measure(*size)))
+        .collect()
+}
+
+/// Prints the tables.
+pub fn print() {
+    println!("## Processor time, one core, best of five\n");
+    let by_targets = points(&[8, 16, 32, 64, 128], |count| {
+        let mut size = sizes::large(1, 1, 1, 100);
+        size.services[0].targets = vec![count];
+        size.concurrency = 1_000_000;
+        routing(&size, 100)
+    });
+    let title = "A request from arrival to answer, by targets used of its service";
+    fit::print(title, "targets", "µs", &by_targets);
+    let by_customers = points(&[100, 1000, 8000, 28_000], |count| {
+        let mut size = sizes::large(1, 1, 1, count);
+        size.concurrency = 1_000_000;
+        routing(&size, count)
+    });
+    fit::print("The same, by customers", "customers", "µs", &by_customers);
+    let by_fleet = points(&[8, 32, 128, 370], |nodes| {
+        let mut size = sizes::large(25.min(nodes / 4), nodes, 30, 1000);
+        size.concurrency = 1_000_000;
+        routing(&size, 1000)
+    });
+    fit::print("The same, by nodes of the fleet", "nodes", "µs", &by_fleet);
+    let by_nodes = points(&[8, 32, 128, 370], |nodes| {
+        intake(&sizes::large(25.min(nodes / 4), nodes, 30, 100))
+    });
+    fit::print(
+        "A heartbeat taken in, with 8 records, by nodes of the fleet",
+        "nodes",
+        "µs",
+        &by_nodes,
+    );
+    let ticks = points(&[8, 32, 128, 370], |nodes| {
+        tick(&sizes::large(25.min(nodes / 4), nodes, 30, 100))
+    });
+    fit::print("A tick, by nodes of the fleet", "nodes", "µs", &ticks);
+    let bundle = sizes::bundle(&sizes::large(25, 370, 30, 100));
+    let beat = beat(&bundle, 8);
+    let encoded = beat.encode();
+    println!(
+        "A heartbeat of {} bytes: encoded in {:.2} µs, decoded in {:.2} µs.\n",
+        encoded.len(),
+        micros(ROUNDS, |_| drop(black_box(beat.encode()))),
+        micros(ROUNDS, |_| drop(black_box(Heartbeat::decode(&encoded))))
+    );
+    let whole = points(&[1000, 4000, 14_000, 28_000], |count| load(count, true));
+    fit::print(
+        "A whole bundle read and put in force",
+        "customers",
+        "µs",
+        &whole,
+    );
+    let decided = points(&[1000, 4000, 14_000, 28_000], |count| load(count, false));
+    fit::print(
+        "A changed bundle copied and put in force",
+        "customers",
+        "µs",
+        &decided,
+    );
+}
--- /dev/null
+++ b/crates/seam-harness/examples/capacity/fit.rs
@@ -0,0 +1,50 @@
+//! A line through measured points.
+
+/// Slope, intercept and fit of a line.
+pub struct Line {
+    /// Rise for each unit.
+    pub slope: f64,
+    /// Value at zero.
+    pub base: f64,
+    /// Coefficient of determination.
+    pub fit: f64,
+}
+
+/// Returns the line of least squares.
+pub fn line(points: &[(f64, f64)]) -> Line {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let xy: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let xx: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let yy: f64 = points.iter().map(|(_, y)| (y - mean_y).powi(2)).sum();
+    let slope = if xx > 0.0 { xy / xx } else { 0.0 };
+    let fit = if xx > 0.0 && yy > 0.0 {
+        xy * xy / (xx * yy)
+    } else {
+        1.0
+    };
+    Line {
+        slope,
+        base: mean_y - slope * mean_x,
+        fit,
+    }
+}
+
+/// Prints points and their line.
+pub fn print(title: &str, x: &str, y: &str, points: &[(f64, f64)]) {
+    println!("### {title}\n");
+    println!("| {x} | {y} |");
+    println!("| --- | --- |");
+    for (size, value) in points {
+        println!("| {size} | {value:.2} |");
+    }
+    let line = line(points);
+    println!(
+        "\nslope {:.4} for each, {:.2} at zero, fit {:.3}\n",
+        line.slope, line.base, line.fit
+    );
+}
--- /dev/null
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -0,0 +1,198 @@
+//! Memory, measured by a counting allocator.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use seam_core::event::KeyName;
+use seam_core::keys::{Ending, KeyTable};
+use seam_core::prefix::PrefixTable;
+use seam_core::targets::TargetKey;
+use seam_core::{Arrival, Event, Identity, Node, Origin, Ticket};
+use seam_harness::sizes::{self, customer_name};
+use seam_protocol::{
+    Bundle, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, StoredAnswer, Time, VmId,
+};
+
+use crate::{ALLOCATED, fit};
+
+/// Returns the bytes that a value keeps allocated.
+fn kept<T>(make: impl FnOnce() -> T) -> (T, f64) {
+    let before = ALLOCATED.current_usage();
+    let value = make();
+    let after = ALLOCATED.current_usage();
+    (value, after.saturating_sub(before) as f64)
+}
+
+fn points(sizes: &[usize], mut measure: impl FnMut(usize) -> f64) -> Vec<(f64, f64)> {
+    sizes
+        .iter()
+        .map(|size| (*size as f64, measure(*size)))
+        .collect()
+}
+
+/// Makes a node with a bundle, ready to serve.
+pub fn node(bundle: &Arc<Bundle>) -> (Node, Time) {
+    let (vm, rule) = bundle
+        .deployment
+        .vms
+        .iter()
+        .next()
+        .expect("a deployment has VMs");
+    let id = Identity {
+        vm: *vm,
+        region: rule.region,
+        incarnation: Incarnation(1),
+    };
+    let mut node = Node::new(id, 1, Time(0));
+    let mut out = Vec::new();
+    node.handle(Time(0), Event::Bundle(bundle.clone()), &mut out);
+    let mut now = 0;
+    while now < 4_000_000 {
+        now += 100_000;
+        node.handle(Time(now), Event::Tick, &mut out);
+    }
+    (node, Time(now))
+}
+
+/// Returns a request of a customer for the first service.
+pub fn arrival(ticket: u64, customer: &str, service: &str) -> Event {
+    Event::Arrive(Arrival {
+        ticket: Ticket(ticket),
+        origin: Origin::Caller,
+        customer: CustomerId::of(customer),
+        service: ServiceId::of(service),
+        repeatable: true,
+        key: None,
+        fingerprint: Fingerprint(ticket),
+        prefix: Some(ticket % 64),
+        budget: std::time::Duration::from_secs(3600),
+    })
+}
+
+/// Prints the tables.
+pub fn print() {
+    println!("## Memory\n");
+    let customers = points(&[1000, 4000, 14_000, 28_000], |count| {
+        kept(|| sizes::bundle(&sizes::large(25, 370, 30, count))).1
+    });
+    fit::print(
+        "Bundle in force, by customers",
+        "customers",
+        "bytes",
+        &customers,
+    );
+    let parts = points(&[1000, 4000, 14_000, 28_000], |count| {
+        let bundle = sizes::bundle(&sizes::large(25, 370, 30, count));
+        kept(|| seam_config::split(&bundle).expect("small parts")).1
+    });
+    fit::print(
+        "Parts kept for peers, by customers",
+        "customers",
+        "bytes",
+        &parts,
+    );
+    let index = points(&[1000, 4000, 14_000, 28_000], |count| {
+        let bundle = sizes::bundle(&sizes::large(2, 4, 1, count));
+        let digests = || -> BTreeMap<_, _> {
+            let customers = bundle.customers.iter();
+            customers
+                .map(|(id, rule)| (rule.credentials[0], *id))
+                .collect()
+        };
+        kept(digests).1
+    });
+    fit::print("Index of credentials", "customers", "bytes", &index);
+    let targets = points(&[8, 32, 64, 128], |count| {
+        let mut size = sizes::large(1, 2, 1, 10);
+        size.services[0].targets = vec![count];
+        let bundle = Arc::new(sizes::bundle(&size));
+        kept(|| node(&bundle)).1
+    });
+    fit::print(
+        "Node, by targets in its region",
+        "targets",
+        "bytes",
+        &targets,
+    );
+    let keys = points(&[1000, 10_000, 50_000, 100_000], |count| {
+        kept(|| held_keys(count)).1
+    });
+    fit::print(
+        "Keys held, with answers of 200 bytes",
+        "keys",
+        "bytes",
+        &keys,
+    );
+    let queued = points(&[100, 1000, 4000, 12_000], queued_requests);
+    fit::print("Queued requests", "requests", "bytes", &queued);
+    let prefixes = points(&[100, 500, 1000, 2000], |count| {
+        kept(|| {
+            let mut table = PrefixTable::default();
+            for prefix in 0..count as u64 {
+                table.note(Time(prefix), TargetKey(0), prefix);
+            }
+            table
+        })
+        .1
+    });
+    fit::print("Prefixes of one target", "prefixes", "bytes", &prefixes);
+    let active = points(&[100, 1000, 4000, 12_000], active_customers);
+    fit::print("Customers active lately", "customers", "bytes", &active);
+}
+
+fn held_keys(count: usize) -> KeyTable {
+    let mut table = KeyTable::default();
+    for number in 0..count as u64 {
+        let name = KeyName::Caller {
+            customer: CustomerId(number),
+            digest: number,
+        };
+        table.claim(Time(0), &name, Fingerprint(number), Ticket(number));
+        let answer = StoredAnswer {
+            status: 200,
+            fields: Vec::new(),
+            body: vec![0; 200],
+        };
+        table.settle(Time(0), &name, Ending::Complete(Some(Arc::new(answer))));
+    }
+    table
+}
+
+fn queued_requests(count: usize) -> f64 {
+    let mut size = sizes::large(1, 1, 1, 100);
+    size.concurrency = 1_000_000;
+    let bundle = Arc::new(sizes::bundle(&size));
+    let (mut node, now) = node(&bundle);
+    let mut out = Vec::new();
+    kept(|| {
+        for ticket in 0..count as u64 {
+            let customer = customer_name(ticket as usize % 100);
+            node.handle(now, arrival(ticket, &customer, "model-0"), &mut out);
+            out.clear();
+        }
+    })
+    .1
+}
+
+fn active_customers(count: usize) -> f64 {
+    let bundle = Arc::new(sizes::bundle(&sizes::large(1, 1, 1, count)));
+    let (mut node, now) = node(&bundle);
+    let mut out = Vec::new();
+    kept(|| {
+        for ticket in 0..count as u64 {
+            let customer = customer_name(ticket as usize);
+            node.handle(now, arrival(ticket, &customer, "model-0"), &mut out);
+            node.handle(now, Event::Gone(Ticket(ticket)), &mut out);
+            out.clear();
+        }
+    })
+    .1
+}
+
+/// Names the first VM and region of a deployment, for other measurements.
+pub fn first_peer(bundle: &Bundle) -> (VmId, RegionId) {
+    let mut vms = bundle.deployment.vms.iter();
+    let own = vms.next().map(|(_, vm)| vm.region);
+    let peer = vms.find(|(_, vm)| Some(vm.region) == own);
+    peer.map_or((VmId(0), RegionId(0)), |(id, vm)| (*id, vm.region))
+}
--- /dev/null
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -0,0 +1,69 @@
+//! Bytes and messages between nodes.
+
+use std::time::Duration;
+
+use seam_harness::World;
+use seam_harness::sizes::{self, Size, customer_name};
+use seam_harness::traffic::Traffic;
+use seam_harness::world::KeyChoice;
+use seam_protocol::{CustomerId, RegionId, ServiceId, Time};
+
+use crate::fit;
+
+const SETTLE: Duration = Duration::from_secs(15);
+const SPAN: f64 = 30.0;
+
+/// Runs a deployment with some load everywhere; returns bytes and messages a node and second.
+pub fn rates(size: &Size) -> (f64, f64) {
+    let mut world = World::new(sizes::bundle(size), 3);
+    for (index, service) in size.services.iter().enumerate() {
+        for (place, region) in size.regions.iter().enumerate() {
+            // Every third customer is at home in a region, in turn.
+            let home = 3 * (place + size.regions.len() * index);
+            world.add_traffic(Traffic {
+                customer: CustomerId::of(&customer_name(home % size.customers)),
+                region: RegionId::of(&region.0),
+                service: ServiceId::of(&service.name),
+                rate: 1.0,
+                peak: None,
+                from: Time(6_000_000),
+                until: Time(60_000_000),
+                repeatable: true,
+                key: KeyChoice::None,
+                prefixes: 0,
+                budget: Duration::from_secs(10),
+            });
+        }
+    }
+    world.run_for(SETTLE);
+    let before = world.counts;
+    world.run_for(Duration::from_secs_f64(SPAN));
+    let nodes = world.live().len() as f64;
+    let bytes = (world.counts.beat_bytes - before.beat_bytes) as f64;
+    let beats = (world.counts.beats - before.beats) as f64;
+    (bytes / nodes / SPAN, beats / nodes / SPAN)
+}
+
+/// Prints the tables.
+pub fn print() {
+    println!("## Heartbeats\n\nBytes with MAC, UDP and IP headers, sent by a node in a second.\n");
+    let run = |title: &str, x: &str, sizes: &[(usize, Size)]| {
+        let points: Vec<(f64, f64)> = sizes
+            .iter()
+            .map(|(count, size)| (*count as f64, rates(size).0))
+            .collect();
+        fit::print(title, x, "bytes/s", &points);
+    };
+    let by_nodes = [2, 4, 8, 16, 32, 60].map(|nodes| (nodes, sizes::large(2, 2 * nodes, 8, 6000)));
+    run("By nodes in a region", "nodes", &by_nodes);
+    let by_regions =
+        [2, 6, 12, 25].map(|regions| (regions, sizes::large(regions, regions * 4, 8, 6000)));
+    run("By regions", "regions", &by_regions);
+    let by_services =
+        [1, 4, 8, 16, 30].map(|services| (services, sizes::large(4, 32, services, 6000)));
+    run("By services", "services", &by_services);
+    let (bytes, beats) = rates(&sizes::large(25, 370, 30, 6000));
+    println!(
+        "370 nodes in 25 regions with 30 services: {bytes:.0} bytes/s and {beats:.2} messages/s sent by each node.\n"
+    );
+}
--- a/crates/seam-harness/examples/measure/times.rs
+++ b/crates/seam-harness/examples/measure/times.rs
@@ -34,7 +34,7 @@
     settled.then(|| last.since(start))
 }
 
-fn leaving(size: &Size) -> Option<Duration> {
+fn leaving(size: &Size) -> Duration {
     let mut world = loaded(size);
     let target = target_name(WRITER, &size.regions[0].0, 0);
     let id = TargetId::of(&target);
@@ -42,7 +42,7 @@
     world.fault(&Fault::Leave { target, ms: 60_000 });
     world.run_for(Duration::from_secs(50));
     let last = world.last_work.get(&id).copied().unwrap_or(start);
-    Some(last.since(start))
+    last.since(start)
 }
 
 fn crash(size: &Size) -> Option<Duration> {
@@ -122,13 +122,13 @@
     println!("| event | hamutenya | bulabula |");
     println!("| --- | --- | --- |");
     let [first, second] = users();
-    let mut line = |name: &str, a: Option<Duration>, b: Option<Duration>| {
+    let line = |name: &str, a: Option<Duration>, b: Option<Duration>| {
         println!("| {name} | {} | {} |", cell(a), cell(b));
     };
     line(
         "a target is listed as leaving",
-        leaving(&first),
-        leaving(&second),
+        Some(leaving(&first)),
+        Some(leaving(&second)),
     );
     line("a target crashes", crash(&first), crash(&second));
     let (parted, healed) = (partition(&first), partition(&second));
--- a/crates/seam-harness/src/world/callers.rs
+++ b/crates/seam-harness/src/world/callers.rs
@@ -9,8 +9,12 @@
 use super::{Call, Happening, KeyChoice, OpId, RunId, SendingId, Via, Wish, World};
 use crate::link::CALLER;
 use crate::oracle::{Breach, Op};
+
 use crate::traffic::Traffic;
 
+/// Entries over which a customer's callers spread.
+const FIRST_ENTRIES: usize = 3;
+
 impl Wish {
     /// Returns the key that every sending of an operation carries.
     pub(super) fn key(&self, op: OpId) -> Option<KeyName> {
@@ -52,7 +56,7 @@
         self.wishes.insert(op, wish);
         let rule = Op {
             repeatable: call.repeatable,
-            keyed: call.key != KeyChoice::None,
+            keyed: call.key != KeyChoice::None && !call.repeatable,
             runs: Vec::new(),
             sendings: Vec::new(),
         };
@@ -245,7 +249,7 @@
         if near.is_empty() {
             return entries.nodes.first().copied();
         }
-        let pick = self.rng.random_range(0..near.len());
+        let pick = self.rng.random_range(0..near.len().min(FIRST_ENTRIES));
         Some(near[pick])
     }
 }
--- a/crates/seam-harness/src/world/platform.rs
+++ b/crates/seam-harness/src/world/platform.rs
@@ -16,7 +16,7 @@
 pub const REVISION_LIMIT: Duration = Duration::from_secs(4);
 /// Time for the platform's list to show a change.
 const LIST_LAG: Duration = Duration::from_millis(1500);
-/// Time between two reads of a target's load.
+/// Time between two reads of the targets' loads, one target each time.
 const POLL: Duration = Duration::from_secs(1);
 /// Time between two tries of a node that has no configuration.
 const JOIN_AGAIN: Duration = Duration::from_secs(1);
@@ -198,11 +198,13 @@
             .node(vm)
             .map(seam_core::Node::used_targets)
             .unwrap_or_default();
-        for (target, _, _) in used {
-            if let Some(report) = self.report(target) {
-                let event = Event::Load(target, report);
-                self.after(2 * NEAR, Happening::Deliver(vm, incarnation, event));
-            }
+        let turn = self.now.0 / POLL.as_micros() as u64;
+        let target = used.get(turn as usize % used.len().max(1));
+        if let Some((target, _, _)) = target
+            && let Some(report) = self.report(*target)
+        {
+            let event = Event::Load(*target, report);
+            self.after(2 * NEAR, Happening::Deliver(vm, incarnation, event));
         }
         self.after(POLL, Happening::Poll(vm, incarnation));
     }
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -212,6 +212,18 @@
     }
 }
 
+impl Service {
+    /// Returns the slots of all targets in a region.
+    #[must_use]
+    pub fn slots_in(&self, region: RegionId) -> u32 {
+        let targets = self.targets.values();
+        targets
+            .filter(|target| target.region == region)
+            .map(|target| target.slots)
+            .sum()
+    }
+}
+
 /// Decodes percent signs and drops empty and dot segments, so that no spelling evades a route.
 fn plain_path(path: &str) -> String {
     let path = path.split(['?', '#']).next().unwrap_or_default();
