Name only services short of room in digests, and read shared targets first

Cause: digests grew by 22 bytes/s for each service; with received traffic a node of the coming fleet spent 2.5 KB/s on heartbeats alone. Change: a digest names the services with less than a quarter of their slots free; others count as having a quarter. Digests ride along every other round. Targets that one node alone uses are read every fifth turn.

--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -19,6 +19,8 @@
 pub const RECORDS: usize = 4;
 /// Digests of other regions in a datagram inside the region.
 pub const DIGESTS: usize = 1;
+/// Rounds between two that carry digests inside the region.
+pub const DIGEST_ROUNDS: usize = 2;
 /// Loads in one record.
 pub const LOADS: usize = 3;
 /// Suspects in one datagram.
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use seam_protocol::heartbeat::ServiceRoom;
 use seam_protocol::id::rank;
 use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
 
+use super::members::{CLOSED, plenty};
 use super::{Lane, Node};
 use crate::command::{Command, Refusal};
 use crate::request::{Attempt, AttemptKey, Place, Request, Stage, Ticket};
@@ -215,13 +217,24 @@
 
     /// Returns what is left of a region's room after what this node has sent since its digest.
     fn room_in(&self, now: Time, region: RegionId, service: ServiceId) -> Option<There> {
-        let room = self.peers.room(now, region, service.tag())?;
+        let bundle = self.bundle.as_ref()?;
+        let slots = bundle.services.get(&service)?.slots_in(region);
+        self.peers.region(now, region)?;
+        let unnamed = ServiceRoom {
+            service: service.tag(),
+            free: plenty(slots),
+            wait: 0,
+        };
+        let room = self.peers.room(now, region, service.tag());
+        let room = room.unwrap_or(unnamed);
+        if room.wait == CLOSED {
+            return None;
+        }
         let heard = self.peers.region_heard(region)?;
         let away = self.away.get(&(region, service)).copied();
         let away = away.filter(|away| away.since >= heard).unwrap_or_default();
         let usable = (f64::from(room.free) * self.spill.ramp(now, region)).ceil() as u32;
         let free = usable.saturating_sub(away.sent);
-        let bundle = self.bundle.as_ref()?;
         let trip = Duration::from_micros(2 * bundle.delay(self.id.region, region));
         let full = away.full || (free == 0 && room.free > 0);
         let wait = if full {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -11,15 +11,24 @@
 use super::Node;
 use crate::command::Command;
 use crate::event::Hop;
-use crate::gossip::{DIGESTS, LOADS, RECORDS, SUSPECTS};
+use crate::gossip::{DIGEST_ROUNDS, DIGESTS, LOADS, RECORDS, SUSPECTS};
 use crate::limits::Asking;
 use crate::peers::Peers;
 use crate::share::{Claim, split};
 use crate::targets::sharers;
 
+/// Part of a service's slots that counts as plenty.
+const PLENTY: u32 = 4;
+/// Wait of a service without a target that takes work.
+pub(super) const CLOSED: u32 = u32::MAX;
 /// Ready nodes named in a region's digest.
 const DIGEST_NODES: usize = 4;
 
+/// Returns the free slots from which on a service is not named in a digest.
+pub(super) fn plenty(slots: u32) -> u32 {
+    (slots / PLENTY).max(1)
+}
+
 impl Node {
     /// Takes in a heartbeat whose MAC was checked.
     pub(super) fn heard(&mut self, now: Time, beat: &Heartbeat, out: &mut Vec<Command>) {
@@ -229,7 +238,9 @@
         if self.regions.get(&to) == Some(&self.id.region) {
             let others = self.peers.freshest(now, self.id.region, to, RECORDS);
             beat.records.extend(others);
-            beat.digests = self.peers.digests(now, turn, self.id.region, DIGESTS);
+            if turn.is_multiple_of(DIGEST_ROUNDS) {
+                beat.digests = self.peers.digests(now, turn, self.id.region, DIGESTS);
+            }
         } else {
             let region = self.regions.get(&to).copied().unwrap_or_default();
             if self.standing.fresh() {
@@ -320,29 +331,39 @@
         }
     }
 
+    /// Returns the room of the services that are short of it. Of a service that is not named, other
+    /// regions take [`PLENTY`] of the slots as free.
     fn rooms(&self, now: Time) -> Vec<ServiceRoom> {
         let Some(bundle) = &self.bundle else {
             return Vec::new();
         };
         let mut slots: BTreeMap<_, u32> = BTreeMap::new();
         for (_, state) in self.targets.all() {
-            if state.phase == crate::targets::Phase::Serving {
-                *slots.entry(state.service).or_default() += state.rule.slots;
-            }
+            let serving = state.phase == crate::targets::Phase::Serving;
+            *slots.entry(state.service).or_default() += u32::from(serving) * state.rule.slots;
         }
         let mut rooms = Vec::new();
-        for (service, slots) in slots.into_iter().filter(|(_, slots)| *slots > 0) {
-            if !bundle.services.contains_key(&service) {
+        for (service, slots) in slots {
+            let Some(rule) = bundle.services.get(&service) else {
                 continue;
-            }
+            };
             let (running, queued) = self.regional_load(now, service);
-            let free = slots.saturating_sub(running);
-            let turns = f64::from((queued + 1).saturating_sub(free)) / f64::from(slots);
-            let wait = self.expected(service).mul_f64(turns);
+            let free = slots.saturating_sub(running + queued);
+            if free >= plenty(rule.slots_in(self.id.region)) {
+                continue;
+            }
+            let turns = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
+            let wait = self
+                .expected(service)
+                .mul_f64(turns / f64::from(slots.max(1)));
             rooms.push(ServiceRoom {
                 service: service.tag(),
                 free,
-                wait: wait.as_millis() as u32,
+                wait: if slots == 0 {
+                    CLOSED
+                } else {
+                    wait.as_millis() as u32
+                },
             });
         }
         rooms
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::node::{Counters, Node};
-use crate::targets::Phase;
+use crate::targets::{Phase, TargetState};
 
 /// A node's beliefs at one time.
 #[derive(Clone, Debug, Serialize)]
@@ -202,16 +202,22 @@
             .collect()
     }
 
-    /// Returns the targets that this node uses, with their services and addresses.
+    /// Returns the targets to be read in a turn, with their services and addresses.
+    ///
+    /// What others do at a target matters where several nodes use it. Targets of this node alone
+    /// are read seldom, for the models that they hold.
     #[must_use]
-    pub fn used_targets(&self) -> Vec<(TargetId, ServiceId, SocketAddr)> {
+    pub fn read_targets(&self, turn: usize) -> Vec<(TargetId, ServiceId, SocketAddr)> {
+        const SELDOM: usize = 5;
         let Some(bundle) = &self.bundle else {
             return Vec::new();
         };
+        let shared = |state: &TargetState| state.part < state.rule.slots;
         bundle
             .services
             .keys()
             .flat_map(|service| self.targets.of(*service))
+            .filter(|(_, state)| shared(state) || turn.is_multiple_of(SELDOM))
             .map(|(_, state)| (state.id, state.service, state.rule.address))
             .collect()
     }
--- a/crates/seam-harness/src/world/platform.rs
+++ b/crates/seam-harness/src/world/platform.rs
@@ -194,12 +194,10 @@
         if !self.same(vm, incarnation) {
             return;
         }
-        let used = self
-            .node(vm)
-            .map(seam_core::Node::used_targets)
-            .unwrap_or_default();
-        let turn = self.now.0 / POLL.as_micros() as u64;
-        let target = used.get(turn as usize % used.len().max(1));
+        let turn = (self.now.0 / POLL.as_micros() as u64) as usize;
+        let node = self.node(vm);
+        let used = node.map(|node| node.read_targets(turn)).unwrap_or_default();
+        let target = used.get(turn % used.len().max(1));
         if let Some((target, _, _)) = target
             && let Some(report) = self.report(*target)
         {
--- a/crates/seam-node/src/polls.rs
+++ b/crates/seam-node/src/polls.rs
@@ -43,7 +43,7 @@
     let mut open: BTreeMap<SocketAddr, Connection> = BTreeMap::new();
     for turn in 0_usize.. {
         Timer::after(READ).await;
-        let targets = targets(&hub);
+        let targets = targets(&hub, turn);
         let Some((target, address, kind)) = targets.get(turn % targets.len().max(1)).copied()
         else {
             continue;
@@ -56,11 +56,11 @@
     }
 }
 
-fn targets(hub: &Hub) -> Vec<(TargetId, SocketAddr, Kind)> {
+fn targets(hub: &Hub, turn: usize) -> Vec<(TargetId, SocketAddr, Kind)> {
     let Some(snapshot) = hub.snapshot() else {
         return Vec::new();
     };
-    let used = hub.read(|node, _| node.used_targets());
+    let used = hub.read(|node, _| node.read_targets(turn));
     used.into_iter()
         .filter_map(|(target, service, address)| {
             let kind = snapshot.bundle.services.get(&service)?.kind;
