--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use seam_protocol::{CustomerId, RegionId, ServiceId, TargetId, Time};
+use seam_protocol::{CustomerId, RegionId, ServiceId, TargetId, Time, VmId};
 use serde::Serialize;
 
 use crate::node::{Counters, Node};
@@ -241,6 +241,12 @@
         key.is_some_and(|key| self.targets.get(key).phase == Phase::Serving)
     }
 
+    /// Tells whether a node was heard of within its lease.
+    #[must_use]
+    pub fn believes_alive(&self, now: Time, vm: VmId) -> bool {
+        self.peers.alive(now, vm).is_some()
+    }
+
     /// Tells whether a region was heard of within its lease.
     #[must_use]
     pub fn hears_region(&self, now: Time, region: RegionId) -> bool {
--- a/crates/seam-harness/examples/capacity/main.rs
+++ b/crates/seam-harness/examples/capacity/main.rs
@@ -26,6 +26,7 @@
     let wanted = |name: &str| arguments.what == "all" || arguments.what == name;
     if wanted("traffic") {
         traffic::print();
+        traffic::print_liveness();
     }
     if wanted("memory") {
         memory::print();
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -67,3 +67,23 @@
         "370 nodes in 25 regions with 30 services: {bytes:.0} bytes/s and {beats:.2} messages/s sent by each node.\n"
     );
 }
+
+/// Prints how many of the live nodes of a region are believed alive.
+pub fn print_liveness() {
+    println!("### Live nodes of a region that a node believes alive\n");
+    println!("| nodes | share believed alive | least at one time |");
+    println!("| --- | --- | --- |");
+    for nodes in [3, 8, 16, 32, 60] {
+        let mut world = World::new(sizes::bundle(&sizes::large(2, 2 * nodes, 2, 60)), 3);
+        world.run_for(SETTLE * 2);
+        let mut shares = Vec::new();
+        for _ in 0..20 {
+            world.run_for(Duration::from_secs(2));
+            shares.push(world.believed_alive());
+        }
+        let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+        let least = shares.iter().copied().fold(1.0, f64::min);
+        println!("| {nodes} | {mean:.4} | {least:.4} |");
+    }
+    println!();
+}
--- a/crates/seam-harness/src/world.rs
+++ b/crates/seam-harness/src/world.rs
@@ -416,6 +416,25 @@
             .collect()
     }
 
+    /// Returns the part of live pairs of one region in which one node believes the other alive.
+    #[must_use]
+    pub fn believed_alive(&self) -> f64 {
+        let (mut right, mut pairs) = (0_usize, 0_usize);
+        for (vm, slot) in &self.slots {
+            let Some(node) = &slot.node else {
+                continue;
+            };
+            let near = self.slots.iter().filter(|(other, peer)| {
+                *other != vm && peer.region == slot.region && peer.node.is_some()
+            });
+            for (other, _) in near {
+                pairs += 1;
+                right += usize::from(node.believes_alive(slot.local(self.now), *other));
+            }
+        }
+        right as f64 / pairs.max(1) as f64
+    }
+
     /// Returns the newest configuration published.
     #[must_use]
     pub fn newest(&self) -> &Bundle {
