--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -304,6 +304,12 @@
             "60",
             "seconds after SIGTERM before requests in flight are cut off",
         ),
+        may(
+            "seeds",
+            Holds::Texts,
+            "[]",
+            "addresses of other nodes, asked at start besides the configuration service",
+        ),
         must("listen", Holds::Named, "addresses"),
         must("platform", Holds::Named, "the platform's services"),
         must("secrets", Holds::Named, "files that hold secrets"),
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -80,6 +80,8 @@
     pub workers: usize,
     /// Seconds after which a drain cuts off what is left.
     pub drain_limit: u64,
+    /// Other nodes to ask at start.
+    pub seeds: Vec<SocketAddr>,
     /// Addresses.
     pub listen: Listen,
     /// The platform's services.
@@ -129,6 +131,7 @@
     let centre = table.text(file, "centre");
     let workers = table.whole(file, "workers") as usize;
     let drain_limit = table.whole(file, "drain_limit_s");
+    let seeds = seeds_of(file, table);
     let listen = table.table(file, "listen", &schema::LISTEN);
     let listen = listen.and_then(|table| {
         let caller = table.address(file, "caller");
@@ -160,6 +163,7 @@
         centre: centre?.text,
         workers,
         drain_limit,
+        seeds,
         listen: listen?,
         platform: platform?,
         secrets: secrets?,
@@ -167,6 +171,20 @@
     })
 }
 
+fn seeds_of(file: &mut File, table: &Table) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for named in table.texts(file, "seeds").unwrap_or_default() {
+        match named.text.parse() {
+            Ok(address) => seeds.push(address),
+            Err(_) => {
+                let found = format!("{:?}", named.text);
+                table.wrong(file, "seeds", &found, "a list of IP addresses with ports");
+            }
+        }
+    }
+    seeds
+}
+
 fn secrets_of(file: &mut File, path: &Path, table: &Table) -> Option<Secrets> {
     const LEAST_BYTES: usize = 16;
     let fleet = secret(file, path, table, "fleet");
--- /dev/null
+++ b/crates/seam-config/tests/bundle_parts.rs
@@ -0,0 +1,78 @@
+//! Bundles as manifest and parts.
+
+use std::path::Path;
+
+use seam_config::{BundleError, assemble, split};
+use seam_protocol::{Bundle, Customer, CustomerId, Digest};
+
+fn example() -> Bundle {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hamutenya");
+    let mut bundle = seam_config::gather(&[root]).unwrap();
+    bundle.revision = 7;
+    bundle
+}
+
+fn many() -> Bundle {
+    let mut bundle = example();
+    let model = bundle.customers.values().next().unwrap().clone();
+    for index in 0..28_000 {
+        let name = format!("customer-{index}");
+        let customer = Customer {
+            credentials: vec![Digest::of(name.as_bytes())],
+            name: name.clone(),
+            ..model.clone()
+        };
+        bundle.customers.insert(CustomerId::of(&name), customer);
+    }
+    bundle
+}
+
+#[test]
+fn round_trip() {
+    let mut bundle = example();
+    let set = split(&bundle).unwrap();
+    bundle.digest = Digest::of(&set.manifest);
+    assert_eq!(assemble(&set).unwrap(), bundle);
+}
+
+#[test]
+fn one_part_a_change() {
+    let mut bundle = many();
+    let old = split(&bundle).unwrap();
+    assert!(
+        old.parts
+            .values()
+            .all(|part| part.len() < seam_config::bundle::LARGEST_PART)
+    );
+    bundle.revision += 1;
+    bundle.customers.values_mut().next().unwrap().rate += 1;
+    let new = split(&bundle).unwrap();
+    let fresh = new
+        .parts
+        .keys()
+        .filter(|digest| !old.parts.contains_key(digest));
+    assert_eq!(fresh.count(), 1);
+}
+
+#[test]
+fn missing_part() {
+    let mut set = split(&example()).unwrap();
+    set.parts.pop_first();
+    assert!(matches!(assemble(&set), Err(BundleError::Absent { .. })));
+}
+
+#[test]
+fn changed_part() {
+    let mut set = split(&example()).unwrap();
+    let digest = *set.parts.keys().next().unwrap();
+    set.parts.insert(digest, b"{}".to_vec());
+    assert!(matches!(assemble(&set), Err(BundleError::Digest { .. })));
+}
+
+#[test]
+fn large_part() {
+    let mut bundle = example();
+    let customer = bundle.customers.values_mut().next().unwrap();
+    customer.name = "x".repeat(1 << 20);
+    assert!(matches!(split(&bundle), Err(BundleError::Large { .. })));
+}
--- a/crates/seam-emulator/src/fleet.rs
+++ b/crates/seam-emulator/src/fleet.rs
@@ -76,6 +76,7 @@
         centre: String::new(),
         workers: 1,
         drain_limit: 60,
+        seeds: Vec::new(),
         listen: Listen {
             caller: any,
             peer: any,
--- a/crates/seam-emulator/src/load.rs
+++ b/crates/seam-emulator/src/load.rs
@@ -17,6 +17,8 @@
 pub struct Load {
     /// Who calls whom.
     pub caller: Caller,
+    /// Method.
+    pub method: Method,
     /// Path.
     pub path: String,
     /// Body.
@@ -102,7 +104,9 @@
     }
     let connection = open.as_mut()?;
     connection.ready().await.ok()?;
-    let mut request = load.caller.request(Method::POST, &load.path, &load.body);
+    let mut request = load
+        .caller
+        .request(load.method.clone(), &load.path, &load.body);
     let host = host(load.caller.node)?;
     request.headers_mut().insert(header::HOST, host);
     let answer = connection.send(request).await.ok()?;
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -136,6 +136,7 @@
             spawn(watch::watch_vms(hub.clone(), platform, seed)),
             spawn(watch::watch_directory(hub.clone(), platform)),
             spawn(polls::poll_targets(hub.clone())),
+            spawn(join(hub.clone())),
         ];
         self.tasks = tasks;
     }
@@ -267,6 +268,18 @@
     }
 }
 
+/// Asks other nodes for the configuration until there is one, since the service may be down or old.
+async fn join(hub: Arc<Hub>) {
+    const PAUSE: Duration = Duration::from_millis(500);
+    let seeds = hub.settings().seeds.clone();
+    while hub.snapshot().is_none() && !seeds.is_empty() {
+        for seed in &seeds {
+            fetch(&hub, *seed).await;
+        }
+        Timer::after(PAUSE).await;
+    }
+}
+
 async fn fetch(hub: &Hub, address: std::net::SocketAddr) {
     match link::newest(hub, address).await {
         Ok(set) => {
--- /dev/null
+++ b/crates/seam-node/tests/cold_joins.rs
@@ -0,0 +1,45 @@
+//! Nodes that start while the configuration service is down.
+
+use seam_emulator::fleet::{hamutenya, settings, until, with_fleet};
+use seam_node::Daemon;
+
+#[test]
+fn by_seeds() {
+    with_fleet(|mut fleet| async move {
+        fleet.platform.set_down(true);
+        let id = seam_protocol::VmId::of("khomas-3");
+        let old = fleet.nodes.remove(&id).unwrap();
+        let listen = old.listen;
+        old.abort();
+        let mut fresh = settings("khomas-3", "khomas", fleet.platform.address());
+        fresh.listen = listen;
+        fresh.seeds = vec![fleet.node("khomas-1").listen.peer];
+        // The old process's addresses come free a moment after its end.
+        let mut started = None;
+        until(|| {
+            started = started
+                .take()
+                .or_else(|| Daemon::new(fresh.clone()).serve().ok());
+            started.is_some()
+        })
+        .await;
+        let daemon = started.unwrap();
+        until(|| daemon.hub().read(seam_core::Node::ready)).await;
+        let status = daemon.hub().read(seam_core::Node::status);
+        assert_eq!(status.revision, 1);
+    });
+}
+
+#[test]
+fn example_settings() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let bundle = hamutenya();
+    for name in ["khomas-1", "erongo-1", "oshana-1"] {
+        let path = folder.join(format!("hamutenya/nodes/{name}.toml"));
+        let settings = seam_config::settings::load(&path).unwrap_or_else(|e| panic!("{e}"));
+        let rule = &bundle.deployment.vms[&seam_protocol::VmId::of(name)];
+        assert_eq!(settings.listen.caller, rule.caller);
+        assert_eq!(settings.listen.peer, rule.peer);
+        assert_eq!(settings.seeds.len(), 3);
+    }
+}
