--- a/crates/seam-ctl/src/commands.rs
+++ b/crates/seam-ctl/src/commands.rs
@@ -82,7 +82,7 @@
 
 /// Prints a value as JSON.
 fn print_json(value: &Value) {
-    println!("{value:#}");
+    say!("{value:#}");
 }
 
 /// Returns a field as text, for tables.
@@ -108,7 +108,7 @@
             .zip(&widths)
             .map(|(cell, width)| format!("{cell:width$}"));
         let line: Vec<String> = padded.collect();
-        println!("{}", line.join("  ").trim_end());
+        say!("{}", line.join("  ").trim_end());
     };
     line(head.to_vec());
     for row in rows {
--- a/crates/seam-ctl/src/commands/check.rs
+++ b/crates/seam-ctl/src/commands/check.rs
@@ -22,7 +22,7 @@
     pub fn run(self) -> Result<ExitCode, CtlError> {
         let bundle = seam_config::gather(&self.sources).context(ConfigSnafu)?;
         let set = seam_config::split(&bundle).context(BundleSnafu)?;
-        println!(
+        say!(
             "valid: {} regions, {} VMs, {} services, {} customers in {} parts",
             bundle.deployment.regions.len(),
             bundle.deployment.vms.len(),
--- a/crates/seam-ctl/src/commands/credential.rs
+++ b/crates/seam-ctl/src/commands/credential.rs
@@ -31,11 +31,11 @@
             Some(path) => node::token(path)?,
             None => {
                 let token = fresh();
-                println!("token:  {token}");
+                say!("token:  {token}");
                 token
             }
         };
-        println!("digest: {}", Digest::of(token.as_bytes()));
+        say!("digest: {}", Digest::of(token.as_bytes()));
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/crates/seam-ctl/src/commands/diff.rs
+++ b/crates/seam-ctl/src/commands/diff.rs
@@ -37,7 +37,7 @@
         return Ok(());
     }
     for difference in differences {
-        println!("{difference}");
+        say!("{difference}");
     }
     Ok(())
 }
--- a/crates/seam-ctl/src/commands/drain.rs
+++ b/crates/seam-ctl/src/commands/drain.rs
@@ -45,7 +45,7 @@
             path = format!("{path}&target={}", node::quoted(target));
         }
         let status = node::call(self.admin, &self.token_file, Method::POST, &path)?;
-        println!(
+        say!(
             "draining {}, {} requests held",
             cell(&status["draining"]),
             cell(&status["held"])
--- a/crates/seam-ctl/src/commands/entries.rs
+++ b/crates/seam-ctl/src/commands/entries.rs
@@ -61,7 +61,7 @@
             .map(|entry| vec![entry.name, entry.region, entry.address])
             .collect();
         print_table(&["name", "region", "address"], &rows);
-        println!("valid for {} ms", found.valid_ms);
+        say!("valid for {} ms", found.valid_ms);
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/crates/seam-ctl/src/commands/explain.rs
+++ b/crates/seam-ctl/src/commands/explain.rs
@@ -49,12 +49,12 @@
             print_json(&found);
             return Ok(ExitCode::SUCCESS);
         }
-        println!("{}", cell(&found["decision"]));
-        println!();
+        say!("{}", cell(&found["decision"]));
+        say!();
         let fields = ["name", "allowed", "known", "wait_ms", "free"];
         print_list(&found["regions"], &fields);
-        println!();
-        println!("targets that could take it: {}", found["targets"]);
+        say!();
+        say!("targets that could take it: {}", found["targets"]);
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/crates/seam-ctl/src/commands/status.rs
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -42,17 +42,17 @@
         let head = ["ready", "draining", "revision", "digest", "held", "keys"];
         let row = head.iter().map(|field| cell(&status[*field])).collect();
         print_table(&head, &[row]);
-        println!();
+        say!();
         print_list(
             &status["peers"],
             &["name", "region", "alive", "ready", "revision", "age_ms"],
         );
-        println!();
+        say!();
         print_list(
             &status["targets"],
             &["name", "service", "phase", "running", "cap", "load"],
         );
-        println!();
+        say!();
         print_list(&usage, &["name", "running", "concurrency"]);
         Ok(ExitCode::SUCCESS)
     }
--- a/crates/seam-ctl/src/main.rs
+++ b/crates/seam-ctl/src/main.rs
@@ -3,6 +3,14 @@
 //! Exit codes: 0 for success, 1 for a refusal or failure, 2 for arguments that do not parse, 3 for
 //! a difference that `diff` found.
 
+/// Prints a line. A reader that has left, such as `head`, is no failure.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($part)*);
+    }};
+}
+
 mod commands;
 mod error;
 mod node;
--- a/crates/seam-ctl/tests/publish_steps.rs
+++ b/crates/seam-ctl/tests/publish_steps.rs
@@ -87,3 +87,10 @@
     let salons = Path::new(&example()).join("customers/salons.seam.toml");
     assert!(fs::read_to_string(salons).unwrap().contains(digest));
 }
+
+#[test]
+fn reader_leaves() {
+    let command = format!("{} reference | head -n 1", env!("CARGO_BIN_EXE_seamctl"));
+    let output = Command::new("sh").args(["-c", &command]).output().unwrap();
+    assert!(output.stderr.is_empty(), "{}", text(&output.stderr));
+}
