--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -9,7 +9,7 @@
 };
 
 /// Lease of a record in a region of few nodes.
-const LEASE: Duration = Duration::from_secs(4);
+const LEASE: Duration = Duration::from_secs(3);
 /// Further lease for each node of the region, since records then take longer to go round.
 const LEASE_STEP: Duration = Duration::from_millis(500);
 /// Lease of a region's digest among few regions.
