Read only the changed parts of a bundle, and give modules one job

Cause: a change of one customer among 28,000 cost 288 ms to read; choice of targets, their spread over nodes and placement of requests stood in two large files; readiness, VMs of a region and the way through the core stood twice. Change: parts in force are taken over; modules split; one function each.

--- a/crates/seam-config/src/bundle.rs
+++ b/crates/seam-config/src/bundle.rs
@@ -145,29 +145,53 @@
 /// # Errors
 /// See [`BundleError`].
 pub fn assemble(set: &PartSet) -> Result<Bundle, BundleError> {
+    assemble_onto(None, set)
+}
+
+/// Puts a manifest and its parts together, and takes parts that did not change from a bundle that was
+/// put together before.
+///
+/// # Errors
+/// See [`BundleError`].
+pub fn assemble_onto(
+    held: Option<(&Bundle, &Manifest)>,
+    set: &PartSet,
+) -> Result<Bundle, BundleError> {
     let manifest = manifest(&set.manifest)?;
     let mut deployment = None;
     let mut services: BTreeMap<ServiceId, Service> = BTreeMap::new();
     let mut customers: BTreeMap<CustomerId, Customer> = BTreeMap::new();
     for (name, stated) in &manifest.parts {
+        let same = held.filter(|(_, before)| before.parts.get(name) == Some(stated));
         let part = set.parts.get(stated).context(AbsentSnafu { name })?;
-        let found = Digest::of(part);
-        let stated = *stated;
-        ensure!(
-            found == stated,
-            DigestSnafu {
-                name,
-                found,
-                stated
-            }
-        );
+        if same.is_none() {
+            let found = Digest::of(part);
+            let stated = *stated;
+            ensure!(
+                found == stated,
+                DigestSnafu {
+                    name,
+                    found,
+                    stated
+                }
+            );
+        }
+        let bundle = same.map(|(bundle, _)| bundle);
         if name == DEPLOYMENT_PART {
-            deployment = Some(read::<Deployment>(name, part)?);
-        } else if name.starts_with(SERVICE_PREFIX) {
-            let service: Service = read(name, part)?;
+            let kept = bundle.map(|bundle| Ok(bundle.deployment.clone()));
+            deployment = Some(kept.unwrap_or_else(|| read::<Deployment>(name, part))?);
+        } else if let Some(service) = name.strip_prefix(SERVICE_PREFIX) {
+            let kept = bundle.and_then(|bundle| bundle.services.get(&ServiceId::of(service)));
+            let service = match kept {
+                Some(service) => service.clone(),
+                None => read::<Service>(name, part)?,
+            };
             services.insert(ServiceId::of(&service.name), service);
-        } else if name.starts_with(CUSTOMER_PREFIX) {
-            customers.append(&mut read(name, part)?);
+        } else if let Some(bucket) = name.strip_prefix(CUSTOMER_PREFIX) {
+            match bundle.and_then(|bundle| bucket_of(bundle, bucket)) {
+                Some(kept) => customers.extend(kept),
+                None => customers.append(&mut read(name, part)?),
+            }
         } else {
             return KindSnafu { name }.fail();
         }
@@ -183,6 +207,18 @@
     })
 }
 
+/// Returns the customers of a part of a bundle.
+fn bucket_of<'a>(
+    bundle: &'a Bundle,
+    bucket: &str,
+) -> Option<impl Iterator<Item = (CustomerId, Customer)> + 'a> {
+    const SHIFT: u32 = 64 - CUSTOMER_BITS;
+    let first = u64::from_str_radix(bucket, 16).ok()? << SHIFT;
+    let last = first | ((1 << SHIFT) - 1);
+    let range = bundle.customers.range(CustomerId(first)..=CustomerId(last));
+    Some(range.map(|(id, customer)| (*id, customer.clone())))
+}
+
 fn read<T: serde::de::DeserializeOwned>(name: &str, part: &[u8]) -> Result<T, BundleError> {
     serde_json::from_slice(part).context(PartSnafu { name })
 }
--- a/crates/seam-config/tests/bundle_parts.rs
+++ b/crates/seam-config/tests/bundle_parts.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use seam_config::{BundleError, assemble, split};
+use seam_config::{BundleError, assemble, assemble_onto, split};
 use seam_protocol::{Bundle, Customer, CustomerId, Digest};
 
 fn example() -> Bundle {
@@ -54,6 +54,21 @@
     assert_eq!(fresh.count(), 1);
 }
 
+#[test]
+fn onto_the_one_before() {
+    let mut bundle = many();
+    let old_set = split(&bundle).unwrap();
+    let old = assemble(&old_set).unwrap();
+    let manifest = seam_config::bundle::manifest(&old_set.manifest).unwrap();
+    bundle.revision += 1;
+    bundle.customers.pop_first();
+    bundle.customers.values_mut().next_back().unwrap().rate += 1;
+    bundle.services.values_mut().next().unwrap().deadline += 1;
+    let set = split(&bundle).unwrap();
+    let whole = assemble(&set).unwrap();
+    assert_eq!(assemble_onto(Some((&old, &manifest)), &set).unwrap(), whole);
+}
+
 #[test]
 fn missing_part() {
     let mut set = split(&example()).unwrap();
--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -42,15 +42,7 @@
 impl Gossip {
     /// Takes in the published nodes. Each node starts its rotation at its own place.
     pub fn adopt(&mut self, bundle: &Bundle, me: VmId, region: RegionId) {
-        let of = |region: RegionId| -> Vec<VmId> {
-            bundle
-                .deployment
-                .vms
-                .iter()
-                .filter(|(_, vm)| vm.region == region)
-                .map(|(id, _)| *id)
-                .collect()
-        };
+        let of = |region: RegionId| -> Vec<VmId> { bundle.deployment.vms_in(region).collect() };
         self.near = of(region);
         let place = self.near.iter().position(|vm| *vm == me).unwrap_or(0);
         self.near.rotate_left(place);
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod finish;
 mod members;
+mod place;
 mod tick;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -279,10 +279,7 @@
     let region = owner_region(bundle, service, customer)?;
     bundle
         .deployment
-        .vms
-        .iter()
-        .filter(|(_, vm)| vm.region == region)
-        .map(|(id, _)| *id)
+        .vms_in(region)
         .max_by_key(|id| rank(digest, u64::from(id.0)))
 }
 
@@ -290,13 +287,7 @@
 #[must_use]
 pub fn owner_region(bundle: &Bundle, service: &Service, customer: &Customer) -> Option<RegionId> {
     let mut allowed = bundle.allowed(service, customer);
-    allowed.retain(|region| {
-        bundle
-            .deployment
-            .vms
-            .values()
-            .any(|vm| vm.region == *region)
-    });
+    allowed.retain(|region| bundle.deployment.vms_in(*region).next().is_some());
     customer
         .home
         .filter(|home| allowed.contains(home))
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -102,10 +102,7 @@
             return;
         };
         let nodes = |bundle: &Bundle| -> BTreeSet<VmId> {
-            let vms = bundle.deployment.vms.iter();
-            vms.filter(|(_, vm)| vm.region == self.id.region)
-                .map(|(id, _)| *id)
-                .collect()
+            bundle.deployment.vms_in(self.id.region).collect()
         };
         let (before, after) = (nodes(old), nodes(new));
         let joined = !before.contains(&self.id.vm);
--- /dev/null
+++ b/crates/seam-core/src/node/place.rs
@@ -0,0 +1,299 @@
+//! Chooses where a request runs: here, at a node nearby, or in another region.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use seam_protocol::heartbeat::ServiceRoom;
+use seam_protocol::id::rank;
+use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
+
+use super::Node;
+use super::dispatch::{LEAST_RETRY, MOST_RETRY};
+use super::members::{CLOSED, plenty};
+use crate::command::{Command, Refusal};
+use crate::request::{Request, Ticket};
+use crate::spill::{Asked, Choice, Here, There};
+use crate::targets::{Spread, users};
+
+/// Times that a request is sent away before it must stay.
+const MOST_AWAY: usize = 3;
+
+impl Node {
+    /// Places a request that was admitted: here, away, or nowhere.
+    pub(super) fn place(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let request = &self.requests[&ticket];
+        if request.forwarded() {
+            let service = request.service;
+            self.be_guest(now, service);
+        }
+        let request = &self.requests[&ticket];
+        let mut here = self.here(now, request);
+        let near = self.near(now, request).filter(|_| !here.possible);
+        if near.is_some() {
+            here.possible = true;
+            here.wait = self.wait_near(now, request.service);
+        }
+        let asked = self.asked(now, request);
+        let choice = if request.forwarded() {
+            self.choose_forwarded(request, asked, here)
+        } else {
+            let there = self.there(now, request);
+            self.spill.choose(asked, here, &there)
+        };
+        let choice = match choice {
+            Choice::There(_) if here.possible && !self.policy.spill => Choice::Here,
+            Choice::Nowhere(Some(_)) if !self.policy.shed => Choice::Here,
+            choice => choice,
+        };
+        match choice {
+            Choice::Here => match near {
+                Some(vm) => self.forward(now, ticket, vm, out),
+                None => self.enqueue(now, ticket, out),
+            },
+            Choice::There(region) => self.send_away(now, ticket, region, out),
+            Choice::Nowhere(wait) => {
+                let reason = match wait {
+                    Some(_) => Reason::Overload,
+                    None => Reason::NoTarget,
+                };
+                let retry = wait.unwrap_or(MOST_RETRY / 10);
+                let refusal = Refusal::not_run(reason).after(retry.clamp(LEAST_RETRY, MOST_RETRY));
+                self.refuse(now, ticket, refusal, out);
+            }
+        }
+    }
+
+    fn asked(&self, now: Time, request: &Request) -> Asked {
+        let weight = self
+            .bundle
+            .as_ref()
+            .map_or(1.0, |bundle| bundle.deployment.weight);
+        Asked {
+            service: request.service,
+            budget: request.budget(now),
+            expected: self.expected(request.service),
+            weight,
+        }
+    }
+
+    /// Predicts the wait for a slot in this region.
+    pub(crate) fn here(&self, now: Time, request: &Request) -> Here {
+        let allowed = self.allows(request, self.id.region);
+        let possible = allowed && self.targets.serving(request.service);
+        Here {
+            possible,
+            wait: self.wait(now, request),
+        }
+    }
+
+    /// Returns a node of this region that uses a service's targets, for a node that uses none.
+    /// Requests with one prefix go to one node.
+    pub(crate) fn near(&self, now: Time, request: &Request) -> Option<VmId> {
+        let region = self.id.region;
+        let tried = request.refused.contains(&region) || request.forwarded();
+        if tried || !self.allows(request, region) || !self.targets.serving_near(request.service) {
+            return None;
+        }
+        let seed = request.prefix.unwrap_or(request.fingerprint.0);
+        users(self.targets.spread(request.service), &self.active(now))
+            .into_iter()
+            .filter(|vm| *vm != self.id.vm)
+            .max_by_key(|vm| rank(seed, u64::from(vm.0)))
+    }
+
+    /// Returns the nodes of this region that take new requests.
+    pub(crate) fn active(&self, now: Time) -> BTreeSet<VmId> {
+        let alive = self.alive.iter().copied();
+        alive
+            .filter(|vm| *vm == self.id.vm || self.peers.ready(now, *vm))
+            .collect()
+    }
+
+    /// Uses a service's targets for a while, since another node believes that this one does.
+    ///
+    /// That node may have noticed first that a user of the service is gone, or know few nodes here.
+    fn be_guest(&mut self, now: Time, service: ServiceId) {
+        const STAY: Duration = Duration::from_secs(10);
+        if !self.targets.serving(service) && self.targets.serving_near(service) {
+            self.targets.stay(service, now + STAY);
+            self.refresh_members(now);
+        }
+    }
+
+    /// Predicts the wait at the nodes of this region that use a service's targets.
+    fn wait_near(&self, now: Time, service: ServiceId) -> Duration {
+        let slots = self.targets.spread(service).slots;
+        let (running, queued) = self.regional_load(now, service);
+        let turns = f64::from((running + queued + 1).saturating_sub(slots));
+        self.expected(service)
+            .mul_f64(turns / f64::from(slots.max(1)))
+    }
+
+    pub(crate) fn allows(&self, request: &Request, region: RegionId) -> bool {
+        let Some(bundle) = &self.bundle else {
+            return false;
+        };
+        let rules = bundle
+            .services
+            .get(&request.service)
+            .zip(bundle.customers.get(&request.customer));
+        rules.is_some_and(|(service, customer)| bundle.allowed(service, customer).contains(&region))
+    }
+
+    fn wait(&self, now: Time, request: &Request) -> Duration {
+        let slots = self.slots(now, request.service);
+        let Some(lane) = self.lanes.get(&request.service) else {
+            return Duration::ZERO;
+        };
+        let weight = self.weight(request);
+        let ahead = lane.queue.ahead(self.flow(request.customer), weight);
+        let free = slots.saturating_sub(lane.queue.running());
+        if ahead < free as usize {
+            return Duration::ZERO;
+        }
+        let turns = (ahead + 1).saturating_sub(free as usize) as f64 / f64::from(slots.max(1));
+        self.expected(request.service).mul_f64(turns)
+    }
+
+    pub(super) fn slots(&self, now: Time, service: ServiceId) -> u32 {
+        const NO_LIMIT: u32 = 1 << 20;
+        if self.policy.informed {
+            self.targets.slots(now, service)
+        } else {
+            NO_LIMIT
+        }
+    }
+
+    pub(super) fn weight(&self, request: &Request) -> u64 {
+        const MOST_PRIORITY: u8 = 3;
+        self.bundle
+            .as_ref()
+            .and_then(|bundle| bundle.customers.get(&request.customer))
+            .map_or(1, |customer| {
+                u64::from(customer.weight.max(1)) << customer.priority.min(MOST_PRIORITY)
+            })
+    }
+
+    /// A forwarded request that could run in its sender's region takes only what is free now.
+    fn choose_forwarded(&self, request: &Request, asked: Asked, here: Here) -> Choice {
+        let keyed = request.key.is_some();
+        let sender = request.hops.last().map(|hop| hop.region);
+        let spilled = !keyed
+            && sender
+                .is_some_and(|region| region != self.id.region && self.allows(request, region));
+        let fits = here.wait + asked.expected <= asked.budget;
+        if here.possible && fits && (!spilled || here.wait == Duration::ZERO) {
+            Choice::Here
+        } else {
+            Choice::Nowhere(here.possible.then_some(here.wait))
+        }
+    }
+
+    /// Returns the regions that a request may be sent to.
+    pub(crate) fn there(&self, now: Time, request: &Request) -> Vec<There> {
+        let Some(bundle) = &self.bundle else {
+            return Vec::new();
+        };
+        let rules = bundle
+            .services
+            .get(&request.service)
+            .zip(bundle.customers.get(&request.customer));
+        let Some((service, customer)) = rules else {
+            return Vec::new();
+        };
+        if request.refused.len() >= MOST_AWAY {
+            return Vec::new();
+        }
+        bundle
+            .allowed(service, customer)
+            .into_iter()
+            .filter(|region| *region != self.id.region && !request.refused.contains(region))
+            .filter_map(|region| self.room_in(now, region, request.service))
+            .collect()
+    }
+
+    /// Returns what is left of a region's room after what this node has sent since its digest.
+    fn room_in(&self, now: Time, region: RegionId, service: ServiceId) -> Option<There> {
+        let bundle = self.bundle.as_ref()?;
+        let slots = bundle.services.get(&service)?.slots_in(region);
+        self.peers.region(now, region)?;
+        let unnamed = ServiceRoom {
+            service: service.tag(),
+            free: plenty(slots),
+            wait: 0,
+        };
+        let room = self.peers.room(now, region, service.tag());
+        let room = room.unwrap_or(unnamed);
+        if room.wait == CLOSED {
+            return None;
+        }
+        let heard = self.peers.region_heard(region)?;
+        let away = self.away.get(&(region, service)).copied();
+        let away = away.filter(|away| away.since >= heard).unwrap_or_default();
+        let usable = (f64::from(room.free) * self.spill.ramp(now, region)).ceil() as u32;
+        let free = usable.saturating_sub(away.sent);
+        let trip = Duration::from_micros(2 * bundle.delay(self.id.region, region));
+        let full = away.full || (free == 0 && room.free > 0);
+        let wait = if full {
+            self.expected(service)
+        } else {
+            Duration::from_millis(u64::from(room.wait))
+        };
+        Some(There {
+            region,
+            trip,
+            wait,
+            free,
+        })
+    }
+
+    fn send_away(&mut self, now: Time, ticket: Ticket, region: RegionId, out: &mut Vec<Command>) {
+        let service = self.requests[&ticket].service;
+        let heard = self.peers.region_heard(region).unwrap_or(now);
+        let away = self.away.entry((region, service)).or_default();
+        if away.since < heard {
+            *away = super::Away {
+                since: now,
+                ..super::Away::default()
+            };
+        }
+        away.sent += 1;
+        let Some(vm) = self.node_in(now, region, ticket) else {
+            self.request_mut(ticket).refused.insert(region);
+            self.place(now, ticket, out);
+            return;
+        };
+        self.counters.sent_away += 1;
+        self.forward(now, ticket, vm, out);
+    }
+
+    /// Returns a ready node of another region, spread over its nodes by request.
+    fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
+        let nodes = &self.peers.region(now, region)?.nodes;
+        let usable: BTreeSet<VmId> = nodes
+            .iter()
+            .copied()
+            .filter(|vm| self.regions.get(vm) == Some(&region))
+            .filter(|vm| {
+                let peer = self.peers.known(*vm);
+                peer.is_none_or(|peer| peer.record.ready && peer.heard.0 > 0)
+            })
+            .collect();
+        // The users of a small service are few, and the same nodes rank first there.
+        let service = self.requests.get(&ticket)?.service;
+        let slots = self
+            .bundle
+            .as_ref()?
+            .services
+            .get(&service)?
+            .slots_in(region);
+        let spread = Spread {
+            service,
+            slots,
+            everywhere: false,
+        };
+        let users = users(spread, &usable);
+        let count = users.len() as u64;
+        (count > 0).then(|| users[(ticket.0 % count) as usize])
+    }
+}
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -1,15 +1,16 @@
-//! Targets of this node's region: load, limits, ejection and choice.
+//! Targets of this node's region: load, limits and ejection.
+
+mod choice;
+mod spread;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::RngExt;
-use rand_pcg::Pcg64Mcg;
-use seam_protocol::id::rank;
-use seam_protocol::{CustomerId, Fingerprint, LoadReport, ServiceId, Target, TargetId, Time, VmId};
+use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
 
-use crate::prefix::PrefixTable;
+pub use choice::Wish;
+pub use spread::{Spread, sharers, users};
 
 seam_protocol::small_key! {
     /// Position of a target in [`Targets`].
@@ -28,13 +29,6 @@
 const FIRST_PART: f64 = 0.25;
 /// Age above which a load report is ignored.
 const STALE_REPORT: Duration = Duration::from_secs(10);
-/// Load above the mean at which prefix affinity yields.
-const AFFINITY_BOUND: f64 = 1.25;
-/// Most nodes that share one target.
-const MOST_SHARERS: usize = 8;
-/// Slots of a service for each node that uses its targets. Smaller parts would idle at one node
-/// while requests wait at another.
-const SLOTS_A_NODE: u32 = 16;
 /// Mean-to-floor ratio of service times above which a target's limit falls.
 const SLOW_RATIO: f64 = 3.0;
 /// Weight of a new sample in a mean.
@@ -180,19 +174,6 @@
     }
 }
 
-/// What a request wants of its target.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Wish<'a> {
-    /// Digest of the prompt's prefix.
-    pub prefix: Option<u64>,
-    /// The fingerprint of a request that is suspected of crashing targets.
-    pub suspect: Option<Fingerprint>,
-    /// The customer.
-    pub customer: CustomerId,
-    /// Customers that run far more than the others, with their parts of the load.
-    pub heavy: &'a [(CustomerId, f64)],
-}
-
 /// A change of a target's phase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turn {
@@ -204,45 +185,6 @@
     pub new: Phase,
 }
 
-/// Who uses a service's targets in a region.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Spread {
-    /// The service.
-    pub service: ServiceId,
-    /// Slots of all its targets in the region.
-    pub slots: u32,
-    /// Whether every node uses it, since a request's node may be fixed by its key.
-    pub everywhere: bool,
-}
-
-/// Returns the nodes that use a service's targets, by rendezvous, so that churn moves only the
-/// share of who left. Other nodes of the region hand them their requests.
-#[must_use]
-pub fn users(spread: Spread, alive: &BTreeSet<VmId>) -> Vec<VmId> {
-    let mut nodes: Vec<VmId> = alive.iter().copied().collect();
-    if spread.everywhere {
-        return nodes;
-    }
-    let most = (spread.slots / SLOTS_A_NODE).max(1) as usize;
-    if nodes.len() > most {
-        let key = u64::from(spread.service.0);
-        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(key, u64::from(vm.0))));
-        nodes.truncate(most);
-    }
-    nodes
-}
-
-/// Returns those of a service's users that use one target.
-#[must_use]
-pub fn sharers(target: TargetId, spread: Spread, alive: &BTreeSet<VmId>) -> Vec<VmId> {
-    let mut nodes = users(spread, alive);
-    if nodes.len() > MOST_SHARERS && !spread.everywhere {
-        nodes.sort_by_key(|vm| std::cmp::Reverse(rank(u64::from(target.0), u64::from(vm.0))));
-        nodes.truncate(MOST_SHARERS);
-    }
-    nodes
-}
-
 /// Arena of the targets of this node's region. A key stays valid for the life of the process.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -403,117 +345,6 @@
             .any(|(_, state)| state.phase == Phase::Serving)
     }
 
-    /// Chooses a target for a request, `None` if none has a slot.
-    ///
-    /// A target that holds the prompt's prefix wins while its load is near the mean. Otherwise the
-    /// less loaded of two random ones wins. A suspect never joins another suspect.
-    pub fn choose(
-        &self,
-        now: Time,
-        service: ServiceId,
-        wish: Wish,
-        prefixes: &PrefixTable,
-        rng: &mut Pcg64Mcg,
-    ) -> Option<TargetKey> {
-        let heavy = wish.heavy.iter().any(|(id, _)| *id == wish.customer);
-        let mut open: Vec<TargetKey> = self
-            .of(service)
-            .filter(|(_, state)| state.open(now, heavy))
-            .filter(|(_, state)| wish.suspect.is_none() || state.suspects == 0)
-            .map(|(key, _)| key)
-            .collect();
-        self.keep_apart(now, service, wish, &mut open);
-        if open.is_empty() {
-            return None;
-        }
-        if let Some(print) = wish.suspect {
-            // Nodes agree on the order, so suspects of two nodes seldom meet.
-            return open
-                .into_iter()
-                .max_by_key(|key| rank(print.0, u64::from(self.get(*key).id.0)));
-        }
-        if let Some(prefix) = wish.prefix
-            && let Some(key) = self.affine(now, &open, prefix, prefixes)
-        {
-            return Some(key);
-        }
-        let first = open[rng.random_range(0..open.len())];
-        let second = open[rng.random_range(0..open.len())];
-        Some(if self.fill(now, second) < self.fill(now, first) {
-            second
-        } else {
-            first
-        })
-    }
-
-    /// Keeps heavy customers and the others on different targets.
-    ///
-    /// A heavy customer gets as many targets as its part of the load, the first ones in an order of
-    /// its own on which all nodes agree. The others use the rest while one of them is open. So the
-    /// prompts of a heavy customer drive those of others out of few caches only.
-    fn keep_apart(&self, now: Time, service: ServiceId, wish: Wish, open: &mut Vec<TargetKey>) {
-        let mut serving: Vec<TargetKey> = self
-            .of(service)
-            .filter(|(_, state)| state.phase == Phase::Serving)
-            .map(|(key, _)| key)
-            .collect();
-        let count = serving.len();
-        if wish.heavy.is_empty() || count < 2 {
-            return;
-        }
-        let mut apart: BTreeSet<TargetKey> = BTreeSet::new();
-        for (customer, part) in wish.heavy {
-            let order = |key: &TargetKey| rank(customer.0, u64::from(self.get(*key).id.0));
-            serving.sort_by_key(|key| std::cmp::Reverse(order(key)));
-            let own = ((part * count as f64).floor() as usize).clamp(1, count - 1);
-            if *customer == wish.customer {
-                open.retain(|key| serving[..own].contains(key));
-                return;
-            }
-            apart.extend(&serving[..own]);
-        }
-        let elsewhere = open.iter().any(|key| !apart.contains(key));
-        open.retain(|key| {
-            // A heavy customer's targets are full by its own requests, so only parts count there.
-            let within = !elsewhere && self.get(*key).open(now, true);
-            within || !apart.contains(key)
-        });
-    }
-
-    /// Chooses any target that takes work, whatever its load.
-    pub fn any(&self, service: ServiceId, rng: &mut Pcg64Mcg) -> Option<TargetKey> {
-        let serving: Vec<TargetKey> = self
-            .of(service)
-            .filter(|(_, state)| state.phase == Phase::Serving)
-            .map(|(key, _)| key)
-            .collect();
-        (!serving.is_empty()).then(|| serving[rng.random_range(0..serving.len())])
-    }
-
-    fn fill(&self, now: Time, key: TargetKey) -> f64 {
-        let state = self.get(key);
-        f64::from(state.load(now)) / f64::from(state.rule.slots.max(1))
-    }
-
-    fn affine(
-        &self,
-        now: Time,
-        open: &[TargetKey],
-        prefix: u64,
-        prefixes: &PrefixTable,
-    ) -> Option<TargetKey> {
-        let total: f64 = open.iter().map(|key| self.fill(now, *key)).sum();
-        let bound = AFFINITY_BOUND * (total / open.len() as f64) + 0.125;
-        let fits = |key: &TargetKey| self.fill(now, *key) <= bound;
-        let preferred = |key: &TargetKey| rank(prefix, u64::from(self.get(*key).id.0));
-        open.iter()
-            .copied()
-            .filter(|key| prefixes.holds(*key, prefix))
-            .filter(fits)
-            .max_by_key(preferred)
-            .or_else(|| open.iter().copied().max_by_key(preferred).filter(fits))
-    }
-
     /// Counts a request as running.
     pub fn begin(&mut self, key: TargetKey, suspect: bool) {
         let state = self.get_mut(key);
--- a/crates/seam-harness/examples/capacity/cpu.rs
+++ b/crates/seam-harness/examples/capacity/cpu.rs
@@ -115,13 +115,13 @@
     }
     sizes::seal(&mut changed);
     let set = seam_config::split(&changed).expect("small parts");
+    let before_set = seam_config::split(&old).expect("small parts");
+    let before = seam_config::assemble(&before_set).expect("whole parts");
+    let manifest = seam_config::bundle::manifest(&before_set.manifest).expect("a manifest");
     let (fresh, now) = node(&old);
     micros(ROUNDS, |_| {
-        let read = if whole {
-            seam_config::assemble(&set).expect("whole parts")
-        } else {
-            changed.clone()
-        };
+        let held = (!whole).then_some((&before, &manifest));
+        let read = seam_config::assemble_onto(held, &set).expect("whole parts");
         let mut node = fresh.clone();
         let mut out = Vec::new();
         node.handle(now, Event::Bundle(Arc::new(read)), &mut out);
@@ -190,7 +190,7 @@
     );
     let decided = points(&[1000, 4000, 14_000, 28_000], |count| load(count, false));
     fit::print(
-        "A changed bundle copied and put in force",
+        "A bundle with one changed part read and put in force",
         "customers",
         "µs",
         &decided,
--- a/crates/seam-node/src/admin.rs
+++ b/crates/seam-node/src/admin.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::hub::Hub;
+use crate::problem::readiness;
 
 /// What a token may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,7 +59,7 @@
     let path = request.uri().path();
     match path {
         "/health" => return json(StatusCode::OK, "alive"),
-        "/ready" => return ready(hub),
+        "/ready" => return readiness(hub),
         _ => {}
     }
     let Some(role) = role(hub, request) else {
@@ -94,16 +95,6 @@
     }
 }
 
-fn ready(hub: &Hub) -> Response<Body> {
-    let ready = hub.read(seam_core::Node::ready);
-    let status = if ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    json(status, &ready)
-}
-
 fn manifest(hub: &Hub) -> Response<Body> {
     let (revision, bytes) = hub.store.manifest();
     if revision == 0 {
--- a/crates/seam-node/src/front/own.rs
+++ b/crates/seam-node/src/front/own.rs
@@ -13,7 +13,7 @@
 
 use super::read::{Fault, customer, snapshot};
 use crate::hub::Hub;
-use crate::problem::problem;
+use crate::problem::{problem, readiness};
 
 /// Time after which a node that is not ready may be asked again.
 const SOON: Duration = Duration::from_secs(1);
@@ -53,7 +53,7 @@
 pub fn answer(hub: &Arc<Hub>, request: &Request<Incoming>, id: &str) -> Option<Response<Body>> {
     let path = request.uri().path();
     let answer = match (request.method(), path) {
-        (&Method::GET, "/v1/ready") => Ok(ready(hub)),
+        (&Method::GET, "/v1/ready") => Ok(readiness(hub)),
         (&Method::GET, "/v1/entries") => entries(hub, request),
         (&Method::POST, "/v1/keys") => key(hub, request),
         _ if path.starts_with("/v1/") => Err(fault(
@@ -72,16 +72,6 @@
     }
 }
 
-fn ready(hub: &Hub) -> Response<Body> {
-    let ready = hub.read(seam_core::Node::ready);
-    let status = if ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    json(status, &ready)
-}
-
 fn entries(hub: &Hub, request: &Request<Incoming>) -> Result<Response<Body>, Fault> {
     let snapshot = snapshot(hub)?;
     let customer = customer(&snapshot, request.headers())?;
--- a/crates/seam-node/src/hub.rs
+++ b/crates/seam-node/src/hub.rs
@@ -205,31 +205,32 @@
 
     /// Hands an event to the decisions and carries out what follows.
     pub fn handle(&self, event: Event) {
+        self.decide(event, |_| true);
+    }
+
+    /// Hands an event to the decisions and carries out those commands that are wanted.
+    fn decide(&self, event: Event, mut wanted: impl FnMut(&Command) -> bool) {
         let mut core = lock(&self.core);
         let now = self.now();
         let mut commands = Vec::new();
         core.handle(now, event, &mut commands);
         self.index(&core);
         for command in commands {
-            self.perform(command);
+            if wanted(&command) {
+                self.perform(command);
+            }
         }
     }
 
     /// Asks for leave to send the first byte of an attempt.
     #[must_use]
     pub fn may_send(&self, attempt: AttemptKey) -> bool {
-        let mut core = lock(&self.core);
-        let now = self.now();
-        let mut commands = Vec::new();
-        core.handle(now, Event::Sending(attempt), &mut commands);
         let mut leave = true;
-        for command in commands {
-            if matches!(command, Command::Cancel(key) if key == attempt) {
-                leave = false;
-            } else {
-                self.perform(command);
-            }
-        }
+        self.decide(Event::Sending(attempt), |command| {
+            let stop = matches!(command, Command::Cancel(key) if *key == attempt);
+            leave &= !stop;
+            !stop
+        });
         leave
     }
 
--- a/crates/seam-node/src/store.rs
+++ b/crates/seam-node/src/store.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 
 use seam_config::PartSet;
-use seam_protocol::Digest;
+use seam_protocol::{Digest, Manifest};
 
 #[derive(Debug, Default)]
 struct Held {
@@ -38,6 +38,14 @@
         (held.revision, held.manifest.clone())
     }
 
+    /// Returns the manifest in force as read, with its digest.
+    #[must_use]
+    pub fn read(&self) -> Option<(Digest, Manifest)> {
+        let held = lock(&self.held);
+        let manifest = seam_config::bundle::manifest(&held.manifest).ok()?;
+        Some((Digest::of(&held.manifest), manifest))
+    }
+
     /// Returns a part.
     #[must_use]
     pub fn part(&self, digest: Digest) -> Option<Vec<u8>> {
--- a/crates/seam-node/src/watch.rs
+++ b/crates/seam-node/src/watch.rs
@@ -12,7 +12,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_config::PartSet;
-use seam_config::bundle::{assemble, manifest};
+use seam_config::assemble_onto;
+use seam_config::bundle::manifest;
 use seam_core::Event;
 use seam_http::{ClientError, empty, get_json, request_whole};
 use seam_protocol::{Digest, VmState};
@@ -167,7 +168,13 @@
 /// # Errors
 /// [`WatchError::Bundle`] if the parts are not whole.
 pub fn adopt(hub: &Hub, set: PartSet) -> Result<(), WatchError> {
-    let bundle = Arc::new(assemble(&set).context(BundleSnafu)?);
+    // Most parts of a change are those in force, which need not be read again.
+    let held = hub.snapshot().zip(hub.store.read());
+    let held = held
+        .as_ref()
+        .filter(|(snapshot, (digest, _))| snapshot.bundle.digest == *digest)
+        .map(|(snapshot, (_, manifest))| (&*snapshot.bundle, manifest));
+    let bundle = Arc::new(assemble_onto(held, &set).context(BundleSnafu)?);
     hub.handle(Event::Bundle(bundle.clone()));
     let kept = hub.read(|node, _| node.bundle().map(|held| held.digest));
     if kept == Some(bundle.digest) {
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -157,6 +157,16 @@
     }
 }
 
+impl Deployment {
+    /// Returns the VMs of a region, in key order.
+    pub fn vms_in(&self, region: RegionId) -> impl Iterator<Item = VmId> + '_ {
+        self.vms
+            .iter()
+            .filter(move |(_, vm)| vm.region == region)
+            .map(|(id, _)| *id)
+    }
+}
+
 /// What a service's targets are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
