Keep a routing decision from growing with regions

Change: regions are looked at only if something waits here; whether one region is allowed is asked directly.

--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -37,7 +37,13 @@
         let choice = if request.forwarded() {
             self.choose_forwarded(request, asked, here)
         } else {
-            let there = self.there(now, request);
+            // Where nothing waits, no other region can be sooner.
+            let idle = here.possible && here.wait.is_zero() && asked.expected <= asked.budget;
+            let there = if idle {
+                Vec::new()
+            } else {
+                self.there(now, request)
+            };
             self.spill.choose(asked, here, &there)
         };
         let choice = match choice {
@@ -137,7 +143,7 @@
             .services
             .get(&request.service)
             .zip(bundle.customers.get(&request.customer));
-        rules.is_some_and(|(service, customer)| bundle.allowed(service, customer).contains(&region))
+        rules.is_some_and(|(service, customer)| bundle.permits(service, customer, region))
     }
 
     fn wait(&self, now: Time, request: &Request) -> Duration {
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -285,6 +285,18 @@
             .collect()
     }
 
+    /// Tells whether a request may be processed in a region and has a target there.
+    #[must_use]
+    pub fn permits(&self, service: &Service, customer: &Customer, region: RegionId) -> bool {
+        let within = |set: Option<&BTreeSet<RegionId>>| set.is_none_or(|set| set.contains(&region));
+        within(service.residency.as_ref())
+            && within(customer.residency.as_ref())
+            && service
+                .targets
+                .values()
+                .any(|target| target.region == region)
+    }
+
     /// Returns the one-way delay between two regions in microseconds.
     #[must_use]
     pub fn delay(&self, from: RegionId, to: RegionId) -> u64 {
