Drop what nothing calls, and look for a nearby node only where one is needed

Cause: read again, the change looked up a node nearby for every request and threw the answer away where this node serves the request itself; kept a list for the one lender that is asked; summed a service's slots in two places; and left four public functions without a caller. Change: each of these once, or gone. Behaviour is meant to be the same.

--- a/crates/seam-config/src/bundle.rs
+++ b/crates/seam-config/src/bundle.rs
@@ -222,19 +222,3 @@
 fn read<T: serde::de::DeserializeOwned>(name: &str, part: &[u8]) -> Result<T, BundleError> {
     serde_json::from_slice(part).context(PartSnafu { name })
 }
-
-/// Returns the digest of a manifest's bytes.
-#[must_use]
-pub fn digest(set: &PartSet) -> Digest {
-    Digest::of(&set.manifest)
-}
-
-/// Returns the parts of a manifest that are not held yet.
-#[must_use]
-pub fn missing(manifest: &Manifest, held: &BTreeMap<Digest, Vec<u8>>) -> Vec<Digest> {
-    let digests = manifest.parts.values();
-    digests
-        .filter(|digest| !held.contains_key(digest))
-        .copied()
-        .collect()
-}
--- a/crates/seam-core/src/limits.rs
+++ b/crates/seam-core/src/limits.rs
@@ -1,9 +1,10 @@
 //! Limits of a customer whose sum over the fleet holds.
 //!
 //! A customer's concurrency is a number of units. Every node derives the same split of the units
-//! over the published nodes; a live node stands in for a dead one of its region. A node that is short borrows from nodes that have idle units: a lender
-//! stops using them before the borrower starts, and the borrower admits only what ends before the
-//! loan does, so the sum over nodes never exceeds the limit.
+//! over the published nodes; a live node stands in for a dead one of its region. A node that is
+//! short borrows from nodes that have idle units: a lender stops using them before the borrower
+//! starts, and the borrower admits only what ends before the loan does, so the sum over nodes never
+//! exceeds the limit.
 //!
 //! Each request for units states how many the borrower still holds of that lender, so it renews
 //! and returns at the same time. A borrower takes only the grant that answers its newest request,
@@ -29,8 +30,6 @@
 const IDLE: Duration = Duration::from_secs(60);
 /// Pause between two requests for units of one customer.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// Lenders asked at once. More of them would lend units that one request does not need.
-const LENDERS: usize = 1;
 /// Units that one node holds, so far as there are that many.
 const UNITS_HELD: u32 = 8;
 /// Time after which a loan in use is renewed.
@@ -199,21 +198,18 @@
         (self.own() + self.borrowed(deadline)).saturating_sub(self.running)
     }
 
-    /// Returns the next few nodes to ask: those that lent before, then others in turn.
-    fn lenders(&mut self, asking: Asking, alive: &Alive) -> Vec<VmId> {
+    /// Returns the next node to ask, in turn. Asking several would lend units that nobody needs.
+    fn lender(&mut self, asking: Asking, alive: &BTreeSet<VmId>) -> Option<VmId> {
         let mut nodes: Vec<VmId> = holdings(asking.bundle, asking.id, asking.rule)
             .iter()
-            .flat_map(|holding| holding.holders(asking.me, &alive.nodes))
+            .flat_map(|holding| holding.holders(asking.me, alive))
             .map(|(vm, _)| vm)
             .filter(|vm| *vm != asking.me)
             .collect();
         nodes.dedup();
-        let count = nodes.len();
-        let from = self.turn;
-        self.turn += LENDERS;
-        (0..LENDERS.min(count))
-            .map(|step| nodes[(from + step) % count])
-            .collect()
+        let turn = self.turn;
+        self.turn += 1;
+        nodes.get(turn % nodes.len().max(1)).copied()
     }
 
     /// Builds a request to a lender and notes its time.
@@ -338,22 +334,16 @@
     /// Returns whom to ask for units now, at most once in a while for a customer.
     ///
     /// `sent` is the time that the datagrams will carry.
-    pub fn ask(&mut self, now: Time, sent: Time, asking: Asking) -> Vec<(VmId, Shortage)> {
-        let alive = self.alive.clone();
-        let usage = self.usage(now, asking);
-        if usage
-            .asked
-            .is_some_and(|asked| now.since(asked) < ASK_AGAIN)
-        {
-            return Vec::new();
+    pub fn ask(&mut self, now: Time, sent: Time, asking: Asking) -> Option<(VmId, Shortage)> {
+        let lately = |asked| now.since(asked) < ASK_AGAIN;
+        if self.usage(now, asking).asked.is_some_and(lately) {
+            return None;
         }
+        let usage = self.usage.get_mut(&asking.id)?;
         usage.asked = Some(now);
-        let lenders = usage.lenders(asking, &alive);
+        let lender = usage.lender(asking, &self.alive.nodes)?;
         let more = usage.parked.len() as u32;
-        lenders
-            .into_iter()
-            .map(|vm| (vm, usage.request(sent, asking.id, vm, more)))
-            .collect()
+        Some((lender, usage.request(sent, asking.id, lender, more)))
     }
 
     /// Returns the requests that renew loans in use and return those that are not.
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use seam_protocol::{Reason, RegionId, StoredAnswer, TargetId, Time, VmId};
+use seam_protocol::{Reason, RegionId, StoredAnswer, TargetId, Time};
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
@@ -354,13 +354,4 @@
         self.counters.complete += 1;
         self.finish(now, ticket, crate::keys::Ending::Complete(answer), out);
     }
-
-    /// Returns the node that an attempt runs at, if any.
-    #[must_use]
-    pub fn attempt_node(&self, key: AttemptKey) -> Option<VmId> {
-        match self.attempts.get(&key)?.place {
-            Place::Node { vm, .. } => Some(vm),
-            Place::Target(_) => None,
-        }
-    }
 }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -10,7 +10,6 @@
 
 use super::Node;
 use crate::command::Command;
-use crate::event::Hop;
 use crate::gossip::{DIGEST_ROUNDS, DIGESTS, LOADS, RECORDS, SUSPECTS};
 use crate::limits::Asking;
 use crate::peers::Peers;
@@ -126,7 +125,7 @@
 
     pub(super) fn ask_for_units(&mut self, now: Time, asking: Asking, out: &mut Vec<Command>) {
         let sent = self.stamp(now);
-        for (lender, shortage) in self.limits.ask(now, sent, asking) {
+        if let Some((lender, shortage)) = self.limits.ask(now, sent, asking) {
             self.word_to(sent, lender, vec![shortage], Vec::new(), out);
         }
     }
@@ -412,10 +411,4 @@
             self.prefixes.correct(now, key, events);
         }
     }
-
-    /// Returns this node as a hop, for adapters that forward on its behalf.
-    #[must_use]
-    pub fn hop(&self) -> Hop {
-        self.own_hop()
-    }
 }
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -28,7 +28,11 @@
         }
         let request = &self.requests[&ticket];
         let mut here = self.here(now, request);
-        let near = self.near(now, request).filter(|_| !here.possible);
+        let near = if here.possible {
+            None
+        } else {
+            self.near(now, request)
+        };
         if near.is_some() {
             here.possible = true;
             here.wait = self.wait_near(now, request.service);
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -233,15 +233,11 @@
     /// See [`sharers`].
     pub fn subset(&mut self, now: Time, me: VmId, alive: &BTreeSet<VmId>) {
         self.guest.retain(|_, until| *until > now);
-        let mut spreads: BTreeMap<ServiceId, Spread> = BTreeMap::new();
-        for (_, state) in self.all() {
-            let spread = spreads.entry(state.service).or_insert(Spread {
-                service: state.service,
-                slots: 0,
-                everywhere: self.everywhere.contains(&state.service),
-            });
-            spread.slots += state.rule.slots;
-        }
+        let services: BTreeSet<ServiceId> = self.all().map(|(_, state)| state.service).collect();
+        let spreads: BTreeMap<ServiceId, Spread> = services
+            .into_iter()
+            .map(|service| (service, self.spread(service)))
+            .collect();
         let mut by_service: BTreeMap<ServiceId, Vec<TargetKey>> = BTreeMap::new();
         for (key, state) in self.all() {
             let guest = self.guest.contains_key(&state.service);
