Count runs over a forward, and treat routes as one flow

Change: a forward counts as a run and may run once; silent attempts move only where another run is left; routes share one flow. Structured log lines per attempt.

--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -435,7 +435,7 @@
 /// `[log]`.
 pub const LOG: Section = Section {
     header: "[log]",
-    doc: "Logs, on standard error. Read again on SIGHUP.",
+    doc: "Logs, on standard output. Read again on SIGHUP.",
     fields: &[
         may("format", Holds::Text, "human", "`human` or `json`"),
         may(
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -379,8 +379,11 @@
     }
 
     /// Returns the key of the flow that a customer's requests join.
+    ///
+    /// Published routes are no customers that must be kept apart, so they share one flow.
     pub(crate) fn flow(&self, customer: CustomerId) -> CustomerId {
-        if self.policy.fair {
+        let routed = self.bundle.as_ref().is_some_and(|b| !b.routes.is_empty());
+        if self.policy.fair && !routed {
             customer
         } else {
             CustomerId(0)
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -8,7 +8,7 @@
 use crate::audit::Change;
 use crate::command::{Command, Refusal};
 use crate::event::Reply;
-use crate::request::{Attempt, AttemptKey, Place, Stage, Ticket};
+use crate::request::{Attempt, AttemptKey, Place, Request, Stage, Ticket};
 use crate::targets::{TargetKey, Turn};
 
 /// Attempts that one request may use.
@@ -106,11 +106,11 @@
     fn cancel_silent(&mut self, target: TargetKey, accepted: bool, out: &mut Vec<Command>) {
         for (key, attempt) in &mut self.attempts {
             let here = attempt.place == Place::Target(target) && attempt.silent;
-            let repeatable = self
+            let movable = self
                 .requests
                 .get(&attempt.ticket)
-                .is_some_and(|request| request.repeatable);
-            if here && !attempt.cancelled && (repeatable || !accepted) {
+                .is_some_and(|request| request.repeatable && Self::runs_left(request) > 1);
+            if here && !attempt.cancelled && (movable || !accepted) {
                 attempt.cancelled = true;
                 out.push(Command::Cancel(*key));
             }
@@ -290,8 +290,14 @@
     }
 
     /// Returns how many more targets may run a request, the present one included.
-    fn runs_left(request: &crate::request::Request) -> u32 {
-        let most = request.class.map_or(MOST_ATTEMPTS, |class| class.attempts);
+    ///
+    /// A node that forwarded the request counts one run for it.
+    fn runs_left(request: &Request) -> u32 {
+        let most = match request.class {
+            Some(_) if request.forwarded() => 1,
+            Some(class) => class.attempts,
+            None => MOST_ATTEMPTS,
+        };
         most.saturating_sub(request.runs)
     }
 
@@ -330,11 +336,11 @@
         let owner_asked = request.key.is_some() && !request.owned;
         let repeatable = request.repeatable;
         let ran = !matches!(reply, Reply::NotSent | Reply::Refused(_));
-        if let Place::Target(target) = attempt.place
-            && let Some(request) = self.requests.get_mut(&ticket)
-        {
+        if let Some(request) = self.requests.get_mut(&ticket) {
             request.runs += u32::from(ran);
-            request.avoid.insert(target);
+            if let Place::Target(target) = attempt.place {
+                request.avoid.insert(target);
+            }
         }
         let request = &self.requests[&ticket];
         // A target counts what it refuses, too.
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -184,11 +184,11 @@
                     }
                 }
                 let split = split(state.rule.slots, state.id, &claims);
-                parts.push((key, split[0]));
+                parts.push((key, split[0], claims.len() as u32));
             }
         }
-        for (key, part) in parts {
-            self.targets.set_part(key, part);
+        for (key, part, sharers) in parts {
+            self.targets.set_part(key, part, sharers);
         }
     }
 
--- a/crates/seam-core/src/prompt.rs
+++ b/crates/seam-core/src/prompt.rs
@@ -21,19 +21,20 @@
 }
 
 impl Prompt {
-    /// Returns the largest part that other requests may share, with its place.
+    /// Returns the last part that other requests may share. The parts before it are shared by more
+    /// requests, and so held by more engines anyway.
     ///
     /// ```
     /// use seam_core::prompt::{Part, Prompt};
     /// let part = |id, tokens| Part { id, tokens };
-    /// let parts = vec![part(1, 100), part(2, 900), part(3, 5000)];
+    /// let parts = vec![part(1, 900), part(2, 100), part(3, 5000)];
     /// let prompt = Prompt { parts, input: 6000, output: 10 };
     /// assert_eq!(prompt.anchor().map(|part| part.id), Some(2));
     /// ```
     #[must_use]
     pub fn anchor(&self) -> Option<Part> {
         let (_, shared) = self.parts.split_last()?;
-        shared.iter().copied().max_by_key(|part| part.tokens)
+        shared.last().copied()
     }
 
     /// Returns the tokens that a run holds in memory at most.
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -287,9 +287,11 @@
         self.everywhere = services;
     }
 
-    /// Sets this node's part of a target's slots.
-    pub fn set_part(&mut self, key: TargetKey, part: u32) {
-        self.get_mut(key).part = part;
+    /// Sets this node's part of a target's slots, and the number of nodes that share them.
+    pub fn set_part(&mut self, key: TargetKey, part: u32, sharers: u32) {
+        let state = self.get_mut(key);
+        state.part = part;
+        state.engine.set_sharers(sharers);
     }
 
     /// Returns the key of a target.
--- a/crates/seam-core/src/targets/engine.rs
+++ b/crates/seam-core/src/targets/engine.rs
@@ -24,6 +24,8 @@
     unread: u64,
     /// Tokens that this node's running requests may hold.
     held: u64,
+    /// Nodes that use the engine.
+    sharers: u32,
     /// Measured time to the first token against the predicted one.
     slowness: f64,
 }
@@ -33,6 +35,7 @@
         Self {
             unread: 0,
             held: 0,
+            sharers: 1,
             slowness: 1.0,
         }
     }
@@ -50,8 +53,15 @@
 }
 
 impl EngineModel {
+    /// Sets how many nodes use the engine.
+    pub fn set_sharers(&mut self, sharers: u32) {
+        self.sharers = sharers.max(1);
+    }
+
     /// Returns the milliseconds to the first token of a request at a usual engine.
     ///
+    /// Other nodes are taken to have as much unread there as this one.
+    ///
     /// ```
     /// use seam_core::targets::EngineModel;
     /// let idle = EngineModel::default();
@@ -59,8 +69,8 @@
     /// ```
     #[must_use]
     pub fn usual(&self, unread: u32, running: u32) -> f64 {
-        let tokens = (self.unread + u64::from(unread)) as f64;
-        BASE_MS + tokens / PACE + f64::from(running) * STEP_MS
+        let tokens = self.unread * u64::from(self.sharers) + u64::from(unread);
+        BASE_MS + tokens as f64 / PACE + f64::from(running) * STEP_MS
     }
 
     /// Returns the milliseconds to the first token of a request at this engine.
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use async_channel::Receiver;
 use async_executor::Task;
 use futures_lite::future;
 use seam_core::event::Arrival;
-use seam_core::{AttemptKey, Event, Origin, Reply};
+use seam_core::{AttemptKey, Event, Origin, Refusal, Reply};
 use seam_http::spawn;
+use seam_protocol::Time;
 
 use crate::hub::{Directive, Hub, ToNode, ToTarget};
 use crate::inbound::Inbound;
@@ -20,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
     sent: Arc<AtomicBool>,
+    /// Time of the first bytes of the answer, in microseconds, zero before them.
+    first: Arc<AtomicU64>,
 }
 
 impl Progress {
@@ -28,6 +31,17 @@
         self.sent.store(true, Ordering::SeqCst);
     }
 
+    /// Notes that the first bytes of the answer arrived.
+    pub fn answered(&self, now: Time) {
+        self.first.store(now.0.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns the milliseconds from a time to the first bytes of the answer.
+    fn first_ms(&self, since: Time) -> Option<u64> {
+        let first = self.first.load(Ordering::Relaxed);
+        (first > 0).then(|| Time(first).since(since).as_millis() as u64)
+    }
+
     fn was_sent(&self) -> bool {
         self.sent.load(Ordering::SeqCst)
     }
@@ -35,7 +49,17 @@
 
 struct Running {
     task: Task<()>,
+    trial: Trial,
+}
+
+/// One attempt of a request.
+#[derive(Clone)]
+struct Trial {
+    hub: Arc<Hub>,
+    inbound: Arc<Inbound>,
+    attempt: AttemptKey,
     progress: Progress,
+    start: Time,
 }
 
 /// The task of one request.
@@ -44,6 +68,7 @@
     inbound: Arc<Inbound>,
     outlet: Outlet,
     running: BTreeMap<AttemptKey, Running>,
+    arrived: Time,
 }
 
 /// Hands a request to the decisions and returns the reading end of its answer.
@@ -72,6 +97,7 @@
         inbound: Arc::new(inbound),
         outlet,
         running: BTreeMap::new(),
+        arrived: hub.now(),
     };
     hub.register(arrival.ticket, sender);
     let ticket = arrival.ticket;
@@ -97,6 +123,7 @@
                     Some(directive) => directive,
                     None => {
                         gone = true;
+                        self.log_gone();
                         self.hub.handle(Event::Gone(ticket));
                         continue;
                     }
@@ -108,6 +135,7 @@
                 Some(Directive::Cancel(attempt)) => self.cancel(attempt).await,
                 Some(Directive::Refuse(refusal)) => {
                     gone = true;
+                    self.log_refusal(refusal);
                     self.outlet.finish(Piece::Refusal(refusal));
                 }
                 Some(Directive::Replay(answer)) => {
@@ -123,31 +151,86 @@
         }
     }
 
+    fn log_refusal(&self, refusal: Refusal) {
+        let after = refusal.retry.map_or(0, |retry| retry.as_millis() as u64);
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), end = "refused", outcome:% = refusal.outcome,
+            reason = refusal.reason.slug(), retry_ms = after, age_ms = self.age();
+            "answered by the system"
+        );
+    }
+
+    fn log_gone(&self) {
+        // An answer that has ended closes the outlet, too.
+        if self.outlet.open() {
+            log::info!(
+                target: "request",
+                request = self.inbound.id.as_str(), end = "left", age_ms = self.age();
+                "the caller left"
+            );
+        }
+    }
+
+    /// Returns the milliseconds since the request arrived.
+    fn age(&self) -> u64 {
+        self.hub.now().since(self.arrived).as_millis() as u64
+    }
+
     fn send(&mut self, to: ToTarget) {
-        let (hub, inbound, outlet) = self.parts();
-        let progress = Progress::default();
-        let shared = progress.clone();
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), attempt = to.attempt.0, to:% = to.target,
+            address:% = to.address, load = to.grounds.load, unread = to.grounds.unread,
+            predicted_ms = to.grounds.predicted, age_ms = self.age();
+            "sent to a target"
+        );
+        let trial = self.trial(to.attempt);
+        let (running, outlet) = (trial.clone(), self.outlet.clone());
         let task = spawn(async move {
-            let reply = targets::exchange(&hub, to, &inbound, &outlet, &shared).await;
-            report(&hub, to.attempt, reply, &outlet);
+            let Trial {
+                hub,
+                inbound,
+                progress,
+                ..
+            } = &running;
+            let reply = targets::exchange(hub, to, inbound, &outlet, progress).await;
+            report(&running, reply, &outlet);
         });
-        self.running.insert(to.attempt, Running { task, progress });
+        self.running.insert(to.attempt, Running { task, trial });
     }
 
     fn forward(&mut self, to: ToNode) {
-        let (hub, inbound, outlet) = self.parts();
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), attempt = to.attempt.0, node:% = to.address,
+            revision = to.revision, age_ms = self.age();
+            "forwarded"
+        );
+        let trial = self.trial(to.attempt);
         let attempt = to.attempt;
-        let progress = Progress::default();
-        let shared = progress.clone();
+        let (running, outlet) = (trial.clone(), self.outlet.clone());
         let task = spawn(async move {
-            let reply = link::forward(&hub, to, &inbound, &outlet, &shared).await;
-            report(&hub, attempt, reply, &outlet);
+            let Trial {
+                hub,
+                inbound,
+                progress,
+                ..
+            } = &running;
+            let reply = link::forward(hub, to, inbound, &outlet, progress).await;
+            report(&running, reply, &outlet);
         });
-        self.running.insert(attempt, Running { task, progress });
+        self.running.insert(attempt, Running { task, trial });
     }
 
-    fn parts(&self) -> (Arc<Hub>, Arc<Inbound>, Outlet) {
-        (self.hub.clone(), self.inbound.clone(), self.outlet.clone())
+    fn trial(&self, attempt: AttemptKey) -> Trial {
+        Trial {
+            hub: self.hub.clone(),
+            inbound: self.inbound.clone(),
+            attempt,
+            progress: Progress::default(),
+            start: self.hub.now(),
+        }
     }
 
     /// Stops an attempt and reports what is certain of it.
@@ -158,19 +241,36 @@
         if running.task.cancel().await.is_some() {
             return;
         }
-        let reply = if running.progress.was_sent() {
+        let reply = if running.trial.progress.was_sent() {
             Reply::Broken {
                 started: self.outlet.started(),
             }
         } else {
             Reply::NotSent
         };
-        report(&self.hub, attempt, reply, &self.outlet);
+        report(&running.trial, reply, &self.outlet);
     }
 }
 
 /// Reports the end of an attempt. A broken answer that has started is cut off, never ended.
-fn report(hub: &Arc<Hub>, attempt: AttemptKey, reply: Reply, outlet: &Outlet) {
+fn report(trial: &Trial, reply: Reply, outlet: &Outlet) {
+    let Trial { hub, attempt, .. } = trial;
+    let attempt = *attempt;
+    let end = match &reply {
+        Reply::Complete { .. } => "complete",
+        Reply::NotSent => "not_sent",
+        Reply::Refused(_) => "refused",
+        Reply::Unsure(_) => "unsure",
+        Reply::Broken { started: true } => "cut",
+        Reply::Broken { started: false } => "broken",
+    };
+    log::info!(
+        target: "request",
+        request = trial.inbound.id.as_str(), attempt = attempt.0, end = end,
+        first_ms:? = trial.progress.first_ms(trial.start),
+        took_ms = hub.now().since(trial.start).as_millis() as u64;
+        "attempt ended"
+    );
     if matches!(reply, Reply::Broken { started: true }) {
         outlet.close();
     }
--- a/crates/seam-node/src/outlet.rs
+++ b/crates/seam-node/src/outlet.rs
@@ -72,6 +72,12 @@
         self.phase() == Phase::Started
     }
 
+    /// Tells whether an answer can still be passed.
+    #[must_use]
+    pub fn open(&self) -> bool {
+        self.phase() != Phase::Closed
+    }
+
     /// Ends with a piece that is an answer by itself, or cuts off an answer that has started.
     pub fn finish(&self, piece: Piece) {
         if self.turn(Phase::Open, Phase::Closed) {
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -132,7 +132,12 @@
     hub.dialect.strip(&mut fields);
     let streams = inbound.class.is_none_or(|class| class.streams);
     let most = if streams { 0 } else { HELD };
-    let reply = pass_on(silence, (head.status, fields), body, outlet, most).await;
+    let answer = TargetAnswer {
+        status: head.status,
+        fields,
+        body,
+    };
+    let reply = pass_on(silence, answer, outlet, progress, most).await;
     if matches!(reply, Reply::Complete { .. }) && connection.ready().await.is_ok() {
         let most = most_idle(hub, to);
         hub.pool.give(to.address, connection, most);
@@ -227,6 +232,13 @@
     }
 }
 
+/// A target's answer, its body still to be read.
+struct TargetAnswer {
+    status: StatusCode,
+    fields: http::HeaderMap,
+    body: Incoming,
+}
+
 /// An answer of which the first bytes are held back, so that one that breaks off early can be
 /// replaced by another.
 struct HeldBack<'a> {
@@ -260,11 +272,16 @@
 /// Passes a target's answer on, frame by frame, no faster than its reader takes it.
 async fn pass_on(
     silence: Silence<'_>,
-    (status, fields): (StatusCode, http::HeaderMap),
-    mut body: Incoming,
+    answer: TargetAnswer,
     outlet: &Outlet,
+    progress: &Progress,
     held: usize,
 ) -> Reply {
+    let TargetAnswer {
+        status,
+        fields,
+        mut body,
+    } = answer;
     let mut keeper = Keeper::new(silence.to.keep, status, &fields);
     let mut answer = HeldBack {
         outlet,
@@ -276,6 +293,7 @@
     loop {
         let frame = silence.watch(body.frame()).await;
         if std::mem::take(&mut first) {
+            progress.answered(silence.hub.now());
             silence.hub.handle(Event::First(silence.to.attempt));
         }
         match frame {
