Tell the nodes of a region of work at shared targets, and spill by objective

Cause: each node knew only its own unread prompts at an engine, so three nodes filled the same one, and read prompts again at a second engine that another node had already filled; a region sent work away only when its wait passed a second, long past the objective.

--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -106,6 +106,7 @@
                 service,
                 budget: Duration::from_millis(rule.deadline),
                 expected: self.expected(service),
+                objective: Duration::from_millis(rule.deadline),
                 weight: bundle.deployment.weight,
             },
             here,
--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -11,6 +11,8 @@
 
 /// Time between two rounds.
 pub const PERIOD: Duration = Duration::from_secs(1);
+/// Time between two rounds where members are not published.
+pub const LIVELY_PERIOD: Duration = Duration::from_millis(400);
 /// Peers of the own region in one round.
 pub const FANOUT: usize = 2;
 /// Rounds between two datagrams to other regions.
@@ -60,16 +62,23 @@
     }
 
     /// Returns the receivers of a round that is due, near ones and far ones.
-    pub fn due(&mut self, now: Time) -> Option<(Vec<VmId>, Vec<VmId>)> {
+    ///
+    /// A deployment whose members are not published hears faster of changes, with `lively`.
+    pub fn due(&mut self, now: Time, lively: bool) -> Option<(Vec<VmId>, Vec<VmId>)> {
         if now < self.due {
             return None;
         }
-        self.due = now + PERIOD;
+        let (period, far_rounds) = if lively {
+            (LIVELY_PERIOD, 1)
+        } else {
+            (PERIOD, FAR_ROUNDS)
+        };
+        self.due = now + period;
         self.round += 1;
         let round = self.round;
         let near = pick(&self.near, round, FANOUT);
-        let far = if round.is_multiple_of(FAR_ROUNDS) {
-            self.far_at(round / FAR_ROUNDS).into_iter().collect()
+        let far = if round.is_multiple_of(far_rounds) {
+            self.far_at(round / far_rounds).into_iter().collect()
         } else {
             Vec::new()
         };
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -9,6 +9,7 @@
 mod place;
 mod published;
 mod tick;
+mod works;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -177,6 +178,7 @@
     /// Who the nodes are, where no list of them is published.
     pub(crate) roster: Option<Roster>,
     pub(crate) pulling: Option<(u64, Time)>,
+    pub(crate) words: works::Words,
     pub(crate) regions: BTreeMap<VmId, RegionId>,
     pub(crate) owner_since: Time,
     pub(crate) moved: BTreeMap<CustomerId, Time>,
@@ -237,6 +239,7 @@
             catalogue: Catalogue::default(),
             roster: None,
             pulling: None,
+            words: works::Words::default(),
             regions: BTreeMap::new(),
             owner_since: now,
             moved: BTreeMap::new(),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -195,6 +195,7 @@
         self.targets.end(target, attempt.suspect);
         self.targets
             .end_work(target, attempt.work, attempt.started_answer);
+        self.words.change();
         let service = self.targets.get(target).service;
         if let Some(request) = self.requests.get(&attempt.ticket) {
             let customer = self.flow(request.customer);
@@ -259,6 +260,7 @@
         };
         let took = now.since(attempt.started);
         self.targets.read(target, attempt.work, took);
+        self.words.change();
         let request = self.requests.get(&attempt.ticket);
         let streams = request.and_then(|request| request.class);
         if streams.is_some_and(|class| class.streams) {
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use seam_protocol::heartbeat::PartRead;
 use seam_protocol::{Reason, ServiceId, Time, VmId};
 
 use super::{Lane, Node};
@@ -146,9 +147,24 @@
         self.targets.begin(now, target, suspect, chosen.work);
         self.request_mut(ticket).stage = Stage::Running(attempt);
         let state = self.targets.get(target);
+        let id = state.id;
         if let Some((prompt, memory)) = prompt.zip(state.memory()) {
             self.prefixes.note_prompt(now, target, &prompt, memory);
+            // The last part belongs to this request alone.
+            let shared = prompt
+                .parts
+                .split_last()
+                .map_or(&[][..], |(_, shared)| shared);
+            for part in shared.iter().rev() {
+                self.words.read(PartRead {
+                    target: id,
+                    part: part.id,
+                    tokens: part.tokens,
+                });
+            }
         }
+        self.words.change();
+        let state = self.targets.get(target);
         out.push(Command::Send {
             ticket,
             attempt,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use seam_protocol::heartbeat::{Grant, ServiceRoom, Shortage};
 use seam_protocol::{
-    CacheEvent, Heartbeat, LoadReport, RegionDigest, ServiceLoad, TargetId, Time, VmId, VmRecord,
+    CacheEvent, Heartbeat, Kind, LoadReport, RegionDigest, ServiceLoad, TargetId, Time, VmId,
+    VmRecord,
 };
 
 use super::Node;
@@ -20,6 +22,8 @@
 const PLENTY: u32 = 4;
 /// Wait of a service without a target that takes work.
 pub(super) const CLOSED: u32 = u32::MAX;
+/// Wait for engines of a region below which it is not told.
+const LEAST_TOLD: Duration = Duration::from_millis(30);
 /// Ready nodes named in a region's digest.
 const DIGEST_NODES: usize = 4;
 
@@ -59,6 +63,7 @@
         for suspect in &beat.suspects {
             self.poison.hear(now, *suspect);
         }
+        self.hear_work(now, beat);
         self.lend(now, beat, out);
         self.take_grants(now, beat, out);
         if news.members {
@@ -184,11 +189,11 @@
                     }
                 }
                 let split = split(state.rule.slots, state.id, &claims);
-                parts.push((key, split[0], claims.len() as u32));
+                parts.push((key, split[0]));
             }
         }
-        for (key, part, sharers) in parts {
-            self.targets.set_part(key, part, sharers);
+        for (key, part) in parts {
+            self.targets.set_part(key, part);
         }
     }
 
@@ -230,7 +235,8 @@
         if self.bundle.is_none() {
             return;
         }
-        let Some((near, far)) = self.gossip.due(now) else {
+        let lively = self.roster.is_some();
+        let Some((near, far)) = self.gossip.due(now, lively) else {
             return;
         };
         for vm in near.into_iter().chain(far) {
@@ -314,6 +320,17 @@
 
     /// Starts a heartbeat with what each one says.
     fn start_beat(&mut self, sent: Time, to: VmId) -> Option<(SocketAddr, Box<Heartbeat>)> {
+        let (address, mut beat) = self.start_word(sent, to)?;
+        self.add_cards(sent, &mut beat, false);
+        Some((address, beat))
+    }
+
+    /// Starts a heartbeat without addresses of nodes.
+    pub(super) fn start_word(
+        &mut self,
+        sent: Time,
+        to: VmId,
+    ) -> Option<(SocketAddr, Box<Heartbeat>)> {
         let bundle = self.bundle.clone()?;
         let address = bundle.deployment.vms.get(&to)?.peer;
         let mut beat = Box::new(Heartbeat::empty(self.id.vm, self.id.region));
@@ -323,7 +340,7 @@
             beat.believed = peer.direct;
             beat.echo = peer.sent;
         }
-        self.add_cards(sent, &mut beat, false);
+        beat.head = self.catalogue.head();
         beat.records.push(self.own_record(bundle.revision));
         Some((address, beat))
     }
@@ -392,13 +409,19 @@
             };
             let (running, queued) = self.regional_load(now, service);
             let free = slots.saturating_sub(running + queued);
-            if free >= plenty(rule.slots_in(self.id.region)) {
+            let reading = match rule.kind {
+                Kind::Engine => self.targets.prompt_wait(now, service),
+                Kind::Plain => Duration::ZERO,
+            };
+            let plenty = free >= plenty(rule.slots_in(self.id.region));
+            if plenty && reading < LEAST_TOLD {
                 continue;
             }
             let turns = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
-            let wait = self
-                .expected(service)
-                .mul_f64(turns / f64::from(slots.max(1)));
+            let wait = reading
+                + self
+                    .expected(service)
+                    .mul_f64(turns / f64::from(slots.max(1)));
             rooms.push(ServiceRoom {
                 service: service.tag(),
                 free,
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -15,6 +15,8 @@
 use crate::spill::{Asked, Choice, Here, There};
 use crate::targets::{Spread, users};
 
+/// Longest wait of a region that takes requests which others could run themselves.
+const SPARE_WAIT: Duration = Duration::from_millis(100);
 /// Times that a request is sent away before it must stay.
 const MOST_AWAY: usize = 3;
 
@@ -78,9 +80,14 @@
             .bundle
             .as_ref()
             .map_or(1.0, |bundle| bundle.deployment.weight);
+        let budget = request.budget(now);
+        let objective = request.class.map_or(budget, |class| {
+            class.objective.saturating_sub(now.since(request.arrived))
+        });
         Asked {
             service: request.service,
-            budget: request.budget(now),
+            budget,
+            objective: objective.min(budget),
             expected: self.expected(request.service),
             weight,
         }
@@ -201,7 +208,7 @@
             && sender
                 .is_some_and(|region| region != self.id.region && self.allows(request, region));
         let fits = here.wait + asked.expected <= asked.budget;
-        if here.possible && fits && (!spilled || here.wait == Duration::ZERO) {
+        if here.possible && fits && (!spilled || here.wait <= SPARE_WAIT) {
             Choice::Here
         } else {
             Choice::Nowhere(here.possible.then_some(here.wait))
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -27,6 +27,7 @@
         self.tell_readiness(now, out);
         self.beat(now, out);
         self.keep_roster(now, out);
+        self.tell_work(now, out);
         if now.since(self.refreshed) >= REFRESH {
             self.refresh(now, out);
         }
--- a/crates/seam-core/src/prefix.rs
+++ b/crates/seam-core/src/prefix.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Notes that an engine reads a part of a prompt.
+    pub fn note_part(&mut self, now: Time, target: TargetKey, part: u64, tokens: u32, memory: f64) {
+        let held = self.targets.entry(target).or_default();
+        held.note(now, part, tokens, (memory * CACHED_PART) as u64);
+    }
+
     /// Returns the tokens of a prompt that an engine is not believed to hold.
     ///
     /// ```
--- a/crates/seam-core/src/spill.rs
+++ b/crates/seam-core/src/spill.rs
@@ -41,8 +41,10 @@
     pub service: ServiceId,
     /// Time until the deadline.
     pub budget: Duration,
-    /// Expected service time.
+    /// Expected service time, for streams to the first event.
     pub expected: Duration,
+    /// Time within which an answer is of full use.
+    pub objective: Duration,
     /// Weight of tail latency against the share sent away, 0 to 1.
     pub weight: f64,
 }
@@ -104,6 +106,7 @@
     ///     service: ServiceId(1),
     ///     budget: Duration::from_secs(10),
     ///     expected: Duration::from_secs(1),
+    ///     objective: Duration::from_secs(10),
     ///     weight: 1.0,
     /// };
     /// let there = There {
@@ -137,7 +140,7 @@
             return Choice::There(best.region);
         }
         let cost = best.trip + best.wait;
-        let slack = asked.budget.saturating_sub(asked.expected + cost);
+        let slack = asked.objective.saturating_sub(asked.expected + cost);
         let sending = self.sending.entry(asked.service).or_default();
         let factor = if *sending { HYSTERESIS } else { 1.0 };
         let reluctance = slack.mul_f64((1.0 - asked.weight).clamp(0.0, 1.0));
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use seam_protocol::bundle::Capacity;
+use seam_protocol::heartbeat::TargetWork;
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
 
 pub use choice::{Chosen, Wish};
@@ -32,6 +33,8 @@
 const SLOW_START: Duration = Duration::from_secs(20);
 /// Part of its slots that a returning target gets at once.
 const FIRST_PART: f64 = 0.25;
+/// Age above which another node's word on its work is ignored; several times its period.
+const STALE_WORK: Duration = Duration::from_millis(1500);
 /// Age above which a load report is ignored.
 const STALE_REPORT: Duration = Duration::from_secs(10);
 /// Mean-to-floor ratio of service times above which a target's limit falls.
@@ -81,6 +84,8 @@
     pub engine: EngineModel,
     /// What it may be sent while it is cold.
     pub cold: ColdShare,
+    /// Work of other nodes there, by their own word.
+    others: BTreeMap<VmId, (Time, TargetWork)>,
     failures: u32,
     ejections: u32,
     since: Option<Time>,
@@ -104,6 +109,7 @@
             part: 1,
             engine: EngineModel::default(),
             cold: ColdShare::default(),
+            others: BTreeMap::new(),
             failures: 0,
             ejections: 0,
             since,
@@ -148,9 +154,33 @@
         (now.since(report.0) < STALE_REPORT).then_some(report)
     }
 
+    /// Returns the work of other nodes there, as far as they told of it lately.
+    fn others(&self, now: Time) -> impl Iterator<Item = &TargetWork> + '_ {
+        let fresh = move |(told, _): &&(Time, TargetWork)| now.since(*told) < STALE_WORK;
+        self.others.values().filter(fresh).map(|(_, work)| work)
+    }
+
+    /// Returns the tokens that are still to be read there, for all nodes.
+    #[must_use]
+    pub fn unread(&self, now: Time) -> u64 {
+        let others: u64 = self.others(now).map(|work| u64::from(work.unread)).sum();
+        self.engine.unread() + others
+    }
+
+    /// Returns the tokens that running requests of all nodes may hold there.
+    #[must_use]
+    pub fn held(&self, now: Time) -> u64 {
+        let others: u64 = self.others(now).map(|work| work.held).sum();
+        self.engine.held() + others
+    }
+
     /// Returns the estimated requests of all nodes that run there.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
+        if !self.others.is_empty() {
+            let others: u32 = self.others(now).map(|work| work.running).sum();
+            return self.running + others;
+        }
         let others = self.reported(now).map_or(0, |(_, report, own)| {
             (report.running + report.waiting).saturating_sub(*own)
         });
@@ -287,11 +317,37 @@
         self.everywhere = services;
     }
 
-    /// Sets this node's part of a target's slots, and the number of nodes that share them.
-    pub fn set_part(&mut self, key: TargetKey, part: u32, sharers: u32) {
-        let state = self.get_mut(key);
-        state.part = part;
-        state.engine.set_sharers(sharers);
+    /// Sets this node's part of a target's slots.
+    pub fn set_part(&mut self, key: TargetKey, part: u32) {
+        self.get_mut(key).part = part;
+    }
+
+    /// Returns this node's own work at the targets of its region.
+    #[must_use]
+    pub fn works(&self) -> Vec<TargetWork> {
+        let busy = self.all().filter(|(_, state)| state.running > 0);
+        busy.map(|(_, state)| TargetWork {
+            target: state.id,
+            running: state.running,
+            unread: u32::try_from(state.engine.unread()).unwrap_or(u32::MAX),
+            held: state.engine.held(),
+        })
+        .collect()
+    }
+
+    /// Takes in all of another node's work. Targets that it does not name have none of it.
+    pub fn hear_work(&mut self, now: Time, from: VmId, works: &[(TargetKey, TargetWork)]) {
+        for state in &mut self.arena {
+            if let Some((told, work)) = state.others.get_mut(&from) {
+                *told = now;
+                work.running = 0;
+                work.unread = 0;
+                work.held = 0;
+            }
+        }
+        for (key, work) in works {
+            self.get_mut(*key).others.insert(from, (now, *work));
+        }
     }
 
     /// Returns the key of a target.
@@ -383,7 +439,8 @@
         const MILLIS: f64 = 1000.0;
         let serving = self.of(service);
         let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
-        let waits = serving.map(|(_, state)| state.engine.queue(state.load(now)));
+        let waits =
+            serving.map(|(_, state)| state.engine.queue(state.unread(now), state.load(now)));
         let least = waits.min_by(f64::total_cmp).unwrap_or_default();
         Duration::from_secs_f64(least / MILLIS)
     }
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -7,7 +7,7 @@
 use seam_protocol::id::rank;
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time};
 
-use super::{Phase, TargetKey, TargetState, Targets, Work};
+use super::{EngineModel, Phase, TargetKey, Targets, Work};
 use crate::command::Grounds;
 use crate::prefix::PrefixTable;
 use crate::prompt::Prompt;
@@ -149,13 +149,15 @@
         let state = self.get(key);
         let unread = prefixes.unread(key, prompt);
         let load = state.load(now);
-        let predicted = state.engine.usual(unread, load);
-        let mut total = state.engine.first(unread, load) + READING * state.engine.reading(unread);
+        let queued = state.unread(now);
+        let predicted = EngineModel::usual(queued, unread, load);
+        let mut total = state.engine.first(queued, unread, load);
+        total += READING * state.engine.reading(unread);
         if !at_home && let Some(anchor) = prompt.anchor() {
             total += state.engine.reading(anchor.tokens);
         }
         if let Some(memory) = state.memory()
-            && Self::held(state, load) + prompt.memory() as f64 > memory * MOST_HELD
+            && (state.held(now) + prompt.memory()) as f64 > memory * MOST_HELD
         {
             total += PREEMPTED_MS;
         }
@@ -170,12 +172,6 @@
         }
     }
 
-    /// Estimates the tokens that the running requests of all nodes hold.
-    fn held(state: &TargetState, load: u32) -> f64 {
-        let own = state.engine.held() as f64;
-        own * f64::from(load.max(1)) / f64::from(state.running.max(1))
-    }
-
     fn pick(
         &self,
         now: Time,
--- a/crates/seam-core/src/targets/engine.rs
+++ b/crates/seam-core/src/targets/engine.rs
@@ -24,8 +24,6 @@
     unread: u64,
     /// Tokens that this node's running requests may hold.
     held: u64,
-    /// Nodes that use the engine.
-    sharers: u32,
     /// Measured time to the first token against the predicted one.
     slowness: f64,
 }
@@ -35,7 +33,6 @@
         Self {
             unread: 0,
             held: 0,
-            sharers: 1,
             slowness: 1.0,
         }
     }
@@ -53,36 +50,30 @@
 }
 
 impl EngineModel {
-    /// Sets how many nodes use the engine.
-    pub fn set_sharers(&mut self, sharers: u32) {
-        self.sharers = sharers.max(1);
-    }
-
-    /// Returns the milliseconds to the first token of a request at a usual engine.
-    ///
-    /// Other nodes are taken to have as much unread there as this one.
+    /// Returns the milliseconds to the first token of a request at a usual engine, behind some
+    /// tokens that are still to be read there.
     ///
     /// ```
     /// use seam_core::targets::EngineModel;
-    /// let idle = EngineModel::default();
-    /// assert!(idle.usual(9000, 0) > idle.usual(3000, 0));
+    /// assert!(EngineModel::usual(0, 9000, 0) > EngineModel::usual(0, 3000, 0));
+    /// assert!(EngineModel::usual(9000, 3000, 0) > EngineModel::usual(0, 3000, 0));
     /// ```
     #[must_use]
-    pub fn usual(&self, unread: u32, running: u32) -> f64 {
-        let tokens = self.unread * u64::from(self.sharers) + u64::from(unread);
+    pub fn usual(queued: u64, unread: u32, running: u32) -> f64 {
+        let tokens = queued + u64::from(unread);
         BASE_MS + tokens as f64 / PACE + f64::from(running) * STEP_MS
     }
 
     /// Returns the milliseconds to the first token of a request at this engine.
     #[must_use]
-    pub fn first(&self, unread: u32, running: u32) -> f64 {
-        self.usual(unread, running) * self.slowness
+    pub fn first(&self, queued: u64, unread: u32, running: u32) -> f64 {
+        Self::usual(queued, unread, running) * self.slowness
     }
 
     /// Returns the milliseconds that a request waits before its own prompt is read.
     #[must_use]
-    pub fn queue(&self, running: u32) -> f64 {
-        (self.usual(0, running) - BASE_MS) * self.slowness
+    pub fn queue(&self, queued: u64, running: u32) -> f64 {
+        (Self::usual(queued, 0, running) - BASE_MS) * self.slowness
     }
 
     /// Returns the time that reading some tokens takes at this engine.
@@ -91,6 +82,12 @@
         f64::from(tokens) / PACE * self.slowness
     }
 
+    /// Returns the tokens of this node's requests that are still to be read.
+    #[must_use]
+    pub fn unread(&self) -> u64 {
+        self.unread
+    }
+
     /// Returns the tokens that this node's running requests may hold.
     #[must_use]
     pub fn held(&self) -> u64 {
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -36,10 +36,10 @@
         self.first.store(now.0.max(1), Ordering::Relaxed);
     }
 
-    /// Returns the milliseconds from a time to the first bytes of the answer.
-    fn first_ms(&self, since: Time) -> Option<u64> {
-        let first = self.first.load(Ordering::Relaxed);
-        (first > 0).then(|| Time(first).since(since).as_millis() as u64)
+    /// Returns the milliseconds from a time to the first bytes of the answer, zero before them.
+    fn first_ms(&self, since: Time) -> u64 {
+        let first = Time(self.first.load(Ordering::Relaxed));
+        first.since(since).as_millis() as u64
     }
 
     fn was_sent(&self) -> bool {
@@ -267,7 +267,7 @@
     log::info!(
         target: "request",
         request = trial.inbound.id.as_str(), attempt = attempt.0, end = end,
-        first_ms:? = trial.progress.first_ms(trial.start),
+        first_ms = trial.progress.first_ms(trial.start),
         took_ms = hub.now().since(trial.start).as_millis() as u64;
         "attempt ended"
     );
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bundle::Vm;
-use crate::id::{CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, VmId};
+use crate::id::{CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, TargetId, VmId};
 
 /// Load of one service at one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +100,30 @@
     pub asked: u64,
 }
 
+/// A node's own work at a target of its region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetWork {
+    /// The target.
+    pub target: TargetId,
+    /// Its requests that run there.
+    pub running: u32,
+    /// Tokens of its prompts that are still to be read there.
+    pub unread: u32,
+    /// Tokens that its requests may hold there.
+    pub held: u64,
+}
+
+/// A part of a prompt that a target reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRead {
+    /// The target.
+    pub target: TargetId,
+    /// The part.
+    pub part: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
 /// One datagram between two nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -129,6 +153,10 @@
     pub shortages: Vec<Shortage>,
     /// Units lent to the receiver.
     pub grants: Vec<Grant>,
+    /// All of the sender's work at targets, if it tells of it.
+    pub works: Option<Vec<TargetWork>>,
+    /// Parts of prompts that the sender had read lately.
+    pub parts: Vec<PartRead>,
 }
 
 impl Heartbeat {
@@ -170,6 +198,8 @@
             suspects: Vec::new(),
             shortages: Vec::new(),
             grants: Vec::new(),
+            works: None,
+            parts: Vec::new(),
         }
     }
 }
