--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -119,7 +119,7 @@
         self.listed = listed;
         self.mark_listed(now, out);
         for (id, until, rate) in cold {
-            self.chill(now, id, until, rate);
+            self.chill(id, until, rate);
         }
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
@@ -128,14 +128,19 @@
     }
 
     /// Sets this node's share of what a cold target bears.
-    fn chill(&mut self, now: Time, id: TargetId, until: Time, rate: f64) {
-        let nodes = self.active(now);
+    ///
+    /// Nodes that are not heard of count, since they may still reach the target.
+    fn chill(&mut self, id: TargetId, until: Time, rate: f64) {
+        let Some(bundle) = &self.bundle else {
+            return;
+        };
+        let nodes: Vec<VmId> = bundle.deployment.vms_in(self.id.region).collect();
         let rank_of = |vm: VmId| seam_protocol::id::rank(u64::from(id.0), u64::from(vm.0));
         let mine = rank_of(self.id.vm);
         let rank = nodes.iter().filter(|vm| rank_of(**vm) > mine).count();
         if let Some(key) = self.targets.key(id) {
             let allowed = cold_share(rate, nodes.len(), rank);
-            self.targets.chill(key, until, allowed);
+            self.targets.chill(key, self.boot, until, allowed);
         }
     }
 
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -429,8 +429,8 @@
     }
 
     /// Sets until when a target is cold, and what this node may send it till then.
-    pub fn chill(&mut self, key: TargetKey, until: Time, allowed: u32) {
-        self.get_mut(key).cold.set(Some(until), allowed);
+    pub fn chill(&mut self, key: TargetKey, boot: Time, until: Time, allowed: u32) {
+        self.get_mut(key).cold.set(boot, until, allowed);
     }
 
     /// Returns the shortest time that a prompt waits at an engine that takes work.
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -15,14 +15,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdShare {
     until: Option<Time>,
+    /// Before this time, what the process sent before it started could still count.
+    from: Time,
     allowed: u32,
     sent: VecDeque<Time>,
 }
 
 impl ColdShare {
     /// Sets until when the target is cold, and the requests of this node in any second till then.
-    pub fn set(&mut self, until: Option<Time>, allowed: u32) {
-        self.until = until;
+    ///
+    /// A process that has just booted does not know what the one before it sent.
+    pub fn set(&mut self, boot: Time, until: Time, allowed: u32) {
+        self.until = Some(until);
+        self.from = boot + WINDOW;
         self.allowed = allowed;
     }
 
@@ -38,19 +43,23 @@
     /// use seam_core::targets::ColdShare;
     /// use seam_protocol::Time;
     /// let mut share = ColdShare::default();
-    /// share.set(Some(Time(3_000_000)), 1);
-    /// assert!(share.open(Time(0)));
-    /// share.note(Time(0));
-    /// assert!(!share.open(Time(1_000_000)));
-    /// assert!(share.open(Time(1_200_000)));
-    /// share.note(Time(1_200_000));
-    /// assert!(share.open(Time(3_000_001)));
+    /// share.set(Time(0), Time(9_000_000), 1);
+    /// assert!(!share.open(Time(0)));
+    /// assert!(share.open(Time(2_000_000)));
+    /// share.note(Time(2_000_000));
+    /// assert!(!share.open(Time(3_000_000)));
+    /// assert!(share.open(Time(3_200_000)));
+    /// share.note(Time(3_200_000));
+    /// assert!(share.open(Time(9_000_001)));
     /// ```
     #[must_use]
     pub fn open(&self, now: Time) -> bool {
         if self.until.is_none_or(|until| until <= now) {
             return true;
         }
+        if now < self.from {
+            return false;
+        }
         let lately = self.sent.iter().filter(|sent| now.since(**sent) < WINDOW);
         (lately.count() as u32) < self.allowed
     }
--- /dev/null
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -0,0 +1,183 @@
+//! Items merge by revision, whatever their order and source, and never go back.
+
+use proptest::prelude::*;
+use seam_core::catalogue::{Catalogue, News, Published, REWRITE, Source};
+use seam_protocol::{CentreId, Entry, ListedTarget, RawItem, RegionId, ServiceId, Target, Time};
+
+fn target(name: &str) -> Entry {
+    Entry::Target(Box::new(ListedTarget {
+        rule: Target {
+            name: name.to_owned(),
+            region: RegionId(1),
+            centre: CentreId(1),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: 1,
+            fenced: false,
+        },
+        boot: 0,
+        service: ServiceId(1),
+        leaving: false,
+        cold: std::time::Duration::ZERO,
+    }))
+}
+
+fn put(key: &str, revision: u64) -> Published {
+    Published {
+        item: RawItem {
+            key: key.to_owned(),
+            revision,
+            value: Some(revision.to_be_bytes().to_vec()),
+            lapsed: false,
+        },
+        entry: Some(target(&format!("{key}@{revision}"))),
+    }
+}
+
+fn removal(key: &str, revision: u64) -> Published {
+    Published {
+        item: RawItem {
+            key: key.to_owned(),
+            revision,
+            value: None,
+            lapsed: false,
+        },
+        entry: None,
+    }
+}
+
+fn news(items: Vec<Published>, head: u64, whole: bool) -> News {
+    News { items, head, whole }
+}
+
+fn names(catalogue: &Catalogue) -> Vec<String> {
+    let inventory = catalogue.inventory();
+    let targets = inventory.targets.values();
+    targets.map(|target| target.rule.name.clone()).collect()
+}
+
+fn published() -> impl Strategy<Value = Vec<Published>> {
+    let item = (0..4_usize, 1..30_u64, prop::bool::weighted(0.3));
+    prop::collection::vec(item, 1..20).prop_map(|list| {
+        let mut seen = std::collections::BTreeSet::new();
+        list.into_iter()
+            .filter(|(_, revision, _)| seen.insert(*revision))
+            .map(|(key, revision, gone)| {
+                let key = ["a", "b", "c", "d"][key];
+                if gone {
+                    removal(key, revision)
+                } else {
+                    put(key, revision)
+                }
+            })
+            .collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: prop::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_order(items in published(), cut in 0..20_usize) {
+        let mut forward = Catalogue::default();
+        forward.merge(Time(0), news(items.clone(), 30, false), Source::Peer);
+        let mut mixed = Catalogue::default();
+        let mut other = items.clone();
+        other.reverse();
+        let cut = cut.min(other.len());
+        let (first, second) = other.split_at(cut);
+        // Some come twice, and in two portions.
+        mixed.merge(Time(1), news(second.to_vec(), 12, false), Source::Peer);
+        mixed.merge(Time(2), news(first.to_vec(), 30, false), Source::Platform);
+        mixed.merge(Time(3), news(items, 20, false), Source::Peer);
+        prop_assert_eq!(names(&forward), names(&mixed));
+        prop_assert_eq!(mixed.head(), 30);
+    }
+
+    #[test]
+    fn peers_catch_up(items in published(), at in 0..30_u64) {
+        let mut first = Catalogue::default();
+        first.merge(Time(0), news(items.clone(), 30, false), Source::Platform);
+        let mut second = Catalogue::default();
+        let known: Vec<Published> = items.iter().filter(|p| p.item.revision <= at).cloned().collect();
+        second.merge(Time(0), news(known, at, false), Source::Platform);
+        let delta = first.since(second.head());
+        let pulled = delta.items.into_iter().map(|item| {
+            let entry = item.value.as_ref().map(|_| target(&format!("{}@{}", item.key, item.revision)));
+            Published { item, entry }
+        });
+        second.merge(Time(1), news(pulled.collect(), delta.head, delta.whole), Source::Peer);
+        prop_assert_eq!(names(&first), names(&second));
+    }
+}
+
+#[test]
+fn older_loses() {
+    let mut catalogue = Catalogue::default();
+    catalogue.merge(Time(0), news(vec![put("a", 9)], 9, false), Source::Platform);
+    catalogue.merge(Time(1), news(vec![removal("a", 4)], 4, false), Source::Peer);
+    assert_eq!(names(&catalogue), ["a@9"]);
+    assert_eq!(catalogue.head(), 9);
+}
+
+#[test]
+fn plain_removal() {
+    let mut catalogue = Catalogue::default();
+    catalogue.merge(Time(0), news(vec![put("a", 1)], 1, false), Source::Platform);
+    catalogue.merge(
+        Time(1),
+        news(vec![removal("a", 2)], 2, false),
+        Source::Platform,
+    );
+    assert!(names(&catalogue).is_empty());
+}
+
+#[test]
+fn lapse_after_outage() {
+    let mut catalogue = Catalogue::default();
+    catalogue.merge(
+        Time(0),
+        news(vec![put("a", 1), put("b", 2)], 2, false),
+        Source::Platform,
+    );
+    catalogue.set_away(Time(10), true);
+    let back = Time(5_000_000);
+    catalogue.set_away(back, false);
+    let gone = vec![removal("a", 3), removal("b", 4)];
+    catalogue.merge(back, news(gone, 4, false), Source::Platform);
+    assert_eq!(names(&catalogue), ["a@1", "b@2"]);
+    let again = Time(6_000_000);
+    catalogue.merge(again, news(vec![put("a", 5)], 5, false), Source::Platform);
+    assert!(catalogue.expire(back + REWRITE));
+    assert_eq!(names(&catalogue), ["a@5"]);
+}
+
+#[test]
+fn whole_list_shows_removals() {
+    let mut catalogue = Catalogue::default();
+    let items = vec![put("a", 1), put("b", 2), put("c", 8)];
+    catalogue.merge(Time(0), news(items, 8, false), Source::Platform);
+    // The list was made at revision 7, before c was written.
+    catalogue.merge(Time(1), news(vec![put("b", 2)], 7, true), Source::Platform);
+    assert_eq!(names(&catalogue), ["b@2", "c@8"]);
+}
+
+#[test]
+fn unusable_entry() {
+    let mut catalogue = Catalogue::default();
+    catalogue.merge(
+        Time(0),
+        news(vec![put("a", 1), put("b", 2)], 2, false),
+        Source::Platform,
+    );
+    let mut broken = put("a", 3);
+    broken.entry = Some(Entry::Unusable("no zone".to_owned()));
+    let merged = catalogue.merge(Time(1), news(vec![broken], 3, false), Source::Platform);
+    assert_eq!(merged.unusable.len(), 1);
+    assert!(merged.inventory);
+    assert_eq!(names(&catalogue), ["b@2"]);
+}
