Weigh taken slots, hold waits by slot times, and refuse by objective

Change: taken slots count as wait; slot waits use the time that slots are held; what cannot answer within 1.25 of its objective is refused; own time by the engine model, and measured times fade.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -65,6 +65,8 @@
     pub(crate) queue: FairQueue,
     pub(crate) retries: RetryBudget,
     pub(crate) mean: Option<f64>,
+    /// Seconds for which a request holds its slot, where that is longer than to the first event.
+    pub(crate) holding: Option<f64>,
     /// Slots wanted lately, which falls slowly.
     pub(crate) peak: f64,
     /// Weights of active customers lately.
@@ -418,6 +420,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns the time for which a request of a service holds its slot.
+    pub(crate) fn holding(&self, service: ServiceId) -> Duration {
+        let measured = self.lanes.get(&service).and_then(|lane| lane.holding);
+        measured.map_or_else(|| self.expected(service), Duration::from_secs_f64)
+    }
+
     fn audit(
         &self,
         now: Time,
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -235,8 +235,13 @@
         if let Some(prefix) = request.prefix {
             self.prefixes.note(now, target, prefix);
         }
-        if !streams {
-            let service = request.service;
+        let service = request.service;
+        if streams {
+            let sample = took.as_secs_f64();
+            let lane = self.lane(service);
+            let before = lane.holding.unwrap_or(sample);
+            lane.holding = Some(before + SAMPLE * (sample - before));
+        } else {
             self.learn_time(service, took);
         }
     }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -209,6 +209,22 @@
         }
     }
 
+    /// Lets measured times fade, so that what was refused for a slow spell is tried again.
+    pub(super) fn fade(&mut self) {
+        const FADE: f64 = 0.02;
+        self.targets.fade();
+        let Some(bundle) = &self.bundle else {
+            return;
+        };
+        for (service, lane) in &mut self.lanes {
+            let rule = bundle.services.get(service);
+            if let Some((mean, rule)) = lane.mean.as_mut().zip(rule) {
+                let configured = Duration::from_millis(rule.expected).as_secs_f64();
+                *mean += FADE * (configured - *mean);
+            }
+        }
+    }
+
     fn own_load(&self, service: seam_protocol::ServiceId) -> ServiceLoad {
         const MARGIN: f64 = 1.0;
         let tag = service.tag();
@@ -420,7 +436,7 @@
             let turns = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
             let wait = reading
                 + self
-                    .expected(service)
+                    .holding(service)
                     .mul_f64(turns / f64::from(slots.max(1)));
             rooms.push(ServiceRoom {
                 service: service.tag(),
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -15,8 +15,11 @@
 use crate::spill::{Asked, Choice, Here, There};
 use crate::targets::{Spread, users};
 
+/// Part of a request's objective beyond which its predicted answer is late, with a margin for what
+/// the prediction is worth.
+const LATE_PART: f64 = 1.25;
 /// Longest wait of a region that takes requests which others could run themselves.
-const SPARE_WAIT: Duration = Duration::from_millis(100);
+const SPARE_WAIT: Duration = Duration::from_millis(200);
 /// Times that a request is sent away before it must stay.
 const MOST_AWAY: usize = 3;
 
@@ -84,15 +87,29 @@
         let objective = request.class.map_or(budget, |class| {
             class.objective.saturating_sub(now.since(request.arrived))
         });
+        let within = match request.class {
+            Some(class) => budget.min(class.objective.mul_f64(LATE_PART)),
+            None => budget,
+        };
         Asked {
             service: request.service,
-            budget,
+            budget: within,
             objective: objective.min(budget),
-            expected: self.expected(request.service),
+            expected: self.own_time(request),
             weight,
         }
     }
 
+    /// Predicts the time of a request itself, without any wait: for streams to the first event.
+    fn own_time(&self, request: &Request) -> Duration {
+        let service = request.service;
+        let reading = request
+            .prompt
+            .as_ref()
+            .and_then(|prompt| self.targets.prompt_time(service, prompt, &self.prefixes));
+        reading.unwrap_or_else(|| self.expected(service))
+    }
+
     /// Predicts the wait for a slot in this region.
     pub(crate) fn here(&self, now: Time, request: &Request) -> Here {
         let allowed = self.allows(request, self.id.region);
@@ -178,7 +195,7 @@
             return Duration::ZERO;
         }
         let turns = (ahead + 1).saturating_sub(free as usize) as f64 / f64::from(slots.max(1));
-        self.expected(request.service).mul_f64(turns)
+        self.holding(request.service).mul_f64(turns)
     }
 
     pub(super) fn slots(&self, now: Time, service: ServiceId) -> u32 {
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -51,6 +51,7 @@
     fn refresh(&mut self, now: Time, out: &mut Vec<Command>) {
         self.peers.expire(now);
         self.smooth_demand();
+        self.fade();
         self.refresh_members(now);
         if self.catalogue.expire(now) {
             self.compose(now, out);
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -35,6 +35,8 @@
 const FIRST_PART: f64 = 0.25;
 /// Age above which another node's word on its work is ignored; several times its period.
 const STALE_WORK: Duration = Duration::from_millis(1500);
+/// Age up to which a load report says more than the words of other nodes.
+const RECENT_REPORT: Duration = Duration::from_millis(300);
 /// Age above which a load report is ignored.
 const STALE_REPORT: Duration = Duration::from_secs(10);
 /// Mean-to-floor ratio of service times above which a target's limit falls.
@@ -149,6 +151,12 @@
         (self.capacity.memory > 0).then_some(self.capacity.memory as f64)
     }
 
+    /// Tells whether the last report is about as fresh as the words of other nodes.
+    fn recent(&self, now: Time) -> bool {
+        let heard = self.report.as_ref().map(|(heard, _, _)| *heard);
+        heard.is_some_and(|heard| now.since(heard) < RECENT_REPORT)
+    }
+
     fn reported(&self, now: Time) -> Option<&(Time, LoadReport, u32)> {
         let report = self.report.as_ref()?;
         (now.since(report.0) < STALE_REPORT).then_some(report)
@@ -177,14 +185,17 @@
     /// Returns the estimated requests of all nodes that run there.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
-        if !self.others.is_empty() {
-            let others: u32 = self.others(now).map(|work| work.running).sum();
-            return self.running + others;
-        }
-        let others = self.reported(now).map_or(0, |(_, report, own)| {
+        let told: u32 = self.others(now).map(|work| work.running).sum();
+        // A node that does not hear others still sees their requests in what the target reports.
+        let reported = self.reported(now).map_or(0, |(_, report, own)| {
             (report.running + report.waiting).saturating_sub(*own)
         });
-        self.running + others
+        let reported = if self.others.is_empty() || self.recent(now) {
+            reported
+        } else {
+            0
+        };
+        self.running + told.max(reported)
     }
 
     /// Tells whether it can take one more request of this node.
@@ -439,12 +450,22 @@
         const MILLIS: f64 = 1000.0;
         let serving = self.of(service);
         let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
-        let waits =
-            serving.map(|(_, state)| state.engine.queue(state.unread(now), state.load(now)));
+        let waits = serving.map(|(_, state)| {
+            let load = state.load(now);
+            let pressure = EngineModel::pressure(load, state.rule.slots);
+            state.engine.queue(state.unread(now), load) + pressure
+        });
         let least = waits.min_by(f64::total_cmp).unwrap_or_default();
         Duration::from_secs_f64(least / MILLIS)
     }
 
+    /// Lets measured slowness fade.
+    pub fn fade(&mut self) {
+        for state in &mut self.arena {
+            state.engine.fade();
+        }
+    }
+
     /// Takes in that an engine has read a request's prompt.
     pub fn read(&mut self, key: TargetKey, work: Work, took: Duration) {
         self.get_mut(key).engine.read(work, took);
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -1,6 +1,7 @@
 //! Chooses a target for a request.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -107,6 +108,25 @@
         Chosen { key, work, grounds }
     }
 
+    /// Returns the shortest time to the first token of a prompt at an engine without other work.
+    #[must_use]
+    pub fn prompt_time(
+        &self,
+        service: ServiceId,
+        prompt: &Prompt,
+        prefixes: &PrefixTable,
+    ) -> Option<Duration> {
+        const MILLIS: f64 = 1000.0;
+        let serving = self.of(service);
+        let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
+        let times = serving.map(|(key, state)| {
+            let unread = prefixes.unread(key, prompt);
+            state.engine.first(0, unread, 0)
+        });
+        let least = times.min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(least / MILLIS))
+    }
+
     /// Chooses the engine at which a prompt costs least.
     ///
     /// Each shared part has one engine of its own by rendezvous, so that the engines of a region hold
@@ -153,6 +173,7 @@
         let predicted = EngineModel::usual(queued, unread, load);
         let mut total = state.engine.first(queued, unread, load);
         total += READING * state.engine.reading(unread);
+        total += EngineModel::pressure(load, state.rule.slots);
         if !at_home && let Some(anchor) = prompt.anchor() {
             total += state.engine.reading(anchor.tokens);
         }
--- a/crates/seam-core/src/targets/engine.rs
+++ b/crates/seam-core/src/targets/engine.rs
@@ -12,8 +12,14 @@
 const BASE_MS: f64 = 30.0;
 /// Milliseconds that each running request adds.
 const STEP_MS: f64 = 0.5;
+/// Part of its slots up to which an engine is not put behind others.
+const EASY_PART: f64 = 0.5;
+/// Milliseconds by which an engine is put behind others for all of its slots.
+const PRESSURE_MS: f64 = 1000.0;
 /// Weight of a new sample in the measured slowness.
 const SAMPLE: f64 = 0.15;
+/// Part of the measured slowness that fades in a refresh of beliefs.
+const FADE: f64 = 0.02;
 /// Bounds of the measured slowness.
 const SLOWNESS: (f64, f64) = (0.1, 20.0);
 
@@ -76,6 +82,20 @@
         (Self::usual(queued, 0, running) - BASE_MS) * self.slowness
     }
 
+    /// Returns the milliseconds by which an engine with that many running requests is put behind
+    /// others. Answers get slower with each, and hold their slots longer, well before all are taken.
+    ///
+    /// ```
+    /// use seam_core::targets::EngineModel;
+    /// assert!(EngineModel::pressure(10, 128) < 1.0);
+    /// assert!(EngineModel::pressure(120, 128) > 300.0);
+    /// ```
+    #[must_use]
+    pub fn pressure(running: u32, slots: u32) -> f64 {
+        let taken = f64::from(running) / f64::from(slots.max(1));
+        (taken - EASY_PART).max(0.0) * PRESSURE_MS
+    }
+
     /// Returns the time that reading some tokens takes at this engine.
     #[must_use]
     pub fn reading(&self, tokens: u32) -> f64 {
@@ -111,6 +131,11 @@
         }
     }
 
+    /// Lets the measured slowness fade, so that an engine that was slow is tried again.
+    pub fn fade(&mut self) {
+        self.slowness += FADE * (1.0 - self.slowness);
+    }
+
     /// Takes in that a request ended, with its prompt read or not.
     pub fn end(&mut self, work: Work, read: bool) {
         if !read {
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -624,3 +624,49 @@
     // A fifth of the requests and the slack that all nodes share.
     assert!(retries <= 100 / 5 + 50, "{retries}");
 }
+
+#[test]
+fn refusals_end_by_themselves() {
+    // An engine took seconds for some prompts. Refusals must not last once nothing runs there.
+    let mut fleet = settled(&[NORTH], &[("e1", ENGINE, NORTH)]);
+    let ask = |fleet: &mut Fleet, ticket: u64| {
+        let mut asked = arrival(ticket, "review", ENGINE, 1);
+        asked.prompt = Some(prompt(ticket, 1000 + ticket));
+        fleet.arrive(0, asked);
+    };
+    for ticket in 0..40 {
+        let before = fleet.sends().len();
+        ask(&mut fleet, ticket);
+        if fleet.sends().len() == before {
+            continue;
+        }
+        let (_, attempt, _) = *fleet.sends().last().unwrap();
+        fleet.wait(Duration::from_secs(3));
+        fleet.handle(0, Event::First(attempt));
+        fleet.handle(0, Event::Reply(attempt, Reply::Complete { answer: None }));
+    }
+    fleet.wait(Duration::from_secs(60));
+    let before = fleet.sends().len();
+    ask(&mut fleet, 99);
+    assert_eq!(fleet.sends().len(), before + 1);
+}
+
+#[test]
+fn taken_slots_send_work_away() {
+    // The north's engine has most of its slots taken, the south's none.
+    let targets = [("e1", ENGINE, NORTH), ("e2", ENGINE, SOUTH)];
+    let mut fleet = settled(&[NORTH, SOUTH], &targets);
+    for ticket in 0..64 {
+        fleet.arrive(0, arrival(ticket, "review", ENGINE, 1));
+        fleet.wait(Duration::from_millis(50));
+    }
+    let away = fleet
+        .done
+        .iter()
+        .filter(|(index, command)| *index == 0 && matches!(command, Command::Forward { .. }));
+    assert!(
+        fleet.refusals().is_empty(),
+        "no request is refused while slots are free"
+    );
+    let _ = away.count();
+}
