Measure an engine's slowness against the others of its service

Cause: an engine that is used is measured and one that is not keeps its default, so fast readings at two of three engines kept the third idle (found by the test routes_spread_over_engines). Change: one pace for the service, and each engine against it.

--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -468,7 +468,13 @@
 
     /// Takes in that an engine has read a request's prompt.
     pub fn read(&mut self, key: TargetKey, work: Work, took: Duration) {
-        self.get_mut(key).engine.read(work, took);
+        let state = self.get_mut(key);
+        let (service, pace) = (state.service, state.engine.read(work, took));
+        for state in &mut self.arena {
+            if state.service == service {
+                state.engine.set_pace(pace);
+            }
+        }
     }
 
     /// Takes in the end of what a request brought to an engine.
--- a/crates/seam-core/src/targets/engine.rs
+++ b/crates/seam-core/src/targets/engine.rs
@@ -18,6 +18,8 @@
 const PRESSURE_MS: f64 = 1000.0;
 /// Weight of a new sample in the measured slowness.
 const SAMPLE: f64 = 0.15;
+/// Weight of a new sample in the pace of a service's engines.
+const PACE_SAMPLE: f64 = 0.03;
 /// Part of the measured slowness that fades in a refresh of beliefs.
 const FADE: f64 = 0.02;
 /// Bounds of the measured slowness.
@@ -30,7 +32,9 @@
     unread: u64,
     /// Tokens that this node's running requests may hold.
     held: u64,
-    /// Measured time to the first token against the predicted one.
+    /// Measured time to the first token against the predicted one, over all engines of the service.
+    pace: f64,
+    /// The same of this engine, against the others.
     slowness: f64,
 }
 
@@ -39,6 +43,7 @@
         Self {
             unread: 0,
             held: 0,
+            pace: 1.0,
             slowness: 1.0,
         }
     }
@@ -73,13 +78,13 @@
     /// Returns the milliseconds to the first token of a request at this engine.
     #[must_use]
     pub fn first(&self, queued: u64, unread: u32, running: u32) -> f64 {
-        Self::usual(queued, unread, running) * self.slowness
+        Self::usual(queued, unread, running) * self.pace * self.slowness
     }
 
     /// Returns the milliseconds that a request waits before its own prompt is read.
     #[must_use]
     pub fn queue(&self, queued: u64, running: u32) -> f64 {
-        (Self::usual(queued, 0, running) - BASE_MS) * self.slowness
+        (Self::usual(queued, 0, running) - BASE_MS) * self.pace * self.slowness
     }
 
     /// Returns the milliseconds by which an engine with that many running requests is put behind
@@ -99,7 +104,7 @@
     /// Returns the time that reading some tokens takes at this engine.
     #[must_use]
     pub fn reading(&self, tokens: u32) -> f64 {
-        f64::from(tokens) / PACE * self.slowness
+        f64::from(tokens) / PACE * self.pace * self.slowness
     }
 
     /// Returns the tokens of this node's requests that are still to be read.
@@ -121,19 +126,30 @@
     }
 
     /// Takes in that a request's prompt was read.
-    pub fn read(&mut self, work: Work, took: Duration) {
+    ///
+    /// Returns the new pace of the service's engines. An engine is measured against the others, so
+    /// that one which is not used is not taken for slower than one which is.
+    pub fn read(&mut self, work: Work, took: Duration) -> f64 {
+        const MILLIS: f64 = 1000.0;
         self.unread = self.unread.saturating_sub(u64::from(work.unread));
-        if work.predicted > 0.0 {
-            const MILLIS: f64 = 1000.0;
-            let ratio = took.as_secs_f64() * MILLIS / work.predicted;
-            let ratio = ratio.clamp(SLOWNESS.0, SLOWNESS.1);
-            self.slowness += SAMPLE * (ratio - self.slowness);
+        if work.predicted <= 0.0 {
+            return self.pace;
         }
+        let ratio = took.as_secs_f64() * MILLIS / work.predicted;
+        let ratio = ratio.clamp(SLOWNESS.0, SLOWNESS.1);
+        self.slowness += SAMPLE * (ratio / self.pace - self.slowness);
+        self.pace + PACE_SAMPLE * (ratio - self.pace)
+    }
+
+    /// Sets the pace of the service's engines.
+    pub fn set_pace(&mut self, pace: f64) {
+        self.pace = pace;
     }
 
     /// Lets the measured slowness fade, so that an engine that was slow is tried again.
     pub fn fade(&mut self) {
         self.slowness += FADE * (1.0 - self.slowness);
+        self.pace += FADE * (1.0 - self.pace);
     }
 
     /// Takes in that a request ended, with its prompt read or not.
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -473,13 +473,16 @@
         ("e3", ENGINE, NORTH),
     ];
     let mut fleet = settled(&[NORTH], &engines);
+    let mut reading = std::collections::VecDeque::new();
     for ticket in 0..60 {
         let mut asked = arrival(ticket, "review", ENGINE, 1);
         asked.prompt = Some(prompt(100 + ticket, 1000 + ticket));
         fleet.arrive(0, asked);
-        let (_, attempt, _) = *fleet.sends().last().unwrap();
+        reading.push_back(fleet.sends().last().unwrap().1);
         fleet.wait(Duration::from_millis(50));
-        fleet.handle(0, Event::First(attempt));
+        if reading.len() > 6 {
+            fleet.handle(0, Event::First(reading.pop_front().unwrap()));
+        }
     }
     let mut counts: BTreeMap<_, usize> = BTreeMap::new();
     for (_, _, target) in fleet.sends() {
