Let engines copy shared parts of prompts from each other

Change: a send names the engine of the region that holds most of the prompt; the choice weighs copying at 0.3 of reading.

--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -111,6 +111,8 @@
         budget: Duration,
         /// Whether to hand the answer back in [`crate::Reply::Complete`].
         keep: bool,
+        /// A target from which it can copy the parts of the prompt that it lacks.
+        copy_from: Option<SocketAddr>,
         /// What the choice was made by.
         grounds: Grounds,
     },
--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -76,7 +76,8 @@
         self.due = now + period;
         self.round += 1;
         let round = self.round;
-        let near = pick(&self.near, round, FANOUT);
+        let fanout = if lively { self.near.len() } else { FANOUT };
+        let near = pick(&self.near, round, fanout);
         let far = if round.is_multiple_of(far_rounds) {
             self.far_at(round / far_rounds).into_iter().collect()
         } else {
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -71,7 +71,9 @@
             .map(|(id, vm)| (*id, vm.region))
             .collect();
         let regions = bundle.deployment.regions.len();
-        self.peers.adopt(&self.regions, regions, self.id.region);
+        let lively = self.roster.is_some();
+        self.peers
+            .adopt(&self.regions, regions, self.id.region, lively);
         self.gossip.adopt(bundle, self.id.vm, self.id.region);
         let window = Duration::from_secs(bundle.deployment.repeat_window);
         self.keys.set_window(window);
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -164,6 +164,9 @@
             }
         }
         self.words.change();
+        let copy_from = chosen
+            .copy_from
+            .map(|from| self.targets.get(from).rule.address);
         let state = self.targets.get(target);
         out.push(Command::Send {
             ticket,
@@ -174,6 +177,7 @@
             silence: self.silence(service),
             budget,
             keep,
+            copy_from,
             grounds: chosen.grounds,
         });
     }
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -33,6 +33,12 @@
         }
         let request = &self.requests[&ticket];
         let mut here = self.here(now, request);
+        let tried = here.possible && self.targets.all_in(request.service, &request.avoid);
+        if tried && !self.there(now, request).is_empty() {
+            // Another region's targets have not failed the request yet.
+            here.possible = false;
+        }
+        let request = &self.requests[&ticket];
         let near = if here.possible {
             None
         } else {
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -10,6 +10,8 @@
 
 /// Lease of a record in a region of few nodes.
 const LEASE: Duration = Duration::from_secs(3);
+/// Lease of a record where every node of a region tells every other one often: four rounds.
+const LIVELY_LEASE: Duration = Duration::from_millis(1700);
 /// Further lease for each node of the region, since records then take longer to go round.
 const LEASE_STEP: Duration = Duration::from_millis(500);
 /// Lease of a region's digest among few regions.
@@ -66,10 +68,22 @@
 
 impl Peers {
     /// Sets leases for a deployment's size and forgets nodes that are no longer published.
-    pub fn adopt(&mut self, published: &BTreeMap<VmId, RegionId>, regions: usize, own: RegionId) {
+    ///
+    /// With `lively`, every node of a region tells every other one often.
+    pub fn adopt(
+        &mut self,
+        published: &BTreeMap<VmId, RegionId>,
+        regions: usize,
+        own: RegionId,
+        lively: bool,
+    ) {
         self.peers.retain(|vm, _| published.contains_key(vm));
         let nodes = published.values().filter(|region| **region == own).count();
-        self.lease = LEASE + LEASE_STEP * nodes as u32;
+        self.lease = if lively {
+            LIVELY_LEASE
+        } else {
+            LEASE + LEASE_STEP * nodes as u32
+        };
         self.region_lease = REGION_LEASE + REGION_LEASE_STEP * regions as u32;
     }
 
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -432,6 +432,16 @@
             .any(|(_, state)| state.service == service && state.phase == Phase::Serving)
     }
 
+    /// Tells whether a set names every target of a service that takes work.
+    #[must_use]
+    pub fn all_in(&self, service: ServiceId, set: &BTreeSet<TargetKey>) -> bool {
+        !set.is_empty()
+            && self
+                .of(service)
+                .filter(|(_, state)| state.phase == Phase::Serving)
+                .all(|(key, _)| set.contains(&key))
+    }
+
     /// Returns whether any target of a service takes work.
     #[must_use]
     pub fn serving(&self, service: ServiceId) -> bool {
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -40,6 +40,8 @@
     pub key: TargetKey,
     /// What the request brings to it.
     pub work: Work,
+    /// An engine from which it can copy parts of the prompt.
+    pub copy_from: Option<TargetKey>,
     /// What it was chosen by.
     pub grounds: Grounds,
 }
@@ -51,6 +53,7 @@
         Self {
             key,
             work: Work::default(),
+            copy_from: None,
             grounds: Grounds::default(),
         }
     }
@@ -105,7 +108,12 @@
             unread: work.unread,
             predicted: work.predicted as u32,
         };
-        Chosen { key, work, grounds }
+        Chosen {
+            key,
+            work,
+            copy_from: None,
+            grounds,
+        }
     }
 
     /// Returns the shortest time to the first token of a prompt at an engine without other work.
@@ -144,22 +152,41 @@
             let order = |key: &&TargetKey| rank(part.id, u64::from(self.get(**key).id.0));
             open.iter().max_by_key(order).copied()
         });
+        let holder = self.holder(open, prompt, prefixes);
         let costs = open.iter().map(|key| {
             let at_home = home == Some(*key);
-            self.cost(now, *key, prompt, prefixes, at_home)
+            self.cost(now, *key, prompt, prefixes, (at_home, holder))
         });
         let least = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
         Some(least.chosen)
     }
 
+    /// Returns the engine that holds most of a prompt, with the tokens that it lacks.
+    fn holder(
+        &self,
+        open: &[TargetKey],
+        prompt: &Prompt,
+        prefixes: &PrefixTable,
+    ) -> Option<(TargetKey, u32)> {
+        let copies = open
+            .first()
+            .is_some_and(|key| self.get(*key).capacity.copies);
+        let lacks = open.iter().map(|key| (*key, prefixes.unread(*key, prompt)));
+        lacks.min_by_key(|(_, lack)| *lack).filter(|_| copies)
+    }
+
     fn cost(
         &self,
         now: Time,
         key: TargetKey,
         prompt: &Prompt,
         prefixes: &PrefixTable,
-        at_home: bool,
+        (at_home, holder): (bool, Option<(TargetKey, u32)>),
     ) -> Cost {
+        /// Fewest tokens that are copied from another engine rather than read.
+        const LEAST_COPY: u32 = 512;
+        /// Time of copying against that of reading, with what it takes of the links.
+        const COPYING: f64 = 0.3;
         /// Weight of reading again, which delays others too, against this request's own wait.
         const READING: f64 = 1.0;
         /// Part of an engine's memory beyond which running requests would be preempted.
@@ -167,14 +194,20 @@
         /// Milliseconds that a preemption costs.
         const PREEMPTED_MS: f64 = 2000.0;
         let state = self.get(key);
-        let unread = prefixes.unread(key, prompt);
+        let lack = prefixes.unread(key, prompt);
+        let from = holder.filter(|(other, least)| *other != key && least + LEAST_COPY <= lack);
+        let unread = from.map_or(lack, |(_, least)| least);
         let load = state.load(now);
         let queued = state.unread(now);
         let predicted = EngineModel::usual(queued, unread, load);
         let mut total = state.engine.first(queued, unread, load);
         total += READING * state.engine.reading(unread);
+        total += COPYING * state.engine.reading(lack - unread);
         total += EngineModel::pressure(load, state.rule.slots);
-        if !at_home && let Some(anchor) = prompt.anchor() {
+        if !at_home
+            && from.is_none()
+            && let Some(anchor) = prompt.anchor()
+        {
             total += state.engine.reading(anchor.tokens);
         }
         if let Some(memory) = state.memory()
@@ -187,10 +220,12 @@
             held: prompt.memory(),
             predicted,
         };
-        Cost {
-            chosen: self.chosen(now, key, work),
-            total,
-        }
+        let copy_from = from.map(|(other, _)| other);
+        let chosen = Chosen {
+            copy_from,
+            ..self.chosen(now, key, work)
+        };
+        Cost { chosen, total }
     }
 
     fn pick(
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -85,6 +85,7 @@
         connections: 100,
         memory: 500_000,
         cold_rate: 5.25,
+        copies: true,
     };
     for (name, kind) in [(ENGINE, Kind::Engine), (DESK, Kind::Plain)] {
         let service = routed_service(name, kind, capacity, 400);
--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -20,8 +20,10 @@
 
 /// Time for a connection to be accepted.
 pub const CONNECT: Duration = Duration::from_secs(2);
+/// Time for another node to accept a connection, over the longest round trip between regions.
+const CONNECT_NODE: Duration = Duration::from_millis(900);
 /// Time after which sent but unacknowledged bytes end a connection.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+const USER_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Idle time after which a connection is probed.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 /// Time between two probes.
@@ -29,9 +31,9 @@
 /// Probes without an answer that end a connection.
 const PROBES: u32 = 3;
 /// Interval of HTTP/2 pings.
-const PING: Duration = Duration::from_secs(5);
+const PING: Duration = Duration::from_secs(2);
 /// Time for a ping's answer.
-const PING_ANSWER: Duration = Duration::from_secs(5);
+const PING_ANSWER: Duration = Duration::from_millis(1800);
 
 /// Why a request got no answer.
 #[derive(Debug, Snafu)]
@@ -202,7 +204,7 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let stream = connect(address).await?;
+    let stream = connect_within(address, CONNECT_NODE).await?;
     let (sender, connection) = http2::Builder::new(Spawner)
         .timer(SmolTimer::new())
         .keep_alive_interval(PING)
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -37,6 +37,8 @@
     pub address: SocketAddr,
     /// Time left.
     pub budget: Duration,
+    /// A target from which it can copy the parts of the prompt that it lacks.
+    pub copy_from: Option<SocketAddr>,
 }
 
 /// What the head of a target's answer means.
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -181,7 +181,7 @@
         log::info!(
             target: "request",
             request = self.inbound.id.as_str(), attempt = to.attempt.0, to:% = to.target,
-            address:% = to.address, load = to.grounds.load, unread = to.grounds.unread,
+            address:% = to.address, copies = to.copy_from.is_some(), load = to.grounds.load, unread = to.grounds.unread,
             predicted_ms = to.grounds.predicted, age_ms = self.age();
             "sent to a target"
         );
--- a/crates/seam-node/src/hub.rs
+++ b/crates/seam-node/src/hub.rs
@@ -85,6 +85,8 @@
     pub deadline: Time,
     /// Whether to keep the answer.
     pub keep: bool,
+    /// A target from which it can copy the parts of the prompt that it lacks.
+    pub copy_from: Option<SocketAddr>,
     /// What the target was chosen by.
     pub grounds: Grounds,
 }
@@ -320,6 +322,7 @@
                 silence,
                 budget,
                 keep,
+                copy_from,
                 grounds,
             } => {
                 self.name_attempt(attempt, ticket);
@@ -332,6 +335,7 @@
                     silence,
                     deadline,
                     keep,
+                    copy_from,
                     grounds,
                 };
                 self.direct(ticket, Directive::Send(to));
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -187,6 +187,7 @@
         target: &target.name,
         address: to.address,
         budget: to.deadline.since(hub.now()),
+        copy_from: to.copy_from,
     };
     hub.dialect.tell(&mut fields, inbound, told);
     *request.headers_mut() = fields;
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -138,6 +138,9 @@
         pub memory: u64,
         /// Requests a second while it is cold, from all nodes together.
         pub cold_rate: f64,
+        /// Whether its engines copy cached parts of prompts from each other.
+        #[serde(default)]
+        pub copies: bool,
     }
 
     /// A customer and its limits.
