--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -258,7 +258,15 @@
     fn learn_time(&mut self, service: seam_protocol::ServiceId, took: std::time::Duration) {
         let sample = took.as_secs_f64();
         let before = self.expected(service).as_secs_f64();
-        self.lane(service).mean = Some(before + SAMPLE * (sample - before));
+        let after = if self.roster.is_none() {
+            before + SAMPLE * (sample - before)
+        } else if sample > before {
+            // The median: a few requests that last to their timeout say nothing of the others.
+            before * (1.0 + SAMPLE)
+        } else {
+            before / (1.0 + SAMPLE)
+        };
+        self.lane(service).mean = Some(after);
     }
 
     /// Takes in the first bytes of an answer.
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -702,3 +702,18 @@
         assert_eq!(fleet.sends().len() - before, sends, "{route}");
     }
 }
+
+#[test]
+fn outliers_refuse_nothing() {
+    // Nearly half of the calls last to their timeout. The others are still served.
+    let mut fleet = settled(&[NORTH], &[("d1", DESK, NORTH)]);
+    for ticket in 0..300 {
+        fleet.arrive(0, arrival(ticket, "book", DESK, 1));
+        let (_, attempt, _) = *fleet.sends().last().unwrap();
+        let took = if ticket % 20 < 9 { 1200 } else { 50 };
+        fleet.wait(Duration::from_millis(took));
+        fleet.handle(0, Event::Reply(attempt, Reply::Complete { answer: None }));
+    }
+    assert_eq!(fleet.sends().len(), 300);
+    assert!(fleet.refusals().is_empty());
+}
