Share targets without fixed parts, and let few nodes of a region watch the store

Change: where nodes tell each other their work, a target's slots are bounded by what runs there; two nodes of a region watch, the others pull from them, and take over when these do not answer.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -73,6 +73,8 @@
     floor: u64,
     /// Whether the platform does not answer this node.
     away: bool,
+    /// Whether it ever answered this node.
+    answered: bool,
     back: Option<Time>,
 }
 
@@ -86,9 +88,16 @@
             self.back = Some(now);
         }
         self.away = away;
+        self.answered |= !away;
         changed
     }
 
+    /// Tells whether the platform answers this node.
+    #[must_use]
+    pub fn answered(&self) -> bool {
+        self.answered && !self.away
+    }
+
     /// Returns the revision up to which every change is known.
     #[must_use]
     pub fn head(&self) -> u64 {
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -120,7 +120,7 @@
             targets: self
                 .targets
                 .of(service)
-                .filter(|(_, state)| state.open(now, false))
+                .filter(|(_, state)| state.open(now, false, self.targets.shared()))
                 .map(|(_, state)| (state.rule.name.clone(), state.load(now)))
                 .collect(),
             decision,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -357,6 +357,7 @@
             beat.echo = peer.sent;
         }
         beat.head = self.catalogue.head();
+        beat.reads = self.catalogue.answered();
         beat.records.push(self.own_record(bundle.revision));
         Some((address, beat))
     }
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -141,6 +141,12 @@
             .max_by_key(|vm| rank(seed, u64::from(vm.0)))
     }
 
+    /// Returns the number of nodes of this region that take new requests.
+    #[must_use]
+    pub fn nodes_near(&self, now: Time) -> usize {
+        self.active(now).len()
+    }
+
     /// Returns the nodes of this region that take new requests.
     pub(crate) fn active(&self, now: Time) -> BTreeSet<VmId> {
         let alive = self.alive.iter().copied();
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -13,6 +13,10 @@
 use crate::roster::Roster;
 use crate::targets::cold_share;
 
+/// Nodes of a region that watch the platform.
+const WATCHERS: usize = 2;
+/// Number by which nodes are ranked for watching.
+const WATCH_SEED: u64 = 0x7761_7463;
 /// Time after which a pull that brought nothing is tried at another peer.
 const PULL_AGAIN: Duration = Duration::from_millis(500);
 
@@ -22,9 +26,25 @@
     pub fn join(&mut self, now: Time, own: Vm, seeds: Vec<SocketAddr>, skeleton: Bundle) {
         self.roster = Some(Roster::new(now, own, seeds));
         self.base = Some(Arc::new(skeleton));
+        self.targets.share_all();
         self.compose(now, &mut Vec::new());
     }
 
+    /// Tells whether this node is to watch the platform, or hears of changes from others that do.
+    ///
+    /// A few nodes of each region watch, the first ones by rank among those that the platform
+    /// answers. A node that hears of none of them watches itself.
+    #[must_use]
+    pub fn watches(&self, now: Time) -> bool {
+        let rank_of = |vm: VmId| seam_protocol::id::rank(WATCH_SEED, u64::from(vm.0));
+        let mine = rank_of(self.id.vm);
+        let before = self
+            .peers
+            .live_in(now, self.id.region)
+            .filter(|(vm, peer)| peer.reads && rank_of(*vm) > mine);
+        before.count() < WATCHERS || !self.configured()
+    }
+
     /// Returns the items that bring another node up to this one's revision.
     #[must_use]
     pub fn items_since(&self, revision: u64) -> Delta {
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -32,6 +32,8 @@
     pub sent: u64,
     /// Incarnation of that datagram.
     pub direct: Incarnation,
+    /// Whether the platform answers it, by its own word.
+    pub reads: bool,
 }
 
 /// What is believed of another region.
@@ -115,6 +117,7 @@
         if let Some(peer) = self.peers.get_mut(&beat.from) {
             peer.sent = beat.sent;
             peer.direct = own.incarnation;
+            peer.reads = beat.reads;
         }
         if beat.believed == me.1 {
             news.echo = Some(Time(beat.echo));
@@ -145,6 +148,7 @@
                     heard: now,
                     sent: 0,
                     direct: Incarnation(0),
+                    reads: false,
                 },
             );
             return true;
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -203,11 +203,20 @@
     /// Within its part a node need not ask what others do. Beyond it the reported load must leave
     /// room, and some to spare since it is old.
     #[must_use]
-    pub fn open(&self, now: Time, heavy: bool) -> bool {
+    pub fn open(&self, now: Time, heavy: bool, shared: bool) -> bool {
         const SPARE: u32 = 2;
         if self.phase != Phase::Serving || !self.cold.open(now) {
             return false;
         }
+        if shared {
+            // What a plain target cannot run at once it queues itself, and its calls are short.
+            let taken = if self.memory().is_some() {
+                self.load(now)
+            } else {
+                self.running
+            };
+            return taken < self.rule.slots;
+        }
         let part = self.own_part(now).round() as u32;
         if self.running < part {
             return true;
@@ -253,6 +262,8 @@
     keys: BTreeMap<TargetId, TargetKey>,
     by_service: BTreeMap<ServiceId, Vec<TargetKey>>,
     everywhere: BTreeSet<ServiceId>,
+    /// Whether nodes tell each other their work, and so share targets without fixed parts.
+    shared: bool,
     guest: BTreeMap<ServiceId, Time>,
 }
 
@@ -323,6 +334,17 @@
         self.guest.insert(service, until);
     }
 
+    /// Lets every node use every target up to its slots, since nodes tell each other their work.
+    pub fn share_all(&mut self) {
+        self.shared = true;
+    }
+
+    /// Tells whether nodes share targets without fixed parts.
+    #[must_use]
+    pub fn shared(&self) -> bool {
+        self.shared
+    }
+
     /// Names the services that every node uses.
     pub fn set_everywhere(&mut self, services: BTreeSet<ServiceId>) {
         self.everywhere = services;
@@ -403,6 +425,9 @@
             .filter(|(_, state)| state.phase == Phase::Serving);
         // Parts of slots are rounded once for all targets; rounding each up would promise more than
         // there is.
+        if self.shared {
+            return serving.map(|(_, state)| state.rule.slots).sum();
+        }
         let slots: f64 = serving.map(|(_, state)| state.own_part(now)).sum();
         if slots > 0.0 {
             slots.round().max(1.0) as u32
@@ -421,7 +446,7 @@
         Spread {
             service,
             slots: slots.sum(),
-            everywhere: self.everywhere.contains(&service),
+            everywhere: self.shared || self.everywhere.contains(&service),
         }
     }
 
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -83,7 +83,7 @@
         let heavy = wish.heavy.iter().any(|(id, _)| *id == wish.customer);
         let mut open: Vec<TargetKey> = self
             .of(service)
-            .filter(|(_, state)| state.open(now, heavy))
+            .filter(|(_, state)| state.open(now, heavy, self.shared()))
             .filter(|(_, state)| wish.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
             .collect();
@@ -289,7 +289,7 @@
         let elsewhere = open.iter().any(|key| !apart.contains(key));
         open.retain(|key| {
             // A heavy customer's targets are full by its own requests, so only parts count there.
-            let within = !elsewhere && self.get(*key).open(now, true);
+            let within = !elsewhere && self.get(*key).open(now, true, self.shared());
             within || !apart.contains(key)
         });
     }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -21,6 +21,8 @@
 
 /// How long one watch waits. Short, so that a connection that went silent is found out soon.
 pub const WATCH: Duration = Duration::from_secs(4);
+/// Time between two looks of a node that does not watch at whether it should.
+const LOOK: Duration = Duration::from_millis(250);
 /// Shortest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls, well within the time that targets have to write again.
@@ -89,6 +91,10 @@
     let mut failures = 0;
     let mut whole = true;
     loop {
+        if !whole && !hub.read(seam_core::Node::watches) {
+            Timer::after(LOOK).await;
+            continue;
+        }
         let after = hub.read(|node, _| node.items_head());
         let call = if whole { "read" } else { "watch" };
         let changes = if whole {
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -27,8 +27,9 @@
 const IDLE: Duration = Duration::from_secs(5);
 /// Most idle connections to one target.
 const MOST_IDLE: usize = 64;
-/// Part of a target's stated connections that one node keeps idle at most.
-const IDLE_PART: u32 = 12;
+/// Part of a target's stated connections that all nodes of a region keep idle at most, as its
+/// divisor.
+const IDLE_PART: usize = 4;
 /// Time for a target of the own region to accept a connection.
 const ACCEPT: Duration = Duration::from_millis(700);
 /// Largest answer in bytes that is read whole before it is passed on.
@@ -168,10 +169,14 @@
     let service = snapshot
         .as_ref()
         .and_then(|snapshot| snapshot.bundle.services.get(&to.service));
-    match service.map(|service| service.capacity.connections) {
-        None | Some(0) => MOST_IDLE,
-        Some(connections) => MOST_IDLE.min((connections / IDLE_PART).max(1) as usize),
+    let Some(connections) = service.map(|service| service.capacity.connections as usize) else {
+        return MOST_IDLE;
+    };
+    if connections == 0 {
+        return MOST_IDLE;
     }
+    let nodes = hub.read(|node, now| node.nodes_near(now));
+    MOST_IDLE.min((connections / (IDLE_PART * nodes.max(1))).max(1))
 }
 
 /// Returns a connection. One that may not be repeated gets a fresh one, since an idle one may be
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -141,6 +141,8 @@
     pub manifest: u64,
     /// Revision up to which the sender knows every item of the platform, zero where there are none.
     pub head: u64,
+    /// Whether the platform answers the sender.
+    pub reads: bool,
     /// The sender's address first, then those of other nodes, where no list of them is published.
     pub cards: Vec<Vm>,
     /// The sender's record first, then fresh ones of other VMs.
@@ -192,6 +194,7 @@
             echo: 0,
             manifest: 0,
             head: 0,
+            reads: false,
             cards: Vec::new(),
             records: Vec::new(),
             digests: Vec::new(),
