--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -25,6 +25,10 @@
     pub held: usize,
     /// Keys held.
     pub keys: usize,
+    /// Revision up to which every item of the platform is known, zero for none.
+    pub items: u64,
+    /// Whether the platform's store of items answers this node.
+    pub platform: bool,
     /// Fingerprints in quarantine.
     pub quarantine: Vec<String>,
     /// Other nodes.
@@ -120,6 +124,8 @@
                 .map_or_else(String::new, |bundle| bundle.digest.to_string()),
             held: self.requests.len(),
             keys: self.keys.len(),
+            items: self.items_head(),
+            platform: self.catalogue.answered(),
             quarantine: self
                 .poison
                 .quarantine()
--- a/crates/seam-ctl/src/commands/check.rs
+++ b/crates/seam-ctl/src/commands/check.rs
@@ -8,10 +8,14 @@
 
 use crate::error::{BundleSnafu, ConfigSnafu, CtlError};
 
-/// Check the configuration files below some folders. Nothing is written.
+/// Check the configuration files below some folders, and the settings of a node. Nothing is written.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
+    /// settings of a node to check too, or alone
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
     /// folders or files to gather
     #[argh(positional)]
     sources: Vec<PathBuf>,
@@ -20,6 +24,17 @@
 impl Check {
     /// Runs the command.
     pub fn run(self) -> Result<ExitCode, CtlError> {
+        if let Some(path) = &self.settings {
+            let settings = seam_config::settings::load(path).context(ConfigSnafu)?;
+            say!(
+                "valid: settings of {:?} in {:?}",
+                settings.name,
+                settings.region
+            );
+            if self.sources.is_empty() {
+                return Ok(ExitCode::SUCCESS);
+            }
+        }
         let bundle = seam_config::gather(&self.sources).context(ConfigSnafu)?;
         let set = seam_config::split(&bundle).context(BundleSnafu)?;
         say!(
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -10,7 +10,7 @@
 use seam_core::event::Arrival;
 use seam_core::{AttemptKey, Event, Origin, Refusal, Reply};
 use seam_http::spawn;
-use seam_protocol::Time;
+use seam_protocol::{Outcome, Time};
 
 use crate::hub::{Directive, Hub, ToNode, ToTarget};
 use crate::inbound::Inbound;
@@ -69,6 +69,10 @@
     outlet: Outlet,
     running: BTreeMap<AttemptKey, Running>,
     arrived: Time,
+    /// The system's own answer, and whether the caller got it.
+    refusal: Option<(Refusal, bool)>,
+    /// Whether the caller left before its answer ended.
+    left: bool,
 }
 
 /// Hands a request to the decisions and returns the reading end of its answer.
@@ -99,6 +103,8 @@
         outlet,
         running: BTreeMap::new(),
         arrived: hub.now(),
+        refusal: None,
+        left: false,
     };
     hub.register(arrival.ticket, sender);
     let ticket = arrival.ticket;
@@ -124,7 +130,7 @@
                     Some(directive) => directive,
                     None => {
                         gone = true;
-                        self.log_gone();
+                        self.left = !self.outlet.whole();
                         self.hub.handle(Event::Gone(ticket));
                         continue;
                     }
@@ -136,8 +142,8 @@
                 Some(Directive::Cancel(attempt)) => self.cancel(attempt).await,
                 Some(Directive::Refuse(refusal)) => {
                     gone = true;
-                    self.log_refusal(refusal);
-                    self.outlet.finish(Piece::Refusal(refusal));
+                    let passed = self.outlet.finish(Piece::Refusal(refusal));
+                    self.refusal.get_or_insert((refusal, passed));
                 }
                 Some(Directive::Replay(answer)) => {
                     gone = true;
@@ -146,33 +152,35 @@
                 Some(Directive::Done) | None => break,
             }
         }
+        self.log_end();
         // An answer whose last pieces are still being read ends by itself.
         for (_, running) in std::mem::take(&mut self.running) {
             running.task.detach();
         }
     }
 
-    fn log_refusal(&self, refusal: Refusal) {
-        let after = refusal.retry.map_or(0, |retry| retry.as_millis() as u64);
+    /// Writes the request's one closing line.
+    fn log_end(&self) {
+        let (end, refusal) = match self.refusal {
+            _ if self.outlet.whole() => ("complete", None),
+            Some((refusal, true)) => ("refused", Some(refusal)),
+            Some((refusal, false)) if self.left => ("left", Some(refusal)),
+            Some((refusal, false)) => ("cut", Some(refusal)),
+            None => ("left", None),
+        };
+        let age = self.hub.now().since(self.arrived);
+        self.hub.metrics.request_ended(&self.inbound.name, end, age);
         log::info!(
             target: "request",
-            request = self.inbound.id.as_str(), end = "refused", outcome:% = refusal.outcome,
-            reason = refusal.reason.slug(), retry_ms = after, age_ms = self.age();
-            "answered by the system"
+            request = self.inbound.id.as_str(), route = self.inbound.name.as_str(), end = end,
+            outcome:% = refusal.map_or(Outcome::Complete, |refusal| refusal.outcome),
+            reason = refusal.map_or("", |refusal| refusal.reason.slug()),
+            retry_ms = refusal.and_then(|refusal| refusal.retry).unwrap_or_default().as_millis() as u64,
+            age_ms = age.as_millis() as u64;
+            "request ended"
         );
     }
 
-    fn log_gone(&self) {
-        // An answer that has ended closes the outlet, too.
-        if self.outlet.open() {
-            log::info!(
-                target: "request",
-                request = self.inbound.id.as_str(), end = "left", age_ms = self.age();
-                "the caller left"
-            );
-        }
-    }
-
     /// Returns the milliseconds since the request arrived.
     fn age(&self) -> u64 {
         self.hub.now().since(self.arrived).as_millis() as u64
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -1,12 +1,17 @@
 //! Counters by `opentelemetry`, shown in the text form of Prometheus.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Meter, MeterProvider};
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use seam_core::Refusal;
 use seam_core::status::Status;
 
+/// Bounds of the buckets of request times in seconds, around common objectives.
+const REQUEST_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
 /// The process's metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -16,6 +21,7 @@
     platform: Counter<u64>,
     beats: Counter<u64>,
     beat_bytes: Counter<u64>,
+    request_time: Histogram<f64>,
     gauges: Gauges,
 }
 
@@ -31,6 +37,8 @@
     load: Gauge<u64>,
     serving: Gauge<u64>,
     quarantine: Gauge<u64>,
+    items: Gauge<u64>,
+    platform: Gauge<u64>,
     events: Gauge<u64>,
 }
 
@@ -50,6 +58,14 @@
             load: gauge("seam_target_load", "estimated requests at a target"),
             serving: gauge("seam_target_serving", "1 if a target takes new work"),
             quarantine: gauge("seam_quarantine", "fingerprints in quarantine"),
+            items: gauge(
+                "seam_items_revision",
+                "revision of items known, zero for none",
+            ),
+            platform: gauge(
+                "seam_platform_answers",
+                "1 if the store of items answers this node",
+            ),
             events: gauge("seam_events", "events since boot, by kind"),
         }
     }
@@ -61,6 +77,8 @@
         self.held.record(status.held as u64, &[]);
         self.keys.record(status.keys as u64, &[]);
         self.peers.record(alive as u64, &[]);
+        self.items.record(status.items, &[]);
+        self.platform.record(u64::from(status.platform), &[]);
         self.quarantine.record(status.quarantine.len() as u64, &[]);
         for service in &status.services {
             let label = [KeyValue::new("service", service.name.clone())];
@@ -121,6 +139,11 @@
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
             beats: counter("seam_beats", "heartbeats by direction"),
             beat_bytes: counter("seam_beat_bytes", "bytes of heartbeats by direction"),
+            request_time: meter
+                .f64_histogram("seam_request_seconds")
+                .with_description("time from arrival to the end of the answer, by route and end")
+                .with_boundaries(REQUEST_BOUNDS.to_vec())
+                .build(),
             gauges: Gauges::new(&meter),
             registry,
             _provider: provider,
@@ -136,6 +159,15 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts a request that has ended, with its whole time.
+    pub fn request_ended(&self, route: &str, end: &'static str, took: Duration) {
+        let labels = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("end", end),
+        ];
+        self.request_time.record(took.as_secs_f64(), &labels);
+    }
+
     /// Counts a call to the platform.
     pub fn platform_call(&self, kind: &'static str, good: bool) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("good", good)];
--- a/crates/seam-node/src/outlet.rs
+++ b/crates/seam-node/src/outlet.rs
@@ -34,6 +34,8 @@
 enum Phase {
     Open,
     Started,
+    /// The whole answer has passed.
+    Whole,
     Closed,
 }
 
@@ -83,18 +85,22 @@
         self.phase() == Phase::Started
     }
 
-    /// Tells whether an answer can still be passed.
-    #[must_use]
-    pub fn open(&self) -> bool {
-        self.phase() != Phase::Closed
-    }
-
     /// Ends with a piece that is an answer by itself, or cuts off an answer that has started.
-    pub fn finish(&self, piece: Piece) {
-        if self.turn(Phase::Open, Phase::Closed) {
+    ///
+    /// Returns whether the piece was passed.
+    pub fn finish(&self, piece: Piece) -> bool {
+        let first = self.turn(Phase::Open, Phase::Closed);
+        if first {
             let _ = self.pieces.try_send(piece);
         }
         self.close();
+        first
+    }
+
+    /// Tells whether a whole answer has passed.
+    #[must_use]
+    pub fn whole(&self) -> bool {
+        self.phase() == Phase::Whole
     }
 
     /// Starts an answer. Returns whether this was the first one.
@@ -142,7 +148,7 @@
         if let Some(rest) = rest {
             self.pass(rest).await;
         }
-        if self.turn(Phase::Started, Phase::Closed) {
+        if self.turn(Phase::Started, Phase::Whole) {
             let _ = self.pieces.send(Piece::End).await;
             self.pieces.close();
         }
@@ -150,7 +156,11 @@
 
     /// Closes the outlet. What was passed before can still be read.
     pub fn close(&self) {
-        *lock(&self.phase) = Phase::Closed;
+        let mut phase = lock(&self.phase);
+        if *phase != Phase::Whole {
+            *phase = Phase::Closed;
+        }
+        drop(phase);
         self.pieces.close();
     }
 
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -175,7 +175,7 @@
     if connections == 0 {
         return MOST_IDLE;
     }
-    let nodes = hub.read(|node, now| node.nodes_near(now));
+    let nodes = hub.read(seam_core::Node::nodes_near);
     MOST_IDLE.min((connections / (IDLE_PART * nodes.max(1))).max(1))
 }
 
