--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -8,6 +8,7 @@
 mod members;
 mod place;
 mod published;
+mod settle;
 mod tick;
 mod works;
 
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -60,6 +60,7 @@
                     suspect: suspect.then_some(request.fingerprint),
                     customer: self.flow(request.customer),
                     prompt: prompt.as_deref(),
+                    fresh: self.booted_lately(now),
                     avoid: (!avoid.is_empty()).then_some(&avoid),
                     heavy: &heavy,
                 },
@@ -90,6 +91,13 @@
             .choose(now, service, wish, &self.prefixes, &mut self.rng)
     }
 
+    /// Tells whether this node booted too lately to know what engines hold. What the process before
+    /// it sent them went by the same ranks.
+    pub(super) fn booted_lately(&self, now: Time) -> bool {
+        const LEARNING: Duration = Duration::from_secs(8);
+        now.since(self.boot) < LEARNING
+    }
+
     /// Returns this node's share of the retries that may come at once, where there is a bound.
     fn retries_saved(&self) -> Option<u32> {
         let bundle = self.bundle.as_ref()?;
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -101,18 +101,19 @@
             service: request.service,
             budget: within,
             objective: objective.min(budget),
-            expected: self.own_time(request),
+            expected: self.own_time(now, request),
             weight,
         }
     }
 
     /// Predicts the time of a request itself, without any wait: for streams to the first event.
-    fn own_time(&self, request: &Request) -> Duration {
+    fn own_time(&self, now: Time, request: &Request) -> Duration {
         let service = request.service;
-        let reading = request
-            .prompt
-            .as_ref()
-            .and_then(|prompt| self.targets.prompt_time(service, prompt, &self.prefixes));
+        let reading = request.prompt.as_ref().and_then(|prompt| {
+            let fresh = self.booted_lately(now);
+            self.targets
+                .prompt_time(service, fresh, prompt, &self.prefixes)
+        });
         reading.unwrap_or_else(|| self.expected(service))
     }
 
--- a/crates/seam-core/src/prompt.rs
+++ b/crates/seam-core/src/prompt.rs
@@ -37,6 +37,16 @@
         shared.last().copied()
     }
 
+    /// Returns the tokens that no other request shares.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(0, |(_, shared)| shared.iter().map(|part| part.tokens).sum());
+        self.input.saturating_sub(shared)
+    }
+
     /// Returns the tokens that a run holds in memory at most.
     #[must_use]
     pub fn memory(&self) -> u64 {
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -27,6 +27,8 @@
     pub customer: CustomerId,
     /// What it asks of a model engine.
     pub prompt: Option<&'a Prompt>,
+    /// Whether this node booted too lately to know what engines hold.
+    pub fresh: bool,
     /// Targets that refused or failed it, used only where there is no other.
     pub avoid: Option<&'a BTreeSet<TargetKey>>,
     /// Customers that run far more than the others, with their parts of the load.
@@ -96,7 +98,7 @@
         if let Some(prompt) = wish.prompt
             && wish.suspect.is_none()
         {
-            return self.cheapest(now, &open, prompt, prefixes);
+            return self.cheapest(now, &open, wish.fresh, prompt, prefixes);
         }
         let key = self.pick(now, &open, wish, prefixes, rng)?;
         Some(self.chosen(now, key, Work::default()))
@@ -121,6 +123,7 @@
     pub fn prompt_time(
         &self,
         service: ServiceId,
+        fresh: bool,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> Option<Duration> {
@@ -128,7 +131,11 @@
         let serving = self.of(service);
         let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
         let times = serving.map(|(key, state)| {
-            let unread = prefixes.unread(key, prompt);
+            let unread = if fresh {
+                prompt.own()
+            } else {
+                prefixes.unread(key, prompt)
+            };
             state.engine.first(0, unread, 0)
         });
         let least = times.min_by(f64::total_cmp)?;
@@ -144,15 +151,16 @@
         &self,
         now: Time,
         open: &[TargetKey],
+        fresh: bool,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> Option<Chosen> {
-        let anchor = prompt.anchor();
-        let home = anchor.and_then(|part| {
-            let order = |key: &&TargetKey| rank(part.id, u64::from(self.get(**key).id.0));
-            open.iter().max_by_key(order).copied()
-        });
-        let holder = self.holder(open, prompt, prefixes);
+        let home = self.home(open.iter().copied(), prompt);
+        let presumed = home.filter(|_| fresh);
+        let holder = match presumed {
+            Some(home) => Some((home, prompt.own())),
+            None => self.holder(open, prompt, prefixes),
+        };
         let costs = open.iter().map(|key| {
             let at_home = home == Some(*key);
             self.cost(now, *key, prompt, prefixes, (at_home, holder))
@@ -161,6 +169,12 @@
         Some(least.chosen)
     }
 
+    /// Returns the engine at which a prompt's last shared part has its home.
+    fn home(&self, engines: impl Iterator<Item = TargetKey>, prompt: &Prompt) -> Option<TargetKey> {
+        let anchor = prompt.anchor()?;
+        engines.max_by_key(|key| rank(anchor.id, u64::from(self.get(*key).id.0)))
+    }
+
     /// Returns the engine that holds most of a prompt, with the tokens that it lacks.
     fn holder(
         &self,
@@ -194,7 +208,11 @@
         /// Milliseconds that a preemption costs.
         const PREEMPTED_MS: f64 = 2000.0;
         let state = self.get(key);
-        let lack = prefixes.unread(key, prompt);
+        let lack = match holder {
+            // A holder that is presumed by rendezvous has been sent the part before the boot.
+            Some((home, least)) if home == key => least,
+            _ => prefixes.unread(key, prompt),
+        };
         let from = holder.filter(|(other, least)| *other != key && least + LEAST_COPY <= lack);
         let unread = from.map_or(lack, |(_, least)| least);
         let load = state.load(now);
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -717,3 +717,38 @@
     assert_eq!(fleet.sends().len(), 300);
     assert!(fleet.refusals().is_empty());
 }
+
+#[test]
+fn prompts_keep_their_homes_over_a_boot() {
+    // A node that has just booted sends a part where the process before it did.
+    let engines = [
+        ("e1", ENGINE, NORTH),
+        ("e2", ENGINE, NORTH),
+        ("e3", ENGINE, NORTH),
+    ];
+    let home = |part: u64, settle: u64| {
+        let mut fleet = Fleet::new(&[NORTH]);
+        fleet.wait(Duration::from_secs(4 + settle));
+        let mut items = vec![item("config", 1, Some(config(7)))];
+        for (index, (name, service, region)) in engines.iter().enumerate() {
+            let entry = listed(name, service, region, false, 0);
+            items.push(item(name, index as u64 + 2, Some(entry)));
+        }
+        fleet.publish(0, items, 9);
+        fleet.done.clear();
+        let mut asked = arrival(1, "review", ENGINE, 1);
+        asked.prompt = Some(prompt(part, 1000));
+        fleet.arrive(0, asked);
+        let unread = fleet.done.iter().find_map(|(_, command)| match command {
+            Command::Send { grounds, .. } => Some(grounds.unread),
+            _ => None,
+        });
+        (fleet.sends()[0].2, unread.unwrap())
+    };
+    for part in 70..80 {
+        let (booted, presumed) = home(part, 0);
+        let (settled, unread) = home(part, 20);
+        assert_eq!(booted, settled);
+        assert_eq!((presumed, unread), (500, 6800));
+    }
+}
--- a/crates/seam-node/src/hub.rs
+++ b/crates/seam-node/src/hub.rs
@@ -24,8 +24,8 @@
 use crate::items::ItemStore;
 use crate::link::Links;
 use crate::metrics::Metrics;
+use crate::pool::Pool;
 use crate::store::Store;
-use crate::targets::Pool;
 use crate::trail::Trail;
 
 /// The bundle in force with the index of its credentials.
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod outlet;
 pub mod polls;
+pub mod pool;
 pub mod problem;
 pub mod store;
 pub mod targets;
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -1,9 +1,7 @@
 //! Exchanges with targets.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -13,7 +11,7 @@
 use hyper::body::Incoming;
 use seam_core::keys::LARGEST_ANSWER;
 use seam_core::{Event, Refusal, Reply};
-use seam_http::{ClientError, Connection, full, lock};
+use seam_http::{ClientError, full};
 use seam_protocol::{Field, Reason, StoredAnswer};
 
 use crate::dialect::{Judged, Told};
@@ -22,53 +20,13 @@
 use crate::hub::{Hub, ToTarget};
 use crate::inbound::Inbound;
 use crate::outlet::Outlet;
+use crate::pool::{connection, most_idle};
 
-/// Longest idle time of a connection that is used again.
-const IDLE: Duration = Duration::from_secs(5);
-/// Most idle connections to one target.
-const MOST_IDLE: usize = 64;
-/// Part of a target's stated connections that all nodes of a region keep idle at most, as its
-/// divisor.
-const IDLE_PART: usize = 4;
-/// Time for a target of the own region to accept a connection.
-const ACCEPT: Duration = Duration::from_millis(700);
 /// Largest answer in bytes that is read whole before it is passed on.
 const HELD: usize = 64 << 10;
 /// Time after which a refused request may be tried again, if the target does not say.
 const RETRY: Duration = Duration::from_secs(1);
 
-/// Idle connections to targets.
-#[derive(Debug, Default)]
-pub struct Pool {
-    idle: Mutex<BTreeMap<SocketAddr, Vec<(Instant, Connection)>>>,
-}
-
-impl Pool {
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = lock(&self.idle);
-        let list = idle.get_mut(&address)?;
-        while let Some((since, connection)) = list.pop() {
-            if since.elapsed() < IDLE && connection.usable() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn give(&self, address: SocketAddr, connection: Connection, most: usize) {
-        let mut idle = lock(&self.idle);
-        let list = idle.entry(address).or_default();
-        if list.len() < most {
-            list.push((Instant::now(), connection));
-        }
-    }
-
-    /// Closes idle connections to a target, as after a silent one.
-    pub fn forget(&self, address: SocketAddr) {
-        lock(&self.idle).remove(&address);
-    }
-}
-
 /// Sends a request to a target and passes its answer on. Returns how that ended.
 pub async fn exchange(
     hub: &Arc<Hub>,
@@ -163,37 +121,6 @@
     }
 }
 
-/// Returns the idle connections that this node may keep to a target.
-fn most_idle(hub: &Hub, to: ToTarget) -> usize {
-    let snapshot = hub.snapshot();
-    let service = snapshot
-        .as_ref()
-        .and_then(|snapshot| snapshot.bundle.services.get(&to.service));
-    let Some(connections) = service.map(|service| service.capacity.connections as usize) else {
-        return MOST_IDLE;
-    };
-    if connections == 0 {
-        return MOST_IDLE;
-    }
-    let nodes = hub.read(seam_core::Node::nodes_near);
-    MOST_IDLE.min((connections / (IDLE_PART * nodes.max(1))).max(1))
-}
-
-/// Returns a connection. One that may not be repeated gets a fresh one, since an idle one may be
-/// closing, which would leave its outcome unknown.
-async fn connection(
-    hub: &Hub,
-    address: SocketAddr,
-    repeatable: bool,
-) -> Result<Connection, ClientError> {
-    if repeatable && let Some(connection) = hub.pool.take(address) {
-        return Ok(connection);
-    }
-    let mut connection = Connection::open_within(address, ACCEPT).await?;
-    connection.ready().await?;
-    Ok(connection)
-}
-
 /// Builds the request, `None` if the target is no longer in the configuration.
 fn request(hub: &Hub, to: ToTarget, inbound: &Inbound) -> Option<Request<seam_http::Body>> {
     let snapshot = hub.snapshot()?;
