Forward to any ready node of a region, and to another one where a node cannot be reached

Change: where every node shares every target any ready node takes a forward; a node that was not reached leaves the region's others.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -173,7 +173,9 @@
                 if matches!(reply, Reply::NotSent) {
                     self.peers.unreachable(vm);
                 }
-                let missed = region == self.id.region && matches!(reply, Reply::NotSent);
+                // Another node of the region may be reached.
+                let near = region == self.id.region || self.roster.is_some();
+                let missed = near && matches!(reply, Reply::NotSent);
                 let served = matches!(reply, Reply::Complete { .. });
                 if !served
                     && !missed
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -346,7 +346,7 @@
         let spread = Spread {
             service,
             slots,
-            everywhere: false,
+            everywhere: self.targets.shared(),
         };
         let users = users(spread, &usable);
         let count = users.len() as u64;
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -752,3 +752,24 @@
         assert_eq!((presumed, unread), (500, 6800));
     }
 }
+
+#[test]
+fn another_node_of_the_region() {
+    // Only the south serves. One of its two nodes cannot be reached.
+    let mut fleet = settled(&[NORTH, SOUTH, SOUTH], &[("d1", DESK, SOUTH)]);
+    let forwards = |fleet: &Fleet| -> Vec<(seam_core::AttemptKey, std::net::SocketAddr)> {
+        let forwards = fleet.done.iter().filter_map(|(_, command)| match command {
+            Command::Forward {
+                attempt, address, ..
+            } => Some((*attempt, *address)),
+            _ => None,
+        });
+        forwards.collect()
+    };
+    fleet.arrive(0, arrival(1, "book", DESK, 1));
+    let (attempt, first) = forwards(&fleet)[0];
+    fleet.handle(0, Event::Reply(attempt, Reply::NotSent));
+    let (_, second) = forwards(&fleet)[1];
+    assert_ne!(first, second);
+    assert!(fleet.refusals().is_empty());
+}
