Bound the memory of request bodies

Cause: bodies are read whole, and nothing bounded what all of them hold on a node of 160 MB. Change: a byte budget over all bodies from callers; what does not fit is refused as not run, with the time to come back.

--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -316,6 +316,12 @@
             "10000",
             "most connections from callers at once",
         ),
+        may(
+            "body_memory_mb",
+            Holds::Whole(1, 1_000_000),
+            "64",
+            "megabytes that bodies of requests in flight may hold",
+        ),
         may(
             "retries",
             Holds::Whole(1, SMALL),
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -154,6 +154,8 @@
     pub drain_limit: u64,
     /// Most connections from callers at once.
     pub connections: usize,
+    /// Bytes that bodies of requests in flight may hold.
+    pub body_memory: usize,
     /// Other nodes to ask at start.
     pub seeds: Vec<SocketAddr>,
     /// Addresses.
@@ -206,6 +208,7 @@
     let workers = table.whole(file, "workers") as usize;
     let drain_limit = table.whole(file, "drain_limit_s");
     let connections = table.whole(file, "connections") as usize;
+    let body_memory = (table.whole(file, "body_memory_mb") as usize) << 20;
     let seeds = seeds_of(file, table);
     let listen = table.table(file, "listen", &schema::LISTEN);
     let listen = listen.and_then(|table| {
@@ -236,6 +239,7 @@
         workers,
         drain_limit,
         connections,
+        body_memory,
         seeds,
         listen: listen?,
         source: source?,
--- a/crates/seam-emulator/src/fleet.rs
+++ b/crates/seam-emulator/src/fleet.rs
@@ -77,6 +77,7 @@
         workers: 1,
         drain_limit: 60,
         connections: 10_000,
+        body_memory: 64 << 20,
         seeds: Vec::new(),
         listen: Listen {
             caller: any,
--- /dev/null
+++ b/crates/seam-node/src/budget.rs
@@ -0,0 +1,63 @@
+//! A bound on the bytes that bodies of requests hold in memory.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Bytes that all bodies together may hold.
+#[derive(Clone, Debug)]
+pub struct ByteBudget {
+    held: Arc<AtomicUsize>,
+    most: usize,
+}
+
+/// Bytes held by one body, returned when it is dropped.
+#[derive(Debug)]
+pub struct HeldBytes {
+    budget: ByteBudget,
+    bytes: usize,
+}
+
+impl ByteBudget {
+    /// Allows a number of bytes.
+    #[must_use]
+    pub fn new(most: usize) -> Self {
+        let held = Arc::default();
+        Self { held, most }
+    }
+
+    /// Starts a body without bytes.
+    #[must_use]
+    pub fn body(&self) -> HeldBytes {
+        HeldBytes {
+            budget: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+impl HeldBytes {
+    /// Takes further bytes. Returns whether there were as many.
+    ///
+    /// ```
+    /// use seam_node::budget::ByteBudget;
+    /// let budget = ByteBudget::new(10);
+    /// let mut first = budget.body();
+    /// let mut second = budget.body();
+    /// assert!(first.grow(7));
+    /// assert!(!second.grow(4));
+    /// drop(first);
+    /// assert!(second.grow(4));
+    /// ```
+    #[must_use]
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let held = self.budget.held.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.bytes += bytes;
+        held <= self.budget.most
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.budget.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, Limited};
@@ -13,6 +13,7 @@
 use seam_core::Refusal;
 use seam_protocol::{CustomerId, Digest, Reason, Repeat, ServiceId};
 
+use crate::budget::HeldBytes;
 use crate::hub::{Hub, Snapshot};
 use crate::inbound::{Inbound, KEY_FIELD, class_of, fingerprint};
 use crate::link::key_name;
@@ -98,17 +99,30 @@
 }
 
 /// Reads a whole body.
-async fn whole(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
-    let body = Limited::new(body, limit).collect().await;
-    let body = body.map_err(|error| {
-        let reason = if error.is::<http_body_util::LengthLimitError>() {
-            Reason::Oversize
-        } else {
-            Reason::Malformed
-        };
-        Fault::new(reason, format!("body of at most {limit} bytes: {error}"))
-    })?;
-    Ok(body.to_bytes())
+async fn whole(hub: &Hub, body: Incoming, limit: usize) -> Result<(Bytes, HeldBytes), Fault> {
+    let mut held = hub.bodies.body();
+    let mut body = Limited::new(body, limit);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let reason = if error.is::<http_body_util::LengthLimitError>() {
+                Reason::Oversize
+            } else {
+                Reason::Malformed
+            };
+            Fault::new(reason, format!("body of at most {limit} bytes: {error}"))
+        })?;
+        if let Ok(data) = frame.into_data() {
+            if !held.grow(data.len()) {
+                return Err(Fault {
+                    refusal: Refusal::not_run(Reason::Overload).after(SOON),
+                    detail: "bodies of other requests take all the memory for them".to_owned(),
+                });
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok((bytes.freeze(), held))
 }
 
 /// Returns the host that a request names, without the dot at its end.
@@ -154,7 +168,7 @@
         Timer::after(budget).await;
         Err(Fault::new(Reason::SlowBody, "the body took too long"))
     };
-    let body = whole(body, limit).or(late).await?;
+    let (body, memory) = whole(hub, body, limit).or(late).await?;
     let mut fields = head.headers;
     hub.dialect.strip(&mut fields);
     fields.remove(header::CONTENT_LENGTH);
@@ -163,6 +177,7 @@
         id: id.to_owned(),
         repeatable: route.repeat != Repeat::Once,
         fingerprint: fingerprint(service, &head.method, &path, Some(from), &body),
+        held: Some(memory),
         class: Some(class_of(route)),
         prompt: asked.prompt.map(Arc::new),
         host: Some(host),
@@ -202,7 +217,7 @@
     let secret = hub.secrets().fleet;
     let key = key_name(&secret, customer, name, &key_text)
         .map_err(|error| Fault::new(Reason::KeyInvalid, error.to_string()))?;
-    let body = whole(body, rule.body as usize).await?;
+    let (body, memory) = whole(hub, body, rule.body as usize).await?;
     let mut fields = head.headers;
     hub.dialect.strip(&mut fields);
     fields.remove(header::AUTHORIZATION);
@@ -213,6 +228,7 @@
         repeatable: rule.repeatable(head.method.as_str(), &path),
         fingerprint: fingerprint(service, &head.method, &path, None, &body),
         host: None,
+        held: Some(memory),
         class: None,
         prompt: asked.prompt.map(Arc::new),
         method: head.method,
--- a/crates/seam-node/src/hub.rs
+++ b/crates/seam-node/src/hub.rs
@@ -19,6 +19,7 @@
     Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredAnswer, TargetId, Time, VmId,
 };
 
+use crate::budget::ByteBudget;
 use crate::clock::Clock;
 use crate::dialect::{Dialect, OwnDialect};
 use crate::items::ItemStore;
@@ -141,6 +142,8 @@
     pub pool: Pool,
     /// Connections to other nodes.
     pub links: Links,
+    /// Memory of request bodies.
+    pub bodies: ByteBudget,
     /// Counters.
     pub metrics: Metrics,
     /// How callers and targets speak.
@@ -188,10 +191,11 @@
             clock: Clock::start(),
             tickets: AtomicU64::new(0),
             links: Links::new(&settings.secrets.fleet),
-            settings: RwLock::new(Arc::new(settings)),
             trail: Trail::default(),
             store: Store::default(),
             pool: Pool::default(),
+            bodies: ByteBudget::new(settings.body_memory),
+            settings: RwLock::new(Arc::new(settings)),
             metrics: Metrics::new(),
             dialect: wiring.dialect,
             items: wiring.items,
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::budget::HeldBytes;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, header};
 use seam_core::{Class, KeyName, Prompt};
@@ -40,7 +41,7 @@
 ];
 
 /// A whole request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Inbound {
     /// Identifier for logs and answers.
     pub id: String,
@@ -74,6 +75,8 @@
     pub prompt: Option<Arc<Prompt>>,
     /// What makes two requests the same for a target.
     pub fingerprint: Fingerprint,
+    /// Its share of the memory for bodies, if it came from a caller.
+    pub held: Option<HeldBytes>,
 }
 
 /// Removes header fields that concern one connection or belong to the system.
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod beats;
+pub mod budget;
 pub mod clock;
 pub mod daemon;
 pub mod dialect;
--- a/crates/seam-node/src/link/server.rs
+++ b/crates/seam-node/src/link/server.rs
@@ -180,6 +180,7 @@
         prompt: asked.prompt.map(Arc::new),
         fingerprint: Fingerprint(head.fingerprint),
         host,
+        held: None,
     })
 }
 
