--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -55,7 +55,10 @@
             let reader = drive::start(hub, inbound, Origin::Caller);
             answer::answer(hub, reader, &id).await
         }
-        Err(fault) => hub.dialect.refusal(&id, fault.refusal, &fault.detail),
+        Err(fault) => {
+            log_fault(&id, &fault);
+            hub.dialect.refusal(&id, fault.refusal, &fault.detail)
+        }
     };
     log::debug!("request {id} from {from}: {line}: {}", answer.status());
     answer
@@ -71,12 +74,18 @@
             answer::answer(hub, reader, &id).await
         }
         Err(fault) => {
-            log::info!(
-                "request {id} from {from} refused: {:?}, {}",
-                fault.refusal.reason,
-                fault.detail
-            );
+            log_fault(&id, &fault);
             hub.dialect.refusal(&id, fault.refusal, &fault.detail)
         }
     }
 }
+
+/// Writes the closing line of a request that could not be read.
+fn log_fault(id: &str, fault: &read::Fault) {
+    log::info!(
+        target: "request",
+        request = id, end = "refused", outcome:% = fault.refusal.outcome,
+        reason = fault.refusal.reason.slug(), detail = fault.detail.as_str();
+        "request ended"
+    );
+}
