--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -51,9 +51,9 @@
             "newer revision read whole and checked",
         ));
         self.move_ownership(now, old.as_deref(), bundle);
-        self.install(now, old.is_none(), bundle);
+        let _ = self.install(now, old.is_none(), bundle);
         // The list may have been read before the target was configured here.
-        self.mark_listed(now, out);
+        let _ = self.mark_listed(now, out);
         self.beat_urgently(now, out);
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
@@ -61,7 +61,13 @@
         }
     }
 
-    pub(super) fn install(&mut self, now: Time, first: bool, bundle: &Arc<Bundle>) {
+    /// Puts a bundle in place. Returns the targets that were gone and are back.
+    pub(super) fn install(
+        &mut self,
+        now: Time,
+        first: bool,
+        bundle: &Arc<Bundle>,
+    ) -> Vec<TargetId> {
         self.bundle = Some(bundle.clone());
         self.fetching = None;
         self.regions = bundle
@@ -90,7 +96,7 @@
             .filter(|(_, rule)| rule.kind == Kind::Plain || !rule.once.is_empty())
             .map(|(id, _)| *id);
         self.targets.set_everywhere(everywhere.collect());
-        self.targets.adopt(now, first, &wanted);
+        let back = self.targets.adopt(now, first, &wanted);
         for (id, service) in &bundle.services {
             self.targets.set_capacity(*id, service.capacity);
         }
@@ -98,6 +104,7 @@
             bundle.services.contains_key(service) || lane.queue.queued() > 0
         });
         self.refresh_members(now);
+        back
     }
 
     /// Restarts the repeat window of keys that this node may newly own.
@@ -213,11 +220,13 @@
             .iter()
             .map(|state| (TargetId::of(&state.name), state.leaving))
             .collect();
-        self.mark_listed(now, out);
+        let _ = self.mark_listed(now, out);
     }
 
-    /// Applies the platform's list to the targets that are configured now.
-    pub(super) fn mark_listed(&mut self, now: Time, out: &mut Vec<Command>) {
+    /// Applies the platform's list to the targets that are configured now. Returns those that take
+    /// work again.
+    pub(super) fn mark_listed(&mut self, now: Time, out: &mut Vec<Command>) -> Vec<TargetId> {
+        let mut back = Vec::new();
         let marks: Vec<(TargetKey, Phase)> = self
             .targets
             .all()
@@ -233,8 +242,12 @@
             .collect();
         for (key, phase) in marks {
             let turn = self.targets.mark(now, key, phase);
+            if phase == Phase::Serving {
+                back.push(self.targets.get(key).id);
+            }
             self.note_turn(now, turn, "platform's list", out);
         }
+        back
     }
 }
 
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -8,7 +8,7 @@
 
 use super::Node;
 use crate::audit::Change;
-use crate::catalogue::{News, Source};
+use crate::catalogue::{News, REWRITE, Source};
 use crate::command::Command;
 use crate::roster::Roster;
 use crate::targets::cold_share;
@@ -135,9 +135,12 @@
             service.targets.insert(id, target.rule.clone());
         }
         let bundle = Arc::new(bundle);
-        self.install(now, first, &bundle);
+        let mut back = self.install(now, first, &bundle);
         self.listed = listed;
-        self.mark_listed(now, out);
+        back.extend(self.mark_listed(now, out));
+        for id in back {
+            self.presume_cold(now, id);
+        }
         for (id, until, rate) in cold {
             self.chill(id, until, rate);
         }
@@ -147,6 +150,19 @@
         }
     }
 
+    /// Sends a target that is back only what a cold one bears, until it has said whether it is cold.
+    ///
+    /// What it wrote before it went, or before its data centre was evacuated, does not tell.
+    fn presume_cold(&mut self, now: Time, id: TargetId) {
+        let Some(key) = self.targets.key(id) else {
+            return;
+        };
+        let rate = self.targets.get(key).capacity.cold_rate;
+        if rate > 0.0 {
+            self.chill(id, now + REWRITE, rate);
+        }
+    }
+
     /// Sets this node's share of what a cold target bears.
     ///
     /// Nodes that are not heard of count, since they may still reach the target.
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -57,12 +57,15 @@
 
 impl Targets {
     /// Takes in the targets of a service in this region. Unknown ones start slowly after boot.
+    ///
+    /// Returns those that were gone and are back.
     pub fn adopt(
         &mut self,
         now: Time,
         first: bool,
         wanted: &BTreeMap<TargetId, (ServiceId, Target)>,
-    ) {
+    ) -> Vec<TargetId> {
+        let mut back = Vec::new();
         for state in &mut self.arena {
             if !wanted.contains_key(&state.id) {
                 state.phase = Phase::Gone;
@@ -78,6 +81,7 @@
                 if state.phase == Phase::Gone {
                     state.phase = Phase::Serving;
                     state.since = since;
+                    back.push(*id);
                 }
             } else {
                 let key = TargetKey(self.arena.len() as u32);
@@ -86,6 +90,7 @@
                     .push(TargetState::new(*id, *service, rule.clone(), since));
             }
         }
+        back
     }
 
     /// Sets the limits of each target of a service.
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -26,7 +26,7 @@
     ///
     /// A process that has just booted does not know what the one before it sent.
     pub fn set(&mut self, boot: Time, until: Time, allowed: u32) {
-        self.until = Some(until);
+        self.until = self.until.max(Some(until));
         self.from = boot + WINDOW;
         self.allowed = allowed;
     }
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -773,3 +773,32 @@
     assert_ne!(first, second);
     assert!(fleet.refusals().is_empty());
 }
+
+#[test]
+fn target_is_back_and_cold() {
+    // A target comes back with an entry that it wrote before it became cold.
+    for evacuated in [true, false] {
+        let mut fleet = settled(&[NORTH], &[("e1", ENGINE, NORTH)]);
+        let (gone, back) = if evacuated {
+            let centre = CentreId::of("north-a");
+            let evacuation = item("evacuate", 60, Some(Entry::Evacuation(centre)));
+            (evacuation, item("evacuate", 61, None))
+        } else {
+            (item("e1", 60, None), item("e1", 61, Some(entry_of("e1"))))
+        };
+        fleet.publish(0, vec![gone], 60);
+        fleet.wait(Duration::from_secs(5));
+        fleet.publish(0, vec![back], 61);
+        for ticket in 0..10 {
+            fleet.arrive(0, arrival(ticket, "review", ENGINE, 1));
+        }
+        let sent = fleet.sends().len();
+        assert!((1..=5).contains(&sent), "{sent}");
+        fleet.wait(Duration::from_secs(4));
+        let before = fleet.sends().len();
+        for ticket in 20..40 {
+            fleet.arrive(0, arrival(ticket, "review", ENGINE, 1));
+        }
+        assert!(fleet.sends().len() >= before + 20);
+    }
+}
