--- a/crates/toucanseam/tests/log_flood.rs
+++ b/crates/toucanseam/tests/log_flood.rs
@@ -33,7 +33,7 @@
     }
 }
 
-fn start(name: &str, extra: &str) -> Program {
+fn try_start(name: &str, extra: &str) -> Program {
     let folder = std::env::temp_dir().join(format!("seam-log-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("node.toml");
@@ -90,6 +90,25 @@
     }
 }
 
+/// Starts the program. A port that was free a moment ago may be taken, which ends the program at
+/// once, so others are tried.
+fn start(name: &str, extra: &str) -> Program {
+    const TRIES: usize = 20;
+    for _ in 0..TRIES {
+        let mut program = try_start(name, extra);
+        loop {
+            if std::net::TcpStream::connect(program.caller).is_ok() {
+                return program;
+            }
+            if program.child.try_wait().expect("it is a child").is_some() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+    panic!("the system gives no free ports");
+}
+
 #[test]
 fn blocked_reader() {
     seam_http::start_workers(1);
