--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -99,8 +99,12 @@
     outlet: &Outlet,
     progress: &Progress,
 ) -> Reply {
-    let Ok(mut client) = hub.links.client(to.address).await else {
-        return Reply::NotSent;
+    let mut client = match hub.links.client(to.address).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::info!("request {}: no link to a node: {error}", inbound.id);
+            return Reply::NotSent;
+        }
     };
     if !hub.may_send(to.attempt) {
         return Reply::NotSent;
@@ -117,7 +121,12 @@
         Err(status) if status.code() == tonic::Code::PermissionDenied => {
             Reply::Refused(Refusal::not_run(Reason::NotReady))
         }
-        Err(_) => {
+        Err(status) => {
+            log::info!(
+                "request {}: no answer of node {}: {status}",
+                inbound.id,
+                to.address
+            );
             hub.links.forget(to.address);
             Reply::Broken {
                 started: outlet.started(),
