Pass on long request bodies as they arrive; keep the configured limits on callers

Cause: bodies were read whole before a request was placed, so a long one cost its whole size of memory and its upload time before a target saw a byte; the configuration's limits on header bytes, header time and idle time were read but not applied.

Change: a body over 64 KiB begins to pass at once and is sent once; a shorter one is held and may be sent again. A refusal after a long body was spent is final and says not run. A body that its caller breaks off no longer counts against the target. The server closes idle connections and answers 408 and 431 by the published limits.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -63,6 +63,8 @@
     pub service: ServiceId,
     /// Whether it may be repeated.
     pub repeatable: bool,
+    /// Whether its body is held, so that it can be sent more than once.
+    pub replayable: bool,
     /// Its idempotency key.
     pub key: Option<KeyName>,
     /// What makes two requests the same for a target.
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -67,6 +67,7 @@
             customer,
             service,
             repeatable: true,
+            replayable: true,
             key: None,
             fingerprint: Fingerprint(0),
             prefix: None,
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -41,6 +41,8 @@
             return;
         }
         attempt.sent = true;
+        let ticket = attempt.ticket;
+        self.request_mut(ticket).opened = true;
     }
 
     /// Returns the region in which an attempt runs.
@@ -103,10 +105,9 @@
         let engine = self.is_engine(self.targets.get(target).service);
         for (key, attempt) in &mut self.attempts {
             let here = attempt.place == Place::Target(target) && attempt.silent;
-            let movable = self
-                .requests
-                .get(&attempt.ticket)
-                .is_some_and(|request| request.repeatable && Self::runs_left(request) > 1);
+            let movable = self.requests.get(&attempt.ticket).is_some_and(|request| {
+                request.repeatable && request.sendable() && Self::runs_left(request) > 1
+            });
             // A prompt that waits in an engine's queue would only wait again elsewhere.
             let waits = accepted && engine && !attempt.started_answer;
             if here && !attempt.cancelled && (movable || !accepted) && !waits {
--- a/crates/seam-core/src/node/settle.rs
+++ b/crates/seam-core/src/node/settle.rs
@@ -103,6 +103,7 @@
         let service = request.service;
         let spent = request.attempts >= MOST_ATTEMPTS
             || request.budget(now).is_zero()
+            || !request.sendable()
             || Self::runs_left(request) == 0;
         if spent || request.orphan || (costs && !self.lane(service).retries.spend()) {
             self.refuse(now, ticket, refusal, out);
@@ -141,6 +142,7 @@
         };
         let service = request.service;
         let again = request.repeatable
+            && request.sendable()
             && !request.orphan
             && !attempt.cancelled
             && Self::runs_left(request) > 1
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -43,6 +43,10 @@
     pub service: ServiceId,
     /// Whether it may be repeated.
     pub repeatable: bool,
+    /// Whether its body is held, so that it can be sent more than once.
+    pub replayable: bool,
+    /// Whether its first byte may have left.
+    pub opened: bool,
     /// Its idempotency key, if it may not be repeated. Otherwise a key changes nothing.
     pub key: Option<KeyName>,
     /// Whether this node's key table decides on its key.
@@ -93,6 +97,8 @@
             customer: arrival.customer,
             service: arrival.service,
             repeatable: arrival.repeatable,
+            replayable: arrival.replayable,
+            opened: false,
             key: arrival.key.clone().filter(|_| !arrival.repeatable),
             owned: false,
             owner: None,
@@ -120,6 +126,12 @@
         !self.hops.is_empty()
     }
 
+    /// Tells whether it can be sent once more.
+    #[must_use]
+    pub fn sendable(&self) -> bool {
+        self.replayable || !self.opened
+    }
+
     /// Returns the time left until the deadline.
     #[must_use]
     pub fn budget(&self, now: Time) -> Duration {
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -287,6 +287,7 @@
         customer: CustomerId::of(route),
         service: ServiceId::of(service),
         repeatable: matches!(route, "view" | "single" | "hint"),
+        replayable: true,
         key: None,
         fingerprint: Fingerprint(ticket),
         prefix: None,
--- a/crates/seam-emulator/src/fleet.rs
+++ b/crates/seam-emulator/src/fleet.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_io::Timer;
 use seam_config::settings::{
     Listen, LogFormat, LogSettings, Platform as PlatformSettings, Secrets, Source,
 };
@@ -16,6 +15,7 @@
 use crate::engine::{Engine, Pace};
 use crate::plain::Plain;
 use crate::platform::Platform;
+use crate::run::until;
 
 /// Token of the administration API with the role `operate`.
 pub const OPERATE: &str = "operate-token";
@@ -23,10 +23,6 @@
 pub const READ: &str = "read-token";
 /// Secret of the fleet.
 pub const SECRET: &[u8] = b"a secret of the emulated fleet";
-/// Time between two looks at a condition.
-const LOOK: Duration = Duration::from_millis(20);
-/// Most looks at a condition.
-const MOST_LOOKS: usize = 1000;
 
 /// How targets behave.
 #[derive(Clone, Copy, Debug)]
@@ -225,20 +221,6 @@
     platform.put("manifest", set.manifest.clone());
 }
 
-/// Waits until a condition holds.
-///
-/// # Panics
-/// If it does not hold after many looks.
-pub async fn until(mut holds: impl FnMut() -> bool) {
-    for _ in 0..MOST_LOOKS {
-        if holds() {
-            return;
-        }
-        Timer::after(LOOK).await;
-    }
-    panic!("the condition never held");
-}
-
 /// Token of the customer whose home is khomas.
 pub const WINDHOEK: &str = "salon-windhoek-token";
 /// Token of the customer whose data stays in erongo.
--- a/crates/seam-emulator/src/run.rs
+++ b/crates/seam-emulator/src/run.rs
@@ -3,12 +3,19 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use async_executor::Task;
+use async_io::Timer;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use seam_http::{Body, Listener, Stop, lock, serve, spawn};
 
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Most looks at a condition.
+const MOST_LOOKS: usize = 1000;
+
 /// A running server. Dropping it closes its address.
 #[derive(Debug)]
 pub struct Server {
@@ -58,3 +65,17 @@
         lock(&self.task).take();
     }
 }
+
+/// Waits until a condition holds.
+///
+/// # Panics
+/// If it does not hold after many looks.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    for _ in 0..MOST_LOOKS {
+        if holds() {
+            return;
+        }
+        Timer::after(LOOK).await;
+    }
+    panic!("the condition never held");
+}
--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -62,6 +62,7 @@
         customer: CustomerId::of(customer),
         service: ServiceId::of(service),
         repeatable: true,
+        replayable: true,
         key: None,
         fingerprint: Fingerprint(ticket),
         prefix: Some(ticket % 64),
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -491,6 +491,7 @@
             customer: wish.call.customer,
             service: wish.call.service,
             repeatable: wish.call.repeatable,
+            replayable: true,
             key: wish.key(op),
             fingerprint: wish.fingerprint,
             prefix: wish.call.prefix,
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -1,5 +1,7 @@
 //! Serves HTTP/1.1 and HTTP/2 on one address.
 
+mod pace;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -7,7 +9,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
@@ -19,19 +21,17 @@
 
 use crate::body::Body;
 use crate::exec::{Spawner, spawn};
+pub use pace::CallerBounds;
+use pace::{Overdue, Pace, PacedStream};
 
 /// How an HTTP/2 connection starts.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0";
 /// Time between two looks at a connection that sent less than a preface.
 const PEEK_AGAIN: Duration = Duration::from_millis(2);
-/// Time within which a new connection must send its first bytes.
-const FIRST_BYTES: Duration = Duration::from_secs(30);
-/// Time for a caller to send its header fields.
-const HEADER_TIME: Duration = Duration::from_secs(30);
 /// Interval of HTTP/2 pings.
 const PING: Duration = Duration::from_secs(10);
-/// Largest block of header fields in bytes.
-const HEADER_BYTES: usize = 64 << 10;
+/// Smallest bound on a block of header fields that the library takes, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
 /// Most connections of one listener.
 const MOST_CONNECTIONS: usize = 10_000;
 
@@ -92,16 +92,25 @@
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_most(MOST_CONNECTIONS, listener, stop, handler).await;
+    let bounds = CallerBounds::default;
+    serve_within(MOST_CONNECTIONS, bounds, listener, stop, handler).await;
 }
 
-/// Like [`serve`], with a bound on the connections open at once.
-pub async fn serve_most<F, R>(most: usize, listener: Listener, stop: Stop, handler: F)
-where
+/// Like [`serve`], with a bound on the connections open at once, and bounds on what callers send.
+///
+/// The bounds on callers are asked for again for each request.
+pub async fn serve_within<F, R, B>(
+    most: usize,
+    bounds: B,
+    listener: Listener,
+    stop: Stop,
+    handler: F,
+) where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
+    B: Fn() -> CallerBounds + Send + Sync + 'static,
 {
-    let handler = Arc::new(handler);
+    let shared = Arc::new((handler, bounds));
     let open = Arc::new(AtomicUsize::new(0));
     loop {
         let accepted = async { Some(listener.inner.accept().await) };
@@ -112,17 +121,24 @@
         let Some(accepted) = accepted.or(stopped).await else {
             break;
         };
-        let Ok((stream, from)) = accepted else {
-            Timer::after(PEEK_AGAIN).await;
-            continue;
+        let (stream, from) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("no connection accepted on {}: {error}", listener.address);
+                Timer::after(PEEK_AGAIN).await;
+                continue;
+            }
         };
         if open.load(Ordering::Relaxed) >= most {
+            log::warn!("connection of {from} closed: {most} are open");
             continue;
         }
         open.fetch_add(1, Ordering::Relaxed);
-        let (handler, stop, open) = (handler.clone(), stop.clone(), open.clone());
+        let (shared, stop, open) = (shared.clone(), stop.clone(), open.clone());
         spawn(async move {
-            let _ = connection(stream, from, stop, handler).await;
+            if let Err(error) = connection(stream, from, stop, shared).await {
+                log::debug!("connection of {from} ended: {error}");
+            }
             open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
@@ -144,19 +160,22 @@
     }
 }
 
-async fn connection<F, R>(
+async fn connection<F, R, B>(
     stream: Async<TcpStream>,
     from: SocketAddr,
     stop: Stop,
-    handler: Arc<F>,
+    shared: Arc<(F, B)>,
 ) -> Result<(), hyper::Error>
 where
     F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
+    B: Fn() -> CallerBounds + Send + Sync + 'static,
 {
     crate::client::notice_silence(stream.get_ref());
+    let pace = Pace::start(Instant::now());
+    let bounds = || shared.1();
     let late = async {
-        Timer::after(FIRST_BYTES).await;
+        pace.overdue(bounds).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     let idle_stop = async {
@@ -166,38 +185,55 @@
     let Ok(http2) = speaks_http2(&stream).or(late).or(idle_stop).await else {
         return Ok(());
     };
-    let service = service_fn(move |request| {
-        let answer = handler(request, from);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let io = FuturesIo::new(stream);
+    let head_bytes = bounds().head_bytes.max(LEAST_HEAD_BYTES);
     if http2 {
+        let service = service_fn(|request| {
+            let answer = shared.0(request, from);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
         let connection = hyper::server::conn::http2::Builder::new(Spawner)
             .timer(SmolTimer::new())
             .keep_alive_interval(PING)
-            .max_header_list_size(HEADER_BYTES as u32)
-            .serve_connection(io, service);
+            .max_header_list_size(head_bytes as u32)
+            .serve_connection(FuturesIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = until_stopped(connection.as_mut(), &stop).await;
         if let Some(ended) = ended {
             return ended;
         }
         connection.as_mut().graceful_shutdown();
-        connection.await
-    } else {
+        return connection.await;
+    }
+    let stream = PacedStream::new(stream, pace.clone());
+    let served = async {
+        let service = service_fn(|request| {
+            pace.called();
+            let (answer, pace) = (shared.0(request, from), pace.clone());
+            async move { Ok::<_, Infallible>(pace.until_sent(answer.await)) }
+        });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(HEADER_TIME)
-            .max_buf_size(HEADER_BYTES)
+            .header_read_timeout(None)
+            .max_buf_size(head_bytes)
             .half_close(false)
-            .serve_connection(io, service);
+            .serve_connection(FuturesIo::new(stream.clone()), service);
         let mut connection = pin!(connection);
         let ended = until_stopped(connection.as_mut(), &stop).await;
         if let Some(ended) = ended {
-            return ended;
+            return Ok(ended);
         }
         connection.as_mut().graceful_shutdown();
-        connection.await
+        Ok(connection.await)
+    };
+    let overdue = async { Err(pace.overdue(bounds).await) };
+    match served.or(overdue).await {
+        Ok(ended) => ended,
+        Err(Overdue::Idle) => Ok(()),
+        Err(Overdue::Head) => {
+            log::info!("the head of a request from {from} took too long");
+            stream.refuse_late().await;
+            Ok(())
+        }
     }
 }
 
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -87,6 +87,7 @@
         customer: inbound.customer,
         service: inbound.service,
         repeatable: inbound.repeatable,
+        replayable: inbound.body.replayable(),
         key: inbound.key.clone(),
         fingerprint: inbound.fingerprint,
         prefix,
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -7,11 +7,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use seam_core::Origin;
-use seam_http::{Body, Listener, Stop, serve_most};
+use seam_http::{Body, CallerBounds, Listener, Stop, serve_within};
 
 use crate::drive;
 use crate::hub::Hub;
@@ -22,13 +23,27 @@
 /// Serves callers until stopped.
 pub async fn serve_callers(hub: Arc<Hub>, listener: Listener, stop: Stop) {
     let most = hub.settings().connections;
-    serve_most(most, listener, stop, move |request, from| {
+    let publisher = hub.clone();
+    let bounds = move || bounds(&publisher);
+    serve_within(most, bounds, listener, stop, move |request, from| {
         let hub = hub.clone();
         async move { handle(&hub, request, from).await }
     })
     .await;
 }
 
+/// Returns what callers may send, where the configuration bounds it.
+fn bounds(hub: &Hub) -> CallerBounds {
+    let snapshot = hub.snapshot();
+    let limits = snapshot.as_ref();
+    let limits = limits.and_then(|snapshot| snapshot.bundle.limits.as_ref());
+    limits.map_or_else(CallerBounds::default, |limits| CallerBounds {
+        head_bytes: limits.header_bytes,
+        head_time: Duration::from_millis(limits.header_time),
+        idle_time: Duration::from_millis(limits.idle_time),
+    })
+}
+
 async fn handle(hub: &Arc<Hub>, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
     let mut answer = if hub.items.is_some() {
         routed(hub, request, from).await
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{HeaderMap, Request, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use seam_core::Refusal;
+use seam_http::BodyError;
 use seam_protocol::{CustomerId, Digest, Reason, Repeat, ServiceId};
 
-use crate::budget::HeldBytes;
 use crate::hub::{Hub, Snapshot};
 use crate::inbound::{Inbound, KEY_FIELD, class_of, fingerprint};
 use crate::link::key_name;
+use crate::request_body::{ReadError, RequestBody};
 
 /// Time after which a node that is not ready may be asked again.
 const SOON: Duration = Duration::from_secs(1);
@@ -98,31 +98,21 @@
     Ok(text.to_owned())
 }
 
-/// Reads a whole body.
-async fn whole(hub: &Hub, body: Incoming, limit: usize) -> Result<(Bytes, HeldBytes), Fault> {
-    let mut held = hub.bodies.body();
-    let mut body = Limited::new(body, limit);
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            let reason = if error.is::<http_body_util::LengthLimitError>() {
-                Reason::Oversize
-            } else {
-                Reason::Malformed
-            };
-            Fault::new(reason, format!("body of at most {limit} bytes: {error}"))
-        })?;
-        if let Ok(data) = frame.into_data() {
-            if !held.grow(data.len()) {
-                return Err(Fault {
-                    refusal: Refusal::not_run(Reason::Overload).after(SOON),
-                    detail: "bodies of other requests take all the memory for them".to_owned(),
-                });
-            }
-            bytes.extend_from_slice(&data);
+/// Reads a body, of a long one the first bytes.
+async fn read_body(hub: &Hub, body: Incoming, limit: usize) -> Result<RequestBody, Fault> {
+    let body = body.map_err(|source| BodyError::Connection { source });
+    let read = RequestBody::read(body.boxed_unsync(), limit, hub.bodies.body()).await;
+    read.map_err(|error| {
+        let refusal = match error {
+            ReadError::Oversize { .. } => Refusal::not_run(Reason::Oversize),
+            ReadError::Broken { .. } => Refusal::not_run(Reason::Malformed),
+            ReadError::Memory => Refusal::not_run(Reason::Overload).after(SOON),
+        };
+        Fault {
+            refusal,
+            detail: error.to_string(),
         }
-    }
-    Ok((bytes.freeze(), held))
+    })
 }
 
 /// Returns the host that a request names, without the dot at its end.
@@ -133,7 +123,7 @@
     Some(host.trim_end_matches('.').to_owned())
 }
 
-/// Reads a whole request for a published route.
+/// Reads a request for a published route.
 ///
 /// The time that the body takes counts against the request's own.
 pub async fn read_routed(
@@ -168,7 +158,7 @@
         Timer::after(budget).await;
         Err(Fault::new(Reason::SlowBody, "the body took too long"))
     };
-    let (body, memory) = whole(hub, body, limit).or(late).await?;
+    let body = read_body(hub, body, limit).or(late).await?;
     let mut fields = head.headers;
     hub.dialect.strip(&mut fields);
     fields.remove(header::CONTENT_LENGTH);
@@ -176,8 +166,7 @@
     Ok(Inbound {
         id: id.to_owned(),
         repeatable: route.repeat != Repeat::Once,
-        fingerprint: fingerprint(service, &head.method, &path, Some(from), &body),
-        held: Some(memory),
+        fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
         class: Some(class_of(route)),
         prompt: asked.prompt.map(Arc::new),
         host: Some(host),
@@ -194,7 +183,7 @@
     })
 }
 
-/// Reads a whole request for a service that its path names.
+/// Reads a request for a service that its path names.
 pub async fn read(hub: &Hub, request: Request<Incoming>, id: &str) -> Result<Inbound, Fault> {
     let snapshot = snapshot(hub)?;
     let (head, body) = request.into_parts();
@@ -217,7 +206,7 @@
     let secret = hub.secrets().fleet;
     let key = key_name(&secret, customer, name, &key_text)
         .map_err(|error| Fault::new(Reason::KeyInvalid, error.to_string()))?;
-    let (body, memory) = whole(hub, body, rule.body as usize).await?;
+    let body = read_body(hub, body, rule.body as usize).await?;
     let mut fields = head.headers;
     hub.dialect.strip(&mut fields);
     fields.remove(header::AUTHORIZATION);
@@ -226,9 +215,8 @@
     Ok(Inbound {
         id: id.to_owned(),
         repeatable: rule.repeatable(head.method.as_str(), &path),
-        fingerprint: fingerprint(service, &head.method, &path, None, &body),
+        fingerprint: fingerprint(service, &head.method, &path, None, body.first()),
         host: None,
-        held: Some(memory),
         class: None,
         prompt: asked.prompt.map(Arc::new),
         method: head.method,
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::budget::HeldBytes;
-use bytes::Bytes;
+use crate::request_body::RequestBody;
 use http::{HeaderMap, HeaderName, Method, header};
 use seam_core::{Class, KeyName, Prompt};
 use seam_protocol::{CustomerId, Digest, Fingerprint, HostRoute, Kind, Repeat, Service, ServiceId};
@@ -40,7 +39,7 @@
     header::HOST,
 ];
 
-/// A whole request.
+/// A request whose head was read.
 #[derive(Debug)]
 pub struct Inbound {
     /// Identifier for logs and answers.
@@ -51,8 +50,8 @@
     pub path: String,
     /// End-to-end header fields.
     pub fields: HeaderMap,
-    /// Whole body.
-    pub body: Bytes,
+    /// Its body, whole unless it is long.
+    pub body: RequestBody,
     /// The customer.
     pub customer: CustomerId,
     /// The customer's name.
@@ -75,8 +74,6 @@
     pub prompt: Option<Arc<Prompt>>,
     /// What makes two requests the same for a target.
     pub fingerprint: Fingerprint,
-    /// Its share of the memory for bodies, if it came from a caller.
-    pub held: Option<HeldBytes>,
 }
 
 /// Removes header fields that concern one connection or belong to the system.
@@ -103,7 +100,7 @@
     }
 }
 
-/// Digests what makes two requests the same for a target.
+/// Digests what makes two requests the same for a target, of a long body its first bytes.
 ///
 /// Where callers have no credentials, `caller` tells the requests of two apart.
 #[must_use]
@@ -144,9 +141,10 @@
     /// Digests the head of the prompt, for engines.
     #[must_use]
     pub fn prefix(&self, service: &Service) -> Option<u64> {
-        let long = self.body.len() >= LEAST_PREFIX;
+        let body = self.body.first();
+        let long = body.len() >= LEAST_PREFIX;
         (service.kind == Kind::Engine && long).then(|| {
-            let head = &self.body[..self.body.len().min(PREFIX_BYTES)];
+            let head = &body[..body.len().min(PREFIX_BYTES)];
             Digest::of(head).head()
         })
     }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod polls;
 pub mod pool;
 pub mod problem;
+pub mod request_body;
 pub mod store;
 pub mod targets;
 pub mod trail;
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -6,11 +6,13 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::{FutureExt, stream};
+use futures_lite::{FutureExt, Stream, StreamExt, stream};
 use http::StatusCode;
+use http_body_util::BodyExt;
 use seam_config::PartSet;
 use seam_config::bundle::manifest;
 use seam_core::{Refusal, Reply};
+use seam_http::Body;
 use seam_protocol::peer::{
     ItemsRequest, NewestRequest, PartRequest, ReplyFrame, RequestFrame, RequestHead, reply_frame,
     request_frame,
@@ -62,10 +64,10 @@
     },
 }
 
-fn frames(to: &ToNode, inbound: &Inbound, outlet: &Outlet) -> Vec<RequestFrame> {
+fn head(to: &ToNode, inbound: &Inbound, outlet: &Outlet) -> RequestHead {
     let mut fields = inbound.fields.clone();
     go_on(&mut fields, outlet);
-    let head = RequestHead {
+    RequestHead {
         id: inbound.id.clone(),
         customer: inbound.customer.0,
         service: inbound.service.0,
@@ -80,15 +82,30 @@
         fingerprint: inbound.fingerprint.0,
         prefix: None,
         host: inbound.host.clone().unwrap_or_default(),
-    };
-    let mut frames = vec![request_frame::Frame::Head(head)];
-    let chunks = inbound.body.chunks(FRAME);
-    frames.extend(chunks.map(|chunk| request_frame::Frame::Body(chunk.to_vec())));
-    frames.push(request_frame::Frame::End(true));
-    frames
-        .into_iter()
-        .map(|frame| RequestFrame { frame: Some(frame) })
-        .collect()
+    }
+}
+
+/// Returns the frames of a request. Without the last one its receiver takes it as cut off.
+fn frames(head: RequestHead, body: Body) -> impl Stream<Item = RequestFrame> + Send + 'static {
+    let first = stream::once(request_frame::Frame::Head(head));
+    let parts = stream::unfold(Some(body), |body| async move {
+        let mut body = body?;
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                let parts: Vec<_> = bytes.chunks(FRAME).map(<[u8]>::to_vec).collect();
+                let frames = parts.into_iter().map(request_frame::Frame::Body);
+                Some((frames.collect(), Some(body)))
+            }
+            Some(Err(error)) => {
+                log::info!("the body of a forwarded request broke off: {error}");
+                None
+            }
+            None => Some((vec![request_frame::Frame::End(true)], None)),
+        }
+    });
+    let frames = first.chain(parts.map(stream::iter::<Vec<_>>).flatten());
+    frames.map(|frame| RequestFrame { frame: Some(frame) })
 }
 
 /// Forwards a request to a node and passes its answer on. Returns how that ended.
@@ -109,8 +126,13 @@
     if !hub.may_send(to.attempt) {
         return Reply::NotSent;
     }
+    let Some(body) = inbound.body.open() else {
+        log::warn!("request {}: its body was sent before", inbound.id);
+        return Reply::NotSent;
+    };
     progress.sent();
-    let mut request = tonic::Request::new(stream::iter(frames(&to, inbound, outlet)));
+    let head = head(&to, inbound, outlet);
+    let mut request = tonic::Request::new(frames(head, body));
     hub.links.prove(&mut request);
     let late = async {
         Timer::after(to.budget + TRAVEL).await;
@@ -121,6 +143,18 @@
         Err(status) if status.code() == tonic::Code::PermissionDenied => {
             Reply::Refused(Refusal::not_run(Reason::NotReady))
         }
+        Err(status) if status.code() == tonic::Code::ResourceExhausted => {
+            log::info!(
+                "request {}: node {} has no memory for it",
+                inbound.id,
+                to.address
+            );
+            Reply::Refused(Refusal::not_run(Reason::Overload))
+        }
+        Err(_) if inbound.body.failed() => {
+            log::info!("request {}: its caller broke the body off", inbound.id);
+            Reply::Unsure(Refusal::unknown(Reason::Malformed))
+        }
         Err(status) => {
             log::info!(
                 "request {}: no answer of node {}: {status}",
--- a/crates/seam-node/src/link/server.rs
+++ b/crates/seam-node/src/link/server.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use bytes::Bytes;
 use futures_lite::{Stream, StreamExt, stream};
 use http::Method;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 use seam_core::Origin;
 use seam_http::{BodyError, Listener, Stop, serve};
 use seam_protocol::peer::peer_server::{Peer, PeerServer};
@@ -24,8 +26,9 @@
 use crate::hub::Hub;
 use crate::inbound::{Inbound, class_of};
 use crate::outlet::Piece;
+use crate::request_body::{ReadError, RequestBody};
 
-/// Largest body of a forwarded request in bytes.
+/// Largest body of a forwarded request in bytes. The node that took it in has checked its own limit.
 const LARGEST_BODY: usize = 1 << 30;
 
 /// The link's server.
@@ -63,7 +66,7 @@
         request: Request<Streaming<RequestFrame>>,
     ) -> Result<Response<Frames>, Status> {
         self.check(&request)?;
-        let (head, body) = read(request.into_inner()).await?;
+        let (head, body) = read(&self.hub, request.into_inner()).await?;
         let origin = Origin::Peer {
             hops: wire::hops(&head.hops),
             revision: head.revision,
@@ -109,29 +112,44 @@
     }
 }
 
-/// Reads a whole forwarded request. Without its end marker it is not whole and does not run.
-async fn read(mut frames: Streaming<RequestFrame>) -> Result<(RequestHead, Vec<u8>), Status> {
-    let cut = || Status::data_loss("the request was cut off");
+/// Reads a forwarded request, of a long body the first bytes.
+async fn read(
+    hub: &Hub,
+    mut frames: Streaming<RequestFrame>,
+) -> Result<(RequestHead, RequestBody), Status> {
     let Some(RequestFrame {
         frame: Some(request_frame::Frame::Head(head)),
     }) = frames.message().await?
     else {
-        return Err(cut());
+        return Err(Status::data_loss("the request was cut off"));
     };
-    let mut body = Vec::new();
-    loop {
-        let frame = frames.message().await?.ok_or_else(cut)?;
-        match frame.frame {
-            Some(request_frame::Frame::Body(bytes)) if body.len() + bytes.len() <= LARGEST_BODY => {
-                body.extend_from_slice(&bytes);
-            }
-            Some(request_frame::Frame::End(_)) => return Ok((head, body)),
-            _ => return Err(cut()),
+    let body = StreamBody::new(data(frames)).boxed_unsync();
+    let read = RequestBody::read(body, LARGEST_BODY, hub.bodies.body()).await;
+    let body = read.map_err(|error| match error {
+        ReadError::Oversize { .. } => Status::invalid_argument(error.to_string()),
+        ReadError::Memory => Status::resource_exhausted(error.to_string()),
+        ReadError::Broken { .. } => Status::data_loss(error.to_string()),
+    })?;
+    Ok((head, body))
+}
+
+/// Returns the body of a forwarded request. Without its end marker it was cut off.
+fn data(frames: Streaming<RequestFrame>) -> impl Stream<Item = Result<Frame<Bytes>, BodyError>> {
+    stream::unfold(Some(frames), |frames| async move {
+        let mut frames = frames?;
+        match frames.message().await {
+            Ok(Some(RequestFrame {
+                frame: Some(request_frame::Frame::Body(bytes)),
+            })) => Some((Ok(Frame::data(bytes.into())), Some(frames))),
+            Ok(Some(RequestFrame {
+                frame: Some(request_frame::Frame::End(_)),
+            })) => None,
+            _ => Some((Err(BodyError::Cut), None)),
         }
-    }
+    })
 }
 
-fn inbound(hub: &Hub, head: RequestHead, body: Vec<u8>) -> Result<Inbound, Status> {
+fn inbound(hub: &Hub, head: RequestHead, body: RequestBody) -> Result<Inbound, Status> {
     let malformed = |what: &str| Status::invalid_argument(what.to_owned());
     let snapshot = hub
         .snapshot()
@@ -168,7 +186,7 @@
         method,
         path: head.path,
         fields,
-        body: body.into(),
+        body,
         customer,
         name: name.unwrap_or_default(),
         service,
@@ -180,7 +198,6 @@
         prompt: asked.prompt.map(Arc::new),
         fingerprint: Fingerprint(head.fingerprint),
         host,
-        held: None,
     })
 }
 
--- /dev/null
+++ b/crates/seam-node/src/request_body.rs
@@ -0,0 +1,235 @@
+//! The body of a request: held whole, or passed on while it still arrives.
+//!
+//! A body that fits into [`HELD`] bytes is read before the request is placed, so that it can be sent
+//! again. Of a longer one the first bytes are held and the rest follows as fast as its receiver
+//! takes it, so it is sent once.
+
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use seam_http::{Body, BodyError, full, lock};
+use snafu::Snafu;
+
+use crate::budget::HeldBytes;
+
+/// Bytes of a body that are read before the request is placed; most prompts fit.
+pub const HELD: usize = 64 << 10;
+/// Bytes of a longer body that its connections may buffer on the way.
+const ON_THE_WAY: usize = 128 << 10;
+
+/// Why a body could not be read.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// It is longer than allowed.
+    #[snafu(display("the body has more than {limit} bytes"))]
+    Oversize {
+        /// Most bytes.
+        limit: usize,
+    },
+    /// Bodies of other requests take all the memory for them.
+    #[snafu(display("bodies of other requests take all the memory for them"))]
+    Memory,
+    /// The caller's connection failed.
+    #[snafu(display("the body cannot be read: {source}"))]
+    Broken {
+        /// Why.
+        source: BodyError,
+    },
+}
+
+/// The body of a request.
+#[derive(Debug)]
+pub struct RequestBody {
+    first: Bytes,
+    rest: Option<Rest>,
+    /// Its share of the memory for bodies.
+    _held: Option<HeldBytes>,
+}
+
+#[derive(Debug)]
+struct Rest {
+    /// What has not been read yet, until it is sent.
+    unread: Mutex<Option<Body>>,
+    length: Option<u64>,
+    failed: Arc<AtomicBool>,
+}
+
+impl RequestBody {
+    /// Returns a body that is there already.
+    #[must_use]
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            first: bytes.into(),
+            rest: None,
+            _held: None,
+        }
+    }
+
+    /// Reads the first bytes of a body, or all of it if it is short.
+    ///
+    /// # Errors
+    /// See [`ReadError`].
+    pub async fn read(
+        mut body: Body,
+        limit: usize,
+        mut held: HeldBytes,
+    ) -> Result<Self, ReadError> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > limit as u64) {
+            return Err(ReadError::Oversize { limit });
+        }
+        let mut first = BytesMut::new();
+        while first.len() <= HELD {
+            let Some(frame) = body.frame().await else {
+                return Ok(Self {
+                    first: first.freeze(),
+                    rest: None,
+                    _held: Some(held),
+                });
+            };
+            let frame = frame.map_err(|source| ReadError::Broken { source })?;
+            if let Ok(data) = frame.into_data() {
+                if first.len() + data.len() > limit {
+                    return Err(ReadError::Oversize { limit });
+                }
+                if !held.grow(data.len()) {
+                    return Err(ReadError::Memory);
+                }
+                first.extend_from_slice(&data);
+            }
+        }
+        if !held.grow(ON_THE_WAY) {
+            return Err(ReadError::Memory);
+        }
+        let failed = Arc::new(AtomicBool::new(false));
+        let unread = Watched {
+            body,
+            left: limit - first.len(),
+            failed: failed.clone(),
+        };
+        Ok(Self {
+            first: first.freeze(),
+            rest: Some(Rest {
+                unread: Mutex::new(Some(unread.boxed_unsync())),
+                length,
+                failed,
+            }),
+            _held: Some(held),
+        })
+    }
+
+    /// Returns the first bytes, which are all there are of a short body.
+    #[must_use]
+    pub fn first(&self) -> &Bytes {
+        &self.first
+    }
+
+    /// Tells whether the body can be sent more than once.
+    #[must_use]
+    pub fn replayable(&self) -> bool {
+        self.rest.is_none()
+    }
+
+    /// Tells whether the caller broke it off.
+    #[must_use]
+    pub fn failed(&self) -> bool {
+        let rest = self.rest.as_ref();
+        rest.is_some_and(|rest| rest.failed.load(Ordering::Relaxed))
+    }
+
+    /// Returns the body to be sent, `None` if it can be sent only once and was.
+    ///
+    /// ```
+    /// use hyper::body::Body as _;
+    /// use seam_node::request_body::RequestBody;
+    /// let body = RequestBody::whole("abc");
+    /// assert_eq!(body.open().unwrap().size_hint().exact(), Some(3));
+    /// assert!(body.open().is_some());
+    /// ```
+    #[must_use]
+    pub fn open(&self) -> Option<Body> {
+        let Some(rest) = &self.rest else {
+            return Some(full(self.first.clone()));
+        };
+        let unread = lock(&rest.unread).take()?;
+        let joined = Joined {
+            first: Some(self.first.clone()),
+            left: rest.length,
+            rest: unread,
+        };
+        Some(joined.boxed_unsync())
+    }
+}
+
+/// The rest of a body, up to a limit, which notes when it breaks off.
+struct Watched {
+    body: Body,
+    left: usize,
+    failed: Arc<AtomicBool>,
+}
+
+impl HttpBody for Watched {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        let size = match &frame {
+            Poll::Ready(Some(Ok(frame))) => frame.data_ref().map_or(0, Bytes::len),
+            _ => 0,
+        };
+        let frame = if size > this.left {
+            Poll::Ready(Some(Err(BodyError::Cut)))
+        } else {
+            this.left -= size;
+            frame
+        };
+        if matches!(frame, Poll::Ready(Some(Err(_)))) {
+            this.failed.store(true, Ordering::Relaxed);
+        }
+        frame
+    }
+}
+
+/// First bytes and the rest behind them.
+struct Joined {
+    first: Option<Bytes>,
+    rest: Body,
+    /// Bytes that are still to come, where the caller said.
+    left: Option<u64>,
+}
+
+impl HttpBody for Joined {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        let frame = match this.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Pin::new(&mut this.rest).poll_frame(context),
+        };
+        if let Poll::Ready(Some(Ok(frame))) = &frame {
+            let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+            this.left = this.left.map(|left| left.saturating_sub(size));
+        }
+        frame
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -6,12 +6,12 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{Request, StatusCode, header};
+use http::{Request, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use seam_core::keys::LARGEST_ANSWER;
 use seam_core::{Event, Refusal, Reply};
-use seam_http::{ClientError, full};
+use seam_http::ClientError;
 use seam_protocol::{Field, Reason, StoredAnswer};
 
 use crate::dialect::{Judged, Told};
@@ -35,10 +35,10 @@
     outlet: &Outlet,
     progress: &Progress,
 ) -> Reply {
-    let Some(mut request) = request(hub, to, inbound) else {
+    let Some(mut head) = head(hub, to, inbound) else {
         return Reply::NotSent;
     };
-    go_on(request.headers_mut(), outlet);
+    go_on(&mut head.headers, outlet);
     let mut connection = match connection(hub, to.address, inbound.repeatable).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -49,11 +49,20 @@
     if !hub.may_send(to.attempt) {
         return Reply::NotSent;
     }
+    let Some(body) = inbound.body.open() else {
+        log::warn!("request {}: its body was sent before", inbound.id);
+        return Reply::NotSent;
+    };
     progress.sent();
     let silence = Silence { hub, to };
+    let request = Request::from_parts(head, body);
     let answer = match silence.watch(connection.send(request)).await {
         Ok(answer) => answer,
         Err(ClientError::NotSent) => return Reply::NotSent,
+        Err(_) if inbound.body.failed() => {
+            log::info!("request {}: its caller broke the body off", inbound.id);
+            return Reply::Unsure(Refusal::unknown(Reason::Malformed));
+        }
         Err(error) => {
             log::info!(
                 "request {}: no answer of target {}: {error}",
@@ -121,15 +130,16 @@
     }
 }
 
-/// Builds the request, `None` if the target is no longer in the configuration.
-fn request(hub: &Hub, to: ToTarget, inbound: &Inbound) -> Option<Request<seam_http::Body>> {
+/// Builds the request's head, `None` if the target is no longer in the configuration.
+fn head(hub: &Hub, to: ToTarget, inbound: &Inbound) -> Option<request::Parts> {
     let snapshot = hub.snapshot()?;
     let service = snapshot.bundle.services.get(&to.service)?;
     let target = service.targets.get(&to.target)?;
-    let mut request = Request::new(full(inbound.body.clone()));
-    *request.method_mut() = inbound.method.clone();
-    if let Ok(uri) = inbound.path.parse() {
-        *request.uri_mut() = uri;
+    let (mut head, ()) = Request::new(()).into_parts();
+    head.method = inbound.method.clone();
+    match inbound.path.parse() {
+        Ok(uri) => head.uri = uri,
+        Err(error) => log::warn!("request {}: path not passed on: {error}", inbound.id),
     }
     let mut fields = inbound.fields.clone();
     let told = Told {
@@ -139,8 +149,8 @@
         copy_from: to.copy_from,
     };
     hub.dialect.tell(&mut fields, inbound, told);
-    *request.headers_mut() = fields;
-    Some(request)
+    head.headers = fields;
+    Some(head)
 }
 
 fn refused(
--- a/crates/seam-node/tests/new_revisions.rs
+++ b/crates/seam-node/tests/new_revisions.rs
@@ -1,6 +1,7 @@
 //! Changes of the configuration and how they reach every node.
 
-use seam_emulator::fleet::{until, with_fleet};
+use seam_emulator::fleet::with_fleet;
+use seam_emulator::run::until;
 use seam_emulator::{Caller, Fleet};
 use seam_protocol::{Customer, CustomerId, Digest};
 
