--- /dev/null
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -0,0 +1,385 @@
+//! Nodes without I/O that hear each other at once, and the items that a platform publishes to them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use seam_core::prompt::Part;
+use seam_core::{
+    Arrival, AttemptKey, Class, Command, Event, Identity, News, Node, Origin, Prompt, Published,
+    Refusal, Source, Ticket,
+};
+use seam_protocol::bundle::{Capacity, Deployment, Region};
+use seam_protocol::route::{Share, routed_service};
+use seam_protocol::{
+    Bundle, CentreId, CustomerId, DataCentre, Digest, Entry, Fingerprint, Heartbeat, HostRoute,
+    Incarnation, Kind, ListedTarget, RawItem, RegionId, Repeat, RouteTable, ServiceId, Target,
+    TargetId, Time, Vm, VmId,
+};
+
+pub const NORTH: &str = "north";
+pub const SOUTH: &str = "south";
+pub const ENGINE: &str = "writer";
+pub const DESK: &str = "desk";
+/// Nodes that the others know at their start. The last one never existed.
+pub const SEEDS: [usize; 3] = [0, 1, 99];
+/// A target that is cold after its start.
+pub const COLD: &str = "e-cold";
+
+pub fn skeleton() -> Bundle {
+    let regions = [NORTH, SOUTH].map(|name| {
+        let centre = DataCentre {
+            name: format!("{name}-a"),
+        };
+        let centres = BTreeMap::from([(CentreId::of(&centre.name), centre)]);
+        (
+            RegionId::of(name),
+            Region {
+                name: name.to_owned(),
+                centres,
+            },
+        )
+    });
+    Bundle {
+        revision: 0,
+        digest: Digest::default(),
+        parent: None,
+        deployment: Deployment {
+            name: String::new(),
+            weight: 0.7,
+            regions: BTreeMap::from(regions),
+            links: Vec::new(),
+            vms: BTreeMap::new(),
+            loads: 1,
+            repeat_window: 1,
+        },
+        services: BTreeMap::new(),
+        customers: BTreeMap::new(),
+        routes: RouteTable::default(),
+        limits: None,
+        retries: Some(50),
+    }
+}
+
+pub fn route(name: &str, service: &str, repeat: Repeat, attempts: u8) -> HostRoute {
+    HostRoute {
+        name: name.to_owned(),
+        prefix: format!("/{name}/"),
+        shares: vec![Share {
+            service: ServiceId::of(service),
+            weight: 1,
+        }],
+        repeat,
+        streams: service == ENGINE,
+        timeout: 4000,
+        objective: 800,
+        rank: 0,
+        attempts,
+        homes: None,
+    }
+}
+
+pub fn config(version: u64) -> Entry {
+    let mut bundle = skeleton();
+    bundle.revision = version;
+    bundle.digest = Digest::of(&version.to_be_bytes());
+    let capacity = Capacity {
+        connections: 100,
+        memory: 500_000,
+        cold_rate: 5.25,
+        copies: true,
+    };
+    for (name, kind) in [(ENGINE, Kind::Engine), (DESK, Kind::Plain)] {
+        let service = routed_service(name, kind, capacity, 400);
+        bundle.services.insert(ServiceId::of(name), service);
+    }
+    let routes = [
+        route("review", ENGINE, Repeat::Once, 1),
+        route("hint", ENGINE, Repeat::Resumable, 2),
+        route("view", DESK, Repeat::Idempotent, 2),
+        route("single", DESK, Repeat::Idempotent, 1),
+        route("book", DESK, Repeat::Once, 1),
+    ];
+    for route in routes {
+        bundle
+            .customers
+            .insert(CustomerId::of(&route.name), route.customer());
+        bundle.routes.insert("salon.example", route);
+    }
+    Entry::Config(Arc::new(bundle))
+}
+
+pub fn listed(name: &str, service: &str, region: &str, leaving: bool, cold: u64) -> Entry {
+    Entry::Target(Box::new(ListedTarget {
+        rule: Target {
+            name: name.to_owned(),
+            region: RegionId::of(region),
+            centre: CentreId::of(&format!("{region}-a")),
+            address: "127.0.0.1:9".parse().unwrap(),
+            slots: 64,
+            fenced: false,
+        },
+        boot: 1,
+        service: ServiceId::of(service),
+        leaving,
+        cold: Duration::from_millis(cold),
+    }))
+}
+
+pub fn item(key: &str, revision: u64, entry: Option<Entry>) -> Published {
+    let value = entry.as_ref().map(|_| vec![1]);
+    let item = RawItem {
+        key: key.to_owned(),
+        revision,
+        value,
+        lapsed: false,
+    };
+    Published { item, entry }
+}
+
+pub fn address(index: usize) -> std::net::SocketAddr {
+    format!("127.0.0.1:{}", 7000 + index).parse().unwrap()
+}
+
+/// Nodes that hear each other at once.
+pub struct Fleet {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub done: Vec<(usize, Command)>,
+    pub down: Vec<bool>,
+    /// Pairs of nodes that do not reach each other.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// A node that hears no heartbeat.
+    pub deaf: Option<usize>,
+    /// Whether nodes get no items from each other.
+    pub no_pulls: bool,
+    /// Last heartbeat of each node.
+    pub heard: BTreeMap<usize, Heartbeat>,
+    regions: Vec<String>,
+    boots: u64,
+    published: BTreeMap<(String, u64), Entry>,
+}
+
+impl Fleet {
+    pub fn new(regions: &[&str]) -> Self {
+        let mut fleet = Self {
+            now: Time(1),
+            nodes: Vec::new(),
+            done: Vec::new(),
+            down: vec![false; regions.len()],
+            cut: BTreeSet::new(),
+            deaf: None,
+            no_pulls: false,
+            heard: BTreeMap::new(),
+            regions: regions.iter().map(|region| (*region).to_owned()).collect(),
+            boots: 0,
+            published: BTreeMap::new(),
+        };
+        for index in 0..regions.len() {
+            let node = fleet.boot(index);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    /// Returns a node that boots now.
+    fn boot(&mut self, index: usize) -> Node {
+        self.boots += 1;
+        let region = &self.regions[index];
+        let name = format!("vm-{index}");
+        let id = Identity {
+            vm: VmId::of(&name),
+            region: RegionId::of(region),
+            incarnation: Incarnation(self.boots),
+        };
+        let own = Vm {
+            name,
+            region: id.region,
+            centre: CentreId::of(&format!("{region}-a")),
+            caller: address(index + 100),
+            peer: address(index),
+        };
+        let mut node = Node::new(id, self.boots, self.now);
+        let seeds = SEEDS.map(address).to_vec();
+        node.join(self.now, own, seeds, skeleton());
+        node
+    }
+
+    /// Replaces a node by one that knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        self.nodes[index] = self.boot(index);
+        self.down[index] = false;
+    }
+
+    /// Tells whether two nodes reach each other.
+    fn reach(&self, one: usize, other: usize) -> bool {
+        let pair = (one.min(other), one.max(other));
+        !self.down[one] && !self.down[other] && !self.cut.contains(&pair)
+    }
+
+    pub fn handle(&mut self, index: usize, event: Event) {
+        let mut commands = Vec::new();
+        self.nodes[index].handle(self.now, event, &mut commands);
+        for command in commands {
+            match command {
+                Command::Beat {
+                    address: to, beat, ..
+                } => {
+                    let to = (0..self.nodes.len()).find(|other| address(*other) == to);
+                    if let Some(to) = to.filter(|to| self.reach(index, *to)) {
+                        self.heard.insert(index, (*beat).clone());
+                        if self.deaf != Some(to) {
+                            self.handle(to, Event::Beat(*beat));
+                        }
+                    }
+                }
+                Command::Pull {
+                    address: from,
+                    since,
+                    ..
+                } => {
+                    let from = (0..self.nodes.len()).find(|other| address(*other) == from);
+                    let reached = |from: &usize| !self.no_pulls && self.reach(index, *from);
+                    let Some(from) = from.filter(reached) else {
+                        continue;
+                    };
+                    let delta = self.nodes[from].items_since(since);
+                    let items = delta.items.into_iter().map(|item| Published {
+                        entry: self.entry(&item),
+                        item,
+                    });
+                    let news = News {
+                        items: items.collect(),
+                        head: delta.head,
+                        whole: delta.whole,
+                    };
+                    self.handle(index, Event::Published(news, Source::Peer));
+                }
+                command => self.done.push((index, command)),
+            }
+        }
+    }
+
+    pub fn wait(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(50);
+            for index in 0..self.nodes.len() {
+                if !self.down[index] {
+                    self.handle(index, Event::Tick);
+                }
+            }
+        }
+    }
+
+    /// Returns what an item says that was published before.
+    fn entry(&self, item: &RawItem) -> Option<Entry> {
+        item.value.as_ref()?;
+        let known = self.published.get(&(item.key.clone(), item.revision));
+        Some(known.expect("peers pass on what was published").clone())
+    }
+
+    /// Lets a node read items of the platform.
+    pub fn publish(&mut self, index: usize, items: Vec<Published>, head: u64) {
+        for Published { item, entry } in &items {
+            if let Some(entry) = entry {
+                let key = (item.key.clone(), item.revision);
+                self.published.insert(key, entry.clone());
+            }
+        }
+        let news = News {
+            items,
+            head,
+            whole: false,
+        };
+        self.handle(index, Event::Published(news, Source::Platform));
+    }
+
+    pub fn arrive(&mut self, index: usize, arrival: Arrival) {
+        self.handle(index, Event::Arrive(arrival));
+    }
+
+    pub fn sends(&self) -> Vec<(usize, AttemptKey, TargetId)> {
+        let sends = self
+            .done
+            .iter()
+            .filter_map(|(index, command)| match command {
+                Command::Send {
+                    attempt, target, ..
+                } => Some((*index, *attempt, *target)),
+                _ => None,
+            });
+        sends.collect()
+    }
+
+    pub fn refusals(&self) -> Vec<Refusal> {
+        let refusals = self.done.iter().filter_map(|(_, command)| match command {
+            Command::Refuse { refusal, .. } => Some(*refusal),
+            _ => None,
+        });
+        refusals.collect()
+    }
+}
+
+/// What the items of these tests say, by their keys.
+pub fn entry_of(key: &str) -> Entry {
+    match key {
+        "config" => config(7),
+        COLD => listed(COLD, ENGINE, NORTH, false, 4000),
+        _ => listed(
+            key,
+            if key.starts_with('e') { ENGINE } else { DESK },
+            NORTH,
+            false,
+            0,
+        ),
+    }
+}
+
+pub fn arrival(ticket: u64, route: &str, service: &str, attempts: u32) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        origin: Origin::Caller,
+        customer: CustomerId::of(route),
+        service: ServiceId::of(service),
+        repeatable: matches!(route, "view" | "single" | "hint"),
+        replayable: true,
+        key: None,
+        fingerprint: Fingerprint(ticket),
+        prefix: None,
+        budget: Duration::from_secs(4),
+        class: Some(Class {
+            objective: Duration::from_millis(800),
+            attempts,
+            rank: 0,
+            streams: service == ENGINE,
+            resumable: route == "hint",
+        }),
+        prompt: None,
+    }
+}
+
+pub fn prompt(middle: u64, own: u64) -> Arc<Prompt> {
+    let part = |id, tokens| Part { id, tokens };
+    Arc::new(Prompt {
+        parts: vec![part(1, 2500), part(middle, 3800), part(own, 500)],
+        input: 6800,
+        output: 50,
+    })
+}
+
+pub fn settled(regions: &[&str], targets: &[(&str, &str, &str)]) -> Fleet {
+    let mut fleet = Fleet::new(regions);
+    fleet.wait(Duration::from_secs(1));
+    let mut items = vec![item("config", 1, Some(config(7)))];
+    for (index, (name, service, region)) in targets.iter().enumerate() {
+        let entry = listed(name, service, region, false, 0);
+        items.push(item(name, index as u64 + 2, Some(entry)));
+    }
+    for index in 0..regions.len() {
+        fleet.publish(index, items.clone(), 50);
+    }
+    fleet.wait(Duration::from_secs(2));
+    fleet.done.clear();
+    fleet
+}
