Predict the wait at the engine that is chosen; consider few engines of many; name large nodes more often

Thirty nodes with views of the same age chose the same engine. Parts of one request alone were not counted by other nodes, so engines were believed to hold parts that had been driven out. Nodes of 0.12 cores were named as often as those of 0.5.

Change: place() predicts at the engine that would be chosen; in regions of more than six engines two homes, holders and three at random are considered; words name every part read; the directory names a few nodes to each caller by weight where nodes differ; words with a lower sequence of the same start are late.

--- a/crates/seam-config/src/check.rs
+++ b/crates/seam-config/src/check.rs
@@ -218,6 +218,7 @@
                     centre,
                     caller: says.caller,
                     peer: says.peer,
+                    weight: Vm::EVEN_WEIGHT,
                 };
                 Some((VmId::of(&vm.name), rule))
             })
--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -406,12 +406,24 @@
             "0",
             "requests that a cold target may be sent in a second beyond that",
         ),
+        may(
+            "cores",
+            Holds::Number(0.01, 1024.0),
+            "1",
+            "part of a core that the node has; the directory names nodes by what they can carry",
+        ),
         may(
             "directory",
             Holds::Address,
             "none",
             "own address that tells callers which nodes to use",
         ),
+        may(
+            "link_mbps",
+            Holds::Number(0.1, 1_000_000.0),
+            "1000",
+            "megabits a second of the node's own link",
+        ),
     ],
 };
 
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -70,6 +70,10 @@
     pub cold_factor: f64,
     /// Requests that a cold target may be sent in a second beyond that.
     pub cold_spare: f64,
+    /// Part of a core that the node has.
+    pub cores: f64,
+    /// Megabits a second of the node's own link.
+    pub link_mbps: f64,
 }
 
 /// Weight of tail latency against the share sent away, where no deployment states one.
@@ -78,6 +82,23 @@
 const REPEAT_WINDOW: u64 = 600;
 
 impl Items {
+    /// Returns what the node can carry, in thousandths of a core: what its core serves, or as much of
+    /// that as its link carries.
+    ///
+    /// ```
+    /// use seam_config::settings::Items;
+    /// assert_eq!(Items::weight(0.25, 1000.0), 250);
+    /// assert_eq!(Items::weight(0.5, 10.0), 125);
+    /// ```
+    #[must_use]
+    pub fn weight(cores: f64, link_mbps: f64) -> u32 {
+        /// Megabits a second that a whole core's requests take of a link each way: about 20 KB and
+        /// 2 ms of a core a request.
+        const MBPS_PER_CORE: f64 = 80.0;
+        const THOUSANDTHS: f64 = 1000.0;
+        (cores.min(link_mbps / MBPS_PER_CORE) * THOUSANDTHS).max(1.0) as u32
+    }
+
     /// Returns a bundle of revision zero with the regions alone.
     #[must_use]
     pub fn skeleton(&self) -> Bundle {
@@ -302,6 +323,8 @@
         retries,
         cold_factor: items.number(file, "cold_factor"),
         cold_spare: items.number(file, "cold_spare"),
+        cores: items.number(file, "cores"),
+        link_mbps: items.number(file, "link_mbps"),
     })
 }
 
--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -178,6 +178,21 @@
         } else {
             (entry, None)
         };
+        let held_entry = held.and_then(|held| held.entry.clone());
+        let late = matches!(
+            (&entry, &held_entry),
+            (Some(Entry::Target(new)), Some(Entry::Target(old)))
+                if new.boot == old.boot && new.sequence < old.sequence
+        );
+        let entry = if late {
+            let reason = "it was written before what is known".to_owned();
+            merged.unusable.push((item.key.clone(), reason));
+            // Others are to hear what holds.
+            item.value = held.and_then(|held| held.raw.value.clone());
+            held_entry
+        } else {
+            entry
+        };
         match &entry {
             Some(Entry::Config(bundle)) => merged.config = Some(bundle.clone()),
             Some(Entry::Unusable(reason)) => {
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    fn choose(&mut self, now: Time, service: ServiceId, wish: Wish) -> Option<Chosen> {
+    pub(super) fn choose(&mut self, now: Time, service: ServiceId, wish: Wish) -> Option<Chosen> {
         if !self.policy.informed {
             let key = self.targets.any(service, &mut self.rng)?;
             return Some(Chosen::plain(key));
@@ -160,12 +160,8 @@
         let id = state.id;
         if let Some((prompt, memory)) = prompt.zip(state.memory()) {
             self.prefixes.note_prompt(now, target, &prompt, memory);
-            // The last part belongs to this request alone.
-            let shared = prompt
-                .parts
-                .split_last()
-                .map_or(&[][..], |(_, shared)| shared);
-            for part in shared.iter().rev() {
+            // Parts of this request alone take memory from shared ones, too.
+            for part in prompt.parts.iter().rev() {
                 self.words.read(PartRead {
                     target: id,
                     part: part.id,
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -15,7 +15,7 @@
 use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::spill::{Asked, Choice, Here, There};
-use crate::targets::{Spread, users};
+use crate::targets::{Spread, Wish, users};
 
 /// Part of a request's objective beyond which its predicted answer is late, with a margin for what
 /// the prediction is worth.
@@ -33,8 +33,8 @@
             let service = request.service;
             self.be_guest(now, service);
         }
+        let mut here = self.here_chosen(now, ticket);
         let request = &self.requests[&ticket];
-        let mut here = self.here(now, request);
         let tried = here.possible && self.targets.all_in(request.service, &request.avoid);
         if tried && !self.there(now, request).is_empty() {
             // Another region's targets have not failed the request yet.
@@ -119,6 +119,31 @@
         reading.unwrap_or_else(|| self.expected(service))
     }
 
+    /// Predicts the wait in this region as [`Self::here`], for a prompt at the engine that it would be
+    /// sent to: the one that waits least may have to read all of it.
+    fn here_chosen(&mut self, now: Time, ticket: Ticket) -> Here {
+        let request = &self.requests[&ticket];
+        let mut here = self.here(now, request);
+        let (service, prompt) = (request.service, request.prompt.clone());
+        if let Some(prompt) = prompt
+            && here.possible
+            && self.policy.informed
+        {
+            let request = &self.requests[&ticket];
+            let alone = self.own_time(now, request);
+            let queued = self.slot_wait(now, request);
+            let wish = Wish {
+                prompt: Some(&prompt),
+                fresh: self.booted_lately(now),
+                ..Wish::default()
+            };
+            if let Some(chosen) = self.choose(now, service, wish) {
+                here.wait = chosen.delay.saturating_sub(alone) + queued;
+            }
+        }
+        here
+    }
+
     /// Predicts the wait for a slot in this region.
     pub(crate) fn here(&self, now: Time, request: &Request) -> Here {
         let allowed = self.allows(request, self.id.region);
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use seam_protocol::id::weighted_rank;
 use seam_protocol::{Bundle, CentreId, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
 
 use super::Node;
@@ -248,17 +249,45 @@
     /// Nodes of the caller's region come first; where none of them is ready, nodes of this one.
     #[must_use]
     pub fn directory(&self, now: Time, region: Option<RegionId>) -> Vec<SocketAddr> {
+        let nodes = self.named(now, region).into_iter();
+        nodes.map(|(_, vm)| vm.caller).collect()
+    }
+
+    /// Returns the addresses that one caller should use, of the nodes that [`Self::directory`] names.
+    ///
+    /// Callers spread their connections evenly over what they are told. Where nodes differ in what
+    /// they can carry, each caller is told a few, the large ones more often; the same ones each time,
+    /// since callers leave connections to nodes that are no longer named.
+    #[must_use]
+    pub fn directory_for(
+        &self,
+        now: Time,
+        region: Option<RegionId>,
+        caller: u64,
+    ) -> Vec<SocketAddr> {
+        /// Nodes that one caller is told of: enough to lose some, few enough to differ in weight.
+        const TOLD: usize = 6;
+        let mut nodes = self.named(now, region);
+        let even = nodes
+            .windows(2)
+            .all(|pair| pair[0].1.weight == pair[1].1.weight);
+        if !even && nodes.len() > TOLD {
+            let order = |(id, vm): &(VmId, &Vm)| weighted_rank(caller, u64::from(id.0), vm.weight);
+            nodes.sort_by(|one, other| order(other).total_cmp(&order(one)));
+            nodes.truncate(TOLD);
+        }
+        nodes.into_iter().map(|(_, vm)| vm.caller).collect()
+    }
+
+    /// Returns the nodes that callers of a place should use.
+    fn named(&self, now: Time, region: Option<RegionId>) -> Vec<(VmId, &Vm)> {
         let Some(bundle) = self.bundle.as_ref().filter(|_| self.configured()) else {
             return Vec::new();
         };
         let region = region.unwrap_or(self.id.region);
-        let of = |wanted: RegionId| -> Vec<SocketAddr> {
-            bundle
-                .deployment
-                .vms
-                .iter()
-                .filter(|(id, vm)| vm.region == wanted && self.usable(now, **id))
-                .map(|(_, vm)| vm.caller)
+        let of = |wanted: RegionId| -> Vec<(VmId, &Vm)> {
+            let vms = bundle.deployment.vms.iter().map(|(id, vm)| (*id, vm));
+            vms.filter(|(id, vm)| vm.region == wanted && self.usable(now, *id))
                 .collect()
         };
         let near = of(region);
--- a/crates/seam-core/src/roster.rs
+++ b/crates/seam-core/src/roster.rs
@@ -112,7 +112,7 @@
     /// use seam_protocol::{CentreId, RegionId, Time, Vm};
     /// let vm = |name: &str, peer: &str| Vm {
     ///     name: name.into(), region: RegionId(1), centre: CentreId(1),
-    ///     caller: peer.parse().unwrap(), peer: peer.parse().unwrap(),
+    ///     caller: peer.parse().unwrap(), peer: peer.parse().unwrap(), weight: 1,
     /// };
     /// let seeds = vec!["127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap()];
     /// let mut roster = Roster::new(Time(0), vm("a", "127.0.0.1:1"), seeds);
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -55,6 +55,8 @@
     pub work: Work,
     /// An engine from which it can copy parts of the prompt.
     pub copy_from: Option<TargetKey>,
+    /// Predicted time to the first token at an engine, with what its running requests cost others.
+    pub delay: Duration,
     /// What it was chosen by.
     pub grounds: Grounds,
 }
@@ -67,6 +69,7 @@
             key,
             work: Work::default(),
             copy_from: None,
+            delay: Duration::ZERO,
             grounds: Grounds::default(),
         }
     }
@@ -109,7 +112,8 @@
         if let Some(prompt) = wish.prompt
             && wish.suspect.is_none()
         {
-            return self.cheapest(now, &open, wish.fresh, prompt, prefixes);
+            let considered = self.considered(&open, prompt, prefixes, rng);
+            return self.cheapest(now, &considered, wish.fresh, prompt, prefixes);
         }
         let key = self.pick(now, &open, wish, prefixes, rng)?;
         Some(self.chosen(now, key, Work::default()))
@@ -125,6 +129,7 @@
             key,
             work,
             copy_from: None,
+            delay: Duration::ZERO,
             grounds,
         }
     }
@@ -153,6 +158,42 @@
         Some(Duration::from_secs_f64(least / MILLIS))
     }
 
+    /// Returns the engines that are considered for a prompt.
+    ///
+    /// Nodes that decide at once on views of the same age would all choose the one engine with the
+    /// least work. So each considers the engines that hold the prompt's last shared part, the first
+    /// homes of that part, and a few at random.
+    fn considered(
+        &self,
+        open: &[TargetKey],
+        prompt: &Prompt,
+        prefixes: &PrefixTable,
+        rng: &mut Pcg64Mcg,
+    ) -> Vec<TargetKey> {
+        /// Engines of a region up to which all are considered.
+        const FEW: usize = 6;
+        /// Homes of a part: the first one and those that take what it has no time for.
+        const HOMES: usize = 2;
+        /// Engines at random; two or more keep the fullest one near the mean.
+        const RANDOM: usize = 3;
+        if open.len() <= FEW {
+            return open.to_vec();
+        }
+        let mut considered: Vec<TargetKey> = Vec::new();
+        if let Some(anchor) = prompt.anchor() {
+            let holds = |key: &&TargetKey| prefixes.holds(**key, anchor.id);
+            considered.extend(open.iter().filter(holds));
+            let mut homes = open.to_vec();
+            let order = |key: &TargetKey| rank(anchor.id, u64::from(self.get(*key).id.0));
+            homes.sort_by_key(|key| std::cmp::Reverse(order(key)));
+            considered.extend(&homes[..HOMES]);
+        }
+        for _ in 0..RANDOM {
+            considered.push(open[rng.random_range(0..open.len())]);
+        }
+        considered
+    }
+
     /// Chooses the engine at which a prompt costs least.
     ///
     /// Each shared part has one engine of its own by rendezvous, so that the engines of a region hold
@@ -229,10 +270,11 @@
         let load = state.load(now);
         let queued = state.unread(now);
         let predicted = EngineModel::usual(queued, unread, load);
-        let mut total = state.engine.first(queued, unread, load);
+        let pressure = EngineModel::pressure(load, state.rule.slots);
+        let delay = state.engine.first(queued, unread, load) + pressure;
+        let mut total = delay;
         total += READING * state.engine.reading(unread);
         total += COPYING * state.engine.reading(lack - unread);
-        total += EngineModel::pressure(load, state.rule.slots);
         if !at_home
             && from.is_none()
             && let Some(anchor) = prompt.anchor()
@@ -252,6 +294,7 @@
         let copy_from = from.map(|(other, _)| other);
         let chosen = Chosen {
             copy_from,
+            delay: Duration::from_secs_f64(delay / 1000.0),
             ..self.chosen(now, key, work)
         };
         Cost { chosen, total }
--- a/crates/seam-core/tests/catalogue_merge.rs
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -15,6 +15,7 @@
             fenced: false,
         },
         boot: 0,
+        sequence: 0,
         service: ServiceId(1),
         leaving: false,
         cold: std::time::Duration::ZERO,
@@ -181,3 +182,36 @@
     assert!(merged.inventory);
     assert_eq!(names(&catalogue), ["b@2"]);
 }
+
+#[test]
+fn late_word_of_a_target() {
+    // A target's earlier word reaches the platform after its later one.
+    let written = |revision, sequence, leaving, boot| {
+        let mut written = put("a", revision);
+        if let Some(Entry::Target(target)) = &mut written.entry {
+            target.sequence = sequence;
+            target.leaving = leaving;
+            target.boot = boot;
+        }
+        written
+    };
+    let leaves = |catalogue: &Catalogue| catalogue.inventory().targets["a"].leaving;
+    let mut catalogue = Catalogue::default();
+    let mut merge = |item, head| {
+        let merged = catalogue.merge(Time(0), news(vec![item], head, false), Source::Platform);
+        (leaves(&catalogue), merged.unusable.len())
+    };
+    assert_eq!(merge(written(1, 7, true, 5), 1), (true, 0));
+    assert_eq!(merge(written(2, 6, false, 5), 2), (true, 1));
+    assert_eq!(merge(written(3, 8, false, 5), 3), (false, 0));
+    // A new start counts anew.
+    assert_eq!(merge(written(4, 9, true, 5), 4), (true, 0));
+    assert_eq!(merge(written(5, 1, false, 6), 5), (false, 0));
+    assert_eq!(merge(written(6, 0, true, 6), 6), (false, 1));
+    let value = catalogue.since(5).items[0].value.clone();
+    assert_eq!(
+        value,
+        Some(5_u64.to_be_bytes().to_vec()),
+        "others hear what holds"
+    );
+}
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -120,6 +120,7 @@
             fenced: false,
         },
         boot: 1,
+        sequence: 0,
         service: ServiceId::of(service),
         leaving,
         cold: Duration::from_millis(cold),
@@ -156,12 +157,19 @@
     /// Last heartbeat of each node.
     pub heard: BTreeMap<usize, Heartbeat>,
     regions: Vec<String>,
+    /// What nodes can carry, where they differ.
+    weights: Vec<u32>,
     boots: u64,
     published: BTreeMap<(String, u64), Entry>,
 }
 
 impl Fleet {
     pub fn new(regions: &[&str]) -> Self {
+        Self::weighed(regions, &[])
+    }
+
+    /// Starts nodes of different weights.
+    pub fn weighed(regions: &[&str], weights: &[u32]) -> Self {
         let mut fleet = Self {
             now: Time(1),
             nodes: Vec::new(),
@@ -172,6 +180,7 @@
             no_pulls: false,
             heard: BTreeMap::new(),
             regions: regions.iter().map(|region| (*region).to_owned()).collect(),
+            weights: weights.to_vec(),
             boots: 0,
             published: BTreeMap::new(),
         };
@@ -198,6 +207,7 @@
             centre: CentreId::of(&format!("{region}-a")),
             caller: address(index + 100),
             peer: address(index),
+            weight: self.weights.get(index).copied().unwrap_or(Vm::EVEN_WEIGHT),
         };
         let mut node = Node::new(id, self.boots, self.now);
         let seeds = SEEDS.map(address).to_vec();
--- a/crates/seam-core/tests/live_engines.rs
+++ b/crates/seam-core/tests/live_engines.rs
@@ -196,3 +196,90 @@
         assert_eq!((presumed, unread), (500, 6800));
     }
 }
+
+#[test]
+fn stale_views_do_not_meet() {
+    // Ten nodes decide at once, before one hears of another. They must not all choose one engine.
+    let names: Vec<String> = (0..12).map(|number| format!("e{number}")).collect();
+    let engines = names.iter().map(|name| (name.as_str(), ENGINE, NORTH));
+    let engines: Vec<_> = engines.collect();
+    let mut fleet = settled(&[NORTH; 10], &engines);
+    fleet.cut = (0..10)
+        .flat_map(|one| (0..one).map(move |other| (other, one)))
+        .collect();
+    for node in 0..10 {
+        let mut asked = arrival(node as u64, "review", ENGINE, 1);
+        let mut own = prompt(0, 1000 + node as u64);
+        let parts = &mut Arc::make_mut(&mut own).parts;
+        parts.drain(..2);
+        asked.prompt = Some(own);
+        fleet.arrive(node, asked);
+    }
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for (_, _, target) in fleet.sends() {
+        *counts.entry(target).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count <= 3), "{counts:?}");
+}
+
+#[test]
+fn own_parts_drive_shared_ones_out() {
+    // Prompts of another node fill the engine's memory, so a part it read before is gone.
+    let mut fleet = settled(&[NORTH, NORTH], &[("e1", ENGINE, NORTH)]);
+    let ask = |fleet: &mut Fleet, node: usize, ticket: u64, middle: u64, own: u32| {
+        let mut asked = arrival(ticket, "review", ENGINE, 1);
+        let mut large = prompt(middle, 1000 + ticket);
+        let changed = Arc::make_mut(&mut large);
+        changed.parts[2].tokens = own;
+        changed.input = 6300 + own;
+        asked.prompt = Some(large);
+        fleet.arrive(node, asked);
+        let (index, attempt, _) = *fleet.sends().last().expect("the engine is open");
+        fleet.wait(Duration::from_millis(300));
+        fleet.handle(index, Event::First(attempt));
+        fleet.handle(
+            index,
+            Event::Reply(attempt, Reply::Complete { answer: None }),
+        );
+    };
+    ask(&mut fleet, 0, 1, 77, 500);
+    for ticket in 2..50 {
+        ask(&mut fleet, 1, ticket, 78, 8000);
+    }
+    fleet.done.clear();
+    ask(&mut fleet, 0, 90, 77, 500);
+    let unread = fleet.done.iter().find_map(|(_, command)| match command {
+        Command::Send { grounds, .. } => Some(grounds.unread),
+        _ => None,
+    });
+    assert_eq!(unread, Some(3800 + 500));
+}
+
+#[test]
+fn wait_is_that_of_the_chosen_engine() {
+    // One engine of the north holds the part and is busy, the other one is idle and would have to read
+    // all of it. The south is idle.
+    let targets = [("e1", ENGINE, NORTH), ("e2", ENGINE, NORTH), ("e3", ENGINE, SOUTH)];
+    let mut fleet = settled(&[NORTH, SOUTH], &targets);
+    let ask = |fleet: &mut Fleet, ticket: u64, own: u32| {
+        let mut asked = arrival(ticket, "review", ENGINE, 1);
+        let mut large = prompt(77, 1000 + ticket);
+        let changed = Arc::make_mut(&mut large);
+        changed.parts[1].tokens = 16_000;
+        changed.input = 18_500 + own;
+        asked.prompt = Some(large);
+        fleet.arrive(0, asked);
+    };
+    ask(&mut fleet, 1, 500);
+    let (index, attempt, _) = fleet.sends()[0];
+    fleet.wait(Duration::from_millis(400));
+    fleet.handle(index, Event::First(attempt));
+    fleet.handle(index, Event::Reply(attempt, Reply::Complete { answer: None }));
+    for ticket in 2..30 {
+        ask(&mut fleet, ticket, 1000);
+    }
+    let away = fleet.done.iter();
+    let away = away.filter(|(_, command)| matches!(command, Command::Forward { .. }));
+    assert!(away.count() > 5);
+    assert!(fleet.refusals().is_empty());
+}
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -103,3 +103,34 @@
     assert_ne!(first, second);
     assert!(fleet.refusals().is_empty());
 }
+
+#[test]
+fn large_nodes_are_named_more_often() {
+    // Two nodes carry four times as much as each of eight others.
+    let mut weights = vec![120; 8];
+    weights.extend([480, 480]);
+    let mut fleet = Fleet::weighed(&[NORTH; 10], &weights);
+    fleet.publish(0, vec![item("config", 1, Some(config(7)))], 1);
+    fleet.wait(Duration::from_secs(2));
+    let told = |fleet: &Fleet, caller| {
+        fleet.nodes[0].directory_for(fleet.now, Some(RegionId::of(NORTH)), caller)
+    };
+    let mut part = 0.0;
+    for caller in 0..400 {
+        let named = told(&fleet, caller);
+        assert!(named.len() >= 4, "{named:?}");
+        assert_eq!(
+            named,
+            told(&fleet, caller),
+            "a caller is told the same each time"
+        );
+        let large = named.iter().filter(|named| **named >= address(108));
+        part += large.count() as f64 / named.len() as f64 / 400.0;
+    }
+    // They carry half of all; each is named once at most, so what is left goes to the others.
+    assert!((0.27..0.55).contains(&part), "{part}");
+    let gone = told(&fleet, 1)[0];
+    fleet.down[gone.port() as usize - 7100] = true;
+    fleet.wait(Duration::from_secs(6));
+    assert!(!told(&fleet, 1).contains(&gone) || gone == address(100));
+}
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -10,7 +10,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use seam_config::Settings;
-use seam_config::settings::{Listen, Source};
+use seam_config::settings::{Items, Listen, Source};
 use seam_core::event::Drainable;
 use seam_core::node::TICK;
 use seam_core::{Event, Identity, Node};
@@ -93,6 +93,10 @@
                 centre: CentreId::of(&settings.centre),
                 caller: listen.caller,
                 peer: listen.peer,
+                weight: match &settings.source {
+                    Source::Items(items) => Items::weight(items.cores, items.link_mbps),
+                    Source::Bundles(_) => Vm::EVEN_WEIGHT,
+                },
             };
             node.join(start, own, settings.seeds.clone(), skeleton);
         }
--- a/crates/seam-node/src/front/places.rs
+++ b/crates/seam-node/src/front/places.rs
@@ -5,7 +5,7 @@
 
 use http::{Response, StatusCode};
 use seam_http::{Body, Listener, Stop, empty, serve};
-use seam_protocol::RegionId;
+use seam_protocol::{Digest, RegionId};
 
 use crate::hub::Hub;
 use crate::readiness::readiness;
@@ -26,11 +26,12 @@
 
 /// Tells callers which nodes to use, until stopped.
 pub async fn serve_directory(hub: Arc<Hub>, listener: Listener, stop: Stop) {
-    serve(listener, stop, move |request, _| {
+    serve(listener, stop, move |request, from| {
         let answer = match hub.dialect.whereabouts(&request) {
             Some(place) => {
                 let region = place.region.as_deref().map(RegionId::of);
-                let mut addresses = hub.read(|node, now| node.directory(now, region));
+                let caller = Digest::of(from.ip().to_string().as_bytes()).head();
+                let mut addresses = hub.read(|node, now| node.directory_for(now, region, caller));
                 addresses.truncate(MOST_ADDRESSES);
                 hub.dialect.addresses(&addresses, VALID)
             }
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -46,6 +46,8 @@
         pub caller: SocketAddr,
         /// Address for other nodes, TCP and UDP.
         pub peer: SocketAddr,
+        /// What it can carry, in thousandths of a core.
+        pub weight: u32,
     }
 
     /// The link between two regions.
@@ -218,6 +220,11 @@
     pub retries: Option<u32>,
 }
 
+impl Vm {
+    /// Weight of a VM where none is stated: a whole core.
+    pub const EVEN_WEIGHT: u32 = 1000;
+}
+
 impl Customer {
     /// Concurrency and rate of a customer without limits.
     pub const UNLIMITED: u32 = u32::MAX;
--- a/crates/seam-protocol/src/id.rs
+++ b/crates/seam-protocol/src/id.rs
@@ -75,3 +75,17 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
+
+/// Mixes two numbers into a rank by which members win in proportion to their weights.
+///
+/// ```
+/// use seam_protocol::id::weighted_rank;
+/// let wins = |key: &u64| weighted_rank(*key, 1, 300) > weighted_rank(*key, 2, 100);
+/// let part = (0..1000).filter(wins).count();
+/// assert!((700..800).contains(&part), "{part}");
+/// ```
+#[must_use]
+pub fn weighted_rank(key: u64, member: u64, weight: u32) -> f64 {
+    let even = (rank(key, member) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    even.ln() / f64::from(weight.max(1))
+}
--- a/crates/seam-protocol/src/inventory.rs
+++ b/crates/seam-protocol/src/inventory.rs
@@ -16,6 +16,8 @@
     pub rule: Target,
     /// Differs for each start of a target that keeps its name.
     pub boot: u64,
+    /// Counts what this start of the target wrote of itself.
+    pub sequence: u64,
     /// The service that it serves.
     pub service: ServiceId,
     /// Whether it is about to leave.
