Count only open engines as room; begin only a part of an engine's free slots unheard

Half of erongo's engines came back from an evacuation and took only a cold target's share for 2.3 s, but counted as idle: the predicted wait was zero, so nothing was sent to idle oshana (38 of thousands) while requests queued for seconds. When one of them opened, 29 nodes each saw all of its slots free and sent 1016 requests within a second to an engine of 128 slots (624 refused, p99 of answers at the deadline).

Change: the wait of a region is that of engines that are open, two seconds if none is; a node begins at an engine at most twice its even part of the free slots before the others' words can have told. What items say of targets is logged. Two tests, both seen failing before.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -21,7 +21,7 @@
     Quarantine,
     /// The node found that it had been paused.
     Pause,
-    /// An item of the platform cannot be used.
+    /// An item of the platform says something new of a target, or cannot be used.
     Item,
     /// The platform stopped answering this node, or answers again.
     Platform,
--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -53,6 +53,19 @@
     pub inventory: bool,
     /// Items that cannot be used, with the reason.
     pub unusable: Vec<(String, String)>,
+    /// What became of each target that was heard of.
+    pub heard: Vec<Heard>,
+}
+
+/// What an item says of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Key of the item.
+    pub key: String,
+    /// Its revision.
+    pub revision: u64,
+    /// `ready`, `leaving`, `removed`, or `lapsed` where the lease may only have run out.
+    pub says: &'static str,
 }
 
 #[derive(Clone, Debug)]
@@ -202,6 +215,21 @@
             _ => merged.inventory |= kept.is_none(),
         }
         let key = item.key.clone();
+        let says = match &entry {
+            _ if item.lapsed => Some("lapsed"),
+            Some(Entry::Target(target)) if target.leaving => Some("leaving"),
+            Some(Entry::Target(_)) => Some("ready"),
+            None if target => Some("removed"),
+            _ => None,
+        };
+        if let Some(says) = says {
+            let (key, revision) = (key.clone(), item.revision);
+            merged.heard.push(Heard {
+                key,
+                revision,
+                says,
+            });
+        }
         let item = Item {
             raw: item,
             entry,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -427,7 +427,7 @@
             let (running, queued) = self.regional_load(now, service);
             let free = slots.saturating_sub(running + queued);
             let reading = match rule.kind {
-                Kind::Engine => self.targets.prompt_wait(now, service),
+                Kind::Engine => self.prompt_wait(now, service),
                 Kind::Plain => Duration::ZERO,
             };
             let plenty = free >= plenty(rule.slots_in(self.id.region));
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -216,12 +216,20 @@
 
     fn wait(&self, now: Time, request: &Request) -> Duration {
         let reading = match request.prompt {
-            Some(_) => self.targets.prompt_wait(now, request.service),
+            Some(_) => self.prompt_wait(now, request.service),
             None => Duration::ZERO,
         };
         reading + self.slot_wait(now, request)
     }
 
+    /// Predicts the wait of a prompt for an engine.
+    pub(super) fn prompt_wait(&self, now: Time, service: ServiceId) -> Duration {
+        /// Wait while no engine is open: about the time for which one that is back counts as cold.
+        const NONE_OPEN: Duration = Duration::from_secs(2);
+        let wait = self.targets.prompt_wait(now, service);
+        wait.unwrap_or(NONE_OPEN)
+    }
+
     /// Predicts the wait for a slot.
     fn slot_wait(&self, now: Time, request: &Request) -> Duration {
         let slots = self.slots(now, request.service);
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -73,6 +73,10 @@
             let cause = format!("the item cannot be used: {reason}");
             out.push(self.audit(now, Change::Item, key, ("", "ignored"), cause));
         }
+        for heard in &merged.heard {
+            let cause = format!("revision {} by {source:?}", heard.revision);
+            out.push(self.audit(now, Change::Item, &heard.key, ("", heard.says), cause));
+        }
         let config = merged.config.filter(|config| {
             let mine = self.base.as_ref().map_or(0, |base| base.revision);
             config.revision > mine
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod cold;
 mod engine;
+mod lately;
 mod spread;
 mod state;
 
@@ -18,6 +19,7 @@
 pub use choice::{Chosen, Grounds, Wish};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, Work};
+pub use lately::Lately;
 pub use spread::{Spread, sharers, users};
 pub use state::{Phase, TargetState};
 
@@ -116,6 +118,9 @@
             }
         }
         self.by_service = by_service;
+        for state in &mut self.arena {
+            state.lately.set_nodes(alive.len() as u32);
+        }
     }
 
     /// Uses a service's targets until a time, whoever its users are.
@@ -268,19 +273,19 @@
         self.get_mut(key).cold.set(boot, until, allowed);
     }
 
-    /// Returns the shortest time that a prompt waits at an engine that takes work.
+    /// Returns the shortest time that a prompt waits at an engine that is open, `None` if none is.
     #[must_use]
-    pub fn prompt_wait(&self, now: Time, service: ServiceId) -> Duration {
+    pub fn prompt_wait(&self, now: Time, service: ServiceId) -> Option<Duration> {
         const MILLIS: f64 = 1000.0;
-        let serving = self.of(service);
-        let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
-        let waits = serving.map(|(_, state)| {
+        let open = self.of(service);
+        let open = open.filter(|(_, state)| state.open(now, false, self.shared));
+        let waits = open.map(|(_, state)| {
             let load = state.load(now);
             let pressure = EngineModel::pressure(load, state.rule.slots);
             state.engine.queue(state.unread(now), load) + pressure
         });
-        let least = waits.min_by(f64::total_cmp).unwrap_or_default();
-        Duration::from_secs_f64(least / MILLIS)
+        let least = waits.min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(least / MILLIS))
     }
 
     /// Lets measured slowness fade.
@@ -310,6 +315,7 @@
     pub fn begin(&mut self, now: Time, key: TargetKey, suspect: bool, work: Work) {
         let state = self.get_mut(key);
         state.cold.note(now);
+        state.lately.note(now);
         state.engine.begin(work);
         state.running += 1;
         state.suspects += u32::from(suspect);
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -7,7 +7,7 @@
 use seam_protocol::heartbeat::TargetWork;
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
 
-use super::{ColdShare, EngineModel};
+use super::{ColdShare, EngineModel, Lately};
 
 /// Time over which a returning target's limit rises to its slots.
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -66,6 +66,8 @@
     pub engine: EngineModel,
     /// What it may be sent while it is cold.
     pub cold: ColdShare,
+    /// What this node began there lately.
+    pub(super) lately: Lately,
     /// Work of other nodes there, by their own word.
     pub(super) others: BTreeMap<VmId, (Time, TargetWork)>,
     pub(super) failures: u32,
@@ -91,6 +93,7 @@
             part: 1,
             engine: EngineModel::default(),
             cold: ColdShare::default(),
+            lately: Lately::default(),
             others: BTreeMap::new(),
             failures: 0,
             ejections: 0,
@@ -190,12 +193,11 @@
         }
         if shared {
             // What a plain target cannot run at once it queues itself, and its calls are short.
-            let taken = if self.memory().is_some() {
-                self.load(now)
-            } else {
-                self.running
-            };
-            return taken < self.rule.slots;
+            if self.memory().is_none() {
+                return self.running < self.rule.slots;
+            }
+            let free = self.rule.slots.saturating_sub(self.load(now));
+            return free > 0 && self.lately.open(now, free);
         }
         let part = self.own_part(now).round() as u32;
         if self.running < part {
--- a/crates/seam-core/tests/live_engines.rs
+++ b/crates/seam-core/tests/live_engines.rs
@@ -259,7 +259,11 @@
 fn wait_is_that_of_the_chosen_engine() {
     // One engine of the north holds the part and is busy, the other one is idle and would have to read
     // all of it. The south is idle.
-    let targets = [("e1", ENGINE, NORTH), ("e2", ENGINE, NORTH), ("e3", ENGINE, SOUTH)];
+    let targets = [
+        ("e1", ENGINE, NORTH),
+        ("e2", ENGINE, NORTH),
+        ("e3", ENGINE, SOUTH),
+    ];
     let mut fleet = settled(&[NORTH, SOUTH], &targets);
     let ask = |fleet: &mut Fleet, ticket: u64, own: u32| {
         let mut asked = arrival(ticket, "review", ENGINE, 1);
@@ -274,7 +278,10 @@
     let (index, attempt, _) = fleet.sends()[0];
     fleet.wait(Duration::from_millis(400));
     fleet.handle(index, Event::First(attempt));
-    fleet.handle(index, Event::Reply(attempt, Reply::Complete { answer: None }));
+    fleet.handle(
+        index,
+        Event::Reply(attempt, Reply::Complete { answer: None }),
+    );
     for ticket in 2..30 {
         ask(&mut fleet, ticket, 1000);
     }
@@ -283,3 +290,42 @@
     assert!(away.count() > 5);
     assert!(fleet.refusals().is_empty());
 }
+
+#[test]
+fn queues_do_not_flood_one_engine() {
+    // Requests wait at ten nodes when an engine comes back. It has 64 slots.
+    let mut fleet = settled(&[NORTH; 10], &[("e1", ENGINE, NORTH)]);
+    fleet.cut = (0..10)
+        .flat_map(|one| (0..one).map(move |other| (other, one)))
+        .collect();
+    for node in 0..10 {
+        for ticket in 0..30 {
+            let mut asked = arrival(ticket, "review", ENGINE, 1);
+            asked.prompt = Some(prompt(ticket, 1000 + ticket));
+            fleet.arrive(node, asked);
+        }
+    }
+    let sent = fleet.sends().len();
+    assert!((64..=160).contains(&sent), "{sent}");
+}
+
+#[test]
+fn no_open_engine_sends_away() {
+    // The north's only engine is cold for long, the south's is idle.
+    let targets = [("e2", ENGINE, SOUTH)];
+    let mut fleet = settled(&[NORTH, SOUTH], &targets);
+    let cold = listed("e1", ENGINE, NORTH, false, 9000);
+    for node in 0..2 {
+        fleet.publish(node, vec![item("e1", 60, Some(cold.clone()))], 60);
+    }
+    fleet.wait(Duration::from_millis(500));
+    for ticket in 0..12 {
+        let mut asked = arrival(ticket, "review", ENGINE, 1);
+        asked.prompt = Some(prompt(ticket, 1000 + ticket));
+        fleet.arrive(0, asked);
+    }
+    let away = fleet.done.iter();
+    let away = away.filter(|(_, command)| matches!(command, Command::Forward { .. }));
+    assert!(away.count() >= 10);
+    assert!(fleet.refusals().is_empty());
+}
