--- a/crates/toucanseam/tests/soak/node.rs
+++ b/crates/toucanseam/tests/soak/node.rs
@@ -87,7 +87,9 @@
         );
         let path = self.folder.join(format!("{}.toml", self.name));
         std::fs::write(&path, settings).expect("the folder can be written");
-        let log = self.folder.join(format!("{}-{}.log", self.name, self.starts));
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", self.name, self.starts));
         let log = File::create(log).expect("the folder can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_toucanseam"))
             .arg("--settings")
@@ -110,7 +112,10 @@
         if !self.runs() {
             return;
         }
-        let id = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        let id = self
+            .child
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
         if let Some(id) = id {
             kill_process(id, signal).expect("the process is a child of this one");
             match signal {
--- a/crates/toucanseam/tests/soak/target.rs
+++ b/crates/toucanseam/tests/soak/target.rs
@@ -52,8 +52,8 @@
 /// A back end with a proxy in front of it.
 pub struct Target {
     pub id: String,
-    region: String,
-    service: String,
+    pub region: String,
+    pub service: String,
     turns: Arc<Mutex<VecDeque<Turn>>>,
     pub proxy: Proxy,
     _listening: Listening,
@@ -113,7 +113,9 @@
 async fn answer(place: Arc<Place>, request: Request<Incoming>) -> Response<Body> {
     let turn = lock(&place.turns).pop_front();
     let (head, body) = request.into_parts();
-    let attempt = text(&head.headers, "attempt-id").unwrap_or_default().to_owned();
+    let attempt = text(&head.headers, "attempt-id")
+        .unwrap_or_default()
+        .to_owned();
     let mut answer = Response::new(full(""));
     if turn == Some(Turn::Full) || text(&head.headers, "expect-instance") != Some(&place.id) {
         *answer.status_mut() = match turn {
