Count periodic work from itself, not from the last refresh of members

While 73 servers were replaced the work never came due, and neither did probes of ejected targets and the fading of measured times. Ruled out: late words of the server, a watch that left the removal out, an inflated revision.

Change: refresh() notes its own time.

--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -151,7 +151,6 @@
 
     /// Recomputes who is alive, which targets this node uses and its part of each.
     pub(super) fn refresh_members(&mut self, now: Time) {
-        self.refreshed = now;
         let mut alive: BTreeSet<VmId> = self
             .peers
             .live_in(now, self.id.region)
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -50,6 +50,7 @@
     }
 
     fn refresh(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.refreshed = now;
         self.peers.expire(now);
         self.smooth_demand();
         self.fade();
--- a/crates/seam-core/tests/live_targets.rs
+++ b/crates/seam-core/tests/live_targets.rs
@@ -205,3 +205,22 @@
         assert!(fleet.sends().len() >= before + 20);
     }
 }
+
+#[test]
+fn lapsed_target_goes_while_others_change() {
+    // A target's item vanishes while the platform was away a moment ago, and others change all the time.
+    let mut fleet = settled(&[NORTH], &[("e1", ENGINE, NORTH)]);
+    fleet.handle(0, Event::PlatformAway(true));
+    fleet.handle(0, Event::PlatformAway(false));
+    fleet.publish(0, vec![item("e1", 60, None)], 60);
+    fleet.arrive(0, arrival(1, "review", ENGINE, 1));
+    assert_eq!(fleet.sends().len(), 1, "its lease may only have run out");
+    for revision in 61..101 {
+        let other = listed("e2", ENGINE, NORTH, true, revision);
+        fleet.publish(0, vec![item("e2", revision, Some(other))], revision);
+        fleet.wait(Duration::from_millis(100));
+    }
+    fleet.done.clear();
+    fleet.arrive(0, arrival(2, "review", ENGINE, 1));
+    assert!(fleet.sends().is_empty(), "it is gone after some seconds");
+}
