--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempts;
 mod config;
+mod digests;
 mod dispatch;
 mod finish;
 mod members;
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -1,13 +1,12 @@
 //! Heartbeats: what to say, and what to make of what is heard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use seam_protocol::heartbeat::{Grant, ServiceRoom, Shortage};
+use seam_protocol::heartbeat::{Grant, Shortage};
 use seam_protocol::{
-    CacheEvent, Heartbeat, Kind, LoadReport, RegionDigest, ServiceLoad, TargetId, Time, VmId,
-    VmRecord,
+    CacheEvent, Heartbeat, LoadReport, ServiceLoad, TargetId, Time, VmId, VmRecord,
 };
 
 use super::Node;
@@ -18,20 +17,6 @@
 use crate::share::{Claim, split};
 use crate::targets::sharers;
 
-/// Part of a service's slots that counts as plenty.
-const PLENTY: u32 = 4;
-/// Wait of a service without a target that takes work.
-pub(super) const CLOSED: u32 = u32::MAX;
-/// Wait for engines of a region below which it is not told.
-const LEAST_TOLD: Duration = Duration::from_millis(30);
-/// Ready nodes named in a region's digest.
-const DIGEST_NODES: usize = 4;
-
-/// Returns the free slots from which on a service is not named in a digest.
-pub(super) fn plenty(slots: u32) -> u32 {
-    (slots / PLENTY).max(1)
-}
-
 impl Node {
     /// Takes in a heartbeat whose MAC was checked.
     pub(super) fn heard(&mut self, now: Time, beat: &Heartbeat, out: &mut Vec<Command>) {
@@ -381,89 +366,6 @@
         }
     }
 
-    /// Sums up this region for other regions.
-    fn own_digest(&self, now: Time) -> RegionDigest {
-        let mut nodes: Vec<VmId> = self
-            .peers
-            .live_in(now, self.id.region)
-            .filter(|(vm, _)| self.peers.ready(now, *vm))
-            .map(|(vm, _)| vm)
-            .collect();
-        let from = self.gossip.round() % nodes.len().max(1);
-        nodes.rotate_left(from);
-        if self.standing.fresh() && self.drain.is_none() {
-            nodes.insert(0, self.id.vm);
-        }
-        nodes.truncate(DIGEST_NODES);
-        RegionDigest {
-            region: self.id.region,
-            vm: self.id.vm,
-            incarnation: self.id.incarnation,
-            number: self.number,
-            age: 0,
-            revision: self.bundle.as_ref().map_or(0, |bundle| bundle.revision),
-            nodes,
-            rooms: self.rooms(now),
-        }
-    }
-
-    /// Returns the room of the services that are short of it. Of a service that is not named, other
-    /// regions take [`PLENTY`] of the slots as free.
-    fn rooms(&self, now: Time) -> Vec<ServiceRoom> {
-        let Some(bundle) = &self.bundle else {
-            return Vec::new();
-        };
-        let mut slots: BTreeMap<_, u32> = BTreeMap::new();
-        for (_, state) in self.targets.all() {
-            let serving = state.phase == crate::targets::Phase::Serving;
-            *slots.entry(state.service).or_default() += u32::from(serving) * state.rule.slots;
-        }
-        let mut rooms = Vec::new();
-        for (service, slots) in slots {
-            let Some(rule) = bundle.services.get(&service) else {
-                continue;
-            };
-            let (running, queued) = self.regional_load(now, service);
-            let free = slots.saturating_sub(running + queued);
-            let reading = match rule.kind {
-                Kind::Engine => self.prompt_wait(now, service),
-                Kind::Plain => Duration::ZERO,
-            };
-            let plenty = free >= plenty(rule.slots_in(self.id.region));
-            if plenty && reading < LEAST_TOLD {
-                continue;
-            }
-            let turns = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
-            let wait = reading
-                + self
-                    .holding(service)
-                    .mul_f64(turns / f64::from(slots.max(1)));
-            rooms.push(ServiceRoom {
-                service: service.tag(),
-                free,
-                wait: if slots == 0 {
-                    CLOSED
-                } else {
-                    wait.as_millis() as u32
-                },
-            });
-        }
-        rooms
-    }
-
-    /// Returns running and queued requests of a service over the live nodes of this region.
-    pub(super) fn regional_load(&self, now: Time, service: seam_protocol::ServiceId) -> (u32, u32) {
-        let own = self.lanes.get(&service).map_or((0, 0), |lane| {
-            (lane.queue.running(), lane.queue.queued() as u32)
-        });
-        self.peers
-            .live_in(now, self.id.region)
-            .filter_map(|(_, peer)| Peers::load(peer, service.tag()))
-            .fold(own, |(running, queued), load| {
-                (running + load.running, queued + load.queued)
-            })
-    }
-
     pub(super) fn load_report(
         &mut self,
         now: Time,
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use seam_protocol::heartbeat::ServiceRoom;
-use seam_protocol::id::rank;
+use seam_protocol::id::{rank, weighted_rank};
 use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
 
 use super::Node;
+use super::digests::{CLOSED, plenty};
 use super::dispatch::{LEAST_RETRY, MOST_RETRY};
-use super::members::{CLOSED, plenty};
 use crate::command::Command;
 use crate::handle::Ticket;
 use crate::refusal::Refusal;
@@ -36,7 +36,8 @@
         let mut here = self.here_chosen(now, ticket);
         let request = &self.requests[&ticket];
         let tried = here.possible && self.targets.all_in(request.service, &request.avoid);
-        if tried && !self.there(now, request).is_empty() {
+        let there = tried.then(|| self.there(now, request));
+        if there.as_ref().is_some_and(|there| !there.is_empty()) {
             // Another region's targets have not failed the request yet.
             here.possible = false;
         }
@@ -56,10 +57,10 @@
         } else {
             // Where nothing waits, no other region can be sooner.
             let idle = here.possible && here.wait.is_zero() && asked.expected <= asked.budget;
-            let there = if idle {
-                Vec::new()
-            } else {
-                self.there(now, request)
+            let there = match there {
+                _ if idle => Vec::new(),
+                Some(there) => there,
+                None => self.there(now, request),
             };
             self.spill.choose(asked, here, &there)
         };
@@ -358,7 +359,7 @@
         self.forward(now, ticket, vm, out);
     }
 
-    /// Returns a ready node of another region, spread over its nodes by request.
+    /// Returns a ready node of another region, spread over its nodes by request and weight.
     fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
         let nodes = &self.peers.region(now, region)?.nodes;
         let usable: BTreeSet<VmId> = nodes
@@ -372,19 +373,19 @@
             .collect();
         // The users of a small service are few, and the same nodes rank first there.
         let service = self.requests.get(&ticket)?.service;
-        let slots = self
-            .bundle
-            .as_ref()?
-            .services
-            .get(&service)?
-            .slots_in(region);
+        let bundle = self.bundle.as_ref()?;
+        let slots = bundle.services.get(&service)?.slots_in(region);
         let spread = Spread {
             service,
             slots,
             everywhere: self.targets.shared(),
         };
-        let users = users(spread, &usable);
-        let count = users.len() as u64;
-        (count > 0).then(|| users[(ticket.0 % count) as usize])
+        let turn = rank(ticket.0, u64::from(self.id.vm.0));
+        let order = |vm: &VmId| {
+            let weight = bundle.deployment.vms.get(vm).map_or(1, |vm| vm.weight);
+            weighted_rank(turn, u64::from(vm.0), weight)
+        };
+        let users = users(spread, &usable).into_iter();
+        users.max_by(|one, other| order(one).total_cmp(&order(other)))
     }
 }
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
-use seam_protocol::{Bundle, CentreId, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
+use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
 
 use super::Node;
 use crate::audit::Change;
@@ -301,10 +301,4 @@
             near
         }
     }
-
-    /// Tells whether a data centre's targets are to get nothing.
-    #[must_use]
-    pub fn evacuated(&self, centre: CentreId) -> bool {
-        self.catalogue.inventory().evacuated.contains(&centre)
-    }
 }
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use fleet::{DESK, ENGINE, Fleet, NORTH, SOUTH, address, arrival, config, entry_of, item, settled};
+use fleet::{
+    DESK, ENGINE, Fleet, NORTH, SOUTH, address, arrival, config, entry_of, item, listed, settled,
+};
 use seam_core::{Command, Event, Refusal, Reply};
 use seam_protocol::{Outcome, Reason, RegionId};
 
@@ -134,3 +136,40 @@
     fleet.wait(Duration::from_secs(6));
     assert!(!told(&fleet, 1).contains(&gone) || gone == address(100));
 }
+
+#[test]
+fn forwards_spread_by_weight() {
+    // Only the north serves; twelve nodes there differ in what they carry.
+    let mut regions = vec![NORTH; 12];
+    regions.push(SOUTH);
+    let mut weights = vec![120; 9];
+    weights.extend([480, 480, 480, 120]);
+    let mut fleet = Fleet::weighed(&regions, &weights);
+    fleet.wait(Duration::from_secs(1));
+    let target = listed("d1", DESK, NORTH, false, 0);
+    let items = vec![
+        item("config", 1, Some(config(7))),
+        item("d1", 2, Some(target)),
+    ];
+    fleet.publish(0, items, 2);
+    fleet.wait(Duration::from_secs(4));
+    fleet.done.clear();
+    for ticket in 0..240 {
+        fleet.arrive(12, arrival(ticket, "view", DESK, 2));
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    for (_, command) in &fleet.done {
+        if let Command::Forward { address, .. } = command {
+            *counts.entry(*address).or_insert(0) += 1;
+        }
+    }
+    assert!(counts.len() >= 10, "{counts:?}");
+    let of = |counts: &std::collections::BTreeMap<_, i32>, index| {
+        counts.get(&address(index)).copied().unwrap_or(0)
+    };
+    let large: i32 = (9..12).map(|index| of(&counts, index)).sum();
+    assert!(
+        (90..200).contains(&large),
+        "three of twelve carry 57% of all: {counts:?}"
+    );
+}
--- a/crates/toucanseam/tests/soak/node.rs
+++ b/crates/toucanseam/tests/soak/node.rs
@@ -112,10 +112,7 @@
         if !self.runs() {
             return;
         }
-        let id = self
-            .child
-            .as_ref()
-            .and_then(|child| Pid::from_raw(child.id() as i32));
+        let id = self.child.as_ref().map(Pid::from_child);
         if let Some(id) = id {
             kill_process(id, signal).expect("the process is a child of this one");
             match signal {
