--- a/crates/toucanseam/tests/soak.rs
+++ b/crates/toucanseam/tests/soak.rs
@@ -45,7 +45,7 @@
     ),
     (
         14,
-        "the soak's: a second SIGTERM counted the process after it as the one before",
+        "the soak's: a process started anew counted as the one told to end",
     ),
     (20, "the soak's: as seed 14"),
 ];
