Report an attempt's end before its cut answer closes

The answer was closed before the end of the attempt was reported, and with two workers the request's task could see the closed answer first.

Change: the end is reported first.

--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -252,9 +252,11 @@
         took_ms = hub.now().since(trial.start).as_millis() as u64;
         "attempt ended"
     );
-    if matches!(reply, Reply::Broken { started: true }) && !outlet.resumable() {
-        outlet.close();
-    }
+    let cut = matches!(reply, Reply::Broken { started: true }) && !outlet.resumable();
     hub.forget_attempt(attempt);
     hub.handle(Event::Reply(attempt, reply));
+    // Closed first, it would look as if the caller had left.
+    if cut {
+        outlet.close();
+    }
 }
