Let a late word of a target renew nothing

Cause: read in the change. A word with a lower sequence replaced the item it came after, with the held entry and without its term, so a target kept for a lapse of 2.3 s stayed in use for as long as its removal is remembered, 120 s.

Change: such a word only moves the revision of what is held, and the merge ends there. That also drops a copy of the held entry at every merge. Test late_word_after_a_lapse, seen failing before.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -77,6 +77,17 @@
     kept: Option<Time>,
 }
 
+impl Item {
+    /// Tells whether a target wrote what is known after what an entry says. A new start counts anew.
+    fn is_newer_than(&self, entry: Option<&Entry>) -> bool {
+        matches!(
+            (&self.entry, entry),
+            (Some(Entry::Target(known)), Some(Entry::Target(heard)))
+                if known.boot == heard.boot && known.sequence > heard.sequence
+        )
+    }
+}
+
 /// Every item known, with removals.
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
@@ -178,10 +189,19 @@
 
     fn merge_item(&mut self, now: Time, published: Published, doubtful: bool, merged: &mut Merged) {
         let Published { mut item, entry } = published;
-        let held = self.items.get(&item.key);
-        if held.is_some_and(|held| held.raw.revision >= item.revision) {
-            return;
+        if let Some(held) = self.items.get_mut(&item.key) {
+            if held.raw.revision >= item.revision {
+                return;
+            }
+            if held.is_newer_than(entry.as_ref()) {
+                // What holds stays, and others are to hear that.
+                held.raw.revision = item.revision;
+                let reason = "it was written before what is known".to_owned();
+                merged.unusable.push((item.key, reason));
+                return;
+            }
         }
+        let held = self.items.get(&item.key);
         let target = held.is_some_and(|held| matches!(held.entry, Some(Entry::Target(_))));
         let removed = item.value.is_none();
         item.lapsed = removed && target && (item.lapsed || doubtful);
@@ -191,21 +211,6 @@
         } else {
             (entry, None)
         };
-        let held_entry = held.and_then(|held| held.entry.clone());
-        let late = matches!(
-            (&entry, &held_entry),
-            (Some(Entry::Target(new)), Some(Entry::Target(old)))
-                if new.boot == old.boot && new.sequence < old.sequence
-        );
-        let entry = if late {
-            let reason = "it was written before what is known".to_owned();
-            merged.unusable.push((item.key.clone(), reason));
-            // Others are to hear what holds.
-            item.value = held.and_then(|held| held.raw.value.clone());
-            held_entry
-        } else {
-            entry
-        };
         match &entry {
             Some(Entry::Config(bundle)) => merged.config = Some(bundle.clone()),
             Some(Entry::Unusable(reason)) => {
--- a/crates/seam-core/tests/catalogue_merge.rs
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -215,3 +215,27 @@
         "others hear what holds"
     );
 }
+
+#[test]
+fn late_word_after_a_lapse() {
+    // The lease may only have run out, and an earlier word of the target comes late: that renews nothing.
+    let written = |revision, sequence| {
+        let mut written = put("a", revision);
+        if let Some(Entry::Target(target)) = &mut written.entry {
+            target.sequence = sequence;
+        }
+        written
+    };
+    let mut catalogue = Catalogue::default();
+    let merge = |catalogue: &mut Catalogue, item, head| {
+        catalogue.merge(Time(0), news(vec![item], head, false), Source::Platform)
+    };
+    merge(&mut catalogue, written(1, 7), 1);
+    catalogue.set_away(Time(0), true);
+    merge(&mut catalogue, removal("a", 2), 2);
+    let merged = merge(&mut catalogue, written(3, 6), 3);
+    assert_eq!(merged.unusable.len(), 1);
+    assert_eq!(names(&catalogue).len(), 1);
+    assert!(catalogue.expire(Time(0) + REWRITE));
+    assert!(names(&catalogue).is_empty());
+}
