Work a prompt's time out once; one way to ask a peer; one directory

Read in the change. place() worked the time of a prompt without a wait out twice and the wait of the least loaded engine for nothing; a pull of items and a fetch of a bundle had the same waiting and address; the directory without a caller was used by tests alone; nodes_near built a set to count it, for each answer.

No decision changes; tests pass a caller and keep their assertions.

--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -1,6 +1,7 @@
 //! Takes in bundles, confirmations and drains.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +15,8 @@
 use crate::handle::TargetKey;
 use crate::targets::Phase;
 
-/// Time after which a fetch that brought nothing is tried at another peer.
-const FETCH_AGAIN: Duration = Duration::from_millis(500);
+/// Time after which a question to a peer that brought nothing is tried at another one.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 
 impl Node {
     /// Puts a bundle in force if it goes forward.
@@ -157,20 +158,29 @@
 
     /// Asks a peer for a newer revision, at most once in a while.
     pub(super) fn fetch(&mut self, now: Time, from: VmId, revision: u64, out: &mut Vec<Command>) {
-        let waiting = self
-            .fetching
-            .is_some_and(|(wanted, since)| wanted >= revision && now.since(since) < FETCH_AGAIN);
-        let address = self
-            .bundle
-            .as_ref()
-            .and_then(|bundle| bundle.deployment.vms.get(&from))
-            .map(|vm| vm.peer);
-        if let Some(address) = address.filter(|_| !waiting) {
+        if let Some(address) = self.address_to_ask(now, from, self.fetching, revision) {
             self.fetching = Some((revision, now));
             out.push(Command::Fetch { from, address });
         }
     }
 
+    /// Returns the address of a peer that is to be asked for a revision, `None` while a question for
+    /// it is still open.
+    pub(super) fn address_to_ask(
+        &self,
+        now: Time,
+        peer: VmId,
+        asked: Option<(u64, Time)>,
+        revision: u64,
+    ) -> Option<SocketAddr> {
+        let open = |(wanted, since)| wanted >= revision && now.since(since) < ASK_AGAIN;
+        if asked.is_some_and(open) {
+            return None;
+        }
+        let vms = &self.bundle.as_ref()?.deployment.vms;
+        vms.get(&peer).map(|vm| vm.peer)
+    }
+
     pub(super) fn drain(
         &mut self,
         now: Time,
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -33,7 +33,8 @@
             let service = request.service;
             self.be_guest(now, service);
         }
-        let mut here = self.here_chosen(now, ticket);
+        let asked = self.asked(now, &self.requests[&ticket]);
+        let mut here = self.here_chosen(now, ticket, asked.expected);
         let request = &self.requests[&ticket];
         let tried = here.possible && self.targets.all_in(request.service, &request.avoid);
         let there = tried.then(|| self.there(now, request));
@@ -51,7 +52,6 @@
             here.possible = true;
             here.wait = self.wait_near(now, request.service);
         }
-        let asked = self.asked(now, request);
         let choice = if request.forwarded() {
             self.choose_forwarded(request, asked, here)
         } else {
@@ -121,36 +121,40 @@
     }
 
     /// Predicts the wait in this region as [`Self::here`], for a prompt at the engine that it would be
-    /// sent to: the one that waits least may have to read all of it.
-    fn here_chosen(&mut self, now: Time, ticket: Ticket) -> Here {
+    /// sent to: the one that waits least may have to read all of it. `alone` is its time without a wait.
+    fn here_chosen(&mut self, now: Time, ticket: Ticket, alone: Duration) -> Here {
         let request = &self.requests[&ticket];
-        let mut here = self.here(now, request);
-        let (service, prompt) = (request.service, request.prompt.clone());
-        if let Some(prompt) = prompt
-            && here.possible
-            && self.policy.informed
-        {
-            let request = &self.requests[&ticket];
-            let alone = self.own_time(now, request);
-            let queued = self.slot_wait(now, request);
-            let wish = Wish {
-                prompt: Some(&prompt),
-                fresh: self.booted_lately(now),
-                ..Wish::default()
-            };
-            if let Some(chosen) = self.choose(now, service, wish) {
-                here.wait = chosen.delay.saturating_sub(alone) + queued;
+        let service = request.service;
+        let chosen = match request.prompt.clone() {
+            Some(prompt) if self.policy.informed && self.possible_here(request) => {
+                let wish = Wish {
+                    prompt: Some(&prompt),
+                    fresh: self.booted_lately(now),
+                    ..Wish::default()
+                };
+                self.choose(now, service, wish)
             }
+            _ => None,
+        };
+        let request = &self.requests[&ticket];
+        match chosen {
+            Some(chosen) => Here {
+                possible: true,
+                wait: chosen.delay.saturating_sub(alone) + self.slot_wait(now, request),
+            },
+            None => self.here(now, request),
         }
-        here
+    }
+
+    /// Tells whether a target here takes work and residency allows it.
+    fn possible_here(&self, request: &Request) -> bool {
+        self.allows(request, self.id.region) && self.targets.serving(request.service)
     }
 
     /// Predicts the wait for a slot in this region.
     pub(crate) fn here(&self, now: Time, request: &Request) -> Here {
-        let allowed = self.allows(request, self.id.region);
-        let possible = allowed && self.targets.serving(request.service);
         Here {
-            possible,
+            possible: self.possible_here(request),
             wait: self.wait(now, request),
         }
     }
@@ -173,15 +177,17 @@
     /// Returns the number of nodes of this region that take new requests.
     #[must_use]
     pub fn nodes_near(&self, now: Time) -> usize {
-        self.active(now).len()
+        self.takers(now).count()
     }
 
     /// Returns the nodes of this region that take new requests.
     pub(crate) fn active(&self, now: Time) -> BTreeSet<VmId> {
+        self.takers(now).collect()
+    }
+
+    fn takers(&self, now: Time) -> impl Iterator<Item = VmId> + '_ {
         let alive = self.alive.iter().copied();
-        alive
-            .filter(|vm| *vm == self.id.vm || self.peers.ready(now, *vm))
-            .collect()
+        alive.filter(move |vm| *vm == self.id.vm || self.peers.ready(now, *vm))
     }
 
     /// Uses a service's targets for a while, since another node believes that this one does.
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
 use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
@@ -18,8 +17,6 @@
 const WATCHERS: usize = 2;
 /// Number by which nodes are ranked for watching.
 const WATCH_SEED: u64 = 0x7761_7463;
-/// Time after which a pull that brought nothing is tried at another peer.
-const PULL_AGAIN: Duration = Duration::from_millis(500);
 
 impl Node {
     /// Makes the node one of a deployment whose nodes, targets and configuration are not published
@@ -230,15 +227,7 @@
         if self.roster.is_none() || beat.head <= mine {
             return;
         }
-        let waiting = self
-            .pulling
-            .is_some_and(|(wanted, since)| wanted >= beat.head && now.since(since) < PULL_AGAIN);
-        let address = self
-            .bundle
-            .as_ref()
-            .and_then(|bundle| bundle.deployment.vms.get(&beat.from))
-            .map(|vm| vm.peer);
-        if let Some(address) = address.filter(|_| !waiting) {
+        if let Some(address) = self.address_to_ask(now, beat.from, self.pulling, beat.head) {
             self.pulling = Some((beat.head, now));
             out.push(Command::Pull {
                 from: beat.from,
@@ -248,27 +237,15 @@
         }
     }
 
-    /// Returns the addresses that callers of a place should use, of ready nodes only.
+    /// Returns the addresses that a caller of a place should use, of ready nodes only.
     ///
     /// Nodes of the caller's region come first; where none of them is ready, nodes of this one.
-    #[must_use]
-    pub fn directory(&self, now: Time, region: Option<RegionId>) -> Vec<SocketAddr> {
-        let nodes = self.named(now, region).into_iter();
-        nodes.map(|(_, vm)| vm.caller).collect()
-    }
-
-    /// Returns the addresses that one caller should use, of the nodes that [`Self::directory`] names.
     ///
     /// Callers spread their connections evenly over what they are told. Where nodes differ in what
     /// they can carry, each caller is told a few, the large ones more often; the same ones each time,
     /// since callers leave connections to nodes that are no longer named.
     #[must_use]
-    pub fn directory_for(
-        &self,
-        now: Time,
-        region: Option<RegionId>,
-        caller: u64,
-    ) -> Vec<SocketAddr> {
+    pub fn directory(&self, now: Time, region: Option<RegionId>, caller: u64) -> Vec<SocketAddr> {
         /// Nodes that one caller is told of: enough to lose some, few enough to differ in weight.
         const TOLD: usize = 6;
         let mut nodes = self.named(now, region);
--- a/crates/seam-core/tests/live/oracle.rs
+++ b/crates/seam-core/tests/live/oracle.rs
@@ -471,7 +471,7 @@
         let settled = now.since(self.quiet_since) >= SETTLED && self.fleet.cut.is_empty();
         let serves = (0..nodes).any(|node| self.gone[node].is_none() && !self.away[node]);
         for index in (0..nodes).filter(|index| self.gone[*index].is_none()) {
-            let named = self.fleet.nodes[index].directory(now, Some(RegionId::of(NORTH)));
+            let named = self.fleet.nodes[index].directory(now, Some(RegionId::of(NORTH)), 0);
             for other in 0..nodes {
                 let is_named = named.contains(&address(other + 100));
                 match self.gone[other] {
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -18,7 +18,8 @@
     for node in &fleet.nodes {
         assert!(node.ready(fleet.now));
         assert_eq!(
-            node.directory(fleet.now, Some(RegionId::of(NORTH))).len(),
+            node.directory(fleet.now, Some(RegionId::of(NORTH)), 0)
+                .len(),
             2
         );
     }
@@ -53,7 +54,7 @@
     let mut fleet = settled(&[NORTH, NORTH], &[]);
     fleet.down[1] = true;
     fleet.wait(Duration::from_secs(6));
-    let told = fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)));
+    let told = fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), 0);
     assert_eq!(told, [address(100)]);
 }
 
@@ -115,7 +116,7 @@
     fleet.publish(0, vec![item("config", 1, Some(config(7)))], 1);
     fleet.wait(Duration::from_secs(2));
     let told = |fleet: &Fleet, caller| {
-        fleet.nodes[0].directory_for(fleet.now, Some(RegionId::of(NORTH)), caller)
+        fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), caller)
     };
     let mut part = 0.0;
     for caller in 0..400 {
--- a/crates/seam-node/src/front/places.rs
+++ b/crates/seam-node/src/front/places.rs
@@ -31,7 +31,7 @@
             Some(place) => {
                 let region = place.region.as_deref().map(RegionId::of);
                 let caller = Digest::of(from.ip().to_string().as_bytes()).head();
-                let mut addresses = hub.read(|node, now| node.directory_for(now, region, caller));
+                let mut addresses = hub.read(|node, now| node.directory(now, region, caller));
                 addresses.truncate(MOST_ADDRESSES);
                 hub.dialect.addresses(&addresses, VALID)
             }
