--- a/crates/seam-config/src/bundle.rs
+++ b/crates/seam-config/src/bundle.rs
@@ -6,9 +6,7 @@
 use std::collections::BTreeMap;
 
 use seam_protocol::bundle::Deployment;
-use seam_protocol::{
-    Bundle, Customer, CustomerId, Digest, Manifest, RouteTable, Service, ServiceId,
-};
+use seam_protocol::{Bundle, Customer, CustomerId, Digest, Manifest, Service, ServiceId};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 /// Largest part in bytes.
@@ -203,12 +201,9 @@
         revision: manifest.revision,
         digest: Digest::of(&set.manifest),
         parent: manifest.parent,
-        deployment: deployment.context(AbsentSnafu { name })?,
         services,
         customers,
-        routes: RouteTable::default(),
-        limits: None,
-        retries: None,
+        ..Bundle::new(deployment.context(AbsentSnafu { name })?)
     })
 }
 
--- a/crates/seam-config/src/check.rs
+++ b/crates/seam-config/src/check.rs
@@ -5,8 +5,8 @@
 
 use seam_protocol::bundle::{Capacity, Deployment, Link};
 use seam_protocol::{
-    Bundle, CentreId, Customer, CustomerId, DataCentre, Digest, Region, RegionId, RouteTable,
-    Service, ServiceId, Target, TargetId, Vm, VmId,
+    Bundle, CentreId, Customer, CustomerId, DataCentre, Digest, Region, RegionId, Service,
+    ServiceId, Target, TargetId, Vm, VmId,
 };
 
 use crate::error::{Fault, Faults, Wrong, nearest};
@@ -60,15 +60,9 @@
         .collect();
     checker.credentials(&sources.customers);
     let bundle = Bundle {
-        revision: 0,
-        digest: Digest::default(),
-        parent: None,
-        deployment,
         services,
         customers,
-        routes: RouteTable::default(),
-        limits: None,
-        retries: None,
+        ..Bundle::new(deployment)
     };
     checker.residency(&bundle, sources);
     Some(bundle)
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use seam_protocol::bundle::Deployment;
-use seam_protocol::{Bundle, CentreId, DataCentre, Digest, Region, RegionId, RouteTable};
+use seam_protocol::{Bundle, CentreId, DataCentre, Region, RegionId};
 
 use crate::error::{Fault, Faults, GatherError, Wrong};
 use crate::reader::{File, Table};
@@ -112,24 +112,18 @@
             let centre = DataCentre { name: zone.clone() };
             region.centres.insert(CentreId::of(zone), centre);
         }
+        let deployment = Deployment {
+            name: String::new(),
+            weight: WEIGHT,
+            regions,
+            links: Vec::new(),
+            vms: BTreeMap::new(),
+            loads: 1,
+            repeat_window: REPEAT_WINDOW,
+        };
         Bundle {
-            revision: 0,
-            digest: Digest::default(),
-            parent: None,
-            deployment: Deployment {
-                name: String::new(),
-                weight: WEIGHT,
-                regions,
-                links: Vec::new(),
-                vms: BTreeMap::new(),
-                loads: 1,
-                repeat_window: REPEAT_WINDOW,
-            },
-            services: BTreeMap::new(),
-            customers: BTreeMap::new(),
-            routes: RouteTable::default(),
-            limits: None,
             retries: self.retries,
+            ..Bundle::new(deployment)
         }
     }
 }
--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -44,6 +44,22 @@
     pub whole: bool,
 }
 
+impl News {
+    /// Reads what the items of a delta say.
+    #[must_use]
+    pub fn read(delta: Delta, entry: impl Fn(&RawItem) -> Option<Entry>) -> Self {
+        let items = delta.items.into_iter().map(|item| Published {
+            entry: entry(&item),
+            item,
+        });
+        Self {
+            items: items.collect(),
+            head: delta.head,
+            whole: delta.whole,
+        }
+    }
+}
+
 /// What a merge changed.
 #[derive(Clone, Debug, Default)]
 pub struct Merged {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod engine;
 mod lately;
+mod recent;
 mod spread;
 mod state;
 
@@ -20,6 +21,7 @@
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, Work};
 pub use lately::Lately;
+pub use recent::Recent;
 pub use spread::{Spread, sharers, users};
 pub use state::{Phase, TargetState};
 
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -3,11 +3,12 @@
 //! The bound holds for all nodes together, also for those that do not hear each other, so each node
 //! keeps to a share that is never asked of others.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use seam_protocol::Time;
 
+use super::Recent;
+
 /// Span over which the bound holds, with a margin for requests that arrive late.
 const WINDOW: Duration = Duration::from_millis(1100);
 
@@ -18,7 +19,7 @@
     /// Before this time, what the process sent before it started could still count.
     from: Time,
     allowed: u32,
-    sent: VecDeque<Time>,
+    sent: Recent,
 }
 
 impl ColdShare {
@@ -60,15 +61,13 @@
         if now < self.from {
             return false;
         }
-        let lately = self.sent.iter().filter(|sent| now.since(**sent) < WINDOW);
-        (lately.count() as u32) < self.allowed
+        self.sent.count(now, WINDOW) < self.allowed as usize
     }
 
     /// Notes a request that is being sent.
     pub fn note(&mut self, now: Time) {
         if self.until.is_some_and(|until| until > now) {
-            self.sent.retain(|sent| now.since(*sent) < WINDOW);
-            self.sent.push_back(now);
+            self.sent.note(now, WINDOW);
         }
     }
 }
--- a/crates/seam-core/src/targets/lately.rs
+++ b/crates/seam-core/src/targets/lately.rs
@@ -3,11 +3,12 @@
 //! Answers to the pattern of a target that opens while requests wait at many nodes: each of them sees
 //! all of its slots free, and together they would send many times as many.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use seam_protocol::Time;
 
+use super::Recent;
+
 /// Time until other nodes' words tell of what they began, in a region of some dozens.
 const UNHEARD: Duration = Duration::from_millis(300);
 /// Times its even part of the free slots that a node may begin meanwhile, since nodes rarely send at
@@ -17,7 +18,7 @@
 /// What a node began at one target lately.
 #[derive(Clone, Debug, Default)]
 pub struct Lately {
-    begun: VecDeque<Time>,
+    begun: Recent,
     nodes: u32,
 }
 
@@ -29,8 +30,7 @@
 
     /// Notes a request that begins.
     pub fn note(&mut self, now: Time) {
-        self.begun.retain(|begun| now.since(*begun) < UNHEARD);
-        self.begun.push_back(now);
+        self.begun.note(now, UNHEARD);
     }
 
     /// Tells whether one more may begin where some slots seem free.
@@ -49,11 +49,7 @@
     /// ```
     #[must_use]
     pub fn open(&self, now: Time, free: u32) -> bool {
-        let lately = self
-            .begun
-            .iter()
-            .filter(|begun| now.since(**begun) < UNHEARD);
         let part = (f64::from(free) * UNEVEN / f64::from(self.nodes.max(1))).ceil();
-        lately.count() < part as usize
+        self.begun.count(now, UNHEARD) < part as usize
     }
 }
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -7,14 +7,14 @@
 use seam_core::prompt::Part;
 use seam_core::{
     Arrival, AttemptKey, Class, Command, Event, Identity, News, Node, Origin, Prompt, Published,
-    Refusal, Source, Ticket,
+    Refusal, Reply, Source, Ticket,
 };
 use seam_protocol::bundle::{Capacity, Deployment, Region};
 use seam_protocol::route::{Share, routed_service};
 use seam_protocol::{
     Bundle, CentreId, CustomerId, DataCentre, Digest, Entry, Fingerprint, Heartbeat, HostRoute,
-    Incarnation, Kind, ListedTarget, RawItem, RegionId, Repeat, RouteTable, ServiceId, Target,
-    TargetId, Time, Vm, VmId,
+    Incarnation, Kind, ListedTarget, RawItem, RegionId, Repeat, ServiceId, Target, TargetId, Time,
+    Vm, VmId,
 };
 
 pub const NORTH: &str = "north";
@@ -40,24 +40,18 @@
             },
         )
     });
+    let deployment = Deployment {
+        name: String::new(),
+        weight: 0.7,
+        regions: BTreeMap::from(regions),
+        links: Vec::new(),
+        vms: BTreeMap::new(),
+        loads: 1,
+        repeat_window: 1,
+    };
     Bundle {
-        revision: 0,
-        digest: Digest::default(),
-        parent: None,
-        deployment: Deployment {
-            name: String::new(),
-            weight: 0.7,
-            regions: BTreeMap::from(regions),
-            links: Vec::new(),
-            vms: BTreeMap::new(),
-            loads: 1,
-            repeat_window: 1,
-        },
-        services: BTreeMap::new(),
-        customers: BTreeMap::new(),
-        routes: RouteTable::default(),
-        limits: None,
         retries: Some(50),
+        ..Bundle::new(deployment)
     }
 }
 
@@ -254,15 +248,7 @@
                         continue;
                     };
                     let delta = self.nodes[from].items_since(since);
-                    let items = delta.items.into_iter().map(|item| Published {
-                        entry: self.entry(&item),
-                        item,
-                    });
-                    let news = News {
-                        items: items.collect(),
-                        head: delta.head,
-                        whole: delta.whole,
-                    };
+                    let news = News::read(delta, |item| self.entry(item));
                     self.handle(index, Event::Published(news, Source::Peer));
                 }
                 command => self.done.push((index, command)),
@@ -309,6 +295,21 @@
         self.handle(index, Event::Arrive(arrival));
     }
 
+    /// Lets a target answer an attempt whole.
+    pub fn complete(&mut self, index: usize, attempt: AttemptKey) {
+        self.handle(index, Event::First(attempt));
+        let whole = Reply::Complete { answer: None };
+        self.handle(index, Event::Reply(attempt, whole));
+    }
+
+    /// Lets a target stay silent while a fresh connection to it is accepted.
+    pub fn silence(&mut self, index: usize, attempt: AttemptKey, target: TargetId) {
+        self.handle(index, Event::Sending(attempt));
+        self.handle(index, Event::Silent(attempt));
+        let accepted = true;
+        self.handle(index, Event::Probed { target, accepted });
+    }
+
     pub fn sends(&self) -> Vec<(usize, AttemptKey, TargetId)> {
         let sends = self
             .done
@@ -322,6 +323,26 @@
         sends.collect()
     }
 
+    /// Counts what was sent to each target.
+    pub fn counts(&self) -> BTreeMap<TargetId, usize> {
+        let mut counts = BTreeMap::new();
+        for (_, _, target) in self.sends() {
+            *counts.entry(target).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns what was forwarded, and to which node.
+    pub fn forwards(&self) -> Vec<(AttemptKey, std::net::SocketAddr)> {
+        let forwards = self.done.iter().filter_map(|(_, command)| match command {
+            Command::Forward {
+                attempt, address, ..
+            } => Some((*attempt, *address)),
+            _ => None,
+        });
+        forwards.collect()
+    }
+
     pub fn refusals(&self) -> Vec<Refusal> {
         let refusals = self.done.iter().filter_map(|(_, command)| match command {
             Command::Refuse { refusal, .. } => Some(*refusal),
--- a/crates/seam-core/tests/live/oracle.rs
+++ b/crates/seam-core/tests/live/oracle.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use seam_core::{Command, Event, Reply};
+use seam_core::{Command, Event};
 use seam_protocol::{Entry, Heartbeat, RegionId, TargetId, Time};
 
 use crate::fleet::{ENGINE, Fleet, NORTH, SEEDS, address, arrival, config, item, listed, prompt};
@@ -423,9 +423,7 @@
         self.ends = rest;
         for (_, index, attempt) in due {
             if !self.fleet.down[index] {
-                self.fleet.handle(index, Event::First(attempt));
-                let whole = Reply::Complete { answer: None };
-                self.fleet.handle(index, Event::Reply(attempt, whole));
+                self.fleet.complete(index, attempt);
                 self.follow();
             }
         }
--- a/crates/seam-core/tests/live_engines.rs
+++ b/crates/seam-core/tests/live_engines.rs
@@ -4,7 +4,6 @@
 #[path = "live/fleet.rs"]
 mod fleet;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,11 +25,7 @@
         // About what the model predicts; a slower engine would rightly lose prompts to others.
         fleet.wait(Duration::from_millis(150));
         let (index, attempt, _) = *fleet.sends().last().unwrap();
-        fleet.handle(index, Event::First(attempt));
-        fleet.handle(
-            index,
-            Event::Reply(attempt, Reply::Complete { answer: None }),
-        );
+        fleet.complete(index, attempt);
     }
     let targets: std::collections::BTreeSet<_> =
         fleet.sends().iter().map(|(_, _, target)| *target).collect();
@@ -61,10 +56,7 @@
             fleet.handle(0, Event::First(reading.pop_front().unwrap()));
         }
     }
-    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
-    for (_, _, target) in fleet.sends() {
-        *counts.entry(target).or_default() += 1;
-    }
+    let counts = fleet.counts();
     assert_eq!(counts.len(), 3, "{counts:?}");
     assert!(counts.values().all(|count| *count >= 12), "{counts:?}");
 }
@@ -82,10 +74,7 @@
         fleet.arrive(0, asked);
     }
     fleet.wait(Duration::from_millis(200));
-    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
-    for (_, _, target) in fleet.sends() {
-        *counts.entry(target).or_default() += 1;
-    }
+    let counts = fleet.counts();
     assert_eq!(
         counts.len(),
         2,
@@ -110,8 +99,7 @@
         }
         let (_, attempt, _) = *fleet.sends().last().unwrap();
         fleet.wait(Duration::from_secs(3));
-        fleet.handle(0, Event::First(attempt));
-        fleet.handle(0, Event::Reply(attempt, Reply::Complete { answer: None }));
+        fleet.complete(0, attempt);
     }
     fleet.wait(Duration::from_secs(60));
     let before = fleet.sends().len();
@@ -215,10 +203,7 @@
         asked.prompt = Some(own);
         fleet.arrive(node, asked);
     }
-    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
-    for (_, _, target) in fleet.sends() {
-        *counts.entry(target).or_default() += 1;
-    }
+    let counts = fleet.counts();
     assert!(counts.values().all(|count| *count <= 3), "{counts:?}");
 }
 
@@ -236,11 +221,7 @@
         fleet.arrive(node, asked);
         let (index, attempt, _) = *fleet.sends().last().expect("the engine is open");
         fleet.wait(Duration::from_millis(300));
-        fleet.handle(index, Event::First(attempt));
-        fleet.handle(
-            index,
-            Event::Reply(attempt, Reply::Complete { answer: None }),
-        );
+        fleet.complete(index, attempt);
     };
     ask(&mut fleet, 0, 1, 77, 500);
     for ticket in 2..50 {
@@ -277,17 +258,12 @@
     ask(&mut fleet, 1, 500);
     let (index, attempt, _) = fleet.sends()[0];
     fleet.wait(Duration::from_millis(400));
-    fleet.handle(index, Event::First(attempt));
-    fleet.handle(
-        index,
-        Event::Reply(attempt, Reply::Complete { answer: None }),
-    );
+    fleet.complete(index, attempt);
     for ticket in 2..30 {
         ask(&mut fleet, ticket, 1000);
     }
-    let away = fleet.done.iter();
-    let away = away.filter(|(_, command)| matches!(command, Command::Forward { .. }));
-    assert!(away.count() > 5);
+    let away = fleet.forwards();
+    assert!(away.len() > 5);
     assert!(fleet.refusals().is_empty());
 }
 
@@ -324,8 +300,7 @@
         asked.prompt = Some(prompt(ticket, 1000 + ticket));
         fleet.arrive(0, asked);
     }
-    let away = fleet.done.iter();
-    let away = away.filter(|(_, command)| matches!(command, Command::Forward { .. }));
-    assert!(away.count() >= 10);
+    let away = fleet.forwards();
+    assert!(away.len() >= 10);
     assert!(fleet.refusals().is_empty());
 }
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -90,19 +90,10 @@
 fn another_node_of_the_region() {
     // Only the south serves. One of its two nodes cannot be reached.
     let mut fleet = settled(&[NORTH, SOUTH, SOUTH], &[("d1", DESK, SOUTH)]);
-    let forwards = |fleet: &Fleet| -> Vec<(seam_core::AttemptKey, std::net::SocketAddr)> {
-        let forwards = fleet.done.iter().filter_map(|(_, command)| match command {
-            Command::Forward {
-                attempt, address, ..
-            } => Some((*attempt, *address)),
-            _ => None,
-        });
-        forwards.collect()
-    };
     fleet.arrive(0, arrival(1, "book", DESK, 1));
-    let (attempt, first) = forwards(&fleet)[0];
+    let (attempt, first) = fleet.forwards()[0];
     fleet.handle(0, Event::Reply(attempt, Reply::NotSent));
-    let (_, second) = forwards(&fleet)[1];
+    let (_, second) = fleet.forwards()[1];
     assert_ne!(first, second);
     assert!(fleet.refusals().is_empty());
 }
@@ -159,10 +150,8 @@
         fleet.arrive(12, arrival(ticket, "view", DESK, 2));
     }
     let mut counts = std::collections::BTreeMap::new();
-    for (_, command) in &fleet.done {
-        if let Command::Forward { address, .. } = command {
-            *counts.entry(*address).or_insert(0) += 1;
-        }
+    for (_, address) in fleet.forwards() {
+        *counts.entry(address).or_insert(0) += 1;
     }
     assert!(counts.len() >= 10, "{counts:?}");
     let of = |counts: &std::collections::BTreeMap<_, i32>, index| {
--- a/crates/seam-core/tests/live_targets.rs
+++ b/crates/seam-core/tests/live_targets.rs
@@ -81,15 +81,7 @@
     let mut fleet = settled(&[NORTH], &[("d1", DESK, NORTH), ("d2", DESK, NORTH)]);
     fleet.arrive(0, arrival(1, "single", DESK, 1));
     let (_, attempt, target) = fleet.sends()[0];
-    fleet.handle(0, Event::Sending(attempt));
-    fleet.handle(0, Event::Silent(attempt));
-    fleet.handle(
-        0,
-        Event::Probed {
-            target,
-            accepted: true,
-        },
-    );
+    fleet.silence(0, attempt, target);
     let cancelled = |fleet: &Fleet| {
         fleet
             .done
@@ -99,15 +91,7 @@
     assert!(!cancelled(&fleet), "there is no second attempt to make");
     fleet.arrive(0, arrival(2, "view", DESK, 2));
     let (_, attempt, target) = fleet.sends()[1];
-    fleet.handle(0, Event::Sending(attempt));
-    fleet.handle(0, Event::Silent(attempt));
-    fleet.handle(
-        0,
-        Event::Probed {
-            target,
-            accepted: true,
-        },
-    );
+    fleet.silence(0, attempt, target);
     assert!(cancelled(&fleet));
 }
 
--- a/crates/seam-harness/src/sizes.rs
+++ b/crates/seam-harness/src/sizes.rs
@@ -6,7 +6,7 @@
 use seam_protocol::bundle::{Capacity, Deployment, Link};
 use seam_protocol::{
     Bundle, CentreId, Customer, CustomerId, DataCentre, Digest, Kind, Region, RegionId, Route,
-    RouteTable, Service, ServiceId, Target, TargetId, Vm, VmId,
+    Service, ServiceId, Target, TargetId, Vm, VmId,
 };
 
 /// What a deployment is made of.
@@ -206,14 +206,9 @@
     let services: BTreeMap<ServiceId, Service> = services.collect();
     let mut bundle = Bundle {
         revision: 1,
-        digest: Digest::default(),
-        parent: None,
-        deployment: deployment(size, vms),
         services,
         customers: customers(size),
-        routes: RouteTable::default(),
-        limits: None,
-        retries: None,
+        ..Bundle::new(deployment(size, vms))
     };
     seal(&mut bundle);
     bundle
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_core::{Event, News, Published, Source};
+use seam_core::{Event, News, Source};
 use seam_protocol::Delta;
 
 use crate::hub::Hub;
@@ -30,15 +30,7 @@
     let Some(store) = &hub.items else {
         return;
     };
-    let items = delta.items.into_iter().map(|item| Published {
-        entry: store.entry(&item),
-        item,
-    });
-    let news = News {
-        items: items.collect(),
-        head: delta.head,
-        whole: delta.whole,
-    };
+    let news = News::read(delta, |item| store.entry(item));
     hub.handle(Event::Published(news, source));
 }
 
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -311,6 +311,22 @@
 }
 
 impl Bundle {
+    /// Returns a bundle of revision zero with a deployment alone.
+    #[must_use]
+    pub fn new(deployment: Deployment) -> Self {
+        Self {
+            revision: 0,
+            digest: Digest::default(),
+            parent: None,
+            deployment,
+            services: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            routes: RouteTable::default(),
+            limits: None,
+            retries: None,
+        }
+    }
+
     /// Returns the regions that a request may be processed in, in key order.
     ///
     /// A region counts only where the service has a target.
