One body under way, one start of an attempt, one end of a read request

A long body passed through two wrappers with the same poll; an attempt at a target and one at a node started in the same lines; both readers of a request ended in the same match, and the header fields of a routed request, its prompt among them, were read twice; both senders told a spent body and a caller's broken one apart by themselves; two tests looked for a free port the same way.

No behaviour changes.

--- a/crates/seam-emulator/src/run.rs
+++ b/crates/seam-emulator/src/run.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Returns an address that was free a moment ago; another program may take it meanwhile.
+///
+/// # Panics
+/// If the system has no port to give.
+#[must_use]
+pub fn free_address() -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = std::net::TcpListener::bind(any).expect("the system has ports to give");
+    listener.local_addr().expect("it is bound")
+}
+
 /// Waits until a condition holds.
 ///
 /// # Panics
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -22,6 +22,12 @@
     trial: Trial,
 }
 
+/// Where an attempt goes.
+enum Place {
+    Target(ToTarget),
+    Node(ToNode),
+}
+
 /// One attempt of a request.
 #[derive(Clone)]
 struct Trial {
@@ -165,19 +171,7 @@
             predicted_ms = to.grounds.predicted, age_ms = self.age();
             "sent to a target"
         );
-        let trial = self.trial(to.attempt);
-        let (running, outlet) = (trial.clone(), self.outlet.clone());
-        let task = spawn(async move {
-            let Trial {
-                hub,
-                inbound,
-                progress,
-                ..
-            } = &running;
-            let reply = targets::exchange(hub, to, inbound, &outlet, progress).await;
-            report(&running, reply, &outlet);
-        });
-        self.running.insert(to.attempt, Running { task, trial });
+        self.begin(to.attempt, Place::Target(to));
     }
 
     fn forward(&mut self, to: ToNode) {
@@ -187,8 +181,12 @@
             revision = to.revision, age_ms = self.age();
             "forwarded"
         );
-        let trial = self.trial(to.attempt);
-        let attempt = to.attempt;
+        self.begin(to.attempt, Place::Node(to));
+    }
+
+    /// Starts an attempt in a task of its own.
+    fn begin(&mut self, attempt: AttemptKey, place: Place) {
+        let trial = self.trial(attempt);
         let (running, outlet) = (trial.clone(), self.outlet.clone());
         let task = spawn(async move {
             let Trial {
@@ -197,7 +195,10 @@
                 progress,
                 ..
             } = &running;
-            let reply = link::forward(hub, to, inbound, &outlet, progress).await;
+            let reply = match place {
+                Place::Target(to) => targets::exchange(hub, to, inbound, &outlet, progress).await,
+                Place::Node(to) => link::forward(hub, to, inbound, &outlet, progress).await,
+            };
             report(&running, reply, &outlet);
         });
         self.running.insert(attempt, Running { task, trial });
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -16,6 +16,8 @@
 
 use crate::drive;
 use crate::hub::Hub;
+use crate::inbound::Inbound;
+use read::Fault;
 
 pub use own::{EntriesAnswer, Entry, KeyAnswer};
 pub use places::{serve_directory, serve_readiness};
@@ -65,38 +67,37 @@
         return answer;
     }
     let line = format!("{} {}", request.method(), request.uri().path());
-    let answer = match read::read(hub, request, &id).await {
-        Ok(inbound) => {
-            let reader = drive::start(hub, inbound, Origin::Caller);
-            answer::answer(hub, reader, &id).await
-        }
-        Err(fault) => {
-            log_fault(&id, &fault);
-            hub.dialect.refusal(&id, fault.refusal, &fault.detail)
-        }
-    };
+    let inbound = read::read(hub, request, &id).await;
+    let answer = serve(hub, inbound, &id).await;
     log::debug!("request {id} from {from}: {line}: {}", answer.status());
     answer
 }
 
 /// Answers a request for a published route.
 async fn routed(hub: &Arc<Hub>, request: Request<Incoming>, from: SocketAddr) -> Response<Body> {
-    let asked = hub.dialect.asked(request.headers()).unwrap_or_default();
-    let id = asked.id.unwrap_or_else(|| read::identifier(hub));
-    match read::read_routed(hub, request, &id, from.ip()).await {
+    let asked = hub.dialect.asked(request.headers());
+    let id = asked.as_ref().ok().and_then(|asked| asked.id.clone());
+    let id = id.unwrap_or_else(|| read::identifier(hub));
+    let inbound = read::read_routed(hub, request, asked, &id, from.ip()).await;
+    serve(hub, inbound, &id).await
+}
+
+/// Answers a request that was read, or why it could not be.
+async fn serve(hub: &Arc<Hub>, inbound: Result<Inbound, Fault>, id: &str) -> Response<Body> {
+    match inbound {
         Ok(inbound) => {
             let reader = drive::start(hub, inbound, Origin::Caller);
-            answer::answer(hub, reader, &id).await
+            answer::answer(hub, reader, id).await
         }
         Err(fault) => {
-            log_fault(&id, &fault);
-            hub.dialect.refusal(&id, fault.refusal, &fault.detail)
+            log_fault(id, &fault);
+            hub.dialect.refusal(id, fault.refusal, &fault.detail)
         }
     }
 }
 
 /// Writes the closing line of a request that could not be read.
-fn log_fault(id: &str, fault: &read::Fault) {
+fn log_fault(id: &str, fault: &Fault) {
     log::info!(
         target: "request",
         request = id, end = "refused", outcome:% = fault.refusal.outcome,
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -13,6 +13,7 @@
 use seam_http::BodyError;
 use seam_protocol::{CustomerId, Digest, Reason, Repeat, ServiceId};
 
+use crate::dialect::Asked;
 use crate::hub::{Hub, Snapshot};
 use crate::inbound::{Inbound, KEY_FIELD, class_of, fingerprint};
 use crate::link::key_name;
@@ -125,10 +126,12 @@
 
 /// Reads a request for a published route.
 ///
-/// The time that the body takes counts against the request's own.
+/// `asked` is what its header fields say. The time that the body takes counts against the request's
+/// own.
 pub async fn read_routed(
     hub: &Hub,
     request: Request<Incoming>,
+    asked: Result<Asked, String>,
     id: &str,
     from: IpAddr,
 ) -> Result<Inbound, Fault> {
@@ -148,7 +151,6 @@
         let detail = format!("no service serves the route {:?}", route.name);
         return Err(Fault::new(Reason::NoTarget, detail));
     };
-    let asked = hub.dialect.asked(&head.headers);
     let asked = asked.map_err(|detail| Fault::new(Reason::Malformed, detail))?;
     let most = Duration::from_millis(route.timeout);
     let budget = asked.budget.map_or(most, |budget| budget.min(most));
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -6,8 +6,11 @@
 
 use crate::request_body::RequestBody;
 use http::{HeaderMap, HeaderName, Method, header};
-use seam_core::{Class, KeyName, Prompt};
-use seam_protocol::{CustomerId, Digest, Fingerprint, HostRoute, Kind, Repeat, Service, ServiceId};
+use seam_core::{Class, KeyName, Prompt, Refusal, Reply};
+use seam_http::Body;
+use seam_protocol::{
+    CustomerId, Digest, Fingerprint, HostRoute, Kind, Reason, Repeat, Service, ServiceId,
+};
 
 /// Prefix of header fields that belong to the system.
 pub const OWN_PREFIX: &str = "seam-";
@@ -138,6 +141,25 @@
 }
 
 impl Inbound {
+    /// Returns the body to be sent, `None` with a log line if it could be sent only once and was.
+    #[must_use]
+    pub fn open_body(&self) -> Option<Body> {
+        let body = self.body.open();
+        if body.is_none() {
+            log::warn!("request {}: its body was sent before", self.id);
+        }
+        body
+    }
+
+    /// Returns how an attempt ended whose exchange failed since the caller broke the body off.
+    #[must_use]
+    pub fn broken_off(&self) -> Option<Reply> {
+        self.body.failed().then(|| {
+            log::info!("request {}: its caller broke the body off", self.id);
+            Reply::Unsure(Refusal::unknown(Reason::Malformed))
+        })
+    }
+
     /// Digests the head of the prompt, for engines.
     #[must_use]
     pub fn prefix(&self, service: &Service) -> Option<u64> {
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -126,8 +126,7 @@
     if !hub.may_send(to.attempt) {
         return Reply::NotSent;
     }
-    let Some(body) = inbound.body.open() else {
-        log::warn!("request {}: its body was sent before", inbound.id);
+    let Some(body) = inbound.open_body() else {
         return Reply::NotSent;
     };
     progress.sent();
@@ -151,11 +150,10 @@
             );
             Reply::Refused(Refusal::not_run(Reason::Overload))
         }
-        Err(_) if inbound.body.failed() => {
-            log::info!("request {}: its caller broke the body off", inbound.id);
-            Reply::Unsure(Refusal::unknown(Reason::Malformed))
-        }
         Err(status) => {
+            if let Some(reply) = inbound.broken_off() {
+                return reply;
+            }
             log::info!(
                 "request {}: no answer of node {}: {status}",
                 inbound.id,
--- a/crates/seam-node/src/request_body.rs
+++ b/crates/seam-node/src/request_body.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -55,6 +55,9 @@
 struct Rest {
     /// What has not been read yet, until it is sent.
     unread: Mutex<Option<Body>>,
+    /// Most bytes that it may have.
+    most: usize,
+    /// Bytes of the whole body, where the caller said.
     length: Option<u64>,
     failed: Arc<AtomicBool>,
 }
@@ -106,19 +109,15 @@
         if !held.grow(ON_THE_WAY) {
             return Err(ReadError::Memory);
         }
-        let failed = Arc::new(AtomicBool::new(false));
-        let unread = Watched {
-            body,
-            left: limit - first.len(),
-            failed: failed.clone(),
+        let rest = Rest {
+            unread: Mutex::new(Some(body)),
+            most: limit - first.len(),
+            length,
+            failed: Arc::default(),
         };
         Ok(Self {
             first: first.freeze(),
-            rest: Some(Rest {
-                unread: Mutex::new(Some(unread.boxed_unsync())),
-                length,
-                failed,
-            }),
+            rest: Some(rest),
             _held: Some(held),
         })
     }
@@ -159,53 +158,33 @@
         let unread = lock(&rest.unread).take()?;
         let joined = Joined {
             first: Some(self.first.clone()),
-            left: rest.length,
             rest: unread,
+            most: rest.most,
+            left: rest.length,
+            failed: rest.failed.clone(),
         };
         Some(joined.boxed_unsync())
     }
 }
 
-/// The rest of a body, up to a limit, which notes when it breaks off.
-struct Watched {
-    body: Body,
-    left: usize,
-    failed: Arc<AtomicBool>,
-}
-
-impl HttpBody for Watched {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let this = self.get_mut();
-        let frame = Pin::new(&mut this.body).poll_frame(context);
-        let size = match &frame {
-            Poll::Ready(Some(Ok(frame))) => frame.data_ref().map_or(0, Bytes::len),
-            _ => 0,
-        };
-        let frame = if size > this.left {
-            Poll::Ready(Some(Err(BodyError::Cut)))
-        } else {
-            this.left -= size;
-            frame
-        };
-        if matches!(frame, Poll::Ready(Some(Err(_)))) {
-            this.failed.store(true, Ordering::Relaxed);
-        }
-        frame
-    }
-}
-
-/// First bytes and the rest behind them.
+/// First bytes and the rest behind them, up to a limit. Notes when the rest breaks off.
 struct Joined {
     first: Option<Bytes>,
     rest: Body,
+    /// Most bytes that the rest may still have.
+    most: usize,
     /// Bytes that are still to come, where the caller said.
     left: Option<u64>,
+    failed: Arc<AtomicBool>,
+}
+
+impl Joined {
+    /// Checks a frame of the rest against the limit.
+    fn within(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, BodyError> {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        self.most = self.most.checked_sub(size).ok_or(BodyError::Cut)?;
+        Ok(frame)
+    }
 }
 
 impl HttpBody for Joined {
@@ -218,14 +197,19 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
         let frame = match this.first.take() {
-            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
-            None => Pin::new(&mut this.rest).poll_frame(context),
+            Some(first) => Some(Ok(Frame::data(first))),
+            None => ready!(Pin::new(&mut this.rest).poll_frame(context))
+                .map(|frame| frame.and_then(|frame| this.within(frame))),
         };
-        if let Poll::Ready(Some(Ok(frame))) = &frame {
-            let size = frame.data_ref().map_or(0, Bytes::len) as u64;
-            this.left = this.left.map(|left| left.saturating_sub(size));
+        match &frame {
+            Some(Ok(frame)) => {
+                let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+                this.left = this.left.map(|left| left.saturating_sub(size));
+            }
+            Some(Err(_)) => this.failed.store(true, Ordering::Relaxed),
+            None => {}
         }
-        frame
+        Poll::Ready(frame)
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -49,8 +49,7 @@
     if !hub.may_send(to.attempt) {
         return Reply::NotSent;
     }
-    let Some(body) = inbound.body.open() else {
-        log::warn!("request {}: its body was sent before", inbound.id);
+    let Some(body) = inbound.open_body() else {
         return Reply::NotSent;
     };
     progress.sent();
@@ -59,11 +58,10 @@
     let answer = match silence.watch(connection.send(request)).await {
         Ok(answer) => answer,
         Err(ClientError::NotSent) => return Reply::NotSent,
-        Err(_) if inbound.body.failed() => {
-            log::info!("request {}: its caller broke the body off", inbound.id);
-            return Reply::Unsure(Refusal::unknown(Reason::Malformed));
-        }
         Err(error) => {
+            if let Some(reply) = inbound.broken_off() {
+                return reply;
+            }
             log::info!(
                 "request {}: no answer of target {}: {error}",
                 inbound.id,
--- a/crates/toucanseam/tests/log_flood.rs
+++ b/crates/toucanseam/tests/log_flood.rs
@@ -1,11 +1,12 @@
 //! A reader of standard output that stands still delays no request, and learns what was left out.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use http::{Request, StatusCode};
+use seam_emulator::run::free_address;
 use seam_http::{Connection, empty};
 
 /// Requests of the flood; many times what a pipe holds.
@@ -13,11 +14,6 @@
 /// Lines a second that the log bounds, as in `seam_node::logs`.
 const MOST_A_SECOND: usize = 1000;
 
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("the system has ports to give");
-    listener.local_addr().expect("it is bound")
-}
-
 /// A running program, ended with the test.
 struct Program {
     child: Child,
@@ -37,7 +33,7 @@
     let folder = std::env::temp_dir().join(format!("seam-log-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("node.toml");
-    let caller = free();
+    let caller = free_address();
     let settings = format!(
         r#"
         name = "edge-1"
@@ -55,10 +51,10 @@
         north-a = "north"
         {extra}
         "#,
-        free(),
-        free(),
-        free(),
-        free()
+        free_address(),
+        free_address(),
+        free_address(),
+        free_address()
     );
     std::fs::write(&path, settings).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_toucanseam"))
