Say in the log what a placement was decided by, and what a target refused with

A refusal for lack of room had its retry time but not the wait that led to it, a forward not why, a request that waited until its deadline no line before its last one; a target's refusal lacked its status; a request whose caller left was said to be complete, and a forwarded attempt to have had its first byte after 0 ms.

Change: a line "placed" with the predicted wait here, the request's own time, its limit and the other region with the age of its word, wherever a request does not start here at once; a line "refused by a target"; the outcome of a left request is unknown; first bytes of forwarded answers count.

No decision changes.

--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -11,6 +11,7 @@
 use crate::handle::{AttemptKey, Ticket};
 use crate::placement::Order;
 use crate::refusal::Refusal;
+use crate::spill::Weighed;
 use crate::targets::Grounds;
 
 /// An output of [`crate::Node::handle`].
@@ -39,6 +40,13 @@
         /// What the choice was made by.
         grounds: Grounds,
     },
+    /// Log what a request's placement was decided by, unless it starts here at once.
+    Weighed {
+        /// The request.
+        ticket: Ticket,
+        /// What was weighed.
+        weighed: Weighed,
+    },
     /// Forward a request to a node, once.
     Forward {
         /// The request.
--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -13,8 +13,8 @@
 use crate::command::Command;
 use crate::handle::Ticket;
 use crate::refusal::Refusal;
-use crate::request::Request;
-use crate::spill::{Asked, Choice, Here, There};
+use crate::request::{Request, Stage};
+use crate::spill::{Asked, Choice, Here, There, Weighed};
 use crate::targets::{Spread, Wish, users};
 
 /// Part of a request's objective beyond which its predicted answer is late, with a margin for what
@@ -52,6 +52,7 @@
             here.possible = true;
             here.wait = self.wait_near(now, request.service);
         }
+        let mut best = None;
         let choice = if request.forwarded() {
             self.choose_forwarded(request, asked, here)
         } else {
@@ -62,18 +63,44 @@
                 Some(there) => there,
                 None => self.there(now, request),
             };
-            self.spill.choose(asked, here, &there)
+            let choice = self.spill.choose(asked, here, &there);
+            let taken = |there: &There| choice == Choice::There(there.region);
+            let regions = there.iter().copied();
+            best = regions.min_by_key(|there| (!taken(there), there.cost()));
+            choice
         };
         let choice = match choice {
             Choice::There(_) if here.possible && !self.policy.spill => Choice::Here,
             Choice::Nowhere(Some(_)) if !self.policy.shed => Choice::Here,
             choice => choice,
         };
+        let heard = best.and_then(|best| self.peers.region_heard(best.region));
+        let weighed = Weighed {
+            asked,
+            here,
+            best,
+            age: heard.map_or(Duration::ZERO, |heard| now.since(heard)),
+            choice,
+        };
+        let weighed = Command::Weighed { ticket, weighed };
+        if choice != Choice::Here {
+            out.push(weighed);
+            self.carry_out(now, ticket, choice, out);
+        } else if let Some(vm) = near {
+            self.forward(now, ticket, vm, out);
+        } else {
+            self.enqueue(now, ticket, out);
+            let waits = self.requests.get(&ticket);
+            if waits.is_some_and(|request| request.stage == Stage::Queued) {
+                out.push(weighed);
+            }
+        }
+    }
+
+    /// Sends a request away, or refuses it.
+    fn carry_out(&mut self, now: Time, ticket: Ticket, choice: Choice, out: &mut Vec<Command>) {
         match choice {
-            Choice::Here => match near {
-                Some(vm) => self.forward(now, ticket, vm, out),
-                None => self.enqueue(now, ticket, out),
-            },
+            Choice::Here => {}
             Choice::There(region) => self.send_away(now, ticket, region, out),
             Choice::Nowhere(wait) => {
                 let reason = match wait {
--- a/crates/seam-core/src/spill.rs
+++ b/crates/seam-core/src/spill.rs
@@ -34,6 +34,14 @@
     pub free: u32,
 }
 
+impl There {
+    /// Orders regions by what they add to a request, and by name where that is the same.
+    #[must_use]
+    pub fn cost(&self) -> (Duration, RegionId) {
+        (self.trip + self.wait, self.region)
+    }
+}
+
 /// A request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
@@ -60,6 +68,22 @@
     Nowhere(Option<Duration>),
 }
 
+/// What a placement was decided by, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Weighed {
+    /// The request.
+    pub asked: Asked,
+    /// This region.
+    pub here: Here,
+    /// The region that was chosen, or else the one with the least wait and trip, where others were
+    /// weighed.
+    pub best: Option<There>,
+    /// Age of what is known of that region.
+    pub age: Duration,
+    /// The decision. Here means that the request waits for a slot.
+    pub choice: Choice,
+}
+
 /// Remembers which services are being sent away, and regions that came back.
 #[derive(Clone, Debug, Default)]
 pub struct Spill {
@@ -126,7 +150,7 @@
             .iter()
             .filter(|there| there.free > 0 || there.wait > Duration::ZERO)
             .filter(|there| there.trip + there.wait + asked.expected <= asked.budget)
-            .min_by_key(|there| (there.trip + there.wait, there.region));
+            .min_by_key(|there| there.cost());
         let fits = here.possible && here.wait + asked.expected <= asked.budget;
         let Some(best) = best else {
             let wait = here.possible.then_some(here.wait);
--- a/crates/seam-core/tests/live_engines.rs
+++ b/crates/seam-core/tests/live_engines.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use fleet::{ENGINE, Fleet, NORTH, SOUTH, arrival, config, item, listed, prompt, settled};
+use seam_core::spill::Choice;
 use seam_core::{Command, Event, Reply};
+use seam_protocol::RegionId;
 
 #[test]
 fn one_home_for_a_part() {
@@ -304,3 +306,34 @@
     assert!(away.len() >= 10);
     assert!(fleet.refusals().is_empty());
 }
+
+#[test]
+fn placements_say_what_was_weighed() {
+    // The north's engine has many prompts to read, the south's is idle.
+    let targets = [("e1", ENGINE, NORTH), ("e2", ENGINE, SOUTH)];
+    let mut fleet = settled(&[NORTH, SOUTH], &targets);
+    for ticket in 0..40 {
+        let mut asked = arrival(ticket, "review", ENGINE, 1);
+        asked.prompt = Some(prompt(ticket, 1000 + ticket));
+        fleet.arrive(0, asked);
+    }
+    let weighed: Vec<_> = fleet
+        .done
+        .iter()
+        .filter_map(|(_, command)| match command {
+            Command::Weighed { weighed, .. } => Some(weighed),
+            _ => None,
+        })
+        .collect();
+    let away: Vec<_> = weighed
+        .iter()
+        .filter(|weighed| matches!(weighed.choice, Choice::There(_)))
+        .collect();
+    assert_eq!(away.len(), fleet.forwards().len());
+    assert!(!away.is_empty());
+    for weighed in away {
+        let best = weighed.best.expect("the other region was weighed");
+        assert_eq!(best.region, RegionId::of(SOUTH));
+        assert!(weighed.here.wait > best.trip + best.wait);
+    }
+}
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -95,7 +95,10 @@
                 self.orders.push((self.now, target, fence));
             }
             // Worlds publish bundles, and their targets answer without errors of their own.
-            Command::Audit(_) | Command::Pull { .. } | Command::Discard(_) => {}
+            Command::Audit(_)
+            | Command::Weighed { .. }
+            | Command::Pull { .. }
+            | Command::Discard(_) => {}
         }
     }
 
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_executor::Task;
 use futures_lite::future;
 use seam_core::arrival::Arrival;
+use seam_core::spill::{Choice, Weighed};
 use seam_core::{AttemptKey, Event, Origin, Refusal, Reply};
 use seam_http::spawn;
 use seam_protocol::{Outcome, Time};
@@ -114,6 +116,7 @@
                 }
             };
             match directive {
+                Some(Directive::Weighed(weighed)) => self.log_weighed(&weighed),
                 Some(Directive::Send(to)) => self.send(to),
                 Some(Directive::Forward(to)) => self.forward(to),
                 Some(Directive::Cancel(attempt)) => self.cancel(attempt).await,
@@ -136,6 +139,29 @@
         }
     }
 
+    /// Writes what a placement was decided by: predicted times here and in the best other region.
+    fn log_weighed(&self, weighed: &Weighed) {
+        let Weighed {
+            asked, here, best, ..
+        } = weighed;
+        let choice = match weighed.choice {
+            Choice::Here => "waits here",
+            Choice::There(_) => "other region",
+            Choice::Nowhere(_) => "nowhere in time",
+        };
+        let millis = |time: Duration| time.as_millis() as u64;
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), choice = choice, possible = here.possible,
+            wait_ms = millis(here.wait), expected_ms = millis(asked.expected),
+            limit_ms = millis(asked.budget),
+            other:% = best.map_or_else(String::new, |best| best.region.to_string()),
+            other_wait_ms = best.map_or(0, |best| millis(best.trip + best.wait)),
+            other_age_ms = millis(weighed.age), age_ms = self.age();
+            "placed"
+        );
+    }
+
     /// Writes the request's one closing line.
     fn log_end(&self) {
         let (end, refusal) = match self.refusal {
@@ -145,12 +171,17 @@
             Some((refusal, false)) => ("cut", Some(refusal)),
             None => ("left", None),
         };
+        let outcome = match refusal {
+            Some(refusal) => refusal.outcome,
+            None if self.outlet.whole() => Outcome::Complete,
+            None => Outcome::Unknown,
+        };
         let age = self.hub.now().since(self.arrived);
         self.hub.metrics.request_ended(&self.inbound.name, end, age);
         log::info!(
             target: "request",
             request = self.inbound.id.as_str(), route = self.inbound.name.as_str(), end = end,
-            outcome:% = refusal.map_or(Outcome::Complete, |refusal| refusal.outcome),
+            outcome:% = outcome,
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
             retry_ms = refusal.and_then(|refusal| refusal.retry).unwrap_or_default().as_millis() as u64,
             age_ms = age.as_millis() as u64;
--- a/crates/seam-node/src/hub.rs
+++ b/crates/seam-node/src/hub.rs
@@ -14,6 +14,7 @@
 use seam_config::Settings;
 use seam_config::settings::Secrets;
 use seam_core::placement::Order;
+use seam_core::spill::Weighed;
 use seam_core::targets::Grounds;
 use seam_core::{AttemptKey, Command, Event, Node, Refusal, Ticket};
 use seam_protocol::{
@@ -56,6 +57,8 @@
 /// What the task of a request is told.
 #[derive(Clone, Debug)]
 pub enum Directive {
+    /// Log what the placement was decided by.
+    Weighed(Weighed),
     /// Try a target.
     Send(ToTarget),
     /// Try a node.
@@ -345,6 +348,9 @@
                 };
                 self.direct(ticket, Directive::Send(to));
             }
+            Command::Weighed { ticket, weighed } => {
+                self.direct(ticket, Directive::Weighed(weighed));
+            }
             Command::Forward {
                 ticket,
                 attempt,
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -138,7 +138,10 @@
         Err(tonic::Status::deadline_exceeded("no answer in time"))
     };
     match client.forward(request).or(late).await {
-        Ok(answer) => pass_on(answer.into_inner(), outlet).await,
+        Ok(answer) => {
+            let first = || progress.answered(hub.now());
+            pass_on(answer.into_inner(), outlet, first).await
+        }
         Err(status) if status.code() == tonic::Code::PermissionDenied => {
             Reply::Refused(Refusal::not_run(Reason::NotReady))
         }
@@ -167,7 +170,7 @@
     }
 }
 
-async fn pass_on(mut frames: Streaming<ReplyFrame>, outlet: &Outlet) -> Reply {
+async fn pass_on(mut frames: Streaming<ReplyFrame>, outlet: &Outlet, first: impl Fn()) -> Reply {
     let mut keeper = Keeper::new(false, StatusCode::OK, &http::HeaderMap::new());
     let mut started = outlet.started();
     loop {
@@ -186,6 +189,7 @@
                     return Reply::Broken { started };
                 }
                 started = true;
+                first();
                 outlet.head(status, wire::fields(&head.headers)).await;
             }
             Some(reply_frame::Frame::Body(bytes)) => {
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -76,12 +76,22 @@
     if let Some(load) = hub.dialect.load(&head.headers) {
         hub.handle(Event::Load(to.target, load));
     }
+    let log_refusal = |retry: Option<Duration>| {
+        log::info!(
+            target: "request",
+            request = inbound.id.as_str(), attempt = to.attempt.0, status = head.status.as_u16(),
+            retry_ms = retry.unwrap_or_default().as_millis() as u64;
+            "refused by a target"
+        );
+    };
     if let Some(refusal) = refused(hub, to, head.status, &head.headers) {
+        log_refusal(refusal.retry);
         return Reply::Refused(refusal);
     }
     match hub.dialect.judge(inbound, head.status, &head.headers) {
         Judged::Answer => {}
         Judged::NotRun(retry) => {
+            log_refusal(retry);
             let refusal = Refusal::not_run(Reason::Refused).after(retry.unwrap_or(RETRY));
             return Reply::Refused(refusal);
         }
