--- a/crates/seam-core/src/node/place.rs
+++ b/crates/seam-core/src/node/place.rs
@@ -33,6 +33,37 @@
             let service = request.service;
             self.be_guest(now, service);
         }
+        let (weighed, near) = self.weigh(now, ticket);
+        let line = Command::Weighed { ticket, weighed };
+        match (weighed.choice, near) {
+            (Choice::Here, Some(vm)) => self.forward(now, ticket, vm, out),
+            (Choice::Here, None) => {
+                self.enqueue(now, ticket, out);
+                let request = self.requests.get(&ticket);
+                if request.is_some_and(|request| request.stage == Stage::Queued) {
+                    out.push(line);
+                }
+            }
+            (Choice::There(region), _) => {
+                out.push(line);
+                self.send_away(now, ticket, region, out);
+            }
+            (Choice::Nowhere(wait), _) => {
+                out.push(line);
+                let reason = match wait {
+                    Some(_) => Reason::Overload,
+                    None => Reason::NoTarget,
+                };
+                let retry = wait.unwrap_or(MOST_RETRY / 10);
+                let refusal = Refusal::not_run(reason).after(retry.clamp(LEAST_RETRY, MOST_RETRY));
+                self.refuse(now, ticket, refusal, out);
+            }
+        }
+    }
+
+    /// Weighs this region against others for a request. Returns the choice with what it was made by, and
+    /// the node of this region that the request goes to where this one has no target for it.
+    fn weigh(&mut self, now: Time, ticket: Ticket) -> (Weighed, Option<VmId>) {
         let asked = self.asked(now, &self.requests[&ticket]);
         let mut here = self.here_chosen(now, ticket, asked.expected);
         let request = &self.requests[&ticket];
@@ -42,7 +73,6 @@
             // Another region's targets have not failed the request yet.
             here.possible = false;
         }
-        let request = &self.requests[&ticket];
         let near = if here.possible {
             None
         } else {
@@ -52,28 +82,26 @@
             here.possible = true;
             here.wait = self.wait_near(now, request.service);
         }
-        let mut best = None;
+        // Where nothing waits, no other region can be sooner; a forwarded request goes no further.
+        let idle = here.possible && here.wait.is_zero() && asked.expected <= asked.budget;
+        let there = match there {
+            _ if idle || request.forwarded() => Vec::new(),
+            Some(there) => there,
+            None => self.there(now, request),
+        };
         let choice = if request.forwarded() {
             self.choose_forwarded(request, asked, here)
         } else {
-            // Where nothing waits, no other region can be sooner.
-            let idle = here.possible && here.wait.is_zero() && asked.expected <= asked.budget;
-            let there = match there {
-                _ if idle => Vec::new(),
-                Some(there) => there,
-                None => self.there(now, request),
-            };
-            let choice = self.spill.choose(asked, here, &there);
-            let taken = |there: &There| choice == Choice::There(there.region);
-            let regions = there.iter().copied();
-            best = regions.min_by_key(|there| (!taken(there), there.cost()));
-            choice
+            self.spill.choose(asked, here, &there)
         };
         let choice = match choice {
             Choice::There(_) if here.possible && !self.policy.spill => Choice::Here,
             Choice::Nowhere(Some(_)) if !self.policy.shed => Choice::Here,
             choice => choice,
         };
+        let taken = |there: &There| choice == Choice::There(there.region);
+        let regions = there.iter().copied();
+        let best = regions.min_by_key(|there| (!taken(there), there.cost()));
         let heard = best.and_then(|best| self.peers.region_heard(best.region));
         let weighed = Weighed {
             asked,
@@ -82,36 +110,7 @@
             age: heard.map_or(Duration::ZERO, |heard| now.since(heard)),
             choice,
         };
-        let weighed = Command::Weighed { ticket, weighed };
-        if choice != Choice::Here {
-            out.push(weighed);
-            self.carry_out(now, ticket, choice, out);
-        } else if let Some(vm) = near {
-            self.forward(now, ticket, vm, out);
-        } else {
-            self.enqueue(now, ticket, out);
-            let waits = self.requests.get(&ticket);
-            if waits.is_some_and(|request| request.stage == Stage::Queued) {
-                out.push(weighed);
-            }
-        }
-    }
-
-    /// Sends a request away, or refuses it.
-    fn carry_out(&mut self, now: Time, ticket: Ticket, choice: Choice, out: &mut Vec<Command>) {
-        match choice {
-            Choice::Here => {}
-            Choice::There(region) => self.send_away(now, ticket, region, out),
-            Choice::Nowhere(wait) => {
-                let reason = match wait {
-                    Some(_) => Reason::Overload,
-                    None => Reason::NoTarget,
-                };
-                let retry = wait.unwrap_or(MOST_RETRY / 10);
-                let refusal = Refusal::not_run(reason).after(retry.clamp(LEAST_RETRY, MOST_RETRY));
-                self.refuse(now, ticket, refusal, out);
-            }
-        }
+        (weighed, near)
     }
 
     fn asked(&self, now: Time, request: &Request) -> Asked {
