Audit crashes and learned quarantines, and count suspects

The logs named only the node that found a culprit. To tell the incident's hypotheses apart they must say which node attributed which crash to what (Crash, with the number of suspects and the fingerprints), which node heard of a quarantine from whom (Quarantine), and which requests have a fingerprint (request ended). Metrics: seam_suspects, seam_events{kind="crashes"}. No decision changes.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -17,6 +17,8 @@
     TargetDrain,
     /// A target was ejected after failures or returned to service.
     Ejection,
+    /// A target crashed while requests ran there.
+    Crash,
     /// A fingerprint was quarantined.
     Quarantine,
     /// The node detected that its process had been paused.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -135,6 +135,8 @@
     pub retries: u64,
     /// Ejections of targets.
     pub ejections: u64,
+    /// Crashes of targets while requests of this node ran there.
+    pub crashes: u64,
     /// Process pauses detected.
     pub pauses: u64,
 }
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -1,6 +1,6 @@
 //! Handles the events of an attempt, from the check before its first byte to its end.
 
-use seam_protocol::{Kind, RegionId, TargetId, Time};
+use seam_protocol::{Fingerprint, Kind, RegionId, TargetId, Time};
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
@@ -10,6 +10,8 @@
 use crate::request::{Attempt, Destination};
 use crate::targets::PhaseChange;
 
+/// Maximum number of fingerprints in the audit entry of a crash.
+const MAX_LISTED_FINGERPRINTS: usize = 8;
 /// Weight of a new sample in the mean service and slot times.
 const SMOOTHING: f64 = 0.05;
 
@@ -136,6 +138,22 @@
         watch: &CrashWatch,
         out: &mut Vec<Command>,
     ) {
+        let known = |fingerprint: &&Fingerprint| self.poison.crashes(**fingerprint) > 0;
+        let suspects = watch.fingerprints.iter().filter(known).count();
+        let listed = watch.fingerprints.iter().take(MAX_LISTED_FINGERPRINTS);
+        let listed: Vec<String> = listed.map(ToString::to_string).collect();
+        let ran = watch.fingerprints.len();
+        self.counters.crashes += 1;
+        out.push(self.audit(
+            now,
+            Change::Crash,
+            format!("target {target}"),
+            (
+                format!("{suspects} suspects ran"),
+                format!("{ran} requests ran"),
+            ),
+            format!("fingerprints {}", listed.join(" ")),
+        ));
         let culprit = self.poison.record_crash(now, &watch.fingerprints);
         if let Some(fingerprint) = culprit {
             let cause = format!("target {target} crashed under it");
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -10,6 +10,7 @@
 };
 
 use super::Node;
+use crate::audit::Change;
 use crate::command::Command;
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
 use crate::limits::LimitContext;
@@ -53,7 +54,15 @@
             self.compare_revision(now, heartbeat, newest, out);
         }
         for suspect in &heartbeat.suspects {
-            self.poison.merge_suspect(now, *suspect);
+            if self.poison.merge_suspect(now, *suspect) {
+                out.push(self.audit(
+                    now,
+                    Change::Quarantine,
+                    format!("fingerprint {}", suspect.fingerprint),
+                    ("", "quarantined"),
+                    format!("reported by node {}", heartbeat.from),
+                ));
+            }
         }
         self.merge_work(now, heartbeat);
         self.lend(now, heartbeat, out);
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -155,6 +155,18 @@
             .collect()
     }
 
+    /// Returns the number of suspected and quarantined fingerprints.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no fingerprint is suspected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the quarantined fingerprints.
     pub fn quarantine(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         self.entries
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -31,6 +31,8 @@
     pub platform: bool,
     /// Quarantined fingerprints.
     pub quarantine: Vec<String>,
+    /// Number of fingerprints suspected of crashing targets, quarantined or not.
+    pub suspects: usize,
     /// Other nodes.
     pub peers: Vec<PeerStatus>,
     /// Targets of this region.
@@ -131,6 +133,7 @@
                 .quarantine()
                 .map(|fingerprint| fingerprint.to_string())
                 .collect(),
+            suspects: self.poison.len(),
             peers: self.peer_status(now),
             targets: self.target_status(now),
             services: self.service_status(),
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -191,7 +191,7 @@
         log::info!(
             target: "request",
             request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
-            outcome:% = outcome,
+            outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
             age_ms = age.as_millis() as u64;
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -37,6 +37,7 @@
     load: Gauge<u64>,
     serving: Gauge<u64>,
     quarantine: Gauge<u64>,
+    suspects: Gauge<u64>,
     items: Gauge<u64>,
     platform: Gauge<u64>,
     events: Gauge<u64>,
@@ -58,6 +59,10 @@
             load: gauge("seam_target_load", "estimated requests at a target"),
             serving: gauge("seam_target_serving", "1 if a target takes new work"),
             quarantine: gauge("seam_quarantine", "fingerprints in quarantine"),
+            suspects: gauge(
+                "seam_suspects",
+                "fingerprints suspected of crashing targets, with those in quarantine",
+            ),
             items: gauge(
                 "seam_items_revision",
                 "revision of items known, zero for none",
@@ -80,6 +85,7 @@
         self.items.record(status.items, &[]);
         self.platform.record(u64::from(status.platform), &[]);
         self.quarantine.record(status.quarantine.len() as u64, &[]);
+        self.suspects.record(status.suspects as u64, &[]);
         for service in &status.services {
             let label = [KeyValue::new("service", service.name.clone())];
             self.queued.record(service.queued as u64, &label);
@@ -103,6 +109,7 @@
             ("replayed", counters.replayed),
             ("retries", counters.retries),
             ("ejections", counters.ejections),
+            ("crashes", counters.crashes),
             ("pauses", counters.pauses),
         ] {
             self.events.record(count, &[KeyValue::new("kind", kind)]);
