Play requests that crash targets beside faults of nodes, and list what fails

New check of the oracle: a request runs at most three times, sent by nodes that have been up and connected for 6 s, later than 6 s after its third crash (the bound is the stated rule).

--- a/crates/seam-harness/src/oracle.rs
+++ b/crates/seam-harness/src/oracle.rs
@@ -35,6 +35,8 @@
     NoAnswer(SendingId, Duration),
     /// The requests in flight of a customer over all nodes exceeded its concurrency.
     OverLimit(u32, u32),
+    /// A request ran this often after it should have been refused for crashing its targets.
+    CrashedOn(OpId, usize),
 }
 
 impl fmt::Display for Breach {
@@ -78,6 +80,10 @@
     pub runs: Vec<RunId>,
     /// Its requests so far.
     pub requests: Vec<SendingId>,
+    /// Times at which it crashed a target.
+    pub crashes: Vec<Time>,
+    /// Runs that settled nodes started later than [`CONTACT_TIME`] after the third crash.
+    pub late_runs: usize,
 }
 
 /// Checks every run and outcome of a world.
@@ -94,6 +100,12 @@
     pending: BTreeSet<(Time, SendingId)>,
 }
 
+/// Time for which a node must have been running, unpaused and connected to count as settled.
+pub const CONTACT_TIME: Duration = Duration::from_secs(6);
+/// Number of crashes after which a request must be refused.
+const MAX_CRASHES: usize = 3;
+/// Number of runs that are allowed after that.
+const MAX_LATE_RUNS: usize = 3;
 /// Time after the deadline within which an outcome still counts as in time.
 pub const RESPONSE_SLACK: Duration = Duration::from_millis(600);
 
@@ -142,6 +154,31 @@
         self.check_not_run(run.op, run.request);
     }
 
+    /// Records that an operation crashed the target that ran it.
+    pub fn record_crash(&mut self, now: Time, id: OpId) {
+        if let Some(op) = self.ops.get_mut(&id) {
+            op.crashes.push(now);
+        }
+    }
+
+    /// Checks a run that a settled node starts, of an operation that crashes its targets.
+    pub fn check_crashing_run(&mut self, now: Time, id: OpId) {
+        let Some(op) = self.ops.get_mut(&id) else {
+            return;
+        };
+        let Some(last) = op.crashes.get(MAX_CRASHES - 1) else {
+            return;
+        };
+        if now.since(*last) <= CONTACT_TIME {
+            return;
+        }
+        op.late_runs += 1;
+        let late_runs = op.late_runs;
+        if late_runs > MAX_LATE_RUNS {
+            self.record_breach(Breach::CrashedOn(id, late_runs));
+        }
+    }
+
     /// Checks that no caller received "not run" for an operation that ran.
     fn check_not_run(&mut self, id: OpId, request: SendingId) {
         let op = &self.ops[&id];
--- a/crates/seam-harness/src/world.rs
+++ b/crates/seam-harness/src/world.rs
@@ -12,6 +12,7 @@
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use seam_core::audit::Audit;
 use seam_core::node::{Policy, TICK};
 use seam_core::{AttemptKey, Command, Event, Identity, Node, Ticket};
 use seam_protocol::{
@@ -230,6 +231,8 @@
     pub applied_at: BTreeMap<(u64, VmId), Time>,
     /// Time at which each target received its last new request.
     pub last_request_at: BTreeMap<TargetId, Time>,
+    /// What nodes audited of crashes and quarantines, with the time and the node.
+    pub crash_audits: Vec<(Time, VmId, Audit)>,
     /// Orders sent to engines, with their fencing tokens.
     pub orders: Vec<(Time, TargetId, u64)>,
     /// Mutation applied to every node.
@@ -237,6 +240,8 @@
     policy: Policy,
     leaving_since: BTreeMap<TargetId, Time>,
     membership_changed_at: Time,
+    /// When each VM was last paused or disconnected.
+    disturbed_at: BTreeMap<VmId, Time>,
     pub(crate) rng: Pcg64Mcg,
     last_id: u64,
 }
@@ -279,11 +284,13 @@
             counters: Counters::default(),
             applied_at: BTreeMap::new(),
             last_request_at: BTreeMap::new(),
+            crash_audits: Vec::new(),
             orders: Vec::new(),
             mutation: Mutation::None,
             policy,
             leaving_since: BTreeMap::new(),
             membership_changed_at: Time(0),
+            disturbed_at: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             last_id: 0,
         };
@@ -568,6 +575,10 @@
             return;
         }
         process.paused_until = None;
+        self.disturbed_at.insert(vm, now);
+        let Some(process) = self.processes.get_mut(&vm) else {
+            return;
+        };
         for sim_event in std::mem::take(&mut process.deferred) {
             self.schedule_at(now, sim_event);
         }
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use seam_core::audit::Change;
 use seam_core::{Arrival, AttemptKey, AttemptOutcome, Command, Event, Origin, Refusal, Ticket};
 use seam_protocol::{Heartbeat, Incarnation, Outcome, VmId};
 
@@ -93,12 +94,14 @@
             Command::Order { target, fence, .. } => {
                 self.orders.push((self.now, target, fence));
             }
-            // A world keeps no logs, publishes complete bundles instead of items, and its targets
-            // return no error responses.
-            Command::Audit(_)
-            | Command::LogRouting { .. }
-            | Command::FetchItems { .. }
-            | Command::Discard(_) => {}
+            Command::Audit(audit) => {
+                if matches!(audit.change, Change::Crash | Change::Quarantine) {
+                    self.crash_audits.push((self.now, vm, audit));
+                }
+            }
+            // A world keeps no other logs, publishes complete bundles instead of items, and its
+            // targets return no error responses.
+            Command::LogRouting { .. } | Command::FetchItems { .. } | Command::Discard(_) => {}
         }
     }
 
--- a/crates/seam-harness/src/world/callers.rs
+++ b/crates/seam-harness/src/world/callers.rs
@@ -58,6 +58,8 @@
             keyed: call.key != KeyChoice::None && !call.repeatable,
             runs: Vec::new(),
             requests: Vec::new(),
+            crashes: Vec::new(),
+            late_runs: 0,
         };
         self.oracle.ops.insert(op, state);
         self.send(op, call.vm);
--- a/crates/seam-harness/src/world/faults.rs
+++ b/crates/seam-harness/src/world/faults.rs
@@ -9,13 +9,50 @@
 use super::{Requester, SimEvent, World};
 use crate::fault::Fault;
 use crate::mutation::Mutation;
-use crate::oracle::Breach;
+use crate::oracle::{Breach, CONTACT_TIME};
 
 /// Time within which nodes read the configuration after the service is reachable again.
 const RECOVERY_TIME: Duration = Duration::from_secs(30);
 
 impl World {
     pub(super) fn apply_fault(&mut self, fault: &Fault) {
+        self.note_disturbed();
+        self.change(fault);
+        self.note_disturbed();
+    }
+
+    /// Records the time for every VM that is paused or disconnected now.
+    pub(super) fn note_disturbed(&mut self) {
+        let disturbed: Vec<VmId> = self
+            .processes
+            .keys()
+            .copied()
+            .filter(|vm| self.disturbed(*vm))
+            .collect();
+        for vm in disturbed {
+            self.disturbed_at.insert(vm, self.now);
+        }
+    }
+
+    /// Returns whether a VM is paused, disconnected or loses heartbeats now.
+    fn disturbed(&self, vm: VmId) -> bool {
+        let process = &self.processes[&vm];
+        let mut others = self.processes.keys();
+        process.paused_until.is_some()
+            || self.links.loss > 0.0
+            || others.any(|other| !self.connected(vm, *other))
+    }
+
+    /// Returns whether a VM's process has been running, unpaused and connected for
+    /// [`CONTACT_TIME`].
+    pub(super) fn settled(&self, vm: VmId) -> bool {
+        let process = &self.processes[&vm];
+        let disturbed_at = self.disturbed_at.get(&vm).copied();
+        let since = disturbed_at.map_or(process.booted_at, |at| at.max(process.booted_at));
+        !self.disturbed(vm) && self.now.since(since) >= CONTACT_TIME
+    }
+
+    fn change(&mut self, fault: &Fault) {
         match fault {
             Fault::Kill { vm } => self.kill(VmId::of(vm)),
             Fault::Boot { vm } => {
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -108,6 +108,9 @@
             region,
         };
         self.oracle.run_started(run, started, &allowed);
+        if self.call_states[&op].call.poison && self.settled(vm) {
+            self.oracle.check_crashing_run(now, op);
+        }
         let fake = self
             .targets
             .get_mut(&target)
@@ -235,6 +238,16 @@
         let Some(fake) = self.targets.get_mut(&target) else {
             return;
         };
+        let running: Vec<RunId> = fake.running.keys().copied().collect();
+        for run in running {
+            let op = self.oracle.runs[&run].op;
+            if self.call_states[&op].call.poison {
+                self.oracle.record_crash(self.now, op);
+            }
+        }
+        let Some(fake) = self.targets.get_mut(&target) else {
+            return;
+        };
         let lost = fake.crash(until);
         for run in lost {
             let run_state = self.run_states[&run];
