Forward to nodes that have become ready since their last record

Known red forwarded_home. Callers got 503 no-target for requests bound to another region right after its nodes had started. Printing the reason and the routing decision (trial build) showed that no attempt was made: the summary of the region was 10 to 28 ms old and listed a ready node, but the sender still held that node's own record from its boot, "not ready", which outranked the summary. Records cross regions rarely, so this lasts for seconds. Ruled out: a stalled process that refuses as stale, and connections that fail.

Nodes without a contrary record are still preferred. If there is none, those are used whose contrary record is older than the summary.

--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -12,6 +12,7 @@
 use super::summaries::{WAIT_NO_TARGET, ample_slots};
 use crate::command::Command;
 use crate::handle::Ticket;
+use crate::peers::Peer;
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
 use crate::spill::{LocalView, RegionChoice, RemoteView, RoutingDecision, RoutingRequest};
@@ -448,15 +449,22 @@
     /// weights of the nodes.
     fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
         let nodes = &self.peers.region(now, region)?.nodes;
-        let usable: BTreeSet<VmId> = nodes
-            .iter()
-            .copied()
-            .filter(|vm| self.regions.get(vm) == Some(&region))
-            .filter(|vm| {
-                let peer = self.peers.known(*vm);
-                peer.is_none_or(|peer| peer.record.ready && peer.updated.0 > 0)
-            })
-            .collect();
+        let made = self.peers.summary_made(region)?;
+        let reachable = nodes.iter().copied().filter(|vm| {
+            let refused = |peer: &Peer| peer.updated.0 == 0;
+            self.regions.get(vm) == Some(&region) && !self.peers.known(*vm).is_some_and(refused)
+        });
+        let not_ready = |vm: &VmId| {
+            let peer = self.peers.known(*vm);
+            peer.filter(|peer| !peer.record.ready)
+        };
+        let (doubtful, mut usable): (BTreeSet<VmId>, BTreeSet<VmId>) =
+            reachable.partition(|vm| not_ready(vm).is_some());
+        if usable.is_empty() {
+            // The summary may list nodes that have become ready since their last record.
+            let ready_since = |vm: &VmId| not_ready(vm).is_some_and(|peer| peer.updated < made);
+            usable = doubtful.into_iter().filter(ready_since).collect();
+        }
         // Only a few nodes use the targets of a small service. The ranking is the same as in that
         // region, so it finds these nodes.
         let service = self.requests.get(&ticket)?.service;
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -274,6 +274,16 @@
         self.regions.get(&region).map(|known| known.received)
     }
 
+    /// Returns when the current summary of a region was made, on this node's clock.
+    #[must_use]
+    pub fn summary_made(&self, region: RegionId) -> Option<Time> {
+        let known = self.regions.get(&region)?;
+        let age = Duration::from_millis(u64::from(known.summary.age));
+        Some(Time(
+            known.received.0.saturating_sub(age.as_micros() as u64),
+        ))
+    }
+
     /// Returns a region's capacity for a service if the lease of its summary is valid.
     #[must_use]
     pub fn service_capacity(
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -11,7 +11,9 @@
     settled_fleet,
 };
 use seam_core::{AttemptOutcome, Command, Event, Refusal};
-use seam_protocol::{Outcome, Reason, RegionId};
+use seam_protocol::{
+    Heartbeat, Incarnation, Outcome, Reason, RegionId, RegionSummary, VmId, VmRecord,
+};
 
 #[test]
 fn seeds_suffice() {
@@ -99,6 +101,48 @@
     assert!(fleet.refusals().is_empty());
 }
 
+/// Guards against refusing requests because nodes that are listed as ready once said they were not.
+#[test]
+fn ready_since() {
+    let mut fleet = settled_fleet(&[NORTH, NORTH, SOUTH], &[("d1", PLAIN, SOUTH)]);
+    fleet.down = vec![false, true, true];
+    let mut booting = Heartbeat::empty(VmId::of("vm-2"), RegionId::of(SOUTH));
+    booting.sent = 1 << 40;
+    booting.records.push(VmRecord {
+        vm: VmId::of("vm-2"),
+        incarnation: Incarnation(77),
+        sequence: 1,
+        revision: 7,
+        ready: false,
+        loads: Vec::new(),
+    });
+    fleet.handle(0, Event::Heartbeat(booting));
+    fleet.wait(Duration::from_millis(100));
+    let mut relayed = Heartbeat::empty(VmId::of("vm-1"), RegionId::of(NORTH));
+    relayed.sent = 1 << 40;
+    relayed.records.push(VmRecord {
+        vm: VmId::of("vm-1"),
+        incarnation: Incarnation(78),
+        sequence: 1,
+        revision: 7,
+        ready: true,
+        loads: Vec::new(),
+    });
+    relayed.summaries.push(RegionSummary {
+        region: RegionId::of(SOUTH),
+        vm: VmId::of("vm-2"),
+        incarnation: Incarnation(77),
+        sequence: 9,
+        age: 0,
+        revision: 7,
+        nodes: vec![VmId::of("vm-2")],
+        capacities: Vec::new(),
+    });
+    fleet.handle(0, Event::Heartbeat(relayed));
+    fleet.arrive(0, arrival(1, "book", PLAIN, 1));
+    assert_eq!(fleet.forwards().len(), 1, "{:?}", fleet.refusals());
+}
+
 #[test]
 fn directory_weights_nodes() {
     // Two nodes have four times the weight of each of eight others.
--- a/crates/seam-node/tests/region_hops.rs
+++ b/crates/seam-node/tests/region_hops.rs
@@ -10,7 +10,7 @@
     with_fleet(|fleet| async move {
         let caller = Caller::new(fleet.caller_address("khomas-1"), SWAKOP_TOKEN);
         let response = caller.get("/booking-desk/slots").await.unwrap();
-        assert_eq!(response.status, 200);
+        assert_eq!(response.status, 200, "{}", response.text());
         assert!(response.text().contains("booking-desk-erongo-1"));
         let stream = caller.post("/seam-stylist/chat", "notes").await.unwrap();
         assert!(stream.text().contains("seam-stylist-erongo"));
