Report the quarantine to nodes that do not know it

What callers saw: a request that had crashed three targets was sent to targets again, and each crashed. Cause: news of a quarantine went out in at most 12 heartbeats of each node, all within seconds, and then never again. A node that was restarted, replaced or cut off meanwhile was never told, and after a roll of all nodes nobody knew. Class: a belief told for a limited number of times, without a way to find out who lacks it.

Every heartbeat now carries a digest of the sender's quarantine (none while it is empty). A receiver with another digest reports its own, at most every 250 ms to a node, and an empty report asks for the other's. So a node learns what it lacks from the first peer that it hears, however late. Reports carry the time that an entry has left, and a receiver never prolongs it, so entries end everywhere at about the same time and are not kept alive by being told. The addition follows the other fields of the datagram; the version before reads the rest.

Ruled out as the only cause: drowning among suspects (all nodes knew 1.1 s after the find in the failing history).

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -220,6 +220,8 @@
     /// Serial number of the last issued idempotency key.
     pub(crate) key_serial: u64,
     pub(crate) poison: PoisonTable,
+    /// When each node was last sent a report of the quarantine.
+    pub(crate) quarantine_reports: BTreeMap<VmId, Time>,
     pub(crate) crash_watches: BTreeMap<TargetKey, CrashWatch>,
     pub(crate) prefixes: PrefixTable,
     pub(crate) spill: Spill,
@@ -288,6 +290,7 @@
             keys: KeyTable::default(),
             key_serial: 0,
             poison: PoisonTable::default(),
+            quarantine_reports: BTreeMap::new(),
             crash_watches: BTreeMap::new(),
             prefixes: PrefixTable::default(),
             spill: Spill::default(),
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use seam_protocol::heartbeat::{Grant, Shortage};
+use seam_protocol::heartbeat::{Grant, Shortage, Suspect};
 use seam_protocol::{
     CacheEvent, Heartbeat, LoadReport, ServiceLoad, TargetId, Time, VmId, VmRecord,
 };
@@ -15,9 +15,15 @@
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
 use crate::limits::LimitContext;
 use crate::peers::Peers;
+use crate::poison::SUSPECT_TTL;
 use crate::share::{SlotDemand, split};
 use crate::targets::target_nodes;
 
+/// Minimum interval between two reports of the quarantine to the same node.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of quarantined fingerprints in one report.
+const MAX_QUARANTINE_REPORT: usize = 32;
+
 impl Node {
     /// Handles a heartbeat whose message authentication code was verified.
     pub(super) fn receive_heartbeat(
@@ -53,8 +59,26 @@
         } else {
             self.compare_revision(now, heartbeat, newest, out);
         }
-        for suspect in &heartbeat.suspects {
-            if self.poison.merge_suspect(now, *suspect) {
+        self.merge_suspects(now, heartbeat, out);
+        self.merge_work(now, heartbeat);
+        self.lend(now, heartbeat, out);
+        self.accept_grants(now, heartbeat, out);
+        if effect.members_changed {
+            self.refresh_members(now);
+        }
+        if self.awaits_echo(heartbeat) {
+            self.reply_to_new_node(now, heartbeat.from, out);
+        }
+    }
+
+    /// Merges the suspects that a heartbeat lists, and reports this node's quarantine to the sender
+    /// if theirs differ.
+    fn merge_suspects(&mut self, now: Time, heartbeat: &Heartbeat, out: &mut Vec<Command>) {
+        let report = &heartbeat.quarantine;
+        for (index, suspect) in heartbeat.suspects.iter().enumerate() {
+            let lifetime = report.lifetimes.get(index);
+            let lifetime = lifetime.map_or(SUSPECT_TTL, |ms| Duration::from_millis((*ms).into()));
+            if self.poison.merge_suspect(now, *suspect, lifetime) {
                 out.push(self.audit(
                     now,
                     Change::Quarantine,
@@ -64,15 +88,39 @@
                 ));
             }
         }
-        self.merge_work(now, heartbeat);
-        self.lend(now, heartbeat, out);
-        self.accept_grants(now, heartbeat, out);
-        if effect.members_changed {
-            self.refresh_members(now);
+        if report.digest != self.poison.digest() {
+            self.report_quarantine(now, heartbeat.from, out);
         }
-        if self.awaits_echo(heartbeat) {
-            self.reply_to_new_node(now, heartbeat.from, out);
+    }
+
+    /// Reports this node's quarantine to a node whose quarantine differs, at most once per
+    /// [`REPORT_INTERVAL`].
+    ///
+    /// An empty report makes that node report its own.
+    fn report_quarantine(&mut self, now: Time, to: VmId, out: &mut Vec<Command>) {
+        let reported = self.quarantine_reports.get(&to);
+        if reported.is_some_and(|reported| now.since(*reported) < REPORT_INTERVAL) {
+            return;
         }
+        let sent = self.next_timestamp(now);
+        let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) else {
+            return;
+        };
+        self.quarantine_reports.insert(to, now);
+        let reports = self.poison.take_quarantine(now, MAX_QUARANTINE_REPORT);
+        list_suspects(&mut heartbeat, reports);
+        out.push(Command::Heartbeat {
+            to,
+            address,
+            heartbeat,
+        });
+    }
+
+    /// Forgets which nodes were sent a report of the quarantine longer ago than
+    /// [`REPORT_INTERVAL`].
+    pub(super) fn expire_quarantine_reports(&mut self, now: Time) {
+        self.quarantine_reports
+            .retain(|_, reported| now.since(*reported) < REPORT_INTERVAL);
     }
 
     /// Replies with a heartbeat to a node that does not know this process yet.
@@ -322,7 +370,8 @@
                 .summaries
                 .extend(self.peers.summaries(now, round, region, MAX_SUMMARIES));
         }
-        heartbeat.suspects = self.poison.take_updates(MAX_SUSPECTS);
+        let updates = self.poison.take_updates(now, MAX_SUSPECTS);
+        list_suspects(&mut heartbeat, updates);
         out.push(Command::Heartbeat {
             to,
             address,
@@ -356,6 +405,7 @@
         let revision = self.bundle.as_ref()?.revision;
         let mut heartbeat = Box::new(Heartbeat::empty(self.id.vm, self.id.region));
         heartbeat.sent = self.next_timestamp(now).0;
+        heartbeat.quarantine.digest = self.poison.digest();
         heartbeat.records.push(self.own_record(revision));
         self.add_vms(now, &mut heartbeat, false);
         Some(heartbeat)
@@ -395,6 +445,7 @@
         }
         heartbeat.items_revision = self.catalogue.revision();
         heartbeat.platform_reachable = self.catalogue.platform_reachable();
+        heartbeat.quarantine.digest = self.poison.digest();
         heartbeat.records.push(self.own_record(bundle.revision));
         Some((address, heartbeat))
     }
@@ -447,3 +498,12 @@
         }
     }
 }
+
+/// Adds suspects and the time until they expire to a heartbeat.
+fn list_suspects(heartbeat: &mut Heartbeat, suspects: Vec<(Suspect, Duration)>) {
+    for (suspect, lifetime) in suspects {
+        heartbeat.suspects.push(suspect);
+        let lifetimes = &mut heartbeat.quarantine.lifetimes;
+        lifetimes.push(lifetime.as_millis() as u32);
+    }
+}
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -71,6 +71,7 @@
         }
         self.keys.expire(now);
         self.poison.expire(now);
+        self.expire_quarantine_reports(now);
         self.limits.expire(now);
         self.crash_watches
             .retain(|_, watch| now.since(watch.since) < CRASH_PROBE_TIMEOUT);
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -16,8 +16,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     crashes: u8,
-    /// Time at which `crashes` last rose.
-    since: Time,
+    /// [`SUSPECT_TTL`] after a node raised `crashes`.
+    expires: Time,
     /// Times that this entry was sent to peers with this crash count.
     times_sent: u8,
 }
@@ -26,6 +26,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
     entries: BTreeMap<Fingerprint, Entry>,
+    /// Digest of the quarantined fingerprints.
+    digest: u32,
+    /// The quarantined fingerprint that was reported last.
+    last_reported: Option<Fingerprint>,
+}
+
+impl Entry {
+    fn report(&self, now: Time, fingerprint: Fingerprint) -> (Suspect, Duration) {
+        let suspect = Suspect {
+            fingerprint,
+            crashes: self.crashes,
+        };
+        (suspect, self.expires.since(now))
+    }
 }
 
 impl PoisonTable {
@@ -68,12 +82,12 @@
         match (known_suspects.next().copied(), known_suspects.next()) {
             (None, _) => {
                 for fingerprint in ran {
-                    self.raise_crashes(now, *fingerprint, 1);
+                    self.raise_crashes(now + SUSPECT_TTL, *fingerprint, 1);
                 }
                 None
             }
             (Some(culprit), None) => {
-                self.raise_crashes(now, culprit, CRASH_LIMIT);
+                self.raise_crashes(now + SUSPECT_TTL, culprit, CRASH_LIMIT);
                 Some(culprit)
             }
             (Some(_), Some(_)) => None,
@@ -81,41 +95,68 @@
     }
 
     /// Raises the crash count of a fingerprint, and returns whether it was lower before.
-    fn raise_crashes(&mut self, now: Time, fingerprint: Fingerprint, crashes: u8) -> bool {
+    fn raise_crashes(&mut self, expires: Time, fingerprint: Fingerprint, crashes: u8) -> bool {
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&fingerprint) {
             self.drop_oldest_suspect();
         }
         let entry = self.entries.entry(fingerprint).or_insert(Entry {
             crashes: 0,
-            since: now,
+            expires,
             times_sent: 0,
         });
         let raised = crashes > entry.crashes;
         if raised {
             *entry = Entry {
                 crashes,
-                since: now,
+                expires,
                 times_sent: 0,
             };
         }
+        if raised && crashes >= CRASH_LIMIT {
+            self.refresh_digest();
+        }
         raised
     }
 
+    fn refresh_digest(&mut self) {
+        let folded = self.quarantine().map(|fingerprint| {
+            let number = fingerprint.0;
+            (number >> 32) as u32 ^ number as u32
+        });
+        self.digest = folded.fold(0, |digest, folded| digest ^ folded);
+    }
+
+    /// Returns a digest of the quarantined fingerprints, zero for none. Nodes with the same
+    /// quarantine have the same digest.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
     /// Removes the oldest of the entries with the fewest crashes.
     fn drop_oldest_suspect(&mut self) {
         let oldest = self
             .entries
             .iter()
-            .min_by_key(|(_, entry)| (entry.crashes, entry.since))
+            .min_by_key(|(_, entry)| (entry.crashes, entry.expires))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = oldest {
             self.entries.remove(&fingerprint);
+            self.refresh_digest();
         }
     }
 
     /// Merges a suspect reported by a peer. Returns whether its fingerprint is newly quarantined.
-    pub fn merge_suspect(&mut self, now: Time, suspect: Suspect) -> bool {
-        let raised = self.raise_crashes(now, suspect.fingerprint, suspect.crashes.min(CRASH_LIMIT));
+    ///
+    /// `lifetime` is the time until the peer's entry expires. It is not prolonged, so that nodes
+    /// which report to each other forget it at about the same time.
+    pub fn merge_suspect(&mut self, now: Time, suspect: Suspect, lifetime: Duration) -> bool {
+        if lifetime.is_zero() {
+            return false;
+        }
+        let expires = now + lifetime.min(SUSPECT_TTL);
+        let crashes = suspect.crashes.min(CRASH_LIMIT);
+        let raised = self.raise_crashes(expires, suspect.fingerprint, crashes);
         raised && suspect.crashes >= CRASH_LIMIT
     }
 
@@ -128,13 +169,16 @@
 
     /// Removes entries older than [`SUSPECT_TTL`].
     pub fn expire(&mut self, now: Time) {
-        self.entries
-            .retain(|_, entry| now.since(entry.since) < SUSPECT_TTL);
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.expires > now);
+        if self.entries.len() < before {
+            self.refresh_digest();
+        }
     }
 
-    /// Returns up to `limit` entries for gossip, those sent least often first, and counts them as
-    /// sent.
-    pub fn take_updates(&mut self, limit: usize) -> Vec<Suspect> {
+    /// Returns up to `limit` entries for gossip with the time until they expire, those sent least
+    /// often first, and counts them as sent.
+    pub fn take_updates(&mut self, now: Time, limit: usize) -> Vec<(Suspect, Duration)> {
         const MAX_SENDS: u8 = 12;
         let mut entries: Vec<_> = self
             .entries
@@ -147,14 +191,31 @@
             .take(limit)
             .map(|(fingerprint, entry)| {
                 entry.times_sent += 1;
-                Suspect {
-                    fingerprint: *fingerprint,
-                    crashes: entry.crashes,
-                }
+                entry.report(now, *fingerprint)
             })
             .collect()
     }
 
+    /// Returns up to `limit` quarantined entries with the time until they expire, for a peer whose
+    /// quarantine differs. Later calls return the next ones.
+    pub fn take_quarantine(&mut self, now: Time, limit: usize) -> Vec<(Suspect, Duration)> {
+        let last = self.last_reported.unwrap_or(Fingerprint(u64::MAX));
+        let quarantined = |(fingerprint, entry): (&Fingerprint, &Entry)| {
+            (entry.crashes >= CRASH_LIMIT).then(|| entry.report(now, *fingerprint))
+        };
+        let after = self.entries.iter().filter(|(key, _)| **key > last);
+        let before = self.entries.iter().filter(|(key, _)| **key <= last);
+        let reports: Vec<_> = after
+            .chain(before)
+            .filter_map(quarantined)
+            .take(limit)
+            .collect();
+        if let Some((suspect, _)) = reports.last() {
+            self.last_reported = Some(suspect.fingerprint);
+        }
+        reports
+    }
+
     /// Returns the number of suspected and quarantined fingerprints.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -82,6 +82,18 @@
     pub crashes: u8,
 }
 
+/// What a heartbeat says about the sender's quarantine beside the suspects that it lists.
+///
+/// It follows the other fields of the datagram and is left out if it says nothing, so that a process
+/// of an earlier version reads the rest.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineReport {
+    /// Digest of all quarantined fingerprints, zero for none.
+    pub digest: u32,
+    /// For each listed suspect, the milliseconds until its entry expires.
+    pub lifetimes: Vec<u32>,
+}
+
 /// A request for more concurrency units for a customer at the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shortage {
@@ -165,6 +177,9 @@
     pub target_work: Option<Vec<TargetWork>>,
     /// Parts of prompts that targets recently prefilled for the sender.
     pub prefilled: Vec<PrefilledPart>,
+    /// The sender's quarantine.
+    #[serde(skip)]
+    pub quarantine: QuarantineReport,
 }
 
 impl Heartbeat {
@@ -180,13 +195,21 @@
     /// ```
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("a heartbeat always serializes")
+        let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
+        if self.quarantine == QuarantineReport::default() {
+            return bytes;
+        }
+        postcard::to_extend(&self.quarantine, bytes).expect("a report always serializes")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let (mut heartbeat, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        if !rest.is_empty() {
+            heartbeat.quarantine = postcard::from_bytes(rest).ok()?;
+        }
+        Some(heartbeat)
     }
 
     /// Returns a heartbeat without contents.
@@ -209,6 +232,7 @@
             grants: Vec::new(),
             target_work: None,
             prefilled: Vec::new(),
+            quarantine: QuarantineReport::default(),
         }
     }
 }
