Show that an innocent request is refused after its targets crash by themselves

popular_request (known red): every target crashes at once while callers send the same request to all of them; each node sees it alone at two crashes and all nine refuse it for ten minutes. neighbours_served now prints what nodes audited: at the crash of one target two nodes each name a different culprit, since each sees only its own requests there.

--- a/crates/seam-harness/tests/crashing_requests.rs
+++ b/crates/seam-harness/tests/crashing_requests.rs
@@ -268,10 +268,39 @@
     let quarantined = quarantined(&world);
     assert!(
         quarantined.iter().all(|count| *count == 1),
-        "{quarantined:?}"
+        "{quarantined:?}{}",
+        audits(&world)
     );
 }
 
+/// Guards against refusing a request that many callers send because its targets crashed by
+/// themselves, all at once.
+#[test]
+fn popular_request() {
+    let vms = vm_names(&deployments::bulabula()).concat();
+    let mut world = world(10);
+    let op = world
+        .call(Call {
+            poison: false,
+            ..call(&vms[0], WRITER)
+        })
+        .unwrap();
+    let mut send_for = |world: &mut World, seconds: u64| {
+        for round in 0..seconds * 10 {
+            world.run_for(Duration::from_millis(100));
+            world.resend(op, VmId::of(&vms[round as usize % vms.len()]));
+        }
+    };
+    send_for(&mut world, 10);
+    for _ in 0..3 {
+        for target in world.target_names() {
+            world.inject_fault(&Fault::Crash { target, ms: 1000 });
+        }
+        send_for(&mut world, 8);
+    }
+    assert_eq!(quarantined(&world), [0; 9], "{}", audits(&world));
+}
+
 /// One step of a random history.
 #[derive(Clone, Debug)]
 enum Step {
