Add up the crashes of a request over all nodes

What callers saw: a request that crashed targets at several nodes at the same moment stayed a suspect with one crash everywhere and went on to crash more; and neighbours of such a request were refused for ten minutes. Cause: each node judged by its own requests at a crashed target alone. A received count replaced its own if higher, so three nodes with one crash each made one; several suspects at a crash counted for none of them; and at one crash two nodes each named another culprit, since neither saw the other's requests. Class: verdicts from a part of the evidence, which cannot be merged.

Nodes now exchange the crashes themselves (target, time left, whether a node had no other suspect there, how long the request had been there) and merge them as a set, so each node judges by all that was seen. A request is quarantined at three crashes, or at a second one where it was the only suspect. If two nodes say so of two requests at one crash, the one whose runs were shorter is quarantined: a request that crashes targets does so soon after it starts. Crashes of one target within 2 s are one, as it must start again before the next. Each crash ends by itself.

Tried first and dropped: leaving both suspects if two are named. The scenario poison_with_resends then ran the request three times instead of two.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -108,7 +108,8 @@
 /// Requests that may have crashed a target, kept until a probe shows whether it crashed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashWatch {
-    fingerprints: BTreeSet<Fingerprint>,
+    /// The time that each had been at the target.
+    runs: BTreeMap<Fingerprint, Duration>,
     since: Time,
 }
 
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -7,6 +7,7 @@
 use crate::command::Command;
 use crate::event::AttemptOutcome;
 use crate::handle::{AttemptKey, TargetKey};
+use crate::poison::Verdict;
 use crate::request::{Attempt, Destination};
 use crate::targets::PhaseChange;
 
@@ -139,10 +140,10 @@
         out: &mut Vec<Command>,
     ) {
         let known = |fingerprint: &&Fingerprint| self.poison.crashes(**fingerprint) > 0;
-        let suspects = watch.fingerprints.iter().filter(known).count();
-        let listed = watch.fingerprints.iter().take(MAX_LISTED_FINGERPRINTS);
+        let suspects = watch.runs.keys().filter(known).count();
+        let listed = watch.runs.keys().take(MAX_LISTED_FINGERPRINTS);
         let listed: Vec<String> = listed.map(ToString::to_string).collect();
-        let ran = watch.fingerprints.len();
+        let ran = watch.runs.len();
         self.counters.crashes += 1;
         out.push(self.audit(
             now,
@@ -154,21 +155,31 @@
             ),
             format!("fingerprints {}", listed.join(" ")),
         ));
-        let culprit = self.poison.record_crash(now, &watch.fingerprints);
-        if let Some(fingerprint) = culprit {
-            let cause = format!("target {target} crashed under it");
-            let subject = format!("fingerprint {fingerprint}");
-            out.push(self.audit(
-                now,
-                Change::Quarantine,
-                subject,
-                ("suspect", "quarantined"),
-                cause,
-            ));
-        }
+        let verdicts = self.poison.record_crash(now, target, &watch.runs);
+        let cause = format!("target {target} crashed under it");
+        self.audit_verdicts(now, &verdicts, &cause, out);
         self.send_urgent_heartbeats(now, out);
     }
 
+    /// Audits fingerprints that entered or left the quarantine.
+    pub(super) fn audit_verdicts(
+        &self,
+        now: Time,
+        verdicts: &[Verdict],
+        cause: &str,
+        out: &mut Vec<Command>,
+    ) {
+        for verdict in verdicts {
+            let subject = format!("fingerprint {}", verdict.fingerprint);
+            let change = if verdict.quarantined {
+                ("suspect", "quarantined")
+            } else {
+                ("quarantined", "suspect")
+            };
+            out.push(self.audit(now, Change::Quarantine, subject, change, cause));
+        }
+    }
+
     /// Counts a target's change of phase as an ejection and audits it.
     pub(super) fn record_phase_change(
         &mut self,
@@ -355,6 +366,8 @@
                 ..CrashWatch::default()
             }
         });
-        watch.fingerprints.insert(request.fingerprint);
+        let run = now.since(attempt.started);
+        let known = watch.runs.entry(request.fingerprint).or_insert(run);
+        *known = run.min(*known);
     }
 }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -4,25 +4,24 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use seam_protocol::heartbeat::{Grant, Shortage, Suspect};
+use seam_protocol::heartbeat::{Grant, Shortage};
 use seam_protocol::{
     CacheEvent, Heartbeat, LoadReport, ServiceLoad, TargetId, Time, VmId, VmRecord,
 };
 
 use super::Node;
-use crate::audit::Change;
 use crate::command::Command;
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
 use crate::limits::LimitContext;
 use crate::peers::Peers;
-use crate::poison::SUSPECT_TTL;
+use crate::poison::SuspectReport;
 use crate::share::{SlotDemand, split};
 use crate::targets::target_nodes;
 
 /// Minimum interval between two reports of the quarantine to the same node.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of quarantined fingerprints in one report.
-const MAX_QUARANTINE_REPORT: usize = 32;
+/// Maximum number of fingerprints in one report.
+const MAX_QUARANTINE_REPORT: usize = 24;
 
 impl Node {
     /// Handles a heartbeat whose message authentication code was verified.
@@ -76,17 +75,10 @@
     fn merge_suspects(&mut self, now: Time, heartbeat: &Heartbeat, out: &mut Vec<Command>) {
         let report = &heartbeat.quarantine;
         for (index, suspect) in heartbeat.suspects.iter().enumerate() {
-            let lifetime = report.lifetimes.get(index);
-            let lifetime = lifetime.map_or(SUSPECT_TTL, |ms| Duration::from_millis((*ms).into()));
-            if self.poison.merge_suspect(now, *suspect, lifetime) {
-                out.push(self.audit(
-                    now,
-                    Change::Quarantine,
-                    format!("fingerprint {}", suspect.fingerprint),
-                    ("", "quarantined"),
-                    format!("reported by node {}", heartbeat.from),
-                ));
-            }
+            let crashes = report.crashes.get(index).map(Vec::as_slice);
+            let verdicts = self.poison.merge_suspect(now, *suspect, crashes);
+            let cause = format!("reported by node {}", heartbeat.from);
+            self.audit_verdicts(now, &verdicts, &cause, out);
         }
         if report.digest != self.poison.digest() {
             self.report_quarantine(now, heartbeat.from, out);
@@ -107,7 +99,7 @@
             return;
         };
         self.quarantine_reports.insert(to, now);
-        let reports = self.poison.take_quarantine(now, MAX_QUARANTINE_REPORT);
+        let reports = self.poison.take_claims(now, MAX_QUARANTINE_REPORT);
         list_suspects(&mut heartbeat, reports);
         out.push(Command::Heartbeat {
             to,
@@ -499,11 +491,10 @@
     }
 }
 
-/// Adds suspects and the time until they expire to a heartbeat.
-fn list_suspects(heartbeat: &mut Heartbeat, suspects: Vec<(Suspect, Duration)>) {
-    for (suspect, lifetime) in suspects {
+/// Adds suspects with their crashes to a heartbeat.
+fn list_suspects(heartbeat: &mut Heartbeat, suspects: Vec<SuspectReport>) {
+    for (suspect, crashes) in suspects {
         heartbeat.suspects.push(suspect);
-        let lifetimes = &mut heartbeat.quarantine.lifetimes;
-        lifetimes.push(lifetime.as_millis() as u32);
+        heartbeat.quarantine.crashes.push(crashes);
     }
 }
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -1,136 +1,193 @@
 //! Detection of requests that crash their targets.
+//!
+//! Each node sees only its own requests at a target that crashes, so nodes exchange the crashes
+//! that they attribute to a fingerprint and add them up.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use seam_protocol::heartbeat::Suspect;
-use seam_protocol::{Fingerprint, Time};
+use seam_protocol::heartbeat::{CrashReport, Suspect};
+use seam_protocol::{Fingerprint, TargetId, Time};
 
-/// Number of crashes at which a fingerprint is quarantined.
-pub const CRASH_LIMIT: u8 = 2;
-/// Lifetime of a suspicion or quarantine after the crash count last rose.
+/// Number of crashes at which a fingerprint is quarantined, whatever else ran at the targets.
+pub const CRASH_LIMIT: usize = 3;
+/// Lifetime of a crash in the table.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Largest number of fingerprints in the table.
 const MAX_ENTRIES: usize = 4096;
+/// Crashes of a target that nodes saw within this time are one crash, since it has to start again
+/// before the next.
+const CRASH_SPAN: Duration = Duration::from_secs(2);
 
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    crashes: u8,
-    /// [`SUSPECT_TTL`] after a node raised `crashes`.
+/// A crash of a target that ran a request with a certain fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    target: TargetId,
+    /// [`SUSPECT_TTL`] after the crash.
     expires: Time,
-    /// Times that this entry was sent to peers with this crash count.
+    /// Whether a node had no other suspect at the target.
+    alone: bool,
+    /// How long the request had been at the target.
+    run: Duration,
+}
+
+impl Crash {
+    fn is_same(&self, other: &Self) -> bool {
+        let (first, last) = (
+            self.expires.min(other.expires),
+            self.expires.max(other.expires),
+        );
+        self.target == other.target && last.since(first) < CRASH_SPAN
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    /// At most [`CRASH_LIMIT`] crashes.
+    crashes: Vec<Crash>,
+    /// Times that this entry was sent to peers with these crashes.
     times_sent: u8,
 }
 
+impl Entry {
+    /// Adds a crash, unless it is known or enough others are.
+    fn add(&mut self, crash: Crash) {
+        let same = self.crashes.iter().position(|known| known.is_same(&crash));
+        let news = match same {
+            Some(index) => {
+                let known = &mut self.crashes[index];
+                known.run = known.run.min(crash.run);
+                crash.alone && !std::mem::replace(&mut known.alone, true)
+            }
+            None if self.crashes.len() < CRASH_LIMIT => {
+                self.crashes.push(crash);
+                true
+            }
+            None => false,
+        };
+        if news {
+            self.times_sent = 0;
+        }
+    }
+
+    /// Returns whether the entry may be a reason for a quarantine.
+    fn is_claim(&self) -> bool {
+        self.crashes.len() >= CRASH_LIMIT || self.crashes.iter().any(|crash| crash.alone)
+    }
+
+    fn longest_run(&self) -> Duration {
+        let runs = self.crashes.iter().map(|crash| crash.run);
+        runs.max().unwrap_or_default()
+    }
+
+    fn expires(&self) -> Time {
+        let ends = self.crashes.iter().map(|crash| crash.expires);
+        ends.max().unwrap_or_default()
+    }
+}
+
+/// A suspect as it is reported to peers, with the crashes attributed to it.
+pub type SuspectReport = (Suspect, Vec<CrashReport>);
+
+/// A fingerprint that entered or left the quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Whether it is quarantined now.
+    pub quarantined: bool,
+}
+
 /// Suspected and quarantined fingerprints.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
     entries: BTreeMap<Fingerprint, Entry>,
-    /// Digest of the quarantined fingerprints.
+    quarantine: BTreeSet<Fingerprint>,
+    /// Digest of the claims and which of them are quarantined.
     digest: u32,
-    /// The quarantined fingerprint that was reported last.
+    /// The fingerprint of the claim that was reported last.
     last_reported: Option<Fingerprint>,
 }
 
-impl Entry {
-    fn report(&self, now: Time, fingerprint: Fingerprint) -> (Suspect, Duration) {
-        let suspect = Suspect {
-            fingerprint,
-            crashes: self.crashes,
-        };
-        (suspect, self.expires.since(now))
-    }
-}
-
 impl PoisonTable {
     /// Returns the number of crashes attributed to a fingerprint.
     ///
     /// ```
-    /// use std::collections::BTreeSet;
+    /// use std::collections::BTreeMap;
+    /// use std::time::Duration;
     /// use seam_core::poison::PoisonTable;
-    /// use seam_protocol::{Fingerprint, Time};
+    /// use seam_protocol::{Fingerprint, TargetId, Time};
+    /// let run = Duration::from_millis(50);
     /// let mut table = PoisonTable::default();
-    /// let both = BTreeSet::from([Fingerprint(1), Fingerprint(2)]);
-    /// assert_eq!(table.record_crash(Time(0), &both), None);
+    /// let both = BTreeMap::from([(Fingerprint(1), run), (Fingerprint(2), run)]);
+    /// table.record_crash(Time(0), TargetId(1), &both);
+    /// assert!(!table.quarantined(Fingerprint(1)));
     /// // Only fingerprint 1 ran on both crashed targets.
-    /// let again = BTreeSet::from([Fingerprint(1), Fingerprint(3)]);
-    /// assert_eq!(table.record_crash(Time(1), &again), Some(Fingerprint(1)));
+    /// let again = BTreeMap::from([(Fingerprint(1), run), (Fingerprint(3), run)]);
+    /// table.record_crash(Time(1), TargetId(2), &again);
+    /// assert!(table.quarantined(Fingerprint(1)));
     /// assert_eq!(table.crashes(Fingerprint(3)), 0);
     /// ```
     #[must_use]
-    pub fn crashes(&self, fingerprint: Fingerprint) -> u8 {
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
         self.entries
             .get(&fingerprint)
-            .map_or(0, |entry| entry.crashes)
+            .map_or(0, |entry| entry.crashes.len())
     }
 
     /// Returns whether a fingerprint is quarantined, so that its requests are refused.
     #[must_use]
     pub fn quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.crashes(fingerprint) >= CRASH_LIMIT
+        self.quarantine.contains(&fingerprint)
     }
 
-    /// Attributes a crash to the requests that ran on the crashed target.
+    /// Attributes a crash to the requests of this node that ran on the crashed target, with the
+    /// time that each had been there.
     ///
-    /// If none of them is a suspect yet, all become suspects. If exactly one is, it is quarantined
-    /// and returned, and the others do not become suspects. If several are, the crash cannot be
-    /// attributed and nothing changes.
-    pub fn record_crash(&mut self, now: Time, ran: &BTreeSet<Fingerprint>) -> Option<Fingerprint> {
-        let mut known_suspects = ran
-            .iter()
-            .filter(|fingerprint| self.crashes(**fingerprint) > 0);
-        match (known_suspects.next().copied(), known_suspects.next()) {
-            (None, _) => {
-                for fingerprint in ran {
-                    self.raise_crashes(now + SUSPECT_TTL, *fingerprint, 1);
-                }
-                None
-            }
-            (Some(culprit), None) => {
-                self.raise_crashes(now + SUSPECT_TTL, culprit, CRASH_LIMIT);
-                Some(culprit)
+    /// If none of them was a suspect before, all become suspects. Otherwise the crash is attributed
+    /// to the suspects. One that was the only suspect there is quarantined. If another node says
+    /// the same of another request at the same crash, only the one is quarantined whose runs were
+    /// shorter, since such a request crashes its targets soon. Each is quarantined at
+    /// [`CRASH_LIMIT`] crashes.
+    pub fn record_crash(
+        &mut self,
+        now: Time,
+        target: TargetId,
+        ran: &BTreeMap<Fingerprint, Duration>,
+    ) -> Vec<Verdict> {
+        let crash = Crash {
+            target,
+            expires: now + SUSPECT_TTL,
+            alone: false,
+            run: Duration::ZERO,
+        };
+        let was_suspect = |fingerprint: &Fingerprint| {
+            let entry = self.entries.get(fingerprint);
+            entry.is_some_and(|entry| {
+                let mut crashes = entry.crashes.iter();
+                crashes.any(|known| !known.is_same(&crash))
+            })
+        };
+        let suspects: BTreeSet<Fingerprint> = ran.keys().copied().filter(was_suspect).collect();
+        for (fingerprint, run) in ran {
+            if suspects.is_empty() || suspects.contains(fingerprint) {
+                let crash = Crash {
+                    alone: suspects.len() == 1,
+                    run: *run,
+                    ..crash
+                };
+                self.add_crash(*fingerprint, crash);
             }
-            (Some(_), Some(_)) => None,
         }
+        self.judge()
     }
 
-    /// Raises the crash count of a fingerprint, and returns whether it was lower before.
-    fn raise_crashes(&mut self, expires: Time, fingerprint: Fingerprint, crashes: u8) -> bool {
+    /// Attributes a crash to a fingerprint.
+    fn add_crash(&mut self, fingerprint: Fingerprint, crash: Crash) {
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&fingerprint) {
             self.drop_oldest_suspect();
         }
-        let entry = self.entries.entry(fingerprint).or_insert(Entry {
-            crashes: 0,
-            expires,
-            times_sent: 0,
-        });
-        let raised = crashes > entry.crashes;
-        if raised {
-            *entry = Entry {
-                crashes,
-                expires,
-                times_sent: 0,
-            };
-        }
-        if raised && crashes >= CRASH_LIMIT {
-            self.refresh_digest();
-        }
-        raised
-    }
-
-    fn refresh_digest(&mut self) {
-        let folded = self.quarantine().map(|fingerprint| {
-            let number = fingerprint.0;
-            (number >> 32) as u32 ^ number as u32
-        });
-        self.digest = folded.fold(0, |digest, folded| digest ^ folded);
-    }
-
-    /// Returns a digest of the quarantined fingerprints, zero for none. Nodes with the same
-    /// quarantine have the same digest.
-    #[must_use]
-    pub fn digest(&self) -> u32 {
-        self.digest
+        self.entries.entry(fingerprint).or_default().add(crash);
     }
 
     /// Removes the oldest of the entries with the fewest crashes.
@@ -138,77 +195,153 @@
         let oldest = self
             .entries
             .iter()
-            .min_by_key(|(_, entry)| (entry.crashes, entry.expires))
+            .min_by_key(|(_, entry)| (entry.is_claim(), entry.crashes.len(), entry.expires()))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = oldest {
             self.entries.remove(&fingerprint);
-            self.refresh_digest();
         }
     }
 
-    /// Merges a suspect reported by a peer. Returns whether its fingerprint is newly quarantined.
+    /// Decides anew which fingerprints are quarantined. Returns those for which that changed.
+    fn judge(&mut self) -> Vec<Verdict> {
+        let mut claimed: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
+        for (fingerprint, entry) in &self.entries {
+            for crash in entry.crashes.iter().filter(|crash| crash.alone) {
+                let claims = claimed.entry(crash.target).or_default();
+                claims.push((*crash, *fingerprint));
+            }
+        }
+        let contested = |fingerprint: Fingerprint, crash: &Crash| {
+            let run = self.entries[&fingerprint].longest_run();
+            let mut claims = claimed[&crash.target].iter();
+            claims.any(|(claim, other)| {
+                *other != fingerprint
+                    && crash.is_same(claim)
+                    && self.entries[other].longest_run() <= run
+            })
+        };
+        let mut quarantine = BTreeSet::new();
+        let mut digest = 0;
+        for (fingerprint, entry) in self.entries.iter().filter(|(_, entry)| entry.is_claim()) {
+            let mut alone = entry.crashes.iter().filter(|crash| crash.alone);
+            let guilty = entry.crashes.len() >= CRASH_LIMIT
+                || alone.any(|crash| !contested(*fingerprint, crash));
+            if guilty {
+                quarantine.insert(*fingerprint);
+            }
+            let folded = (fingerprint.0 >> 32) as u32 ^ fingerprint.0 as u32;
+            digest ^= folded.rotate_left(u32::from(guilty));
+        }
+        let before = std::mem::replace(&mut self.quarantine, quarantine);
+        self.digest = digest;
+        let changed = before.symmetric_difference(&self.quarantine);
+        changed
+            .map(|fingerprint| Verdict {
+                fingerprint: *fingerprint,
+                quarantined: self.quarantine.contains(fingerprint),
+            })
+            .collect()
+    }
+
+    /// Returns a digest of what the quarantine follows from, zero for nothing. Nodes with the same
+    /// quarantine have the same digest.
+    #[must_use]
+    pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// Merges a suspect reported by a peer. Returns the fingerprints that entered or left the
+    /// quarantine.
     ///
-    /// `lifetime` is the time until the peer's entry expires. It is not prolonged, so that nodes
-    /// which report to each other forget it at about the same time.
-    pub fn merge_suspect(&mut self, now: Time, suspect: Suspect, lifetime: Duration) -> bool {
-        if lifetime.is_zero() {
-            return false;
+    /// `crashes` is `None` for a peer that does not report them. The lifetimes in it are not
+    /// prolonged, so that nodes which report to each other forget a crash at about the same time.
+    pub fn merge_suspect(
+        &mut self,
+        now: Time,
+        suspect: Suspect,
+        crashes: Option<&[CrashReport]>,
+    ) -> Vec<Verdict> {
+        let unnamed = [CrashReport {
+            target: TargetId(suspect.fingerprint.0 as u32),
+            lifetime: SUSPECT_TTL.as_millis() as u32,
+            alone: suspect.crashes > 1,
+            run: 0,
+        }];
+        for report in crashes.unwrap_or(&unnamed) {
+            let lifetime = Duration::from_millis(report.lifetime.into());
+            if lifetime.is_zero() {
+                continue;
+            }
+            let crash = Crash {
+                target: report.target,
+                expires: now + lifetime.min(SUSPECT_TTL),
+                alone: report.alone,
+                run: Duration::from_millis(report.run.into()),
+            };
+            self.add_crash(suspect.fingerprint, crash);
+        }
+        let claim = self.entries.get(&suspect.fingerprint);
+        if claim.is_some_and(Entry::is_claim) {
+            self.judge()
+        } else {
+            Vec::new()
         }
-        let expires = now + lifetime.min(SUSPECT_TTL);
-        let crashes = suspect.crashes.min(CRASH_LIMIT);
-        let raised = self.raise_crashes(expires, suspect.fingerprint, crashes);
-        raised && suspect.crashes >= CRASH_LIMIT
     }
 
     /// Removes a suspect whose request ran to its end. A quarantined fingerprint stays.
     pub fn clear_suspect(&mut self, fingerprint: Fingerprint) {
         if !self.quarantined(fingerprint) {
             self.entries.remove(&fingerprint);
+            self.judge();
         }
     }
 
-    /// Removes entries older than [`SUSPECT_TTL`].
+    /// Removes crashes older than [`SUSPECT_TTL`].
     pub fn expire(&mut self, now: Time) {
-        let before = self.entries.len();
-        self.entries.retain(|_, entry| entry.expires > now);
-        if self.entries.len() < before {
-            self.refresh_digest();
+        let mut expired = false;
+        self.entries.retain(|_, entry| {
+            let known = entry.crashes.len();
+            entry.crashes.retain(|crash| crash.expires > now);
+            expired |= entry.crashes.len() < known;
+            !entry.crashes.is_empty()
+        });
+        if expired {
+            self.judge();
         }
     }
 
-    /// Returns up to `limit` entries for gossip with the time until they expire, those sent least
-    /// often first, and counts them as sent.
-    pub fn take_updates(&mut self, now: Time, limit: usize) -> Vec<(Suspect, Duration)> {
+    /// Returns up to `limit` entries for gossip, those sent least often first, and counts them as
+    /// sent.
+    pub fn take_updates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
         const MAX_SENDS: u8 = 12;
+        let quarantine = &self.quarantine;
         let mut entries: Vec<_> = self
             .entries
             .iter_mut()
             .filter(|(_, entry)| entry.times_sent < MAX_SENDS)
             .collect();
-        entries.sort_by_key(|(_, entry)| (entry.times_sent, u8::MAX - entry.crashes));
+        entries.sort_by_key(|(_, entry)| (entry.times_sent, CRASH_LIMIT - entry.crashes.len()));
         entries
             .into_iter()
             .take(limit)
             .map(|(fingerprint, entry)| {
                 entry.times_sent += 1;
-                entry.report(now, *fingerprint)
+                report(now, *fingerprint, entry, quarantine)
             })
             .collect()
     }
 
-    /// Returns up to `limit` quarantined entries with the time until they expire, for a peer whose
-    /// quarantine differs. Later calls return the next ones.
-    pub fn take_quarantine(&mut self, now: Time, limit: usize) -> Vec<(Suspect, Duration)> {
+    /// Returns up to `limit` entries that the quarantine follows from, for a peer with another
+    /// digest. Later calls return the next ones.
+    pub fn take_claims(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
         let last = self.last_reported.unwrap_or(Fingerprint(u64::MAX));
-        let quarantined = |(fingerprint, entry): (&Fingerprint, &Entry)| {
-            (entry.crashes >= CRASH_LIMIT).then(|| entry.report(now, *fingerprint))
-        };
         let after = self.entries.iter().filter(|(key, _)| **key > last);
         let before = self.entries.iter().filter(|(key, _)| **key <= last);
         let reports: Vec<_> = after
             .chain(before)
-            .filter_map(quarantined)
+            .filter(|(_, entry)| entry.is_claim())
             .take(limit)
+            .map(|(fingerprint, entry)| report(now, *fingerprint, entry, &self.quarantine))
             .collect();
         if let Some((suspect, _)) = reports.last() {
             self.last_reported = Some(suspect.fingerprint);
@@ -230,9 +363,26 @@
 
     /// Returns the quarantined fingerprints.
     pub fn quarantine(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| entry.crashes >= CRASH_LIMIT)
-            .map(|(fingerprint, _)| *fingerprint)
+        self.quarantine.iter().copied()
     }
 }
+
+/// Returns an entry as it is reported to peers.
+fn report(
+    now: Time,
+    fingerprint: Fingerprint,
+    entry: &Entry,
+    quarantine: &BTreeSet<Fingerprint>,
+) -> SuspectReport {
+    let suspect = Suspect {
+        fingerprint,
+        crashes: 1 + u8::from(quarantine.contains(&fingerprint)),
+    };
+    let crashes = entry.crashes.iter().map(|crash| CrashReport {
+        target: crash.target,
+        lifetime: crash.expires.since(now).as_millis() as u32,
+        alone: crash.alone,
+        run: crash.run.as_millis() as u32,
+    });
+    (suspect, crashes.collect())
+}
--- a/crates/seam-harness/tests/crashing_requests.rs
+++ b/crates/seam-harness/tests/crashing_requests.rs
@@ -285,7 +285,7 @@
             ..call(&vms[0], WRITER)
         })
         .unwrap();
-    let mut send_for = |world: &mut World, seconds: u64| {
+    let send_for = |world: &mut World, seconds: u64| {
         for round in 0..seconds * 10 {
             world.run_for(Duration::from_millis(100));
             world.resend(op, VmId::of(&vms[round as usize % vms.len()]));
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -82,16 +82,29 @@
     pub crashes: u8,
 }
 
+/// A crash of a target that is attributed to a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The target.
+    pub target: TargetId,
+    /// Milliseconds until the sender forgets the crash.
+    pub lifetime: u32,
+    /// Whether a node had no other suspect at the target.
+    pub alone: bool,
+    /// Milliseconds that the request had been at the target.
+    pub run: u32,
+}
+
 /// What a heartbeat says about the sender's quarantine beside the suspects that it lists.
 ///
 /// It follows the other fields of the datagram and is left out if it says nothing, so that a process
 /// of an earlier version reads the rest.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineReport {
-    /// Digest of all quarantined fingerprints, zero for none.
+    /// Digest of what the quarantine follows from, zero for nothing.
     pub digest: u32,
-    /// For each listed suspect, the milliseconds until its entry expires.
-    pub lifetimes: Vec<u32>,
+    /// For each listed suspect, the crashes attributed to it.
+    pub crashes: Vec<Vec<CrashReport>>,
 }
 
 /// A request for more concurrency units for a customer at the sender.
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,7 +1,7 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
-use seam_protocol::heartbeat::{QuarantineReport, Suspect};
-use seam_protocol::{Fingerprint, Heartbeat, RegionId, VmId};
+use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect};
+use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
 fn heartbeat() -> Heartbeat {
     let mut heartbeat = Heartbeat::empty(VmId(1), RegionId(2));
@@ -17,7 +17,12 @@
     let mut heartbeat = heartbeat();
     heartbeat.quarantine = QuarantineReport {
         digest: 4,
-        lifetimes: vec![599_999],
+        crashes: vec![vec![CrashReport {
+            target: TargetId(5),
+            lifetime: 599_999,
+            alone: true,
+            run: 50,
+        }]],
     };
     assert_eq!(
         Heartbeat::decode(&heartbeat.encode()),
