Suspect no request that ran to a successful end at this node

What callers saw: after targets crashed by themselves, all at once, a request that many callers send was refused everywhere for ten minutes: each node saw it alone at two crashes. Cause: that a request ran to its end counted only if it had been a suspect when it started, only until the next crash, and even an error counted. Class: evidence against a request outlives evidence for it.

A node remembers for ten minutes which requests (by fingerprint, the last 4,096) ran to a successful end there, neither suspects nor refuses them, and keeps what its peers report only to pass it on. A request that crashes every target never ends well. An error response no longer counts, since a failing target may send one to a request that it did not run.

Reports of a process of the version before, which names no crashes, count as one crash however often they come: unnamed_crashes. In the harness events are boxed, as a heartbeat has grown.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -16,6 +16,8 @@
     Complete {
         /// The response, if it was small enough to keep.
         response: Option<Arc<StoredResponse>>,
+        /// Whether it reports success.
+        success: bool,
     },
     /// It is certain that nothing was sent.
     NotSent,
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -139,7 +139,7 @@
         watch: &CrashWatch,
         out: &mut Vec<Command>,
     ) {
-        let known = |fingerprint: &&Fingerprint| self.poison.crashes(**fingerprint) > 0;
+        let known = |fingerprint: &&Fingerprint| self.poison.suspected(**fingerprint);
         let suspects = watch.runs.keys().filter(known).count();
         let listed = watch.runs.keys().take(MAX_LISTED_FINGERPRINTS);
         let listed: Vec<String> = listed.map(ToString::to_string).collect();
@@ -256,7 +256,12 @@
             self.service_state(service).queue.end(customer);
         }
         match &outcome {
-            AttemptOutcome::Complete { .. } => self.record_success(now, &attempt, target),
+            AttemptOutcome::Complete { success, .. } => {
+                self.record_success(now, &attempt, target);
+                if *success && let Some(request) = self.requests.get(&attempt.ticket) {
+                    self.poison.record_completion(now, request.fingerprint);
+                }
+            }
             AttemptOutcome::NotSent if !attempt.cancelled => {
                 let change = self.targets.record_failure(now, target, true);
                 self.record_phase_change(now, change, "connection refused", out);
@@ -272,7 +277,7 @@
         self.dispatch(now, service, out);
     }
 
-    /// Updates measurements, recorded prefixes and suspects after a complete response.
+    /// Updates measurements and recorded prefixes after a complete response.
     fn record_success(&mut self, now: Time, attempt: &Attempt, target: TargetKey) {
         let elapsed = now.since(attempt.started);
         let streams = self
@@ -285,9 +290,6 @@
         let Some(request) = self.requests.get(&attempt.ticket) else {
             return;
         };
-        if attempt.suspect {
-            self.poison.clear_suspect(request.fingerprint);
-        }
         if let Some(prefix) = request.prefix {
             self.prefixes.record(now, target, prefix);
         }
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -53,7 +53,7 @@
                 continue;
             }
             let request = &self.requests[&ticket];
-            let suspect = self.poison.crashes(request.fingerprint) > 0;
+            let suspect = self.poison.suspected(request.fingerprint);
             let (prompt, avoid) = (request.prompt.clone(), request.avoid.clone());
             let chosen = self.choose(
                 now,
@@ -162,7 +162,7 @@
         let target = chosen.key;
         let attempt = self.start_attempt(now, ticket, Destination::Target(target), chosen.work);
         let request = &self.requests[&ticket];
-        let suspect = self.poison.crashes(request.fingerprint) > 0;
+        let suspect = self.poison.suspected(request.fingerprint);
         let keep = request.local_key;
         let budget = request.budget(now);
         let service = request.service;
@@ -222,7 +222,7 @@
         self.next_attempt += 1;
         let key = AttemptKey(self.next_attempt);
         self.request_mut(ticket).attempts += 1;
-        let suspect = self.poison.crashes(self.requests[&ticket].fingerprint) > 0;
+        let suspect = self.poison.suspected(self.requests[&ticket].fingerprint);
         self.attempts.insert(
             key,
             Attempt {
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -43,7 +43,7 @@
         // Refused requests are load on a target too, so their retries also use the retry budget.
         let spends_budget = matches!(attempt.destination, Destination::Target(_));
         match outcome {
-            AttemptOutcome::Complete { response } => self.complete(now, ticket, response, out),
+            AttemptOutcome::Complete { response, .. } => self.complete(now, ticket, response, out),
             AttemptOutcome::NotSent if sent_to_owner => {
                 self.pass_refusal(ticket, Refusal::unknown(Reason::KeyOwner), out);
             }
@@ -79,7 +79,7 @@
                 let refusal = Refusal::unknown(reason);
                 // A suspect whose connection breaks again may be crashing its targets, so it is not
                 // retried.
-                let suspect = !attempt.silent && self.poison.crashes(request.fingerprint) > 0;
+                let suspect = !attempt.silent && self.poison.suspected(request.fingerprint);
                 let resumable = request.route.is_some_and(|class| class.resumable);
                 if repeatable && (!started || resumable) && !suspect {
                     self.retry_or_refuse(now, ticket, refusal, true, out);
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -3,7 +3,7 @@
 //! Each node sees only its own requests at a target that crashes, so nodes exchange the crashes
 //! that they attribute to a fingerprint and add them up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use seam_protocol::heartbeat::{CrashReport, Suspect};
@@ -15,6 +15,8 @@
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Largest number of fingerprints in the table.
 const MAX_ENTRIES: usize = 4096;
+/// Largest number of completions that are remembered.
+const MAX_COMPLETIONS: usize = 4096;
 /// Crashes of a target that nodes saw within this time are one crash, since it has to start again
 /// before the next.
 const CRASH_SPAN: Duration = Duration::from_secs(2);
@@ -86,6 +88,43 @@
     }
 }
 
+/// Fingerprints of requests that ran to a successful end lately.
+#[derive(Clone, Debug, Default)]
+struct Completions {
+    last: BTreeMap<Fingerprint, Time>,
+    /// Each completion, the oldest first.
+    queue: VecDeque<(Time, Fingerprint)>,
+}
+
+impl Completions {
+    fn record(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.last.insert(fingerprint, now);
+        self.queue.push_back((now, fingerprint));
+        if self.queue.len() > MAX_COMPLETIONS {
+            self.drop_oldest();
+        }
+    }
+
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.last.contains_key(&fingerprint)
+    }
+
+    fn expire(&mut self, now: Time) {
+        let expired = |(time, _): &(Time, Fingerprint)| now.since(*time) >= SUSPECT_TTL;
+        while self.queue.front().is_some_and(expired) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((time, fingerprint)) = self.queue.pop_front()
+            && self.last.get(&fingerprint) == Some(&time)
+        {
+            self.last.remove(&fingerprint);
+        }
+    }
+}
+
 /// A suspect as it is reported to peers, with the crashes attributed to it.
 pub type SuspectReport = (Suspect, Vec<CrashReport>);
 
@@ -107,10 +146,18 @@
     digest: u32,
     /// The fingerprint of the claim that was reported last.
     last_reported: Option<Fingerprint>,
+    completed: Completions,
 }
 
 impl PoisonTable {
-    /// Returns the number of crashes attributed to a fingerprint.
+    /// Returns whether a fingerprint is suspected, so that its requests share no target with other
+    /// suspects.
+    #[must_use]
+    pub fn suspected(&self, fingerprint: Fingerprint) -> bool {
+        self.entries.contains_key(&fingerprint) && !self.completed.contains(fingerprint)
+    }
+
+    /// Returns whether a fingerprint is quarantined, so that its requests are refused.
     ///
     /// ```
     /// use std::collections::BTreeMap;
@@ -126,23 +173,15 @@
     /// let again = BTreeMap::from([(Fingerprint(1), run), (Fingerprint(3), run)]);
     /// table.record_crash(Time(1), TargetId(2), &again);
     /// assert!(table.quarantined(Fingerprint(1)));
-    /// assert_eq!(table.crashes(Fingerprint(3)), 0);
+    /// assert!(!table.suspected(Fingerprint(3)));
     /// ```
     #[must_use]
-    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.entries
-            .get(&fingerprint)
-            .map_or(0, |entry| entry.crashes.len())
-    }
-
-    /// Returns whether a fingerprint is quarantined, so that its requests are refused.
-    #[must_use]
     pub fn quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.quarantine.contains(&fingerprint)
+        self.quarantine.contains(&fingerprint) && !self.completed.contains(fingerprint)
     }
 
     /// Attributes a crash to the requests of this node that ran on the crashed target, with the
-    /// time that each had been there.
+    /// time that each had been there. Those that ran to a successful end before are left out.
     ///
     /// If none of them was a suspect before, all become suspects. Otherwise the crash is attributed
     /// to the suspects. One that was the only suspect there is quarantined. If another node says
@@ -161,6 +200,11 @@
             alone: false,
             run: Duration::ZERO,
         };
+        let ran: BTreeMap<Fingerprint, Duration> = ran
+            .iter()
+            .filter(|(fingerprint, _)| !self.completed.contains(**fingerprint))
+            .map(|(fingerprint, run)| (*fingerprint, *run))
+            .collect();
         let was_suspect = |fingerprint: &Fingerprint| {
             let entry = self.entries.get(fingerprint);
             entry.is_some_and(|entry| {
@@ -170,13 +214,13 @@
         };
         let suspects: BTreeSet<Fingerprint> = ran.keys().copied().filter(was_suspect).collect();
         for (fingerprint, run) in ran {
-            if suspects.is_empty() || suspects.contains(fingerprint) {
+            if suspects.is_empty() || suspects.contains(&fingerprint) {
                 let crash = Crash {
                     alone: suspects.len() == 1,
-                    run: *run,
+                    run,
                     ..crash
                 };
-                self.add_crash(*fingerprint, crash);
+                self.add_crash(fingerprint, crash);
             }
         }
         self.judge()
@@ -261,12 +305,7 @@
         suspect: Suspect,
         crashes: Option<&[CrashReport]>,
     ) -> Vec<Verdict> {
-        let unnamed = [CrashReport {
-            target: TargetId(suspect.fingerprint.0 as u32),
-            lifetime: SUSPECT_TTL.as_millis() as u32,
-            alone: suspect.crashes > 1,
-            run: 0,
-        }];
+        let unnamed = [self.unnamed_crash(now, suspect)];
         for report in crashes.unwrap_or(&unnamed) {
             let lifetime = Duration::from_millis(report.lifetime.into());
             if lifetime.is_zero() {
@@ -288,16 +327,34 @@
         }
     }
 
-    /// Removes a suspect whose request ran to its end. A quarantined fingerprint stays.
-    pub fn clear_suspect(&mut self, fingerprint: Fingerprint) {
-        if !self.quarantined(fingerprint) {
-            self.entries.remove(&fingerprint);
-            self.judge();
+    /// Returns a report for a peer that reports no crashes. All such reports of a fingerprint are the
+    /// same crash, however often peers repeat them.
+    fn unnamed_crash(&self, now: Time, suspect: Suspect) -> CrashReport {
+        let target = TargetId(suspect.fingerprint.0 as u32);
+        let entry = self.entries.get(&suspect.fingerprint);
+        let known = entry.and_then(|entry| {
+            let mut crashes = entry.crashes.iter();
+            crashes.find(|crash| crash.target == target)
+        });
+        let lifetime = known.map_or(SUSPECT_TTL, |crash| crash.expires.since(now));
+        CrashReport {
+            target,
+            lifetime: lifetime.as_millis() as u32,
+            alone: suspect.crashes > 1,
+            run: 0,
         }
     }
 
+    /// Records that a request ran to a successful end here. For [`SUSPECT_TTL`] this node neither
+    /// suspects nor refuses its fingerprint, whatever its peers report: a request that crashes each
+    /// target never gets so far.
+    pub fn record_completion(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.completed.record(now, fingerprint);
+    }
+
     /// Removes crashes older than [`SUSPECT_TTL`].
     pub fn expire(&mut self, now: Time) {
+        self.completed.expire(now);
         let mut expired = false;
         self.entries.retain(|_, entry| {
             let known = entry.crashes.len();
@@ -361,9 +418,10 @@
         self.entries.is_empty()
     }
 
-    /// Returns the quarantined fingerprints.
+    /// Returns the quarantined fingerprints, whose requests are refused.
     pub fn quarantine(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.quarantine.iter().copied()
+        let refused = |fingerprint: &Fingerprint| !self.completed.contains(*fingerprint);
+        self.quarantine.iter().copied().filter(refused)
     }
 }
 
--- /dev/null
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -0,0 +1,110 @@
+//! Attribution of crashes to requests, and the exchange of crashes between nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use seam_core::poison::{PoisonTable, SUSPECT_TTL};
+use seam_protocol::heartbeat::Suspect;
+use seam_protocol::{Fingerprint, TargetId, Time};
+
+const CULPRIT: Fingerprint = Fingerprint(1);
+const NEIGHBOUR: Fingerprint = Fingerprint(2);
+
+fn at(seconds: u64) -> Time {
+    Time(0) + Duration::from_secs(seconds)
+}
+
+fn ran(fingerprints: &[(Fingerprint, u64)]) -> BTreeMap<Fingerprint, Duration> {
+    let runs = fingerprints.iter();
+    runs.map(|(fingerprint, ms)| (*fingerprint, Duration::from_millis(*ms)))
+        .collect()
+}
+
+/// Passes everything that one node knows to another.
+fn tell(now: Time, from: &mut PoisonTable, to: &mut PoisonTable) {
+    for (suspect, crashes) in from.take_updates(now, 100) {
+        to.merge_suspect(now, suspect, Some(&crashes));
+    }
+}
+
+/// Guards against a quarantine after one crash that two nodes saw.
+#[test]
+fn one_crash() {
+    let (mut one, mut other) = (PoisonTable::default(), PoisonTable::default());
+    one.record_crash(at(10), TargetId(1), &ran(&[(CULPRIT, 50)]));
+    tell(at(10), &mut one, &mut other);
+    other.record_crash(at(11), TargetId(1), &ran(&[(CULPRIT, 50)]));
+    assert!(other.suspected(CULPRIT));
+    assert!(!other.quarantined(CULPRIT));
+    other.record_crash(at(14), TargetId(1), &ran(&[(CULPRIT, 50)]));
+    assert!(other.quarantined(CULPRIT));
+}
+
+/// Guards against two nodes that each refuse another request for the same crash.
+#[test]
+fn two_claims() {
+    let (mut one, mut other) = (PoisonTable::default(), PoisonTable::default());
+    one.record_crash(at(10), TargetId(1), &ran(&[(CULPRIT, 50)]));
+    other.record_crash(at(10), TargetId(1), &ran(&[(NEIGHBOUR, 900)]));
+    one.record_crash(at(20), TargetId(2), &ran(&[(CULPRIT, 50)]));
+    other.record_crash(at(20), TargetId(2), &ran(&[(NEIGHBOUR, 50)]));
+    assert!(other.quarantined(NEIGHBOUR));
+    assert_ne!(one.digest(), other.digest());
+    tell(at(21), &mut one, &mut other);
+    tell(at(21), &mut other, &mut one);
+    for table in [&one, &other] {
+        assert!(table.quarantined(CULPRIT));
+        assert!(!table.quarantined(NEIGHBOUR));
+    }
+    assert_eq!(one.digest(), other.digest());
+}
+
+/// Guards against suspects that always share a target and so are never found.
+#[test]
+fn several_suspects() {
+    let mut table = PoisonTable::default();
+    let both = ran(&[(CULPRIT, 50), (NEIGHBOUR, 50)]);
+    for (seconds, target) in [(10, 1), (20, 2), (30, 3)] {
+        assert!(!table.quarantined(CULPRIT));
+        table.record_crash(at(seconds), TargetId(target), &both);
+    }
+    assert!(table.quarantined(CULPRIT));
+}
+
+/// Guards against refusing a request that works, because others say that it crashes targets.
+#[test]
+fn completed_here() {
+    let (mut one, mut other) = (PoisonTable::default(), PoisonTable::default());
+    other.record_completion(at(5), CULPRIT);
+    for (seconds, target) in [(10, 1), (20, 2), (30, 3)] {
+        one.record_crash(at(seconds), TargetId(target), &ran(&[(CULPRIT, 50)]));
+        other.record_crash(at(seconds), TargetId(target), &ran(&[(CULPRIT, 50)]));
+    }
+    assert!(one.quarantined(CULPRIT));
+    assert!(!other.suspected(CULPRIT));
+    tell(at(31), &mut one, &mut other);
+    assert!(!other.quarantined(CULPRIT));
+    assert_eq!(one.digest(), other.digest());
+    other.expire(at(5) + SUSPECT_TTL);
+    assert!(other.quarantined(CULPRIT));
+}
+
+/// Guards against a node of the version before that is not believed, or believed too often.
+#[test]
+fn unnamed_crashes() {
+    let mut table = PoisonTable::default();
+    let suspect = |crashes| Suspect {
+        fingerprint: CULPRIT,
+        crashes,
+    };
+    for seconds in [10, 20, 30, 40] {
+        table.merge_suspect(at(seconds), suspect(1), None);
+    }
+    assert!(table.suspected(CULPRIT));
+    assert!(!table.quarantined(CULPRIT));
+    let verdicts = table.merge_suspect(at(50), suspect(2), None);
+    assert!(verdicts[0].quarantined);
+    table.expire(at(10) + SUSPECT_TTL);
+    assert!(table.is_empty());
+    assert_eq!(table.digest(), 0);
+}
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -311,7 +311,10 @@
     /// Completes an attempt with a full response.
     pub fn complete(&mut self, index: usize, attempt: AttemptKey) {
         self.handle(index, Event::FirstBytes(attempt));
-        let reply = AttemptOutcome::Complete { response: None };
+        let reply = AttemptOutcome::Complete {
+            response: None,
+            success: true,
+        };
         self.handle(index, Event::AttemptEnded(attempt, reply));
     }
 
--- a/crates/seam-core/tests/live_targets.rs
+++ b/crates/seam-core/tests/live_targets.rs
@@ -138,12 +138,18 @@
         let reply = if discarded {
             AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken))
         } else {
-            AttemptOutcome::Complete { response: None }
+            AttemptOutcome::Complete {
+                response: None,
+                success: true,
+            }
         };
         fleet.handle(0, Event::AttemptEnded(attempt, reply));
         if discarded {
             let (_, attempt, _) = *fleet.sends().last().unwrap();
-            let reply = AttemptOutcome::Complete { response: None };
+            let reply = AttemptOutcome::Complete {
+                response: None,
+                success: true,
+            };
             fleet.handle(0, Event::AttemptEnded(attempt, reply));
         }
     }
@@ -165,7 +171,13 @@
         fleet.wait(Duration::from_millis(elapsed));
         fleet.handle(
             0,
-            Event::AttemptEnded(attempt, AttemptOutcome::Complete { response: None }),
+            Event::AttemptEnded(
+                attempt,
+                AttemptOutcome::Complete {
+                    response: None,
+                    success: true,
+                },
+            ),
         );
     }
     assert_eq!(fleet.sends().len(), 300);
--- a/crates/seam-harness/examples/capacity/cpu.rs
+++ b/crates/seam-harness/examples/capacity/cpu.rs
@@ -39,7 +39,13 @@
     node.handle(now, Event::Sending(attempt), out);
     node.handle(
         now,
-        Event::AttemptEnded(attempt, AttemptOutcome::Complete { response: None }),
+        Event::AttemptEnded(
+            attempt,
+            AttemptOutcome::Complete {
+                response: None,
+                success: true,
+            },
+        ),
         out,
     );
 }
--- a/crates/seam-harness/src/mutation.rs
+++ b/crates/seam-harness/src/mutation.rs
@@ -54,9 +54,10 @@
     pub fn reply(self, reply: AttemptOutcome) -> AttemptOutcome {
         match (self, reply) {
             (Self::BrokenAsNotSent, AttemptOutcome::Broken { .. }) => AttemptOutcome::NotSent,
-            (Self::CutAsWhole, AttemptOutcome::Broken { .. }) => {
-                AttemptOutcome::Complete { response: None }
-            }
+            (Self::CutAsWhole, AttemptOutcome::Broken { .. }) => AttemptOutcome::Complete {
+                response: None,
+                success: true,
+            },
             (_, reply) => reply,
         }
     }
--- a/crates/seam-harness/src/world.rs
+++ b/crates/seam-harness/src/world.rs
@@ -135,7 +135,7 @@
 pub(crate) enum SimEvent {
     Tick(VmId, Incarnation),
     Poll(VmId, Incarnation),
-    Deliver(VmId, Incarnation, Event),
+    Deliver(VmId, Incarnation, Box<Event>),
     Sending(VmId, Incarnation, AttemptKey),
     SilenceTimer(VmId, Incarnation, AttemptKey),
     PeerArrive {
@@ -529,7 +529,7 @@
             SimEvent::Poll(vm, incarnation) => self.poll(vm, incarnation),
             SimEvent::Deliver(vm, incarnation, event) => {
                 if self.is_current(vm, incarnation) {
-                    self.handle(vm, event);
+                    self.handle(vm, *event);
                 }
             }
             SimEvent::Sending(vm, incarnation, attempt) => {
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -178,7 +178,7 @@
         };
         let incarnation = self.incarnation(vm);
         let event = Event::AttemptEnded(attempt, reply);
-        self.schedule_after(span, SimEvent::Deliver(vm, incarnation, event));
+        self.schedule_after(span, SimEvent::Deliver(vm, incarnation, Box::new(event)));
     }
 
     pub(super) fn delay(&self, from: VmId, to: VmId) -> Duration {
@@ -339,7 +339,10 @@
             .is_some_and(|fake| fake.accepts(self.now));
         let incarnation = self.incarnation(vm);
         let event = Event::Probed { target, accepted };
-        self.schedule_after(2 * REGION_DELAY, SimEvent::Deliver(vm, incarnation, event));
+        self.schedule_after(
+            2 * REGION_DELAY,
+            SimEvent::Deliver(vm, incarnation, Box::new(event)),
+        );
     }
 
     fn send_heartbeat(&mut self, from: VmId, to: VmId, heartbeat: Heartbeat) {
@@ -353,7 +356,7 @@
         let delay = with_jitter(&mut self.rng, delay);
         let incarnation = self.incarnation(to);
         let event = Event::Heartbeat(heartbeat);
-        self.schedule_after(delay, SimEvent::Deliver(to, incarnation, event));
+        self.schedule_after(delay, SimEvent::Deliver(to, incarnation, Box::new(event)));
     }
 
     /// Sends a refusal to the caller or node that waits for a ticket.
@@ -385,7 +388,10 @@
                 self.finish_request(request, Outcome::Complete, Some(run), None);
             }
             Requester::Peer { .. } => {
-                let reply = AttemptOutcome::Complete { response: None };
+                let reply = AttemptOutcome::Complete {
+                    response: None,
+                    success: true,
+                };
                 self.respond_to_peer(vm, requester, reply, Some(run));
             }
         }
@@ -430,7 +436,11 @@
                 attempt,
                 run,
             },
-            None => SimEvent::Deliver(vm, incarnation, Event::AttemptEnded(attempt, reply)),
+            None => SimEvent::Deliver(
+                vm,
+                incarnation,
+                Box::new(Event::AttemptEnded(attempt, reply)),
+            ),
         };
         self.schedule_after(delay, sim_event);
     }
@@ -498,7 +508,10 @@
                 }
                 if let Some(exchange) = self.remove_exchange(vm, attempt) {
                     self.deliver_response(vm, exchange.ticket, run);
-                    let reply = AttemptOutcome::Complete { response: None };
+                    let reply = AttemptOutcome::Complete {
+                        response: None,
+                        success: true,
+                    };
                     self.handle(vm, Event::AttemptEnded(attempt, reply));
                 }
             }
--- a/crates/seam-harness/src/world/callers.rs
+++ b/crates/seam-harness/src/world/callers.rs
@@ -126,7 +126,10 @@
         });
         if let Some((vm, incarnation, ticket)) = found {
             let event = Event::CallerGone(ticket);
-            self.schedule_after(Duration::ZERO, SimEvent::Deliver(vm, incarnation, event));
+            self.schedule_after(
+                Duration::ZERO,
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
+            );
         }
     }
 
--- a/crates/seam-harness/src/world/faults.rs
+++ b/crates/seam-harness/src/world/faults.rs
@@ -166,7 +166,10 @@
             on: true,
             actor: "harness".to_owned(),
         };
-        self.schedule_after(Duration::ZERO, SimEvent::Deliver(vm, incarnation, event));
+        self.schedule_after(
+            Duration::ZERO,
+            SimEvent::Deliver(vm, incarnation, Box::new(event)),
+        );
     }
 
     /// Stops a process whose drain has ended, and records each request that is still in flight.
--- a/crates/seam-harness/src/world/platform.rs
+++ b/crates/seam-harness/src/world/platform.rs
@@ -47,10 +47,16 @@
                 self.platform.newest.clone()
             };
             let event = Event::Bundle(bundle);
-            self.schedule_after(read_delay, SimEvent::Deliver(vm, incarnation, event));
+            self.schedule_after(
+                read_delay,
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
+            );
         }
         let list = Event::VmList(self.vm_list());
-        self.schedule_after(read_delay * 2, SimEvent::Deliver(vm, incarnation, list));
+        self.schedule_after(
+            read_delay * 2,
+            SimEvent::Deliver(vm, incarnation, Box::new(list)),
+        );
         self.schedule_after(JOIN_RETRY, SimEvent::Join(vm, incarnation));
     }
 
@@ -73,7 +79,10 @@
         let nodes: Vec<(VmId, Incarnation)> = self.incarnations();
         for (vm, incarnation) in nodes {
             let event = Event::VmList(list.clone());
-            self.schedule_after(LIST_DELAY, SimEvent::Deliver(vm, incarnation, event));
+            self.schedule_after(
+                LIST_DELAY,
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
+            );
         }
     }
 
@@ -91,7 +100,10 @@
         self.publish(|bundle| bundle.deployment.latency_weight = 0.52);
         let event = Event::Bundle(self.platform.newest.clone());
         let incarnation = self.processes[&vm].incarnation;
-        self.schedule_after(REGION_DELAY, SimEvent::Deliver(vm, incarnation, event));
+        self.schedule_after(
+            REGION_DELAY,
+            SimEvent::Deliver(vm, incarnation, Box::new(event)),
+        );
     }
 
     /// Publishes a changed configuration as the next revision.
@@ -135,7 +147,7 @@
             let event = Event::Bundle(newest.clone());
             self.schedule_after(
                 within.mul_f64(fraction),
-                SimEvent::Deliver(vm, incarnation, event),
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
             );
         }
     }
@@ -146,7 +158,10 @@
         for (vm, incarnation) in self.incarnations() {
             self.platform.calls += 2;
             let event = Event::Bundle(first.clone());
-            self.schedule_after(JOIN_RETRY, SimEvent::Deliver(vm, incarnation, event));
+            self.schedule_after(
+                JOIN_RETRY,
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
+            );
         }
     }
 
@@ -165,7 +180,7 @@
         let delay = self.delay(vm, from) * 4;
         let incarnation = self.processes[&vm].incarnation;
         let event = Event::Bundle(bundle);
-        self.schedule_after(delay, SimEvent::Deliver(vm, incarnation, event));
+        self.schedule_after(delay, SimEvent::Deliver(vm, incarnation, Box::new(event)));
     }
 
     /// Checks that every node that had time to receive a revision has applied it.
@@ -206,7 +221,10 @@
             && let Some(report) = self.report(*target)
         {
             let event = Event::Load(*target, report);
-            self.schedule_after(2 * REGION_DELAY, SimEvent::Deliver(vm, incarnation, event));
+            self.schedule_after(
+                2 * REGION_DELAY,
+                SimEvent::Deliver(vm, incarnation, Box::new(event)),
+            );
         }
         self.schedule_after(POLL_INTERVAL, SimEvent::Poll(vm, incarnation));
     }
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -221,7 +221,13 @@
         self.deliver_response(vm, exchange.ticket, delivered);
         self.handle(
             vm,
-            Event::AttemptEnded(attempt, AttemptOutcome::Complete { response }),
+            Event::AttemptEnded(
+                attempt,
+                AttemptOutcome::Complete {
+                    response,
+                    success: true,
+                },
+            ),
         );
     }
 
@@ -277,7 +283,7 @@
         let event = Event::AttemptEnded(run_state.attempt, reply);
         self.schedule_after(
             REGION_DELAY,
-            SimEvent::Deliver(run_state.vm, run_state.incarnation, event),
+            SimEvent::Deliver(run_state.vm, run_state.incarnation, Box::new(event)),
         );
     }
 
--- a/crates/seam-harness/tests/crashing_requests.rs
+++ b/crates/seam-harness/tests/crashing_requests.rs
@@ -242,7 +242,7 @@
 #[test]
 fn quarantine_ends() {
     let (mut world, _, vms) = found_long_ago(9);
-    world.run_for(SUSPECT_TTL - QUIET - secs(10));
+    world.run_until(world.now + SUSPECT_TTL.saturating_sub(QUIET + secs(10)));
     assert!(quarantined(&world).iter().all(|count| *count == 1));
     for vm in vms[1].clone() {
         restart(&mut world, &[vm], 100);
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -181,6 +181,7 @@
 ) -> AttemptOutcome {
     let mut recorder = ResponseRecorder::new(false, StatusCode::OK, &http::HeaderMap::new());
     let mut started = writer.has_started();
+    let mut success = started;
     loop {
         let frame = match frames.message().await {
             Ok(Some(frame)) => frame.frame,
@@ -197,6 +198,7 @@
                     return AttemptOutcome::Broken { started };
                 }
                 started = true;
+                success = status.is_success();
                 first();
                 writer
                     .write_head(status, wire::headers(&head.headers))
@@ -208,7 +210,10 @@
             }
             Some(reply_frame::Frame::End(_)) if started => {
                 writer.end().await;
-                return AttemptOutcome::Complete { response: None };
+                return AttemptOutcome::Complete {
+                    response: None,
+                    success,
+                };
             }
             _ => return AttemptOutcome::Broken { started },
         }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -309,6 +309,7 @@
                 writer.end().await;
                 return AttemptOutcome::Complete {
                     response: recorder.finish(),
+                    success: status.is_success(),
                 };
             }
         }
