Digest the same part of a long body each time

The fingerprint of a request with a body over 64 KiB covered the bytes that were read before routing, and how many these are depends on how they arrive. Such a request that crashes targets was a new one each time, and a repeat under an idempotency key could be refused as another request. Class: an identity that depends on timing.

The fingerprint now covers at most the first 64 KiB. As two long bodies may differ only later, a streamed body is no evidence that its fingerprint works.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -258,7 +258,11 @@
         match &outcome {
             AttemptOutcome::Complete { success, .. } => {
                 self.record_success(now, &attempt, target);
-                if *success && let Some(request) = self.requests.get(&attempt.ticket) {
+                // Requests with different long bodies can have the same fingerprint.
+                if *success
+                    && let Some(request) = self.requests.get(&attempt.ticket)
+                    && request.replayable
+                {
                     self.poison.record_completion(now, request.fingerprint);
                 }
             }
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::request_body::RequestBody;
+use crate::request_body::{BUFFERED_BYTES, RequestBody};
 use http::{HeaderMap, HeaderName, Method, header};
 use seam_core::{AttemptOutcome, IdempotencyKey, Prompt, Refusal, RouteRules};
 use seam_http::Body;
@@ -104,7 +104,7 @@
 }
 
 /// Digests what identifies a request to a target: service, method, path, caller and body, of a long
-/// body only the first bytes.
+/// body only the first [`BUFFERED_BYTES`], however many were read so far.
 ///
 /// `caller` distinguishes callers on a platform where they have no credentials.
 #[must_use]
@@ -125,7 +125,7 @@
         bytes.extend_from_slice(caller.to_string().as_bytes());
         bytes.push(0);
     }
-    bytes.extend_from_slice(body);
+    bytes.extend_from_slice(&body[..body.len().min(BUFFERED_BYTES)]);
     Fingerprint(Digest::of(&bytes).leading_u64())
 }
 
