Give up on a target that sends bytes without end

What callers saw, in a test: a target that sends interim heads or the digits of a chunk's length without end kept one thread of the node in the HTTP parser for good, past the request's deadline; with one worker, as on the platform, the whole node. Cause: the parser discards such bytes and reads on as long as some are there, so the task never waits, and nothing counts them. Class: work whose end another party decides.

A client connection now lets other tasks run after 32 reads in a row, and fails after 1 MiB without a complete head or part of a body. What hyper bounds itself (fields, extensions, trailers) stays. The log line names the request, the target and the cause, which hyper's own text leaves out.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client connections.
 
+use std::error::Error;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -9,7 +10,6 @@
 use futures_lite::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::client::conn::{http1, http2};
 use serde::de::DeserializeOwned;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -17,6 +17,7 @@
 
 use crate::body::Body;
 use crate::exec::{Spawner, spawn};
+use crate::guard::{GuardedStream, ProgressMeter, ResponseBody};
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,7 +53,7 @@
     #[snafu(display("the connection closed before the request was sent"))]
     NotSent,
     /// The request failed after some of it may have been sent.
-    #[snafu(display("the request failed after it may have been sent: {source}"))]
+    #[snafu(display("the request failed after it may have been sent: {}", describe(source)))]
     Exchange {
         /// The error from `hyper`.
         source: hyper::Error,
@@ -87,6 +88,15 @@
     },
 }
 
+/// Returns an error with its cause, which its own text leaves out.
+#[must_use]
+pub fn describe(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 impl ClientError {
     /// Returns whether it is certain that nothing was sent.
     #[must_use]
@@ -137,6 +147,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Body>,
+    meter: ProgressMeter,
 }
 
 impl Connection {
@@ -154,6 +165,8 @@
     /// [`ClientError::Connect`], since nothing was sent.
     pub async fn open_within(address: SocketAddr, limit: Duration) -> Result<Self, ClientError> {
         let stream = connect_within(address, limit).await?;
+        let meter = ProgressMeter::default();
+        let stream = GuardedStream::new(stream, meter.clone());
         let (sender, connection) = http1::handshake(FuturesIo::new(stream))
             .await
             .context(ExchangeSnafu)?;
@@ -161,7 +174,7 @@
             let _ = connection.await;
         })
         .detach();
-        Ok(Self { sender })
+        Ok(Self { sender, meter })
     }
 
     /// Returns whether the connection can carry another request.
@@ -186,9 +199,13 @@
     pub async fn send(
         &mut self,
         request: Request<Body>,
-    ) -> Result<Response<Incoming>, ClientError> {
+    ) -> Result<Response<ResponseBody>, ClientError> {
+        self.meter.mark_progress();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.meter.mark_progress();
+                Ok(response.map(|body| ResponseBody::new(body, self.meter.clone())))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(ClientError::NotSent),
                 None => Err(error.into_error()).context(ExchangeSnafu),
--- /dev/null
+++ b/crates/seam-http/src/guard.rs
@@ -0,0 +1,163 @@
+//! Bounds what a connection can read without making progress.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_lite::{AsyncRead, AsyncWrite};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Incoming;
+
+/// Maximum number of bytes that a connection reads until a head or a part of a body is complete.
+/// It exceeds the buffer that hyper fills at once.
+const MAX_UNPARSED_BYTES: usize = 1 << 20;
+/// Number of reads without a wait after which a connection lets other tasks run.
+const MAX_READS: u32 = 32;
+
+/// Lets other tasks run after a number of reads that each found bytes. A parser that discards what
+/// it reads would otherwise keep its thread for as long as bytes arrive.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReadTurns {
+    reads: u32,
+}
+
+impl ReadTurns {
+    /// Returns whether the task has to wait for its next turn. If so, it is woken at once.
+    pub(crate) fn exhausted(&mut self, context: &Context<'_>) -> bool {
+        if self.reads < MAX_READS {
+            return false;
+        }
+        self.reads = 0;
+        context.waker().wake_by_ref();
+        true
+    }
+
+    /// Counts a read.
+    pub(crate) fn count<T>(&mut self, read: &Poll<T>) {
+        self.reads = if read.is_ready() { self.reads + 1 } else { 0 };
+    }
+}
+
+/// Counts the bytes that a connection has read since the last progress.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ProgressMeter {
+    unparsed: Arc<AtomicUsize>,
+}
+
+impl ProgressMeter {
+    /// Records that a head or a part of a body is complete, or that a request is sent.
+    pub(crate) fn mark_progress(&self) {
+        self.unparsed.store(0, Ordering::Relaxed);
+    }
+
+    fn add(&self, bytes: usize) -> io::Result<()> {
+        if self.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_UNPARSED_BYTES {
+            return Ok(());
+        }
+        let message = format!("more than {MAX_UNPARSED_BYTES} bytes that are no response");
+        Err(io::Error::new(io::ErrorKind::InvalidData, message))
+    }
+}
+
+/// A client connection whose reads fail after too many bytes without progress.
+#[derive(Debug)]
+pub(crate) struct GuardedStream<S> {
+    stream: S,
+    meter: ProgressMeter,
+    turns: ReadTurns,
+}
+
+impl<S> GuardedStream<S> {
+    /// Guards the reads of a connection.
+    pub(crate) fn new(stream: S, meter: ProgressMeter) -> Self {
+        Self {
+            stream,
+            meter,
+            turns: ReadTurns::default(),
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for GuardedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.turns.exhausted(context) {
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.turns.count(&read);
+        match read {
+            Poll::Ready(Ok(bytes)) => Poll::Ready(self.meter.add(bytes).map(|()| bytes)),
+            read => read,
+        }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+/// The body of a response, read from a guarded connection.
+#[derive(Debug)]
+pub struct ResponseBody {
+    body: Incoming,
+    meter: ProgressMeter,
+}
+
+impl ResponseBody {
+    pub(crate) fn new(body: Incoming, meter: ProgressMeter) -> Self {
+        Self { body, meter }
+    }
+}
+
+impl HttpBody for ResponseBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if frame.is_ready() {
+            self.meter.mark_progress();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -8,10 +8,10 @@
 use futures_lite::FutureExt;
 use http::{Request, StatusCode, header, request};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use seam_core::keys::MAX_RESPONSE_BYTES;
 use seam_core::{AttemptOutcome, Event, Refusal};
-use seam_http::ClientError;
+use seam_http::client::describe;
+use seam_http::{ClientError, Connection, ResponseBody};
 use seam_protocol::{HeaderField, Reason, StoredResponse};
 
 use crate::dialect::{ResponseClass, TargetContext};
@@ -54,7 +54,11 @@
         return AttemptOutcome::NotSent;
     };
     progress.mark_sent();
-    let monitor = SilenceMonitor { runtime, to };
+    let monitor = SilenceMonitor {
+        runtime,
+        to,
+        request: &inbound.id,
+    };
     let request = Request::from_parts(head, body);
     let response = match monitor.watch(connection.send(request)).await {
         Ok(response) => response,
@@ -125,16 +129,24 @@
         body,
     };
     let reply = relay_response(monitor, response, writer, progress, max_buffered).await;
-    if matches!(reply, AttemptOutcome::Complete { .. }) && connection.ready().await.is_ok() {
-        let max_idle = max_idle_connections(
-            connections(runtime, to),
-            runtime.read(seam_core::Node::ready_node_count),
-        );
-        pool.put(to.address, connection, max_idle);
+    if matches!(reply, AttemptOutcome::Complete { .. }) {
+        keep_connection(runtime, to, connection).await;
     }
     reply
 }
 
+/// Puts a connection into the pool once it can carry another request.
+async fn keep_connection(runtime: &NodeRuntime, to: TargetAttempt, mut connection: Connection) {
+    if connection.ready().await.is_err() {
+        return;
+    }
+    let max_idle = max_idle_connections(
+        connections(runtime, to),
+        runtime.read(seam_core::Node::ready_node_count),
+    );
+    runtime.pool.put(to.address, connection, max_idle);
+}
+
 /// Returns the number of connections that a target accepts, zero if it states none.
 fn connections(runtime: &NodeRuntime, to: TargetAttempt) -> usize {
     let snapshot = runtime.snapshot();
@@ -206,6 +218,7 @@
 struct SilenceMonitor<'a> {
     runtime: &'a Arc<NodeRuntime>,
     to: TargetAttempt,
+    request: &'a str,
 }
 
 impl SilenceMonitor<'_> {
@@ -226,7 +239,7 @@
 struct TargetResponse {
     status: StatusCode,
     headers: http::HeaderMap,
-    body: Incoming,
+    body: ResponseBody,
 }
 
 /// A response whose first bytes are buffered, so that another attempt can replace it if it breaks
@@ -297,8 +310,10 @@
             }
             Some(Err(error)) => {
                 log::info!(
-                    "response from target {} broke off: {error}",
-                    monitor.to.target
+                    "request {}: response from target {} broke off: {}",
+                    monitor.request,
+                    monitor.to.target,
+                    describe(&error)
                 );
                 return AttemptOutcome::Broken {
                     started: response.head.is_none() || writer.has_started(),
