Let other tasks run while a caller sends a body without end

The same cause on the other side: a caller that sends the digits of a chunk's length without end kept one thread of the node for good. Caller connections now take the same turns, so the time limit on reading a body ends it. Test endless_caller chunk_length failed before (still open after 10 s), passes now; chunks and chunk_extension passed before and after.

--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -14,6 +14,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 
 use crate::body::{Body, BodyError};
+use crate::guard::ReadTurns;
 use crate::sync::lock;
 use http_body_util::BodyExt;
 
@@ -189,6 +190,7 @@
 pub struct TrackedStream {
     stream: Arc<Async<TcpStream>>,
     tracker: PhaseTracker,
+    turns: ReadTurns,
 }
 
 impl TrackedStream {
@@ -196,7 +198,11 @@
     #[must_use]
     pub fn new(stream: Async<TcpStream>, tracker: PhaseTracker) -> Self {
         let stream = Arc::new(stream);
-        Self { stream, tracker }
+        Self {
+            stream,
+            tracker,
+            turns: ReadTurns::default(),
+        }
     }
 
     /// Sends status 408.
@@ -214,11 +220,15 @@
 
 impl AsyncRead for TrackedStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.turns.exhausted(context) {
+            return Poll::Pending;
+        }
         let read = Pin::new(&mut &*self.stream).poll_read(context, bytes);
+        self.turns.count(&read);
         if matches!(read, Poll::Ready(Ok(count)) if count > 0) {
             self.tracker.bytes_received(Instant::now());
         }
