Tell nodes that restarted or were cut off of recent suspects

A node that restarted, or that comes back after its lease ended (of another region: after the region's summary had ended), receives the most recent suspects with the quarantine. They are not part of the digest: one crash of a full target makes tens of suspects, and nodes would differ most of the time.

--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -36,14 +36,15 @@
         }
         self.merge_vms(now, heartbeat, out);
         let me = (self.id.vm, self.id.incarnation, self.id.region);
+        let was_alive = self.peers.alive(now, heartbeat.from).is_some();
         let effect = self
             .peers
             .apply_heartbeat(now, me, heartbeat, &self.regions);
         if effect.stale {
             return;
         }
-        for region in effect.returned {
-            self.spill.note_return(now, region);
+        for region in &effect.returned {
+            self.spill.note_return(now, *region);
         }
         let newest = heartbeat.records.iter().map(|record| record.revision).max();
         let newest = newest.unwrap_or(0);
@@ -58,7 +59,13 @@
         } else {
             self.compare_revision(now, heartbeat, newest, out);
         }
-        self.merge_suspects(now, heartbeat, out);
+        let back = if heartbeat.region == self.id.region {
+            !was_alive
+        } else {
+            effect.returned.contains(&heartbeat.region)
+        };
+        let uninformed = back || self.awaits_echo(heartbeat);
+        self.merge_suspects(now, heartbeat, uninformed, out);
         self.merge_work(now, heartbeat);
         self.lend(now, heartbeat, out);
         self.accept_grants(now, heartbeat, out);
@@ -72,7 +79,16 @@
 
     /// Merges the suspects that a heartbeat lists, and reports this node's quarantine to the sender
     /// if theirs differ.
-    fn merge_suspects(&mut self, now: Time, heartbeat: &Heartbeat, out: &mut Vec<Command>) {
+    ///
+    /// A sender that may be `uninformed`, as it restarted or was cut off, receives the recent
+    /// suspects too: a digest of these would differ between nodes most of the time.
+    fn merge_suspects(
+        &mut self,
+        now: Time,
+        heartbeat: &Heartbeat,
+        uninformed: bool,
+        out: &mut Vec<Command>,
+    ) {
         let report = &heartbeat.quarantine;
         for (index, suspect) in heartbeat.suspects.iter().enumerate() {
             let crashes = report.crashes.get(index).map(Vec::as_slice);
@@ -80,8 +96,9 @@
             let cause = format!("reported by node {}", heartbeat.from);
             self.audit_verdicts(now, &verdicts, &cause, out);
         }
-        if report.digest != self.poison.digest() {
-            self.report_quarantine(now, heartbeat.from, out);
+        let differs = report.digest != self.poison.digest();
+        if differs || (uninformed && !self.poison.is_empty()) {
+            self.report_quarantine(now, heartbeat.from, uninformed, out);
         }
     }
 
@@ -89,7 +106,13 @@
     /// [`REPORT_INTERVAL`].
     ///
     /// An empty report makes that node report its own.
-    fn report_quarantine(&mut self, now: Time, to: VmId, out: &mut Vec<Command>) {
+    fn report_quarantine(
+        &mut self,
+        now: Time,
+        to: VmId,
+        with_suspects: bool,
+        out: &mut Vec<Command>,
+    ) {
         let reported = self.quarantine_reports.get(&to);
         if reported.is_some_and(|reported| now.since(*reported) < REPORT_INTERVAL) {
             return;
@@ -99,7 +122,11 @@
             return;
         };
         self.quarantine_reports.insert(to, now);
-        let reports = self.poison.take_claims(now, MAX_QUARANTINE_REPORT);
+        let reports = if with_suspects {
+            self.poison.take_report(now, MAX_QUARANTINE_REPORT)
+        } else {
+            self.poison.take_claims(now, MAX_QUARANTINE_REPORT)
+        };
         list_suspects(&mut heartbeat, reports);
         out.push(Command::Heartbeat {
             to,
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -3,6 +3,7 @@
 //! Each node sees only its own requests at a target that crashes, so nodes exchange the crashes
 //! that they attribute to a fingerprint and add them up.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -406,6 +407,24 @@
         reports
     }
 
+    /// Returns up to `limit` entries for a peer that may know none of them: those that the
+    /// quarantine follows from, then the suspects of the most recent crashes.
+    pub fn take_report(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
+        let mut reports = self.take_claims(now, limit);
+        let mut suspects: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.is_claim())
+            .collect();
+        suspects.sort_by_key(|(_, entry)| Reverse(entry.expires()));
+        suspects.truncate(limit - reports.len());
+        let suspects = suspects.into_iter();
+        reports.extend(
+            suspects.map(|(fingerprint, entry)| report(now, *fingerprint, entry, &self.quarantine)),
+        );
+        reports
+    }
+
     /// Returns the number of suspected and quarantined fingerprints.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/seam-harness/tests/crashing_requests.rs
+++ b/crates/seam-harness/tests/crashing_requests.rs
@@ -121,6 +121,23 @@
     assert_eq!(runs(&world, op), before);
 }
 
+/// Guards against a first crash that is forgotten as the nodes that saw it restart one by one.
+#[test]
+fn restarted_witnesses() {
+    let vms = vm_names(&deployments::bulabula());
+    let mut world = world(13);
+    let op = world.call(call(&vms[0][0], DESK)).unwrap();
+    world.run_for(QUIET);
+    for vm in vms.concat() {
+        restart(&mut world, &[vm], 1000);
+        world.run_for(CONTACT);
+    }
+    world.resend(op, VmId::of(&vms[1][0]));
+    world.run_for(CONTACT);
+    assert_eq!(runs(&world, op), 2);
+    assert_eq!(quarantined(&world), [1; 9], "{}", audits(&world));
+}
+
 /// Guards against a quarantine that is lost where all nodes of a region restart at once.
 #[test]
 fn restarted_region() {
@@ -495,9 +512,16 @@
     assert!(failed.is_empty(), "{failed}");
 }
 
+/// Guards against suspects that are forgotten while regions restart one after the other.
+#[test]
+fn restarted_regions() {
+    let failed = play_histories(47, 40);
+    assert!(failed.is_none(), "{failed:?}");
+}
+
 /// Guards against a request that goes on after all nodes that knew of it restarted at once, or
 /// while they were cut off.
-#[parameterized(cut_off = { 30 }, two_regions = { 47 })]
+#[parameterized(node_cut_off = { 30 }, region_cut_off = { 70 })]
 fn forgotten(seed: u64) {
     let failed = play_histories(seed, 40);
     assert!(failed.is_none(), "{failed:?}");
