--- a/crates/seam-harness/examples/capacity/cpu.rs
+++ b/crates/seam-harness/examples/capacity/cpu.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use seam_core::poison::PoisonTable;
 use seam_core::{AttemptKey, AttemptOutcome, Command, Event, Node};
 use seam_harness::deployments::{self, DeploymentSpec, customer_name};
-use seam_protocol::{Heartbeat, Time, VmRecord};
+use seam_protocol::{Fingerprint, Heartbeat, Time, VmRecord};
 
 use crate::fit;
 use crate::memory::{arrival, first_peer, node};
@@ -199,6 +200,12 @@
         micros(ROUNDS, |_| drop(black_box(heartbeat.encode()))),
         micros(ROUNDS, |_| drop(black_box(Heartbeat::decode(&encoded))))
     );
+    let mut table = PoisonTable::default();
+    println!(
+        "Recording a completed request: {:.2} µs.\n",
+        micros(ROUNDS, |round| table
+            .record_completion(Time(0), Fingerprint(round as u64)))
+    );
     let full = points(&[1000, 4000, 14_000, 28_000], |count| {
         apply_bundle(count, true)
     });
--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -6,11 +6,13 @@
 use seam_core::arrival::IdempotencyKey;
 use seam_core::handle::TargetKey;
 use seam_core::keys::{KeyOutcome, KeyTable};
+use seam_core::poison::PoisonTable;
 use seam_core::prefix::PrefixTable;
 use seam_core::{Arrival, Event, Identity, Node, Origin, Ticket};
 use seam_harness::deployments::{self, customer_name};
 use seam_protocol::{
-    Bundle, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, StoredResponse, Time, VmId,
+    Bundle, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, StoredResponse, TargetId,
+    Time, VmId,
 };
 
 use crate::{ALLOCATED, fit};
@@ -149,10 +151,54 @@
         "bytes",
         &prefixes,
     );
+    print_crash_attribution();
     let active = points(&[100, 1000, 4000, 12_000], active_customers);
     fit::print("Recently active customers", "customers", "bytes", &active);
 }
 
+/// Prints the tables of what decides which requests crash targets.
+fn print_crash_attribution() {
+    let suspects = points(&[64, 512, 1024, 4096], |count| {
+        allocated(|| suspects(count)).1
+    });
+    fit::print(
+        "Suspects of crashing targets, with one crash each",
+        "suspects",
+        "bytes",
+        &suspects,
+    );
+    let completions = points(&[512, 1024, 2048, 4096], |count| {
+        allocated(|| {
+            let mut table = PoisonTable::default();
+            for number in 0..count as u64 {
+                table.record_completion(Time(number), fingerprint(number));
+            }
+            table
+        })
+        .1
+    });
+    fit::print(
+        "Fingerprints of completed requests",
+        "requests",
+        "bytes",
+        &completions,
+    );
+}
+
+/// Returns a fingerprint as large as a digest.
+fn fingerprint(number: u64) -> Fingerprint {
+    Fingerprint(seam_protocol::id::rank(number, 0))
+}
+
+/// Returns a table in which one crash made this many suspects.
+pub fn suspects(count: usize) -> PoisonTable {
+    let mut table = PoisonTable::default();
+    let run = std::time::Duration::from_millis(400);
+    let ran = (0..count as u64).map(|number| (fingerprint(number), run));
+    table.record_crash(Time(0), TargetId(u32::MAX), &ran.collect());
+    table
+}
+
 fn stored_keys(count: usize) -> KeyTable {
     let mut table = KeyTable::default();
     for number in 0..count as u64 {
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -6,7 +6,7 @@
 use seam_harness::deployments::{self, DeploymentSpec, customer_name};
 use seam_harness::ids::KeyChoice;
 use seam_harness::traffic::Traffic;
-use seam_protocol::{CustomerId, RegionId, ServiceId, Time};
+use seam_protocol::{CustomerId, Heartbeat, RegionId, ServiceId, Time, VmId};
 
 use crate::fit;
 
@@ -47,11 +47,32 @@
     (bytes / nodes / SPAN_SECS, heartbeats / nodes / SPAN_SECS)
 }
 
+/// Returns the bytes that a report of suspects adds to a heartbeat.
+fn report_bytes(suspects: usize) -> f64 {
+    let mut heartbeat = Heartbeat::empty(VmId(u32::MAX), RegionId(u32::MAX));
+    let empty = heartbeat.encode().len();
+    let reports = crate::memory::suspects(suspects).take_report(Time(0), suspects);
+    for (suspect, crashes) in reports {
+        heartbeat.suspects.push(suspect);
+        heartbeat.quarantine.crashes.push(crashes);
+    }
+    (heartbeat.encode().len() - empty) as f64
+}
+
 /// Prints tables of heartbeat bytes per second with their fitted lines.
 pub fn print() {
     println!(
         "## Heartbeats\n\nBytes with MAC, UDP and IP headers, sent by each node per second.\n"
     );
+    let reports: Vec<(f64, f64)> = [1, 4, 12, 24]
+        .map(|count| (count as f64, report_bytes(count)))
+        .into();
+    fit::print(
+        "A report of suspects with one crash each",
+        "suspects",
+        "bytes",
+        &reports,
+    );
     let run = |title: &str, x: &str, specs: &[(usize, DeploymentSpec)]| {
         let points: Vec<(f64, f64)> = specs
             .iter()
