--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -7,7 +7,7 @@
 use crate::command::Command;
 use crate::event::AttemptOutcome;
 use crate::handle::{AttemptKey, TargetKey};
-use crate::poison::Verdict;
+use crate::poison::QuarantineChange;
 use crate::request::{Attempt, Destination};
 use crate::targets::PhaseChange;
 
@@ -155,28 +155,28 @@
             ),
             format!("fingerprints {}", listed.join(" ")),
         ));
-        let verdicts = self.poison.record_crash(now, target, &watch.runs);
+        let changes = self.poison.record_crash(now, target, &watch.runs);
         let cause = format!("target {target} crashed under it");
-        self.audit_verdicts(now, &verdicts, &cause, out);
+        self.audit_quarantine(now, &changes, &cause, out);
         self.send_urgent_heartbeats(now, out);
     }
 
     /// Audits fingerprints that entered or left the quarantine.
-    pub(super) fn audit_verdicts(
+    pub(super) fn audit_quarantine(
         &self,
         now: Time,
-        verdicts: &[Verdict],
+        changes: &[QuarantineChange],
         cause: &str,
         out: &mut Vec<Command>,
     ) {
-        for verdict in verdicts {
-            let subject = format!("fingerprint {}", verdict.fingerprint);
-            let change = if verdict.quarantined {
+        for change in changes {
+            let subject = format!("fingerprint {}", change.fingerprint);
+            let states = if change.quarantined {
                 ("suspect", "quarantined")
             } else {
                 ("quarantined", "suspect")
             };
-            out.push(self.audit(now, Change::Quarantine, subject, change, cause));
+            out.push(self.audit(now, Change::Quarantine, subject, states, cause));
         }
     }
 
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -92,9 +92,9 @@
         let report = &heartbeat.quarantine;
         for (index, suspect) in heartbeat.suspects.iter().enumerate() {
             let crashes = report.crashes.get(index).map(Vec::as_slice);
-            let verdicts = self.poison.merge_suspect(now, *suspect, crashes);
+            let changes = self.poison.merge_suspect(now, *suspect, crashes);
             let cause = format!("reported by node {}", heartbeat.from);
-            self.audit_verdicts(now, &verdicts, &cause, out);
+            self.audit_quarantine(now, &changes, &cause, out);
         }
         let differs = report.digest != self.poison.digest();
         if differs || (uninformed && !self.poison.is_empty()) {
@@ -125,7 +125,7 @@
         let reports = if with_suspects {
             self.poison.take_report(now, MAX_QUARANTINE_REPORT)
         } else {
-            self.poison.take_claims(now, MAX_QUARANTINE_REPORT)
+            self.poison.take_candidates(now, MAX_QUARANTINE_REPORT)
         };
         list_suspects(&mut heartbeat, reports);
         out.push(Command::Heartbeat {
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -74,7 +74,7 @@
     }
 
     /// Returns whether the entry may be a reason for a quarantine.
-    fn is_claim(&self) -> bool {
+    fn is_candidate(&self) -> bool {
         self.crashes.len() >= CRASH_LIMIT || self.crashes.iter().any(|crash| crash.alone)
     }
 
@@ -131,7 +131,7 @@
 
 /// A fingerprint that entered or left the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct QuarantineChange {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
     /// Whether it is quarantined now.
@@ -143,9 +143,9 @@
 pub struct PoisonTable {
     entries: BTreeMap<Fingerprint, Entry>,
     quarantine: BTreeSet<Fingerprint>,
-    /// Digest of the claims and which of them are quarantined.
+    /// Digest of the candidates and of which of them are quarantined.
     digest: u32,
-    /// The fingerprint of the claim that was reported last.
+    /// The candidate that was reported last.
     last_reported: Option<Fingerprint>,
     completed: Completions,
 }
@@ -194,7 +194,7 @@
         now: Time,
         target: TargetId,
         ran: &BTreeMap<Fingerprint, Duration>,
-    ) -> Vec<Verdict> {
+    ) -> Vec<QuarantineChange> {
         let crash = Crash {
             target,
             expires: now + SUSPECT_TTL,
@@ -224,7 +224,7 @@
                 self.add_crash(fingerprint, crash);
             }
         }
-        self.judge()
+        self.update_quarantine()
     }
 
     /// Attributes a crash to a fingerprint.
@@ -240,7 +240,7 @@
         let oldest = self
             .entries
             .iter()
-            .min_by_key(|(_, entry)| (entry.is_claim(), entry.crashes.len(), entry.expires()))
+            .min_by_key(|(_, entry)| (entry.is_candidate(), entry.crashes.len(), entry.expires()))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = oldest {
             self.entries.remove(&fingerprint);
@@ -248,40 +248,45 @@
     }
 
     /// Decides anew which fingerprints are quarantined. Returns those for which that changed.
-    fn judge(&mut self) -> Vec<Verdict> {
-        let mut claimed: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
+    fn update_quarantine(&mut self) -> Vec<QuarantineChange> {
+        let mut only_suspects: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
         for (fingerprint, entry) in &self.entries {
             for crash in entry.crashes.iter().filter(|crash| crash.alone) {
-                let claims = claimed.entry(crash.target).or_default();
-                claims.push((*crash, *fingerprint));
+                let crashes = only_suspects.entry(crash.target).or_default();
+                crashes.push((*crash, *fingerprint));
             }
         }
+        // Another node had another request as its only suspect at the same crash.
         let contested = |fingerprint: Fingerprint, crash: &Crash| {
             let run = self.entries[&fingerprint].longest_run();
-            let mut claims = claimed[&crash.target].iter();
-            claims.any(|(claim, other)| {
+            let mut crashes = only_suspects[&crash.target].iter();
+            crashes.any(|(same, other)| {
                 *other != fingerprint
-                    && crash.is_same(claim)
+                    && crash.is_same(same)
                     && self.entries[other].longest_run() <= run
             })
         };
         let mut quarantine = BTreeSet::new();
         let mut digest = 0;
-        for (fingerprint, entry) in self.entries.iter().filter(|(_, entry)| entry.is_claim()) {
+        for (fingerprint, entry) in self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_candidate())
+        {
             let mut alone = entry.crashes.iter().filter(|crash| crash.alone);
-            let guilty = entry.crashes.len() >= CRASH_LIMIT
+            let quarantined = entry.crashes.len() >= CRASH_LIMIT
                 || alone.any(|crash| !contested(*fingerprint, crash));
-            if guilty {
+            if quarantined {
                 quarantine.insert(*fingerprint);
             }
             let folded = (fingerprint.0 >> 32) as u32 ^ fingerprint.0 as u32;
-            digest ^= folded.rotate_left(u32::from(guilty));
+            digest ^= folded.rotate_left(u32::from(quarantined));
         }
         let before = std::mem::replace(&mut self.quarantine, quarantine);
         self.digest = digest;
         let changed = before.symmetric_difference(&self.quarantine);
         changed
-            .map(|fingerprint| Verdict {
+            .map(|fingerprint| QuarantineChange {
                 fingerprint: *fingerprint,
                 quarantined: self.quarantine.contains(fingerprint),
             })
@@ -305,7 +310,7 @@
         now: Time,
         suspect: Suspect,
         crashes: Option<&[CrashReport]>,
-    ) -> Vec<Verdict> {
+    ) -> Vec<QuarantineChange> {
         let unnamed = [self.unnamed_crash(now, suspect)];
         for report in crashes.unwrap_or(&unnamed) {
             let lifetime = Duration::from_millis(report.lifetime.into());
@@ -320,9 +325,9 @@
             };
             self.add_crash(suspect.fingerprint, crash);
         }
-        let claim = self.entries.get(&suspect.fingerprint);
-        if claim.is_some_and(Entry::is_claim) {
-            self.judge()
+        let merged = self.entries.get(&suspect.fingerprint);
+        if merged.is_some_and(Entry::is_candidate) {
+            self.update_quarantine()
         } else {
             Vec::new()
         }
@@ -364,7 +369,7 @@
             !entry.crashes.is_empty()
         });
         if expired {
-            self.judge();
+            self.update_quarantine();
         }
     }
 
@@ -391,13 +396,13 @@
 
     /// Returns up to `limit` entries that the quarantine follows from, for a peer with another
     /// digest. Later calls return the next ones.
-    pub fn take_claims(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
+    pub fn take_candidates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
         let last = self.last_reported.unwrap_or(Fingerprint(u64::MAX));
         let after = self.entries.iter().filter(|(key, _)| **key > last);
         let before = self.entries.iter().filter(|(key, _)| **key <= last);
         let reports: Vec<_> = after
             .chain(before)
-            .filter(|(_, entry)| entry.is_claim())
+            .filter(|(_, entry)| entry.is_candidate())
             .take(limit)
             .map(|(fingerprint, entry)| report(now, *fingerprint, entry, &self.quarantine))
             .collect();
@@ -410,11 +415,11 @@
     /// Returns up to `limit` entries for a peer that may know none of them: those that the
     /// quarantine follows from, then the suspects of the most recent crashes.
     pub fn take_report(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
-        let mut reports = self.take_claims(now, limit);
+        let mut reports = self.take_candidates(now, limit);
         let mut suspects: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, entry)| !entry.is_claim())
+            .filter(|(_, entry)| !entry.is_candidate())
             .collect();
         suspects.sort_by_key(|(_, entry)| Reverse(entry.expires()));
         suspects.truncate(limit - reports.len());
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -42,7 +42,7 @@
 
 /// Guards against two nodes that each refuse another request for the same crash.
 #[test]
-fn two_claims() {
+fn two_named() {
     let (mut one, mut other) = (PoisonTable::default(), PoisonTable::default());
     one.record_crash(at(10), TargetId(1), &ran(&[(CULPRIT, 50)]));
     other.record_crash(at(10), TargetId(1), &ran(&[(NEIGHBOUR, 900)]));
@@ -102,8 +102,8 @@
     }
     assert!(table.suspected(CULPRIT));
     assert!(!table.quarantined(CULPRIT));
-    let verdicts = table.merge_suspect(at(50), suspect(2), None);
-    assert!(verdicts[0].quarantined);
+    let changes = table.merge_suspect(at(50), suspect(2), None);
+    assert!(changes[0].quarantined);
     table.expire(at(10) + SUSPECT_TTL);
     assert!(table.is_empty());
     assert_eq!(table.digest(), 0);
