--- a/crates/seam-node/src/events.rs
+++ b/crates/seam-node/src/events.rs
@@ -1,6 +1,7 @@
 //! Tracks the position in a server-sent event stream, so that another target can resume it.
 
 use bytes::Bytes;
+use http::{HeaderMap, header};
 
 /// Header with the identifier of the last event that the reader received.
 pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
@@ -8,6 +9,87 @@
 /// can no longer be resumed.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Returns whether the headers of a response say that its body is an event stream.
+///
+/// ```
+/// let mut headers = http::HeaderMap::new();
+/// assert!(!seam_node::events::is_event_stream(&headers));
+/// headers.insert("content-type", "text/event-stream; charset=utf-8".parse().unwrap());
+/// assert!(seam_node::events::is_event_stream(&headers));
+/// ```
+#[must_use]
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    const MEDIA_TYPE: &str = "text/event-stream";
+    let value = headers.get(header::CONTENT_TYPE);
+    let value = value.and_then(|value| value.to_str().ok());
+    let media_type = value.and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(MEDIA_TYPE))
+}
+
+/// Finds the ends of events in a stream of server-sent events, however its bytes are split.
+///
+/// Lines end with CR, LF or both, and events with an empty line. Comments between events belong to
+/// none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventScanner {
+    line: Line,
+    in_event: bool,
+    after_cr: bool,
+}
+
+/// What the current line holds so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl EventScanner {
+    /// Reads bytes and returns the offset in them after the last one that ends an event or a comment
+    /// between events, or `None` if there is no such byte.
+    ///
+    /// ```
+    /// use seam_node::events::EventScanner;
+    /// let mut scanner = EventScanner::default();
+    /// assert_eq!(scanner.scan(b"data: a\n\ndata: b"), Some(9));
+    /// assert!(scanner.in_event());
+    /// assert_eq!(scanner.scan(b"\r\n\r\n"), Some(4));
+    /// assert!(!scanner.in_event());
+    /// ```
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            let follows_cr = std::mem::take(&mut self.after_cr);
+            match byte {
+                b'\n' if follows_cr => {}
+                b'\r' | b'\n' => {
+                    self.after_cr = *byte == b'\r';
+                    match std::mem::take(&mut self.line) {
+                        Line::Empty => self.in_event = false,
+                        Line::Comment => {}
+                        Line::Field => self.in_event = true,
+                    }
+                }
+                b':' if self.line == Line::Empty => self.line = Line::Comment,
+                _ if self.line == Line::Empty => self.line = Line::Field,
+                _ => {}
+            }
+            if !self.in_event() {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    /// Returns whether the bytes so far end inside an event or a line.
+    #[must_use]
+    pub fn in_event(&self) -> bool {
+        self.in_event || self.line != Line::Empty
+    }
+}
+
 /// The position in an event stream up to which whole events were relayed.
 #[derive(Debug, Default)]
 pub struct EventStreamCursor {
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -120,6 +120,7 @@
         return AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken));
     }
     let mut headers = head.headers;
+    progress.mark_head(&headers, &body);
     dialect.strip_headers(&mut headers);
     let streams = inbound.rules.is_none_or(|rules| rules.streams);
     let max_buffered = if streams { 0 } else { MAX_BUFFERED_BYTES };
@@ -304,6 +305,7 @@
         match frame {
             Some(Ok(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
+                    progress.mark_body(&bytes);
                     recorder.add(&bytes);
                     response.add(bytes).await;
                 }
