Take a stream that ends inside an event as truncated

Cause: the relay took the end of a body, as the HTTP client reports it, as proof of a whole answer. The end of a connection proves nothing, and `ResponseWriter::end` even passed on the unfinished event; streams that can't be resumed had no event position at all. Class: an end without a statement is taken as a complete end.

Now the position in the events decides, whatever the framing: a stream that ends inside an event, or without length and any event, broke off. Event streams are relayed in whole events, so that a reader who counts the bytes of a length sees the cut too. The same check stands where a forwarded answer ends, for nodes of an earlier version. Lines may end with CR as well, and each byte is looked at once.

--- a/crates/seam-node/src/events.rs
+++ b/crates/seam-node/src/events.rs
@@ -1,4 +1,5 @@
-//! Tracks the position in a server-sent event stream, so that another target can resume it.
+//! Tracks the position in a server-sent event stream, so that a truncated one is recognized and
+//! another target can resume it.
 
 use bytes::Bytes;
 use http::{HeaderMap, header};
@@ -93,54 +94,63 @@
 /// The position in an event stream up to which whole events were relayed.
 #[derive(Debug, Default)]
 pub struct EventStreamCursor {
+    scanner: EventScanner,
     last_id: Option<String>,
     partial: Vec<u8>,
     oversized: bool,
 }
 
-/// Returns the offset of the end of the last whole event.
-fn end_of_events(bytes: &[u8]) -> usize {
-    let end_of_last = |separator: &[u8]| {
-        let at = bytes
-            .windows(separator.len())
-            .rposition(|part| part == separator);
-        at.map_or(0, |at| at + separator.len())
-    };
-    end_of_last(b"\n\n").max(end_of_last(b"\r\n\r\n"))
-}
-
 impl EventStreamCursor {
     /// Appends bytes and returns the events that are complete now.
     ///
     /// ```
+    /// use bytes::Bytes;
     /// use seam_node::events::EventStreamCursor;
     /// let mut cursor = EventStreamCursor::default();
-    /// assert_eq!(cursor.push(b"id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    /// let bytes = Bytes::from("id: 1\ndata: a\n\nid: 2\nda");
+    /// assert_eq!(cursor.push(&bytes), "id: 1\ndata: a\n\n");
     /// assert_eq!(cursor.last_id(), Some("1"));
     /// cursor.discard_partial();
-    /// assert_eq!(cursor.push(b"id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    /// let bytes = Bytes::from("id: 2\ndata: b\n\n");
+    /// assert_eq!(cursor.push(&bytes), "id: 2\ndata: b\n\n");
     /// assert_eq!(cursor.last_id(), Some("2"));
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        let mut end = end_of_events(&self.partial);
-        if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
-            self.oversized = true;
-            end = self.partial.len();
-        }
-        let rest = self.partial.split_off(end);
-        let complete = std::mem::replace(&mut self.partial, rest);
-        for line in complete.split(|byte| *byte == b'\n') {
+    pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+        let Some(end) = self.scanner.scan(bytes) else {
+            self.partial.extend_from_slice(bytes);
+            return self.take_oversized();
+        };
+        let complete = if self.partial.is_empty() {
+            bytes.slice(..end)
+        } else {
+            self.partial.extend_from_slice(&bytes[..end]);
+            std::mem::take(&mut self.partial).into()
+        };
+        self.partial.extend_from_slice(&bytes[end..]);
+        for line in complete.split(|byte| matches!(byte, b'\r' | b'\n')) {
             if let Some(id) = line.strip_prefix(b"id:") {
                 self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
             }
         }
-        complete.into()
+        complete
+    }
+
+    /// Returns the buffered part of an event that is too large to be relayed whole.
+    fn take_oversized(&mut self) -> Bytes {
+        if self.partial.len() <= MAX_EVENT_BYTES {
+            return Bytes::new();
+        }
+        self.oversized = true;
+        // Without its last byte, a response with a length is not whole for its reader if the stream
+        // ends here.
+        let last = self.partial.split_off(self.partial.len() - 1);
+        std::mem::replace(&mut self.partial, last).into()
     }
 
     /// Discards the incomplete event at the end of the buffer.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.scanner = EventScanner::default();
     }
 
     /// Returns the bytes left in the buffer at the end of the stream.
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -23,7 +23,7 @@
 
 use super::wire;
 use crate::inbound::InboundRequest;
-use crate::progress::Progress;
+use crate::progress::{Framing, Progress};
 use crate::response_writer::ResponseWriter;
 use crate::runtime::{NodeAttempt, NodeRuntime};
 use crate::targets::{ResponseRecorder, set_last_event_id};
@@ -142,10 +142,7 @@
         Err(tonic::Status::deadline_exceeded("no answer in time"))
     };
     match client.forward(request).or(timeout).await {
-        Ok(response) => {
-            let first = || progress.mark_responded(runtime.now());
-            relay_response(response.into_inner(), writer, first).await
-        }
+        Ok(response) => relay_response(runtime, response.into_inner(), writer, progress).await,
         Err(status) if status.code() == tonic::Code::PermissionDenied => {
             AttemptOutcome::Refused(Refusal::not_run(Reason::NotReady))
         }
@@ -175,9 +172,10 @@
 }
 
 async fn relay_response(
+    runtime: &NodeRuntime,
     mut frames: Streaming<ReplyFrame>,
     writer: &ResponseWriter,
-    first: impl Fn(),
+    progress: &Progress,
 ) -> AttemptOutcome {
     let mut recorder = ResponseRecorder::new(false, StatusCode::OK, &http::HeaderMap::new());
     let mut started = writer.has_started();
@@ -199,16 +197,18 @@
                 }
                 started = true;
                 success = status.is_success();
-                first();
-                writer
-                    .write_head(status, wire::headers(&head.headers))
-                    .await;
+                progress.mark_responded(runtime.now());
+                let headers = wire::headers(&head.headers);
+                progress.mark_head(Framing::Link, &headers, false);
+                writer.write_head(status, headers).await;
             }
             Some(reply_frame::Frame::Body(bytes)) => {
                 recorder.add(&bytes);
+                progress.mark_body(&bytes);
                 writer.write_data(Bytes::from(bytes)).await;
             }
-            Some(reply_frame::Frame::End(_)) if started => {
+            // A node of an earlier version ends a stream that its target truncated.
+            Some(reply_frame::Frame::End(_)) if started && !progress.received().is_truncated() => {
                 writer.end().await;
                 return AttemptOutcome::Complete {
                     response: None,
--- a/crates/seam-node/src/progress.rs
+++ b/crates/seam-node/src/progress.rs
@@ -22,11 +22,14 @@
     Chunked,
     /// By the end of the connection, which looks the same if the target broke off.
     Close,
+    /// By a message of the node that it was forwarded to.
+    Link,
 }
 
 impl Framing {
-    /// Returns the framing of a response with these headers and this body.
-    fn of(headers: &HeaderMap, body: &impl Body) -> Self {
+    /// Returns the framing of a target's response with these headers and this body.
+    #[must_use]
+    pub fn of(headers: &HeaderMap, body: &impl Body) -> Self {
         if body.size_hint().exact().is_some() {
             Self::Length
         } else if headers.contains_key(header::TRANSFER_ENCODING) {
@@ -44,11 +47,12 @@
             Self::Length => "length",
             Self::Chunked => "chunked",
             Self::Close => "close",
+            Self::Link => "link",
         }
     }
 }
 
-/// What a target has sent of a response.
+/// What an attempt has received of a response.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Received {
     /// How the body's end is stated.
@@ -65,6 +69,16 @@
     pub fn in_event(&self) -> bool {
         self.events.is_some_and(|events| events.in_event())
     }
+
+    /// Returns whether a body that has ended by itself is truncated nevertheless.
+    ///
+    /// The end of a connection proves nothing, and a target may end the frames of a body that it
+    /// could not finish. So the bytes themselves have to say that an event stream is at an end.
+    #[must_use]
+    pub fn is_truncated(&self) -> bool {
+        let nothing = self.framing == Framing::Close && self.bytes == 0;
+        self.events.is_some() && (self.in_event() || nothing)
+    }
 }
 
 /// The progress of one attempt.
@@ -100,12 +114,15 @@
         self.sent.load(Ordering::SeqCst)
     }
 
-    /// Records the head of a response.
-    pub fn mark_head(&self, headers: &HeaderMap, body: &impl Body) {
+    /// Records the head of a response. `expects_events` says that the response is an event stream
+    /// unless it says otherwise.
+    pub fn mark_head(&self, framing: Framing, headers: &HeaderMap, expects_events: bool) {
+        let untyped = !headers.contains_key(header::CONTENT_TYPE);
+        let unproven = expects_events && untyped && framing == Framing::Close;
         *lock(&self.received) = Received {
-            framing: Framing::of(headers, body),
+            framing,
             bytes: 0,
-            events: is_event_stream(headers).then(EventScanner::default),
+            events: (is_event_stream(headers) || unproven).then(EventScanner::default),
         };
     }
 
@@ -118,7 +135,7 @@
         }
     }
 
-    /// Returns what the target has sent so far.
+    /// Returns what has been received so far.
     #[must_use]
     pub fn received(&self) -> Received {
         *lock(&self.received)
--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -10,7 +10,7 @@
 use seam_core::Refusal;
 use seam_protocol::StoredResponse;
 
-use crate::events::EventStreamCursor;
+use crate::events::{EventStreamCursor, is_event_stream};
 
 /// Capacity of the channel in parts. A full channel slows a target down to the speed of the reader.
 const CHANNEL_CAPACITY: usize = 8;
@@ -44,24 +44,26 @@
 pub struct ResponseWriter {
     parts: Sender<ResponsePart>,
     phase: Arc<Mutex<Phase>>,
-    /// The position from which another target can resume the stream.
-    cursor: Option<Arc<Mutex<EventStreamCursor>>>,
+    resumable: bool,
+    /// The position in a response that is written in whole events.
+    cursor: Arc<Mutex<Option<EventStreamCursor>>>,
 }
 
 /// Creates a response writer and the receiver of its parts.
 ///
-/// A resumable response is written in whole events, and another target can resume it if one breaks
-/// off. A response that does not end with [`ResponsePart::End`], a refusal or a stored response is
+/// An event stream is written in whole events. With `resumable`, another target can resume it if one
+/// breaks off. A response that does not end with [`ResponsePart::End`], a refusal or a stored response is
 /// truncated.
 #[must_use]
 pub fn response_channel(resumable: bool) -> (ResponseWriter, Receiver<ResponsePart>) {
     let (parts, reader) = async_channel::bounded(CHANNEL_CAPACITY);
     let phase = Arc::new(Mutex::new(Phase::Open));
-    let cursor = resumable.then(Arc::default);
+    let cursor = resumable.then(EventStreamCursor::default);
     let writer = ResponseWriter {
         parts,
         phase,
-        cursor,
+        resumable,
+        cursor: Arc::new(Mutex::new(cursor)),
     };
     (writer, reader)
 }
@@ -108,6 +110,9 @@
     pub async fn write_head(&self, status: StatusCode, headers: HeaderMap) -> bool {
         let first = self.transition(Phase::Open, Phase::Started);
         if first {
+            if is_event_stream(&headers) {
+                lock(&self.cursor).get_or_insert_default();
+            }
             let _ = self.parts.send(ResponsePart::Head(status, headers)).await;
         }
         first
@@ -116,8 +121,8 @@
     /// Writes bytes of the body, waiting while the channel is full. They are dropped if the reader
     /// has left.
     pub async fn write_data(&self, bytes: Bytes) {
-        let bytes = match &self.cursor {
-            Some(cursor) => lock(cursor).push(&bytes),
+        let bytes = match &mut *lock(&self.cursor) {
+            Some(cursor) => cursor.push(&bytes),
             None => bytes,
         };
         self.send_data(bytes).await;
@@ -132,21 +137,27 @@
     /// Returns whether another target can resume a response that broke off.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        let cursor = self.cursor.as_ref();
-        cursor.is_some_and(|cursor| lock(cursor).is_resumable())
+        let cursor = lock(&self.cursor);
+        self.resumable && cursor.as_ref().is_some_and(EventStreamCursor::is_resumable)
     }
 
     /// Discards an incomplete event and returns the identifier of the last event that was written.
     #[must_use]
     pub fn prepare_resume(&self) -> Option<String> {
-        let mut cursor = lock(self.cursor.as_ref()?);
+        if !self.resumable {
+            return None;
+        }
+        let mut cursor = lock(&self.cursor);
+        let cursor = cursor.as_mut()?;
         cursor.discard_partial();
         cursor.last_id().map(str::to_owned)
     }
 
     /// Ends a complete response.
     pub async fn end(&self) {
-        let remaining = self.cursor.as_ref().map(|cursor| lock(cursor).take_rest());
+        let remaining = lock(&self.cursor)
+            .as_mut()
+            .map(EventStreamCursor::take_rest);
         if let Some(remaining) = remaining {
             self.send_data(remaining).await;
         }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -18,7 +18,7 @@
 use crate::events::LAST_EVENT_ID_HEADER;
 use crate::inbound::InboundRequest;
 use crate::pool::max_idle_connections;
-use crate::progress::Progress;
+use crate::progress::{Framing, Progress};
 use crate::response_writer::ResponseWriter;
 use crate::runtime::{NodeRuntime, TargetAttempt};
 
@@ -35,10 +35,9 @@
     writer: &ResponseWriter,
     progress: &Progress,
 ) -> AttemptOutcome {
-    let Some(mut head) = head(runtime, to, inbound) else {
+    let Some(head) = head(runtime, to, inbound, writer) else {
         return AttemptOutcome::NotSent;
     };
-    set_last_event_id(&mut head.headers, writer);
     let pool = &runtime.pool;
     let mut connection = match pool.connection(to.address, inbound.repeatable).await {
         Ok(connection) => connection,
@@ -120,16 +119,17 @@
         return AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken));
     }
     let mut headers = head.headers;
-    progress.mark_head(&headers, &body);
+    let streams = inbound.rules.map(|rules| rules.streams);
+    let is_stream = streams == Some(true) && head.status.is_success();
+    progress.mark_head(Framing::of(&headers, &body), &headers, is_stream);
     dialect.strip_headers(&mut headers);
-    let streams = inbound.rules.is_none_or(|rules| rules.streams);
-    let max_buffered = if streams { 0 } else { MAX_BUFFERED_BYTES };
     let response = TargetResponse {
         status: head.status,
         headers,
         body,
+        max_buffered: max_buffered_bytes(streams),
     };
-    let reply = relay_response(monitor, response, writer, progress, max_buffered).await;
+    let reply = relay_response(monitor, response, writer, progress).await;
     if matches!(reply, AttemptOutcome::Complete { .. }) {
         keep_connection(runtime, to, connection).await;
     }
@@ -170,6 +170,7 @@
     runtime: &NodeRuntime,
     to: TargetAttempt,
     inbound: &InboundRequest,
+    writer: &ResponseWriter,
 ) -> Option<request::Parts> {
     let snapshot = runtime.snapshot()?;
     let service = snapshot.bundle.services.get(&to.service)?;
@@ -190,6 +191,7 @@
     runtime
         .dialect
         .set_target_headers(&mut headers, inbound, context);
+    set_last_event_id(&mut headers, writer);
     head.headers = headers;
     Some(head)
 }
@@ -236,11 +238,22 @@
     }
 }
 
+/// Returns how many bytes of a response to buffer. A response that may be a stream is relayed at
+/// once.
+fn max_buffered_bytes(streams: Option<bool>) -> usize {
+    match streams {
+        Some(false) => MAX_BUFFERED_BYTES,
+        Some(true) | None => 0,
+    }
+}
+
 /// A target's response whose body has not been read.
 struct TargetResponse {
     status: StatusCode,
     headers: http::HeaderMap,
     body: ResponseBody,
+    /// Number of bytes to buffer before the response starts.
+    max_buffered: usize,
 }
 
 /// A response whose first bytes are buffered, so that another attempt can replace it if it breaks
@@ -253,6 +266,13 @@
 }
 
 impl BufferedResponse<'_> {
+    /// Returns the outcome if the response broke off.
+    fn broken(&self) -> AttemptOutcome {
+        AttemptOutcome::Broken {
+            started: self.head.is_none() || self.writer.has_started(),
+        }
+    }
+
     async fn add(&mut self, bytes: Bytes) {
         if self.head.is_some() && bytes.len() <= self.remaining {
             self.remaining -= bytes.len();
@@ -279,12 +299,12 @@
     response: TargetResponse,
     writer: &ResponseWriter,
     progress: &Progress,
-    max_buffered: usize,
 ) -> AttemptOutcome {
     let TargetResponse {
         status,
         headers,
         mut body,
+        max_buffered,
     } = response;
     let mut recorder = ResponseRecorder::new(monitor.to.keep_response, status, &headers);
     let mut response = BufferedResponse {
@@ -317,9 +337,15 @@
                     monitor.to.target,
                     describe(&error)
                 );
-                return AttemptOutcome::Broken {
-                    started: response.head.is_none() || writer.has_started(),
-                };
+                return response.broken();
+            }
+            None if progress.received().is_truncated() => {
+                log::info!(
+                    "request {}: response from target {} broke off: its stream does not end after an event",
+                    monitor.request,
+                    monitor.to.target
+                );
+                return response.broken();
             }
             None => {
                 response.flush().await;
