--- a/crates/seam-core/src/prompt.rs
+++ b/crates/seam-core/src/prompt.rs
@@ -21,6 +21,12 @@
 }
 
 impl Prompt {
+    /// Returns the parts that other requests may share.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the last part that other requests may share.
     ///
     /// The parts before it are shared by more requests, and are therefore cached by more engines.
@@ -34,17 +40,13 @@
     /// ```
     #[must_use]
     pub fn last_shared(&self) -> Option<Part> {
-        let (_, shared) = self.parts.split_last()?;
-        shared.last().copied()
+        self.shared_parts().last().copied()
     }
 
     /// Returns the number of tokens that no other request shares.
     #[must_use]
     pub fn unshared_tokens(&self) -> u32 {
-        let shared = self
-            .parts
-            .split_last()
-            .map_or(0, |(_, shared)| shared.iter().map(|part| part.tokens).sum());
+        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
         self.input_tokens.saturating_sub(shared)
     }
 
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -295,10 +295,12 @@
         AttemptOutcome::Broken { started: false } => "broken",
     };
     let received = context.progress.received();
+    let broken = matches!(reply, AttemptOutcome::Broken { .. });
+    let parts = broken.then(|| context.inbound.shared_parts());
     log::info!(
         target: "request",
         request = context.inbound.id.as_str(), attempt = attempt.0, end = end,
-        framing = received.framing.name(), bytes = received.bytes, in_event = received.in_event(),
+        parts = parts.unwrap_or_default().as_str(), framing = received.framing.name(), bytes = received.bytes, in_event = received.in_event(),
         first_ms = context.progress.first_ms(context.start),
         took_ms = runtime.now().since(context.start).as_millis() as u64;
         "attempt ended"
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -166,6 +166,17 @@
         })
     }
 
+    /// Returns the identifiers of the first parts of the prompt that other requests may share, for
+    /// log lines.
+    #[must_use]
+    pub fn shared_parts(&self) -> String {
+        const MAX_LISTED: usize = 8;
+        let shared = self.prompt.as_deref().map_or(&[][..], Prompt::shared_parts);
+        let listed = shared.iter().take(MAX_LISTED);
+        let listed: Vec<String> = listed.map(|part| format!("{:x}", part.id)).collect();
+        listed.join(" ")
+    }
+
     /// Digests the prefix of the prompt, for engines.
     #[must_use]
     pub fn prefix(&self, service: &Service) -> Option<u64> {
