Recognize parts of prompts that crash their targets

Cause: crashes were added up by a fingerprint of the whole request, so each of these had one crash. Class: evidence is collected under an identity that is too narrow to repeat. Besides, sound requests that were repeated beside them had several crashes and were refused instead.

Now the parts that prompts share are entries of the same table as whole requests, and are exchanged, merged and expired with them. A part is blamed for a crash if a prompt with it had no answer yet, or one that just began. An answer that began later clears it of the crashes before, at all nodes. After three separate crashes it is refused; the ones that are likelier to be the cause are judged first (no known answer, most crashes, later in the prompt), and what they explain speaks against nothing else, neither against other parts nor against whole requests. So neighbours with the same caller or first parts are served.

Parts follow the report of the quarantine in a heartbeat, so a process of the version before reads the rest (parts_kept).

Beside it: the first bytes of an answer were reported also when its first read failed. A crash then counted as the beginning of an answer.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -20,8 +20,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use seam_protocol::{
-    Bundle, CustomerId, Fingerprint, Incarnation, IssuedKey, RegionId, ServiceId, TargetId, Time,
-    VmId, key::KEY_LIFETIME,
+    Bundle, CustomerId, Incarnation, IssuedKey, RegionId, ServiceId, TargetId, Time, VmId,
+    key::KEY_LIFETIME,
 };
 
 use crate::audit::{Audit, Change};
@@ -36,7 +36,7 @@
 use crate::limits::{LimitContext, Limits};
 use crate::peers::Peers;
 use crate::placement::Placement;
-use crate::poison::PoisonTable;
+use crate::poison::{CrashRuns, PoisonTable};
 use crate::prefix::PrefixTable;
 use crate::request::{Attempt, Request};
 use crate::retry::RetryBudget;
@@ -108,8 +108,7 @@
 /// Requests that may have crashed a target, kept until a probe shows whether it crashed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashWatch {
-    /// The time that each had been at the target.
-    runs: BTreeMap<Fingerprint, Duration>,
+    runs: CrashRuns,
     since: Time,
 }
 
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -85,7 +85,8 @@
         if forbidden {
             return Err(not_found());
         }
-        if self.poison.quarantined(arrival.fingerprint) {
+        let request = self.requests.get(&arrival.ticket);
+        if request.is_some_and(|request| self.is_quarantined(request)) {
             return Err(Refusal::not_run(Reason::Poison));
         }
         let allowed = bundle.allowed_regions(service, customer);
@@ -96,6 +97,16 @@
         Ok(())
     }
 
+    /// Returns whether a request is quarantined, or a part of its prompt.
+    pub(super) fn is_quarantined(&self, request: &Request) -> bool {
+        if self.poison.refuses_nothing() {
+            return false;
+        }
+        let mut parts = request.parts.iter();
+        self.poison.quarantined(request.fingerprint)
+            || parts.any(|part| self.poison.quarantined(*part))
+    }
+
     /// Returns the bundle in force, or why this node accepts no requests.
     fn accepting_bundle(&self, now: Time) -> Result<std::sync::Arc<Bundle>, Refusal> {
         let not_ready = Refusal::not_run(Reason::NotReady).with_retry_after(TRANSIENT_RETRY_AFTER);
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -1,5 +1,7 @@
 //! Handles the events of an attempt, from the check before its first byte to its end.
 
+use std::time::Duration;
+
 use seam_protocol::{Fingerprint, Kind, RegionId, TargetId, Time};
 
 use super::{CrashWatch, Node};
@@ -13,6 +15,8 @@
 
 /// Maximum number of fingerprints in the audit entry of a crash.
 const MAX_LISTED_FINGERPRINTS: usize = 8;
+/// Time after the first bytes of an answer in which it counts as beginning.
+const ANSWER_BEGINS: Duration = Duration::from_millis(250);
 /// Weight of a new sample in the mean service and slot times.
 const SMOOTHING: f64 = 0.05;
 
@@ -117,7 +121,7 @@
             });
             // A prompt that waits in the queue of a live engine would only wait again at another
             // one.
-            let queued = accepted && engine && !attempt.response_started;
+            let queued = accepted && engine && attempt.responded.is_none();
             if affected && !attempt.cancelled && (can_retry || !accepted) && !queued {
                 attempt.cancelled = true;
                 out.push(Command::Cancel(*key));
@@ -140,10 +144,11 @@
         out: &mut Vec<Command>,
     ) {
         let known = |fingerprint: &&Fingerprint| self.poison.suspected(**fingerprint);
-        let suspects = watch.runs.keys().filter(known).count();
-        let listed = watch.runs.keys().take(MAX_LISTED_FINGERPRINTS);
+        let requests = &watch.runs.requests;
+        let suspects = requests.keys().filter(known).count();
+        let listed = requests.keys().take(MAX_LISTED_FINGERPRINTS);
         let listed: Vec<String> = listed.map(ToString::to_string).collect();
-        let ran = watch.runs.len();
+        let ran = requests.len();
         self.counters.crashes += 1;
         out.push(self.audit(
             now,
@@ -248,7 +253,7 @@
     ) {
         self.targets.end_request(target, attempt.suspect);
         self.targets
-            .end_prompt(target, attempt.work, attempt.response_started);
+            .end_prompt(target, attempt.work, attempt.responded.is_some());
         self.pending_update.mark_changed();
         let service = self.targets.get(target).service;
         if let Some(request) = self.requests.get(&attempt.ticket) {
@@ -265,6 +270,9 @@
                 {
                     self.poison.record_completion(now, request.fingerprint);
                 }
+                if *success {
+                    self.record_answer(now, &attempt, out);
+                }
             }
             AttemptOutcome::NotSent if !attempt.cancelled => {
                 let change = self.targets.record_failure(now, target, true);
@@ -281,6 +289,32 @@
         self.dispatch(now, service, out);
     }
 
+    /// Records that the parts of a prompt crashed no target when its answer began.
+    fn record_answer(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Command>) {
+        let request = self.requests.get(&attempt.ticket);
+        let Some((request, began)) = request.zip(attempt.responded) else {
+            return;
+        };
+        let parts = request.parts.iter();
+        let changes: Vec<QuarantineChange> = parts
+            .flat_map(|part| self.poison.record_answer(*part, began))
+            .collect();
+        self.audit_quarantine(now, &changes, "a target answers a prompt with it", out);
+    }
+
+    /// Records the answers that targets are writing since [`ANSWER_BEGINS`] or longer. Answers that
+    /// ended are recorded then.
+    pub(super) fn record_open_answers(&mut self, now: Time, out: &mut Vec<Command>) {
+        let begun = |attempt: &&Attempt| {
+            let responded = attempt.responded;
+            responded.is_some_and(|responded| now.since(responded) >= ANSWER_BEGINS)
+        };
+        let begun: Vec<Attempt> = self.attempts.values().filter(begun).copied().collect();
+        for attempt in begun {
+            self.record_answer(now, &attempt, out);
+        }
+    }
+
     /// Updates measurements and recorded prefixes after a complete response.
     fn record_success(&mut self, now: Time, attempt: &Attempt, target: TargetKey) {
         let elapsed = now.since(attempt.started);
@@ -333,7 +367,7 @@
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return;
         };
-        attempt.response_started = true;
+        attempt.responded = Some(now);
         let attempt = *attempt;
         let Destination::Target(target) = attempt.destination else {
             return;
@@ -373,7 +407,16 @@
             }
         });
         let run = now.since(attempt.started);
-        let known = watch.runs.entry(request.fingerprint).or_insert(run);
+        let requests = &mut watch.runs.requests;
+        let known = requests.entry(request.fingerprint).or_insert(run);
         *known = run.min(*known);
+        let begins = attempt
+            .responded
+            .is_none_or(|responded| now.since(responded) < ANSWER_BEGINS);
+        if begins {
+            let parts = (0..).zip(&request.parts);
+            let parts = parts.map(|(depth, part)| (*part, depth));
+            watch.runs.parts.extend(parts);
+        }
     }
 }
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -137,7 +137,7 @@
             return true;
         };
         let customer = self.flow(request.customer);
-        let quarantined = self.poison.quarantined(request.fingerprint);
+        let quarantined = self.is_quarantined(request);
         let in_time = request.budget(now) > min_time || !self.policy.shed;
         // A new revision may have forbidden the request here while it waited.
         let allowed = self.allows(request, self.id.region);
@@ -234,7 +234,7 @@
                 cancelled: false,
                 suspect,
                 work,
-                response_started: false,
+                responded: None,
             },
         );
         key
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -251,7 +251,7 @@
         };
         self.targets.end_request(target, attempt.suspect);
         self.targets
-            .end_prompt(target, attempt.work, attempt.response_started);
+            .end_prompt(target, attempt.work, attempt.responded.is_some());
         let request = &self.requests[&ticket];
         let (service, customer) = (request.service, self.flow(request.customer));
         self.service_state(service).queue.end(customer);
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -90,10 +90,14 @@
         out: &mut Vec<Command>,
     ) {
         let report = &heartbeat.quarantine;
+        let cause = format!("reported by node {}", heartbeat.from);
         for (index, suspect) in heartbeat.suspects.iter().enumerate() {
             let crashes = report.crashes.get(index).map(Vec::as_slice);
             let changes = self.poison.merge_suspect(now, *suspect, crashes);
-            let cause = format!("reported by node {}", heartbeat.from);
+            self.audit_quarantine(now, &changes, &cause, out);
+        }
+        for part in &heartbeat.suspect_parts {
+            let changes = self.poison.merge_part(now, part);
             self.audit_quarantine(now, &changes, &cause, out);
         }
         let differs = report.digest != self.poison.digest();
@@ -520,8 +524,13 @@
 
 /// Adds suspects with their crashes to a heartbeat.
 fn list_suspects(heartbeat: &mut Heartbeat, suspects: Vec<SuspectReport>) {
-    for (suspect, crashes) in suspects {
-        heartbeat.suspects.push(suspect);
-        heartbeat.quarantine.crashes.push(crashes);
+    for report in suspects {
+        match report {
+            SuspectReport::Request(suspect, crashes) => {
+                heartbeat.suspects.push(suspect);
+                heartbeat.quarantine.crashes.push(crashes);
+            }
+            SuspectReport::Part(part) => heartbeat.suspect_parts.push(part),
+        }
     }
 }
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -68,7 +68,7 @@
                 let forwarded = matches!(attempt.destination, Destination::Node { .. });
                 let suspect = forwarded
                     && refusal.reason == Reason::Broken
-                    && self.poison.suspected(request.fingerprint);
+                    && self.may_crash_targets(request);
                 if repeatable && !suspect {
                     self.retry_or_refuse(now, ticket, refusal, true, out);
                 } else {
@@ -84,7 +84,7 @@
                 let refusal = Refusal::unknown(reason);
                 // A suspect whose connection breaks again may be crashing its targets, so it is not
                 // retried.
-                let suspect = !attempt.silent && self.poison.suspected(request.fingerprint);
+                let suspect = !attempt.silent && self.may_crash_targets(request);
                 let resumable = request.route.is_some_and(|class| class.resumable);
                 if repeatable && (!started || resumable) && !suspect {
                     self.retry_or_refuse(now, ticket, refusal, true, out);
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Returns whether a request whose connection broke may have crashed its target.
+    fn may_crash_targets(&self, request: &Request) -> bool {
+        let mut parts = request.parts.iter();
+        self.poison.suspected(request.fingerprint)
+            || parts.any(|part| self.poison.part_suspected(*part))
+    }
+
     /// Returns whether every other node would refuse a request for the same reason.
     fn is_permanent(reason: Reason) -> bool {
         matches!(
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -70,6 +70,7 @@
             self.rebuild_bundle(now, out);
         }
         self.keys.expire(now);
+        self.record_open_answers(now, out);
         self.poison.expire(now);
         self.expire_quarantine_reports(now);
         self.limits.expire(now);
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -1,134 +1,94 @@
-//! Detection of requests that crash their targets.
+//! Detection of requests, and of parts of prompts, that crash their targets.
 //!
 //! Each node sees only its own requests at a target that crashes, so nodes exchange the crashes
-//! that they attribute to a fingerprint and add them up.
+//! that they attribute to a fingerprint and add them up. A fingerprint stands for requests that a
+//! target cannot tell apart, or for a part that many prompts share.
+//!
+//! A part is to blame for crashes if no answer to a prompt with it began since. Where several parts
+//! are possible, the one with the most crashes is quarantined, and its crashes speak against nothing
+//! else any more.
+
+mod entry;
+mod evidence;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use seam_protocol::heartbeat::{CrashReport, Suspect};
-use seam_protocol::{Fingerprint, TargetId, Time};
+use seam_protocol::heartbeat::{CrashReport, Suspect, SuspectPart};
+use seam_protocol::id::rank;
+use seam_protocol::{Fingerprint, ServiceId, TargetId, Time};
 
-/// Number of crashes at which a fingerprint is quarantined, whatever else ran at the targets.
+use crate::prompt::Prompt;
+use entry::{Crash, Entry, Subject};
+use evidence::{AnsweredParts, Completions};
+
+/// Number of crashes at which a request is quarantined, whatever else ran at the targets.
 pub const CRASH_LIMIT: usize = 3;
 /// Lifetime of a crash in the table.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Largest number of fingerprints in the table.
 const MAX_ENTRIES: usize = 4096;
-/// Largest number of completions that are remembered.
-const MAX_COMPLETIONS: usize = 4096;
-/// Crashes of a target that nodes saw within this time are one crash, since it has to start again
-/// before the next.
-const CRASH_SPAN: Duration = Duration::from_secs(2);
-
-/// A crash of a target that ran a request with a certain fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    target: TargetId,
-    /// [`SUSPECT_TTL`] after the crash.
-    expires: Time,
-    /// Whether a node had no other suspect at the target.
-    alone: bool,
-    /// How long the request had been at the target.
-    run: Duration,
-}
-
-impl Crash {
-    fn is_same(&self, other: &Self) -> bool {
-        let (first, last) = (
-            self.expires.min(other.expires),
-            self.expires.max(other.expires),
-        );
-        self.target == other.target && last.since(first) < CRASH_SPAN
-    }
+/// Largest number of parts of one prompt that are considered, the last ones that it shares.
+const MAX_PARTS: usize = 64;
+/// Number of times that an entry is sent to peers without a change.
+const MAX_SENDS: u8 = 12;
+/// Number of crashes from which on a request with a part is not retried.
+const RETRY_LIMIT: usize = 2;
+
+/// Returns the fingerprints of the parts of a prompt that other requests to a service may share, in
+/// the order of the prompt.
+///
+/// ```
+/// use seam_core::poison::part_fingerprints;
+/// use seam_core::prompt::{Part, Prompt};
+/// use seam_protocol::ServiceId;
+/// let part = |id| Part { id, tokens: 100 };
+/// let prompt = |own| Prompt { parts: vec![part(1), part(own)], input_tokens: 200, output_limit: 9 };
+/// let parts = part_fingerprints(ServiceId(7), &prompt(2));
+/// assert_eq!(parts.len(), 1);
+/// assert_eq!(parts, part_fingerprints(ServiceId(7), &prompt(3)));
+/// assert_ne!(parts, part_fingerprints(ServiceId(8), &prompt(2)));
+/// ```
+#[must_use]
+pub fn part_fingerprints(service: ServiceId, prompt: &Prompt) -> Vec<Fingerprint> {
+    let shared = prompt.shared_parts();
+    let considered = &shared[shared.len().saturating_sub(MAX_PARTS)..];
+    considered
+        .iter()
+        .map(|part| Fingerprint(rank(part.id, u64::from(service.0))))
+        .collect()
 }
 
+/// Requests that were at a target when it crashed.
 #[derive(Clone, Debug, Default)]
-struct Entry {
-    /// At most [`CRASH_LIMIT`] crashes.
-    crashes: Vec<Crash>,
-    /// Times that this entry was sent to peers with these crashes.
-    times_sent: u8,
+pub struct CrashRuns {
+    /// Fingerprints of the requests, with the time that each had been there.
+    pub requests: BTreeMap<Fingerprint, Duration>,
+    /// Fingerprints of the parts of prompts whose answers had not begun, or only just, with the
+    /// position of each.
+    pub parts: BTreeMap<Fingerprint, u8>,
 }
 
-impl Entry {
-    /// Adds a crash, unless it is known or enough others are.
-    fn add(&mut self, crash: Crash) {
-        let same = self.crashes.iter().position(|known| known.is_same(&crash));
-        let news = match same {
-            Some(index) => {
-                let known = &mut self.crashes[index];
-                known.run = known.run.min(crash.run);
-                crash.alone && !std::mem::replace(&mut known.alone, true)
-            }
-            None if self.crashes.len() < CRASH_LIMIT => {
-                self.crashes.push(crash);
-                true
-            }
-            None => false,
-        };
-        if news {
-            self.times_sent = 0;
+impl FromIterator<(Fingerprint, Duration)> for CrashRuns {
+    /// Collects requests without parts of prompts.
+    fn from_iter<T: IntoIterator<Item = (Fingerprint, Duration)>>(requests: T) -> Self {
+        Self {
+            requests: requests.into_iter().collect(),
+            parts: BTreeMap::new(),
         }
     }
-
-    /// Returns whether the entry may be a reason for a quarantine.
-    fn is_candidate(&self) -> bool {
-        self.crashes.len() >= CRASH_LIMIT || self.crashes.iter().any(|crash| crash.alone)
-    }
-
-    fn longest_run(&self) -> Duration {
-        let runs = self.crashes.iter().map(|crash| crash.run);
-        runs.max().unwrap_or_default()
-    }
-
-    fn expires(&self) -> Time {
-        let ends = self.crashes.iter().map(|crash| crash.expires);
-        ends.max().unwrap_or_default()
-    }
 }
 
-/// Fingerprints of requests that ran to a successful end lately.
-#[derive(Clone, Debug, Default)]
-struct Completions {
-    last: BTreeMap<Fingerprint, Time>,
-    /// Each completion, the oldest first.
-    queue: VecDeque<(Time, Fingerprint)>,
+/// An entry as it is reported to peers.
+#[derive(Clone, Debug)]
+pub enum SuspectReport {
+    /// A request, with the crashes attributed to it.
+    Request(Suspect, Vec<CrashReport>),
+    /// A part of prompts.
+    Part(SuspectPart),
 }
 
-impl Completions {
-    fn record(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.last.insert(fingerprint, now);
-        self.queue.push_back((now, fingerprint));
-        if self.queue.len() > MAX_COMPLETIONS {
-            self.drop_oldest();
-        }
-    }
-
-    fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.last.contains_key(&fingerprint)
-    }
-
-    fn expire(&mut self, now: Time) {
-        let expired = |(time, _): &(Time, Fingerprint)| now.since(*time) >= SUSPECT_TTL;
-        while self.queue.front().is_some_and(expired) {
-            self.drop_oldest();
-        }
-    }
-
-    fn drop_oldest(&mut self) {
-        if let Some((time, fingerprint)) = self.queue.pop_front()
-            && self.last.get(&fingerprint) == Some(&time)
-        {
-            self.last.remove(&fingerprint);
-        }
-    }
-}
-
-/// A suspect as it is reported to peers, with the crashes attributed to it.
-pub type SuspectReport = (Suspect, Vec<CrashReport>);
-
 /// A fingerprint that entered or left the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineChange {
@@ -143,36 +103,53 @@
 pub struct PoisonTable {
     entries: BTreeMap<Fingerprint, Entry>,
     quarantine: BTreeSet<Fingerprint>,
+    /// Crashes of quarantined parts, by target. They speak against nothing else.
+    explained: BTreeMap<TargetId, Vec<Crash>>,
     /// Digest of the candidates and of which of them are quarantined.
     digest: u32,
     /// The candidate that was reported last.
     last_reported: Option<Fingerprint>,
     completed: Completions,
+    answered: AnsweredParts,
 }
 
 impl PoisonTable {
-    /// Returns whether a fingerprint is suspected, so that its requests share no target with other
+    /// Returns whether a request is suspected, so that its requests share no target with other
     /// suspects.
     #[must_use]
     pub fn suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.entries.contains_key(&fingerprint) && !self.completed.contains(fingerprint)
+        self.entries.get(&fingerprint).is_some_and(|entry| {
+            let mut crashes = entry.crashes.iter();
+            crashes.any(|crash| !is_explained(&self.explained, crash))
+        }) && !self.completed.contains(fingerprint)
+    }
+
+    /// Returns whether a request with this part of a prompt should not be retried, as the part may
+    /// have crashed the target.
+    #[must_use]
+    pub fn part_suspected(&self, part: Fingerprint) -> bool {
+        let Some(entry) = self.entries.get(&part) else {
+            return false;
+        };
+        let crashes = entry.crashes.iter();
+        let open = crashes.filter(|crash| !is_explained(&self.explained, crash));
+        self.quarantine.contains(&part) || open.count() >= RETRY_LIMIT
     }
 
-    /// Returns whether a fingerprint is quarantined, so that its requests are refused.
+    /// Returns whether a request or part is quarantined, so that requests with it are refused.
     ///
     /// ```
-    /// use std::collections::BTreeMap;
     /// use std::time::Duration;
-    /// use seam_core::poison::PoisonTable;
+    /// use seam_core::poison::{CrashRuns, PoisonTable};
     /// use seam_protocol::{Fingerprint, TargetId, Time};
     /// let run = Duration::from_millis(50);
     /// let mut table = PoisonTable::default();
-    /// let both = BTreeMap::from([(Fingerprint(1), run), (Fingerprint(2), run)]);
-    /// table.record_crash(Time(0), TargetId(1), &both);
+    /// let both = [(Fingerprint(1), run), (Fingerprint(2), run)];
+    /// table.record_crash(Time(0), TargetId(1), &CrashRuns::from_iter(both));
     /// assert!(!table.quarantined(Fingerprint(1)));
     /// // Only fingerprint 1 ran on both crashed targets.
-    /// let again = BTreeMap::from([(Fingerprint(1), run), (Fingerprint(3), run)]);
-    /// table.record_crash(Time(1), TargetId(2), &again);
+    /// let again = [(Fingerprint(1), run), (Fingerprint(3), run)];
+    /// table.record_crash(Time(1), TargetId(2), &CrashRuns::from_iter(again));
     /// assert!(table.quarantined(Fingerprint(1)));
     /// assert!(!table.suspected(Fingerprint(3)));
     /// ```
@@ -181,19 +158,27 @@
         self.quarantine.contains(&fingerprint) && !self.completed.contains(fingerprint)
     }
 
-    /// Attributes a crash to the requests of this node that ran on the crashed target, with the
-    /// time that each had been there. Those that ran to a successful end before are left out.
+    /// Returns whether nothing is quarantined.
+    #[must_use]
+    pub fn refuses_nothing(&self) -> bool {
+        self.quarantine.is_empty()
+    }
+
+    /// Attributes a crash to what was at the crashed target.
+    ///
+    /// Requests that ran to a successful end before are left out. If none of the others was a
+    /// suspect before, all become suspects. Otherwise the crash is attributed to the suspects. One
+    /// that was the only suspect there is quarantined. If another node says the same of another
+    /// request at the same crash, only the one is quarantined whose runs were shorter, since such a
+    /// request crashes its targets soon. Each is quarantined at [`CRASH_LIMIT`] crashes.
     ///
-    /// If none of them was a suspect before, all become suspects. Otherwise the crash is attributed
-    /// to the suspects. One that was the only suspect there is quarantined. If another node says
-    /// the same of another request at the same crash, only the one is quarantined whose runs were
-    /// shorter, since such a request crashes its targets soon. Each is quarantined at
-    /// [`CRASH_LIMIT`] crashes.
+    /// Parts of prompts are quarantined after some separate crashes without an answer that began
+    /// meanwhile, see [`Self::record_answer`].
     pub fn record_crash(
         &mut self,
         now: Time,
         target: TargetId,
-        ran: &BTreeMap<Fingerprint, Duration>,
+        ran: &CrashRuns,
     ) -> Vec<QuarantineChange> {
         let crash = Crash {
             target,
@@ -201,7 +186,11 @@
             alone: false,
             run: Duration::ZERO,
         };
-        let ran: BTreeMap<Fingerprint, Duration> = ran
+        for (part, depth) in &ran.parts {
+            self.add_crash(*part, self.part_subject(*part, *depth), crash);
+        }
+        let requests: BTreeMap<Fingerprint, Duration> = ran
+            .requests
             .iter()
             .filter(|(fingerprint, _)| !self.completed.contains(**fingerprint))
             .map(|(fingerprint, run)| (*fingerprint, *run))
@@ -210,29 +199,36 @@
             let entry = self.entries.get(fingerprint);
             entry.is_some_and(|entry| {
                 let mut crashes = entry.crashes.iter();
-                crashes.any(|known| !known.is_same(&crash))
+                crashes.any(|known| !known.is_same(&crash) && !is_explained(&self.explained, known))
             })
         };
-        let suspects: BTreeSet<Fingerprint> = ran.keys().copied().filter(was_suspect).collect();
-        for (fingerprint, run) in ran {
+        let suspects: BTreeSet<Fingerprint> =
+            requests.keys().copied().filter(was_suspect).collect();
+        for (fingerprint, run) in requests {
             if suspects.is_empty() || suspects.contains(&fingerprint) {
                 let crash = Crash {
                     alone: suspects.len() == 1,
                     run,
                     ..crash
                 };
-                self.add_crash(fingerprint, crash);
+                self.add_crash(fingerprint, Subject::Request, crash);
             }
         }
         self.update_quarantine()
     }
 
-    /// Attributes a crash to a fingerprint.
-    fn add_crash(&mut self, fingerprint: Fingerprint, crash: Crash) {
+    fn part_subject(&self, part: Fingerprint, depth: u8) -> Subject {
+        let answered = self.answered.last(part).is_some();
+        Subject::Part { depth, answered }
+    }
+
+    /// Attributes a crash to a request or part.
+    fn add_crash(&mut self, fingerprint: Fingerprint, subject: Subject, crash: Crash) {
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&fingerprint) {
             self.drop_oldest_suspect();
         }
-        self.entries.entry(fingerprint).or_default().add(crash);
+        let entry = self.entries.entry(fingerprint);
+        entry.or_insert_with(|| Entry::new(subject)).add(crash);
     }
 
     /// Removes the oldest of the entries with the fewest crashes.
@@ -247,15 +243,32 @@
         }
     }
 
+    /// Returns the candidates, those first that are more likely to be the cause of a crash which
+    /// they share: parts with a known answer last, then the ones with the most crashes first, then
+    /// requests, then parts that fewer prompts share.
+    fn ranked_candidates(&self) -> Vec<(Fingerprint, &Entry)> {
+        let mut candidates: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_candidate())
+            .map(|(fingerprint, entry)| (*fingerprint, entry))
+            .collect();
+        candidates.sort_by_key(|(_, entry)| {
+            let (answered, position) = match entry.subject {
+                Subject::Request => (false, None),
+                Subject::Part { depth, answered } => (answered, Some(Reverse(depth))),
+            };
+            (answered, Reverse(entry.crashes.len()), position)
+        });
+        candidates
+    }
+
     /// Decides anew which fingerprints are quarantined. Returns those for which that changed.
     fn update_quarantine(&mut self) -> Vec<QuarantineChange> {
-        let mut only_suspects: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
-        for (fingerprint, entry) in &self.entries {
-            for crash in entry.crashes.iter().filter(|crash| crash.alone) {
-                let crashes = only_suspects.entry(crash.target).or_default();
-                crashes.push((*crash, *fingerprint));
-            }
-        }
+        let mut explained: BTreeMap<TargetId, Vec<Crash>> = BTreeMap::new();
+        let mut quarantine = BTreeSet::new();
+        let mut digest = 0;
+        let only_suspects = self.only_suspects();
         // Another node had another request as its only suspect at the same crash.
         let contested = |fingerprint: Fingerprint, crash: &Crash| {
             let run = self.entries[&fingerprint].longest_run();
@@ -266,23 +279,33 @@
                     && self.entries[other].longest_run() <= run
             })
         };
-        let mut quarantine = BTreeSet::new();
-        let mut digest = 0;
-        for (fingerprint, entry) in self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.is_candidate())
-        {
-            let mut alone = entry.crashes.iter().filter(|crash| crash.alone);
-            let quarantined = entry.crashes.len() >= CRASH_LIMIT
-                || alone.any(|crash| !contested(*fingerprint, crash));
+        for (fingerprint, entry) in self.ranked_candidates() {
+            let open: Vec<Crash> = entry
+                .crashes
+                .iter()
+                .filter(|crash| !is_explained(&explained, crash))
+                .copied()
+                .collect();
+            let quarantined = match entry.subject {
+                Subject::Request => {
+                    let mut alone = open.iter().filter(|crash| crash.alone);
+                    open.len() >= CRASH_LIMIT || alone.any(|crash| !contested(fingerprint, crash))
+                }
+                Subject::Part { .. } => entry.is_part_cause(open.iter()),
+            };
             if quarantined {
-                quarantine.insert(*fingerprint);
+                quarantine.insert(fingerprint);
+                if let Subject::Part { .. } = entry.subject {
+                    for crash in &entry.crashes {
+                        explained.entry(crash.target).or_default().push(*crash);
+                    }
+                }
             }
             let folded = (fingerprint.0 >> 32) as u32 ^ fingerprint.0 as u32;
             digest ^= folded.rotate_left(u32::from(quarantined));
         }
         let before = std::mem::replace(&mut self.quarantine, quarantine);
+        self.explained = explained;
         self.digest = digest;
         let changed = before.symmetric_difference(&self.quarantine);
         changed
@@ -293,6 +316,18 @@
             .collect()
     }
 
+    /// Returns the crashes at which a node had only one suspected request, by target.
+    fn only_suspects(&self) -> BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> {
+        let mut only_suspects: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
+        for (fingerprint, entry) in &self.entries {
+            for crash in entry.crashes.iter().filter(|crash| crash.alone) {
+                let crashes = only_suspects.entry(crash.target).or_default();
+                crashes.push((*crash, *fingerprint));
+            }
+        }
+        only_suspects
+    }
+
     /// Returns a digest of what the quarantine follows from, zero for nothing. Nodes with the same
     /// quarantine have the same digest.
     #[must_use]
@@ -313,19 +348,44 @@
     ) -> Vec<QuarantineChange> {
         let unnamed = [self.unnamed_crash(now, suspect)];
         for report in crashes.unwrap_or(&unnamed) {
-            let lifetime = Duration::from_millis(report.lifetime.into());
-            if lifetime.is_zero() {
-                continue;
+            if let Some(crash) = reported_crash(now, report) {
+                self.add_crash(suspect.fingerprint, Subject::Request, crash);
             }
-            let crash = Crash {
-                target: report.target,
-                expires: now + lifetime.min(SUSPECT_TTL),
-                alone: report.alone,
-                run: Duration::from_millis(report.run.into()),
-            };
-            self.add_crash(suspect.fingerprint, crash);
         }
-        let merged = self.entries.get(&suspect.fingerprint);
+        self.update_if_candidate(suspect.fingerprint)
+    }
+
+    /// Merges a part reported by a peer. Returns the fingerprints that entered or left the
+    /// quarantine.
+    ///
+    /// If this node knows of an answer that the peer does not, it reports that in turn.
+    pub fn merge_part(&mut self, now: Time, report: &SuspectPart) -> Vec<QuarantineChange> {
+        let part = report.part;
+        let mut changes = Vec::new();
+        if let Some(age) = report.answered {
+            let began = now - Duration::from_millis(age.into());
+            changes = self.record_answer(part, began);
+        }
+        let answered = self.answered.last(part);
+        let subject = self.part_subject(part, report.depth);
+        let crashes = report.crashes.iter();
+        let (refuted, open): (Vec<Crash>, Vec<Crash>) = crashes
+            .filter_map(|crash| reported_crash(now, crash))
+            .partition(|crash| answered.is_some_and(|began| began > crash.time()));
+        for crash in &open {
+            self.add_crash(part, subject, *crash);
+        }
+        let unknown = answered.is_some() && report.answered.is_none();
+        if !refuted.is_empty() || (unknown && !open.is_empty()) {
+            let entry = self.entries.entry(part);
+            entry.or_insert_with(|| Entry::new(subject)).times_sent = 0;
+        }
+        changes.extend(self.update_if_candidate(part));
+        changes
+    }
+
+    fn update_if_candidate(&mut self, fingerprint: Fingerprint) -> Vec<QuarantineChange> {
+        let merged = self.entries.get(&fingerprint);
         if merged.is_some_and(Entry::is_candidate) {
             self.update_quarantine()
         } else {
@@ -358,15 +418,41 @@
         self.completed.record(now, fingerprint);
     }
 
+    /// Records that a target began an answer, which ended well, to a prompt with a part. The part
+    /// caused none of the crashes before. Returns the fingerprints that entered or left the
+    /// quarantine.
+    ///
+    /// Unlike a completed request, the part may crash targets from then on.
+    pub fn record_answer(&mut self, part: Fingerprint, began: Time) -> Vec<QuarantineChange> {
+        if !self.answered.record(part, began) {
+            return Vec::new();
+        }
+        let Some(entry) = self.entries.get_mut(&part) else {
+            return Vec::new();
+        };
+        let was_candidate = entry.is_candidate();
+        if let Subject::Part { answered, .. } = &mut entry.subject {
+            *answered = true;
+        }
+        if entry.clear_before(began) || was_candidate {
+            self.update_quarantine()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Removes crashes older than [`SUSPECT_TTL`].
     pub fn expire(&mut self, now: Time) {
         self.completed.expire(now);
+        self.answered.expire(now);
         let mut expired = false;
         self.entries.retain(|_, entry| {
             let known = entry.crashes.len();
             entry.crashes.retain(|crash| crash.expires > now);
             expired |= entry.crashes.len() < known;
-            !entry.crashes.is_empty()
+            // An entry without crashes tells peers of an answer.
+            let told = known == 0 && entry.times_sent >= MAX_SENDS;
+            !entry.crashes.is_empty() || (known == 0 && !told)
         });
         if expired {
             self.update_quarantine();
@@ -376,22 +462,22 @@
     /// Returns up to `limit` entries for gossip, those sent least often first, and counts them as
     /// sent.
     pub fn take_updates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
-        const MAX_SENDS: u8 = 12;
-        let quarantine = &self.quarantine;
-        let mut entries: Vec<_> = self
+        let mut entries: Vec<(u8, usize, Fingerprint)> = self
             .entries
-            .iter_mut()
+            .iter()
             .filter(|(_, entry)| entry.times_sent < MAX_SENDS)
+            .map(|(fingerprint, entry)| (entry.times_sent, entry.crashes.len(), *fingerprint))
             .collect();
-        entries.sort_by_key(|(_, entry)| (entry.times_sent, CRASH_LIMIT - entry.crashes.len()));
-        entries
-            .into_iter()
-            .take(limit)
-            .map(|(fingerprint, entry)| {
+        entries.sort_by_key(|(times_sent, crashes, _)| (*times_sent, Reverse(*crashes)));
+        entries.truncate(limit);
+        let mut reports = Vec::new();
+        for (_, _, fingerprint) in entries {
+            if let Some(entry) = self.entries.get_mut(&fingerprint) {
                 entry.times_sent += 1;
-                report(now, *fingerprint, entry, quarantine)
-            })
-            .collect()
+            }
+            reports.extend(self.report(now, fingerprint));
+        }
+        reports
     }
 
     /// Returns up to `limit` entries that the quarantine follows from, for a peer with another
@@ -400,33 +486,32 @@
         let last = self.last_reported.unwrap_or(Fingerprint(u64::MAX));
         let after = self.entries.iter().filter(|(key, _)| **key > last);
         let before = self.entries.iter().filter(|(key, _)| **key <= last);
-        let reports: Vec<_> = after
+        let candidates: Vec<Fingerprint> = after
             .chain(before)
             .filter(|(_, entry)| entry.is_candidate())
             .take(limit)
-            .map(|(fingerprint, entry)| report(now, *fingerprint, entry, &self.quarantine))
+            .map(|(fingerprint, _)| *fingerprint)
             .collect();
-        if let Some((suspect, _)) = reports.last() {
-            self.last_reported = Some(suspect.fingerprint);
-        }
+        self.last_reported = candidates.last().copied().or(self.last_reported);
+        let reports = candidates.into_iter();
         reports
+            .filter_map(|fingerprint| self.report(now, fingerprint))
+            .collect()
     }
 
     /// Returns up to `limit` entries for a peer that may know none of them: those that the
-    /// quarantine follows from, then the suspects of the most recent crashes.
+    /// quarantine follows from, then the suspects with the most and the most recent crashes.
     pub fn take_report(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
         let mut reports = self.take_candidates(now, limit);
         let mut suspects: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, entry)| !entry.is_candidate())
+            .filter(|(_, entry)| !entry.is_candidate() && !entry.crashes.is_empty())
             .collect();
-        suspects.sort_by_key(|(_, entry)| Reverse(entry.expires()));
+        suspects.sort_by_key(|(_, entry)| Reverse((entry.crashes.len(), entry.expires())));
         suspects.truncate(limit - reports.len());
         let suspects = suspects.into_iter();
-        reports.extend(
-            suspects.map(|(fingerprint, entry)| report(now, *fingerprint, entry, &self.quarantine)),
-        );
+        reports.extend(suspects.filter_map(|(fingerprint, _)| self.report(now, *fingerprint)));
         reports
     }
 
@@ -447,24 +532,51 @@
         let refused = |fingerprint: &Fingerprint| !self.completed.contains(*fingerprint);
         self.quarantine.iter().copied().filter(refused)
     }
+
+    /// Returns an entry as it is reported to peers.
+    fn report(&self, now: Time, fingerprint: Fingerprint) -> Option<SuspectReport> {
+        let entry = self.entries.get(&fingerprint)?;
+        let crashes = entry.crashes.iter().map(|crash| CrashReport {
+            target: crash.target,
+            lifetime: crash.expires.since(now).as_millis() as u32,
+            alone: crash.alone,
+            run: crash.run.as_millis() as u32,
+        });
+        let crashes = crashes.collect();
+        Some(match entry.subject {
+            Subject::Request => {
+                let suspect = Suspect {
+                    fingerprint,
+                    crashes: 1 + u8::from(self.quarantine.contains(&fingerprint)),
+                };
+                SuspectReport::Request(suspect, crashes)
+            }
+            Subject::Part { depth, .. } => {
+                let answered = self.answered.last(fingerprint);
+                SuspectReport::Part(SuspectPart {
+                    part: fingerprint,
+                    depth,
+                    answered: answered.map(|began| now.since(began).as_millis() as u32),
+                    crashes,
+                })
+            }
+        })
+    }
+}
+
+/// Returns whether a quarantined part caused a crash.
+fn is_explained(explained: &BTreeMap<TargetId, Vec<Crash>>, crash: &Crash) -> bool {
+    let known = explained.get(&crash.target);
+    known.is_some_and(|known| known.iter().any(|known| known.is_same(crash)))
 }
 
-/// Returns an entry as it is reported to peers.
-fn report(
-    now: Time,
-    fingerprint: Fingerprint,
-    entry: &Entry,
-    quarantine: &BTreeSet<Fingerprint>,
-) -> SuspectReport {
-    let suspect = Suspect {
-        fingerprint,
-        crashes: 1 + u8::from(quarantine.contains(&fingerprint)),
-    };
-    let crashes = entry.crashes.iter().map(|crash| CrashReport {
-        target: crash.target,
-        lifetime: crash.expires.since(now).as_millis() as u32,
-        alone: crash.alone,
-        run: crash.run.as_millis() as u32,
-    });
-    (suspect, crashes.collect())
+/// Returns a crash that a peer reports, `None` once it is forgotten.
+fn reported_crash(now: Time, report: &CrashReport) -> Option<Crash> {
+    let lifetime = Duration::from_millis(report.lifetime.into());
+    (!lifetime.is_zero()).then(|| Crash {
+        target: report.target,
+        expires: now + lifetime.min(SUSPECT_TTL),
+        alone: report.alone,
+        run: Duration::from_millis(report.run.into()),
+    })
 }
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -8,6 +8,7 @@
 
 use crate::arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules};
 use crate::handle::{AttemptKey, TargetKey, Ticket};
+use crate::poison::part_fingerprints;
 use crate::prompt::Prompt;
 use crate::targets::PromptWork;
 
@@ -49,6 +50,8 @@
     pub key_owner: Option<VmId>,
     /// Fingerprint, equal for requests that a target cannot tell apart.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
     /// Digest of the prompt prefix.
     pub prefix: Option<u64>,
     /// When it arrived.
@@ -87,6 +90,9 @@
             Origin::Caller => Vec::new(),
             Origin::Peer { hops, .. } => hops.clone(),
         };
+        let prompt = arrival.prompt.as_deref();
+        let parts = prompt.map(|prompt| part_fingerprints(arrival.service, prompt));
+        let parts = parts.unwrap_or_default();
         Self {
             customer: arrival.customer,
             service: arrival.service,
@@ -97,6 +103,7 @@
             local_key: false,
             key_owner: None,
             fingerprint: arrival.fingerprint,
+            parts,
             prefix: arrival.prefix,
             arrived: now,
             deadline: now + arrival.budget,
@@ -166,6 +173,6 @@
     pub suspect: bool,
     /// Work that it adds to a model engine: prefill tokens, KV tokens and predicted time.
     pub work: PromptWork,
-    /// Whether the first bytes of its response arrived.
-    pub response_started: bool,
+    /// When the first bytes of its response arrived.
+    pub responded: Option<Time>,
 }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -316,7 +316,8 @@
     let mut awaiting_first = true;
     loop {
         let frame = monitor.watch(body.frame()).await;
-        if std::mem::take(&mut awaiting_first) {
+        let broken = matches!(frame, Some(Err(_)));
+        if !broken && std::mem::take(&mut awaiting_first) {
             progress.mark_responded(monitor.runtime.now());
             monitor
                 .runtime
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,6 +1,6 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
-use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect};
+use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect, SuspectPart};
 use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
 fn heartbeat() -> Heartbeat {
@@ -32,6 +32,34 @@
     assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
 }
 
+/// Guards against parts of prompts that get lost, with or without a quarantine beside them.
+#[test]
+fn parts_kept() {
+    let mut heartbeat = heartbeat();
+    heartbeat.suspect_parts.push(SuspectPart {
+        part: Fingerprint(6),
+        depth: 2,
+        answered: Some(1500),
+        crashes: vec![CrashReport {
+            target: TargetId(5),
+            lifetime: 599_999,
+            alone: false,
+            run: 0,
+        }],
+    });
+    for digest in [0, 4] {
+        heartbeat.quarantine.digest = digest;
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
+        // A process of an earlier version reads what precedes the parts.
+        let (fields, rest): (Heartbeat, _) = postcard::take_from_bytes(&whole).unwrap();
+        assert_eq!(fields.suspects, heartbeat.suspects);
+        let quarantine: QuarantineReport = postcard::from_bytes(rest).unwrap();
+        assert_eq!(quarantine, heartbeat.quarantine);
+    }
+}
+
 /// Guards against datagrams that processes of the version before cannot exchange with this one.
 #[test]
 fn earlier_version() {
