Name prompt parts in the audit trail and in closing lines

On call, a quarantined part looked like a request's fingerprint, and nothing led from a refused request to the part that it was refused for. Crash lists the parts that may be the cause, Quarantine says what it names, and the lines of broken and refused requests list their parts with the fingerprint that the quarantine uses.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -146,8 +146,6 @@
         let known = |fingerprint: &&Fingerprint| self.poison.suspected(**fingerprint);
         let requests = &watch.runs.requests;
         let suspects = requests.keys().filter(known).count();
-        let listed = requests.keys().take(MAX_LISTED_FINGERPRINTS);
-        let listed: Vec<String> = listed.map(ToString::to_string).collect();
         let ran = requests.len();
         self.counters.crashes += 1;
         out.push(self.audit(
@@ -158,7 +156,11 @@
                 format!("{suspects} suspects ran"),
                 format!("{ran} requests ran"),
             ),
-            format!("fingerprints {}", listed.join(" ")),
+            format!(
+                "fingerprints {}; prompt parts {}",
+                list(requests.keys()),
+                list(watch.runs.parts.keys())
+            ),
         ));
         let changes = self.poison.record_crash(now, target, &watch.runs);
         let cause = format!("target {target} crashed under it");
@@ -175,7 +177,12 @@
         out: &mut Vec<Command>,
     ) {
         for change in changes {
-            let subject = format!("fingerprint {}", change.fingerprint);
+            let kind = if change.is_part {
+                "prompt part"
+            } else {
+                "fingerprint"
+            };
+            let subject = format!("{kind} {}", change.fingerprint);
             let states = if change.quarantined {
                 ("suspect", "quarantined")
             } else {
@@ -420,3 +427,10 @@
         }
     }
 }
+
+/// Returns the first fingerprints as text.
+fn list<'a>(fingerprints: impl Iterator<Item = &'a Fingerprint>) -> String {
+    let listed = fingerprints.take(MAX_LISTED_FINGERPRINTS);
+    let listed: Vec<String> = listed.map(ToString::to_string).collect();
+    listed.join(" ")
+}
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -96,6 +96,8 @@
 pub struct QuarantineChange {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
+    /// Whether it stands for a part of prompts.
+    pub is_part: bool,
     /// Whether it is quarantined now.
     pub quarantined: bool,
 }
@@ -328,11 +330,17 @@
         changed
             .map(|fingerprint| QuarantineChange {
                 fingerprint: *fingerprint,
+                is_part: self.is_part(*fingerprint),
                 quarantined: self.quarantine.contains(fingerprint),
             })
             .collect()
     }
 
+    fn is_part(&self, fingerprint: Fingerprint) -> bool {
+        let subject = self.entries.get(&fingerprint).map(|entry| entry.subject);
+        matches!(subject, Some(Subject::Part { .. }))
+    }
+
     /// Returns the crashes at which a node had only one suspected request, by target.
     fn only_suspects(&self) -> BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> {
         let mut only_suspects: BTreeMap<TargetId, Vec<(Crash, Fingerprint)>> = BTreeMap::new();
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -11,7 +11,7 @@
 use seam_core::spill::{RegionChoice, RoutingDecision};
 use seam_core::{AttemptKey, AttemptOutcome, Event, Origin, Refusal};
 use seam_http::spawn;
-use seam_protocol::{Outcome, Time};
+use seam_protocol::{Outcome, Reason, Time};
 
 use crate::inbound::InboundRequest;
 use crate::progress::Progress;
@@ -185,6 +185,8 @@
             None => Outcome::Unknown,
         };
         let age = self.runtime.now().since(self.arrived);
+        let poison = refusal.is_some_and(|refusal| refusal.reason == Reason::Poison);
+        let parts = poison.then(|| self.inbound.shared_parts());
         self.runtime
             .metrics
             .request_ended(&self.inbound.customer_name, end, age);
@@ -193,6 +195,7 @@
             request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
             outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
+            parts = parts.unwrap_or_default().as_str(),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
             age_ms = age.as_millis() as u64;
             "request ended"
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -6,6 +6,7 @@
 
 use crate::request_body::{BUFFERED_BYTES, RequestBody};
 use http::{HeaderMap, HeaderName, Method, header};
+use seam_core::poison::part_fingerprints;
 use seam_core::{AttemptOutcome, IdempotencyKey, Prompt, Refusal, RouteRules};
 use seam_http::Body;
 use seam_protocol::{
@@ -166,14 +167,24 @@
         })
     }
 
-    /// Returns the identifiers of the first parts of the prompt that other requests may share, for
-    /// log lines.
+    /// Returns the last parts of the prompt that other requests may share, for log lines. Each has
+    /// its identifier and the fingerprint that the quarantine names.
     #[must_use]
     pub fn shared_parts(&self) -> String {
         const MAX_LISTED: usize = 8;
-        let shared = self.prompt.as_deref().map_or(&[][..], Prompt::shared_parts);
-        let listed = shared.iter().take(MAX_LISTED);
-        let listed: Vec<String> = listed.map(|part| format!("{:x}", part.id)).collect();
+        let Some(prompt) = self.prompt.as_deref() else {
+            return String::new();
+        };
+        let fingerprints = part_fingerprints(self.service, prompt);
+        let parts = prompt
+            .shared_parts()
+            .iter()
+            .rev()
+            .zip(fingerprints.iter().rev());
+        let parts = parts.take(MAX_LISTED);
+        let listed: Vec<String> = parts
+            .map(|(part, fingerprint)| format!("{:x}/{fingerprint}", part.id))
+            .collect();
         listed.join(" ")
     }
 
