Keep the news of a crashing part from drowning, and judge by what is merged

Twelve engines crashed a second, each beside tens of requests at thirty nodes. In the logs dozens of fingerprints entered and left the quarantine over a thousand times, and sound parts stayed in it.

Cause: all that ran at a crashed engine was news, four entries in a heartbeat, requests and often answered parts before the cause; and a part explained only the crashes that a node happened to keep of it, so others were blamed for the rest.

Now a heartbeat lists parts beside requests, those that are likelier to be the cause first; so does half of a report to a node with another quarantine. A part with an answer within the last second is not blamed. Crashes within half a second of one that a quarantined part caused speak against nothing else. 32 crashes of a part are kept instead of 12.

Tried and dropped: keeping only separate crashes of a part.

--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -33,6 +33,9 @@
 const MAX_ENTRIES: usize = 4096;
 /// Largest number of parts of one prompt that are considered, the last ones that it shares.
 const MAX_PARTS: usize = 64;
+/// Time since the last answer to a prompt with a part in which it is not blamed for a crash. Such
+/// parts are in many prompts, and are soon answered again.
+const ANSWERED_LATELY: Duration = Duration::from_secs(1);
 /// Number of times that an entry is sent to peers without a change.
 const MAX_SENDS: u8 = 12;
 /// Number of crashes from which on a request with a part is not retried.
@@ -107,8 +110,8 @@
 pub struct PoisonTable {
     entries: BTreeMap<Fingerprint, Entry>,
     quarantine: BTreeSet<Fingerprint>,
-    /// Crashes of quarantined parts, by target. They speak against nothing else.
-    explained: BTreeMap<TargetId, Vec<Crash>>,
+    /// Crashes of quarantined parts. They, and others at the same time, speak against nothing else.
+    explained: Vec<Crash>,
     /// Digest of the candidates and of which of them are quarantined.
     digest: u32,
     /// The candidate that was reported last.
@@ -206,7 +209,10 @@
             run: Duration::ZERO,
         };
         for (part, depth) in &ran.parts {
-            self.add_crash(*part, self.part_subject(*part, *depth), crash);
+            let answered = self.answered.last(*part);
+            if answered.is_none_or(|began| now.since(began) >= ANSWERED_LATELY) {
+                self.add_crash(*part, self.part_subject(*part, *depth), crash);
+            }
         }
         let requests: BTreeMap<Fingerprint, Duration> = ran
             .requests
@@ -272,19 +278,13 @@
             .filter(|(_, entry)| entry.is_candidate())
             .map(|(fingerprint, entry)| (*fingerprint, entry))
             .collect();
-        candidates.sort_by_key(|(_, entry)| {
-            let (answered, position) = match entry.subject {
-                Subject::Request => (false, None),
-                Subject::Part { depth, answered } => (answered, Some(Reverse(depth))),
-            };
-            (answered, Reverse(entry.crashes.len()), position)
-        });
+        candidates.sort_by_key(|(_, entry)| entry.doubts());
         candidates
     }
 
     /// Decides anew which fingerprints are quarantined. Returns those for which that changed.
     fn update_quarantine(&mut self) -> Vec<QuarantineChange> {
-        let mut explained: BTreeMap<TargetId, Vec<Crash>> = BTreeMap::new();
+        let mut explained: Vec<Crash> = Vec::new();
         let mut quarantine = BTreeSet::new();
         let mut digest = 0;
         let only_suspects = self.only_suspects();
@@ -315,9 +315,7 @@
             if quarantined {
                 quarantine.insert(fingerprint);
                 if let Subject::Part { .. } = entry.subject {
-                    for crash in &entry.crashes {
-                        explained.entry(crash.target).or_default().push(*crash);
-                    }
+                    explained.extend(&entry.crashes);
                 }
             }
             let folded = (fingerprint.0 >> 32) as u32 ^ fingerprint.0 as u32;
@@ -488,19 +486,24 @@
         }
     }
 
-    /// Returns up to `limit` entries for gossip, those sent least often first, and counts them as
-    /// sent.
+    /// Returns up to `limit` requests and as many parts for gossip, and counts them as sent: those
+    /// sent least often first, then those that are likelier to be the cause of crashes.
     pub fn take_updates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
-        let mut entries: Vec<(u8, usize, Fingerprint)> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.times_sent < MAX_SENDS)
-            .map(|(fingerprint, entry)| (entry.times_sent, entry.crashes.len(), *fingerprint))
-            .collect();
-        entries.sort_by_key(|(times_sent, crashes, _)| (*times_sent, Reverse(*crashes)));
-        entries.truncate(limit);
+        let mut updates = Vec::new();
+        for parts in [true, false] {
+            let mut entries: Vec<_> = self
+                .entries
+                .iter()
+                .filter(|(_, entry)| {
+                    entry.times_sent < MAX_SENDS && parts != (entry.subject == Subject::Request)
+                })
+                .map(|(fingerprint, entry)| (entry.times_sent, entry.doubts(), *fingerprint))
+                .collect();
+            entries.sort_unstable();
+            updates.extend(entries.into_iter().take(limit));
+        }
         let mut reports = Vec::new();
-        for (_, _, fingerprint) in entries {
+        for (_, _, fingerprint) in updates {
             if let Some(entry) = self.entries.get_mut(&fingerprint) {
                 entry.times_sent += 1;
             }
@@ -510,21 +513,21 @@
     }
 
     /// Returns up to `limit` entries that the quarantine follows from, for a peer with another
-    /// digest. Later calls return the next ones.
+    /// digest: half of them are the likeliest causes, and later calls return the next of the others.
     pub fn take_candidates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
-        let last = self.last_reported.unwrap_or(Fingerprint(u64::MAX));
-        let after = self.entries.iter().filter(|(key, _)| **key > last);
-        let before = self.entries.iter().filter(|(key, _)| **key <= last);
-        let candidates: Vec<Fingerprint> = after
-            .chain(before)
-            .filter(|(_, entry)| entry.is_candidate())
-            .take(limit)
-            .map(|(fingerprint, _)| *fingerprint)
-            .collect();
-        self.last_reported = candidates.last().copied().or(self.last_reported);
-        let reports = candidates.into_iter();
-        reports
-            .filter_map(|fingerprint| self.report(now, fingerprint))
+        let ranked = self.ranked_candidates().into_iter();
+        let ranked: Vec<Fingerprint> = ranked.map(|(fingerprint, _)| fingerprint).collect();
+        let (first, rest) = ranked.split_at(ranked.len().min(limit.div_ceil(2)));
+        let mut rest = rest.to_vec();
+        rest.sort_unstable();
+        let last = self.last_reported;
+        let next = rest.partition_point(|fingerprint| Some(*fingerprint) <= last);
+        rest.rotate_left(next);
+        rest.truncate(limit - first.len());
+        self.last_reported = rest.last().copied();
+        let candidates = first.iter().chain(&rest);
+        candidates
+            .filter_map(|fingerprint| self.report(now, *fingerprint))
             .collect()
     }
 
@@ -593,10 +596,9 @@
     }
 }
 
-/// Returns whether a quarantined part caused a crash.
-fn is_explained(explained: &BTreeMap<TargetId, Vec<Crash>>, crash: &Crash) -> bool {
-    let known = explained.get(&crash.target);
-    known.is_some_and(|known| known.iter().any(|known| known.is_same(crash)))
+/// Returns whether a quarantined part is likely to have caused a crash.
+fn is_explained(explained: &[Crash], crash: &Crash) -> bool {
+    explained.iter().any(|known| known.explains(crash))
 }
 
 /// Returns a crash that a peer reports, `None` once it is forgotten.
--- a/crates/seam-core/src/poison/entry.rs
+++ b/crates/seam-core/src/poison/entry.rs
@@ -1,5 +1,6 @@
 //! The crashes that are attributed to one request or part of prompts.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use seam_protocol::{TargetId, Time};
@@ -13,7 +14,9 @@
 /// The same time for a part to which there were answers, which is less likely to be the cause.
 const ANSWERED_SPAN: Duration = Duration::from_secs(1);
 /// Largest number of crashes that are kept of a part, the newest ones.
-const MAX_PART_CRASHES: usize = 12;
+const MAX_PART_CRASHES: usize = 32;
+/// Crashes within this time of one that a part caused are taken for its doing as well.
+const EXPLAINED_SPAN: Duration = Duration::from_millis(500);
 /// Crashes of a target that nodes saw within this time are one crash, since it has to start again
 /// before the next.
 const CRASH_SPAN: Duration = Duration::from_secs(2);
@@ -36,6 +39,15 @@
         self.expires - SUSPECT_TTL
     }
 
+    /// Returns whether a part that caused this crash is likely to have caused another one too.
+    pub(super) fn explains(&self, other: &Self) -> bool {
+        let (first, last) = (
+            self.expires.min(other.expires),
+            self.expires.max(other.expires),
+        );
+        last.since(first) <= EXPLAINED_SPAN
+    }
+
     pub(super) fn is_same(&self, other: &Self) -> bool {
         let (first, last) = (
             self.expires.min(other.expires),
@@ -80,27 +92,39 @@
 
     /// Adds a crash, unless it is known or enough others are.
     pub(super) fn add(&mut self, crash: Crash) {
-        let same = self.crashes.iter().position(|known| known.is_same(&crash));
-        let news = match (same, self.subject) {
-            (Some(index), _) => {
-                let known = &mut self.crashes[index];
-                known.run = known.run.min(crash.run);
-                crash.alone && !std::mem::replace(&mut known.alone, true)
-            }
-            (None, Subject::Request) if self.crashes.len() >= CRASH_LIMIT => false,
-            (None, Subject::Part { .. }) if self.crashes.len() >= MAX_PART_CRASHES => {
-                self.replace_oldest(crash)
-            }
-            (None, _) => {
-                self.crashes.push(crash);
-                true
-            }
+        let news = match self.subject {
+            Subject::Request => self.add_request_crash(crash),
+            Subject::Part { .. } => self.add_part_crash(crash),
         };
         if news {
             self.times_sent = 0;
         }
     }
 
+    fn add_request_crash(&mut self, crash: Crash) -> bool {
+        let mut crashes = self.crashes.iter_mut();
+        if let Some(known) = crashes.find(|known| known.is_same(&crash)) {
+            known.run = known.run.min(crash.run);
+            return crash.alone && !std::mem::replace(&mut known.alone, true);
+        }
+        let missing = self.crashes.len() < CRASH_LIMIT;
+        if missing {
+            self.crashes.push(crash);
+        }
+        missing
+    }
+
+    fn add_part_crash(&mut self, crash: Crash) -> bool {
+        if self.crashes.iter().any(|known| known.is_same(&crash)) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_PART_CRASHES {
+            return self.replace_oldest(crash);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
     /// Replaces the oldest crash by a newer one. Returns whether the crash is newer.
     fn replace_oldest(&mut self, crash: Crash) -> bool {
         let oldest = self.crashes.iter_mut().min_by_key(|known| known.expires);
@@ -151,6 +175,15 @@
         separate >= PART_CRASH_LIMIT
     }
 
+    /// Returns how unlikely it is that this is the cause of its crashes, for comparison with others.
+    pub(super) fn doubts(&self) -> (bool, Reverse<usize>, Option<Reverse<u8>>) {
+        let (answered, position) = match self.subject {
+            Subject::Request => (false, None),
+            Subject::Part { depth, answered } => (answered, Some(Reverse(depth))),
+        };
+        (answered, Reverse(self.crashes.len()), position)
+    }
+
     pub(super) fn longest_run(&self) -> Duration {
         let runs = self.crashes.iter().map(|crash| crash.run);
         runs.max().unwrap_or_default()
--- a/crates/seam-core/tests/crashing_parts.rs
+++ b/crates/seam-core/tests/crashing_parts.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use part_crashes::{CONTACT, CrashingPart, ENGINES, MAX_LATE, PartCrashes, REGIONS};
+use part_crashes::{CONTACT, CrashingPart, FleetSize, MAX_LATE, PartCrashes, SMALL};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_protocol::Time;
@@ -90,6 +90,23 @@
     }
 }
 
+/// Guards against the news of a part that drowns among those of everything that ran beside it.
+#[parameterized(at_once = { 12.0 }, slowly = { 1.0 })]
+fn many_nodes(rate: f64) {
+    const LARGE: FleetSize = FleetSize {
+        nodes: 30,
+        engines: [36, 24],
+        sound_rate: 250.0,
+    };
+    for seed in seeds().take(2) {
+        let mut day = PartCrashes::with_size(seed, LARGE);
+        day.run(secs(4));
+        day.parts.push(after(NEW_PART, rate));
+        day.run(secs(40));
+        check(&day, NEW_PART, seed);
+    }
+}
+
 /// Guards against nodes that learn of a part only if they were up when it was found.
 #[test]
 fn nodes_rolled() {
@@ -98,7 +115,7 @@
         day.run(secs(4));
         day.parts.push(after(NEW_PART, 2.4));
         day.run(secs(12));
-        for node in 0..REGIONS.len() {
+        for node in 0..2 * SMALL.nodes {
             day.restart(node);
             day.run(secs(3));
         }
@@ -168,11 +185,10 @@
         day.run(secs(4));
         for repeat in 0..=repeats {
             // All engines at first, then a changing half of them.
-            let names: Vec<&str> = ENGINES
-                .iter()
-                .enumerate()
+            let engines = day.engines.iter().enumerate();
+            let names: Vec<String> = engines
                 .filter(|(index, _)| repeat == 0 || (*index as u64 + repeat).is_multiple_of(2))
-                .map(|(_, (name, _, _))| *name)
+                .map(|(_, name)| name.clone())
                 .collect();
             day.crash_engines(&names);
             day.run(secs(4));
@@ -217,11 +233,11 @@
         });
         for _ in 0..12 {
             match rng.random_range(0..5) {
-                0 => day.restart(rng.random_range(0..REGIONS.len())),
+                0 => day.restart(rng.random_range(0..2 * SMALL.nodes)),
                 1 => day.cut_regions(true),
                 2 => day.cut_regions(false),
                 3 => {
-                    let engine = ENGINES[rng.random_range(0..ENGINES.len())].0;
+                    let engine = day.engines[rng.random_range(0..day.engines.len())].clone();
                     day.crash_engines(&[engine]);
                 }
                 _ => {}
--- a/crates/seam-core/tests/live/part_crashes.rs
+++ b/crates/seam-core/tests/live/part_crashes.rs
@@ -22,8 +22,6 @@
 const KNOWN_CRASHES: usize = 5;
 /// Requests with the part that may reach engines after that.
 pub const MAX_LATE: usize = 3;
-/// Requests a second without the part.
-const SOUND_RATE: f64 = 30.0;
 /// Different first parts of prompts.
 const FIRST_PARTS: u64 = 4;
 /// Different parts that follow them.
@@ -32,19 +30,22 @@
 const BESIDE: [u64; 2] = [1, 1001];
 /// Share of sound requests that have the parts beside the crashing one.
 const BESIDE_SHARE: f64 = 0.05;
-pub const REGIONS: [&str; 6] = [NORTH, NORTH, NORTH, SOUTH, SOUTH, SOUTH];
-pub const ENGINES: [(&str, &str, &str); 10] = [
-    ("e1", ENGINE, NORTH),
-    ("e2", ENGINE, NORTH),
-    ("e3", ENGINE, NORTH),
-    ("e4", ENGINE, NORTH),
-    ("e5", ENGINE, NORTH),
-    ("e6", ENGINE, NORTH),
-    ("f1", ENGINE, SOUTH),
-    ("f2", ENGINE, SOUTH),
-    ("f3", ENGINE, SOUTH),
-    ("f4", ENGINE, SOUTH),
-];
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// Nodes in each of two regions.
+    pub nodes: usize,
+    /// Engines in the first and the second region.
+    pub engines: [usize; 2],
+    /// Requests a second without the part.
+    pub sound_rate: f64,
+}
+
+pub const SMALL: FleetSize = FleetSize {
+    nodes: 3,
+    engines: [6, 4],
+    sound_rate: 30.0,
+};
 
 /// A part that crashes engines.
 #[derive(Clone, Copy, Debug)]
@@ -90,6 +91,9 @@
 /// A fleet with traffic and engines.
 pub struct PartCrashes {
     pub fleet: Fleet,
+    size: FleetSize,
+    /// Names of the engines.
+    pub engines: Vec<String>,
     rng: Pcg64Mcg,
     pub parts: Vec<CrashingPart>,
     /// Whether engines crash whatever they answer.
@@ -109,10 +113,30 @@
 
 impl PartCrashes {
     pub fn new(seed: u64) -> Self {
-        let fleet = settled_fleet(&REGIONS, &ENGINES);
-        let settled_since = vec![Time(0); REGIONS.len()];
+        Self::with_size(seed, SMALL)
+    }
+
+    pub fn with_size(seed: u64, size: FleetSize) -> Self {
+        let regions = [NORTH, SOUTH]
+            .map(|region| vec![region; size.nodes])
+            .concat();
+        let names = [(NORTH, "e", size.engines[0]), (SOUTH, "f", size.engines[1])];
+        let engines: Vec<(String, &str)> = names
+            .into_iter()
+            .flat_map(|(region, letter, count)| {
+                (1..=count).map(move |number| (format!("{letter}{number}"), region))
+            })
+            .collect();
+        let targets: Vec<(&str, &str, &str)> = engines
+            .iter()
+            .map(|(name, region)| (name.as_str(), ENGINE, *region))
+            .collect();
+        let fleet = settled_fleet(&regions, &targets);
+        let settled_since = vec![Time(0); regions.len()];
         Self {
             fleet,
+            size,
+            engines: engines.into_iter().map(|(name, _)| name).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             parts: Vec::new(),
             faulty_engines: false,
@@ -148,8 +172,9 @@
     pub fn cut_regions(&mut self, cut: bool) {
         self.fleet.partitions.clear();
         if cut {
-            for north in 0..3 {
-                for south in 3..6 {
+            let nodes = self.size.nodes;
+            for north in 0..nodes {
+                for south in nodes..2 * nodes {
                     self.fleet.partitions.insert((north, south));
                 }
             }
@@ -158,7 +183,7 @@
     }
 
     /// Crashes engines for a reason that has nothing to do with their requests.
-    pub fn crash_engines(&mut self, names: &[&str]) {
+    pub fn crash_engines(&mut self, names: &[String]) {
         for name in names {
             self.crash(TargetId::of(name));
         }
@@ -207,7 +232,7 @@
     }
 
     fn send_traffic(&mut self) {
-        for _ in 0..self.draw(SOUND_RATE) {
+        for _ in 0..self.draw(self.size.sound_rate) {
             let first = 1 + self.rng.random_range(0..FIRST_PARTS);
             let middle = if self.rng.random_bool(BESIDE_SHARE) {
                 BESIDE[1]
@@ -266,7 +291,7 @@
             begun_first: false,
         };
         self.requests.insert(ticket, sent);
-        let node = self.rng.random_range(0..REGIONS.len());
+        let node = self.rng.random_range(0..2 * self.size.nodes);
         if !self.fleet.down[node] {
             self.fleet.arrive(node, request);
         }
