--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -6,7 +6,7 @@
 use seam_core::arrival::IdempotencyKey;
 use seam_core::handle::TargetKey;
 use seam_core::keys::{KeyOutcome, KeyTable};
-use seam_core::poison::PoisonTable;
+use seam_core::poison::{CrashRuns, PoisonTable};
 use seam_core::prefix::PrefixTable;
 use seam_core::{Arrival, Event, Identity, Node, Origin, Ticket};
 use seam_harness::deployments::{self, customer_name};
@@ -167,6 +167,26 @@
         "bytes",
         &suspects,
     );
+    let parts = points(&[64, 512, 1024, 4096], |count| {
+        allocated(|| suspect_parts(count)).1
+    });
+    fit::print(
+        "Suspected parts of prompts, with one crash each",
+        "parts",
+        "bytes",
+        &parts,
+    );
+    let answers = points(&[512, 1024, 2048, 4096], |count| {
+        allocated(|| {
+            let mut table = PoisonTable::default();
+            for number in 0..count as u64 {
+                table.record_answer(fingerprint(number), Time(number));
+            }
+            table
+        })
+        .1
+    });
+    fit::print("Answered parts of prompts", "parts", "bytes", &answers);
     let completions = points(&[512, 1024, 2048, 4096], |count| {
         allocated(|| {
             let mut table = PoisonTable::default();
@@ -199,6 +219,18 @@
     table
 }
 
+/// Returns a table in which one crash made this many parts of prompts suspects.
+pub fn suspect_parts(count: usize) -> PoisonTable {
+    let mut table = PoisonTable::default();
+    let parts = (0..count as u64).map(|number| (fingerprint(number), 1));
+    let ran = CrashRuns {
+        parts: parts.collect(),
+        ..CrashRuns::default()
+    };
+    table.record_crash(Time(0), TargetId(u32::MAX), &ran);
+    table
+}
+
 fn stored_keys(count: usize) -> KeyTable {
     let mut table = KeyTable::default();
     for number in 0..count as u64 {
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use seam_core::poison::SuspectReport;
+use seam_core::poison::{PoisonTable, SuspectReport};
 use seam_harness::World;
 use seam_harness::deployments::{self, DeploymentSpec, customer_name};
 use seam_harness::ids::KeyChoice;
@@ -48,11 +48,10 @@
     (bytes / nodes / SPAN_SECS, heartbeats / nodes / SPAN_SECS)
 }
 
-/// Returns the bytes that a report of suspects adds to a heartbeat.
-fn report_bytes(suspects: usize) -> f64 {
+/// Returns the bytes that reports add to a heartbeat.
+fn report_bytes(reports: Vec<SuspectReport>) -> f64 {
     let mut heartbeat = Heartbeat::empty(VmId(u32::MAX), RegionId(u32::MAX));
     let empty = heartbeat.encode().len();
-    let reports = crate::memory::suspects(suspects).take_report(Time(0), suspects);
     for report in reports {
         match report {
             SuspectReport::Request(suspect, crashes) => {
@@ -70,14 +69,22 @@
     println!(
         "## Heartbeats\n\nBytes with MAC, UDP and IP headers, sent by each node per second.\n"
     );
-    let reports: Vec<(f64, f64)> = [1, 4, 12, 24]
-        .map(|count| (count as f64, report_bytes(count)))
-        .into();
-    fit::print(
+    let reports = |title: &str, table: fn(usize) -> PoisonTable| {
+        let points: Vec<(f64, f64)> = [1, 4, 12, 24]
+            .map(|count| {
+                let reports = table(count).take_report(Time(0), count);
+                (count as f64, report_bytes(reports))
+            })
+            .into();
+        fit::print(title, "suspects", "bytes", &points);
+    };
+    reports(
         "A report of suspects with one crash each",
-        "suspects",
-        "bytes",
-        &reports,
+        crate::memory::suspects,
+    );
+    reports(
+        "A report of suspected parts with one crash each",
+        crate::memory::suspect_parts,
     );
     let run = |title: &str, x: &str, specs: &[(usize, DeploymentSpec)]| {
         let points: Vec<(f64, f64)> = specs
