Bound the reports of answered parts, and do not count them as suspects

A report of a part that this node knows to be answered made an entry past the table's limit (10,000 of 10,000 instead of 4,096 in answered_parts_bounded, red before). A node without peers kept such entries for good, and they counted in seam_suspects, which on-call is told to watch. Entries are now made in one place, within the limit; those that only tell of an answer are not counted, and end with what they tell.

--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -249,11 +249,16 @@
 
     /// Attributes a crash to a request or part.
     fn add_crash(&mut self, fingerprint: Fingerprint, subject: Subject, crash: Crash) {
+        self.entry(fingerprint, subject).add(crash);
+    }
+
+    /// Returns an entry, created if missing. The table stays within [`MAX_ENTRIES`].
+    fn entry(&mut self, fingerprint: Fingerprint, subject: Subject) -> &mut Entry {
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&fingerprint) {
             self.drop_oldest_suspect();
         }
         let entry = self.entries.entry(fingerprint);
-        entry.or_insert_with(|| Entry::new(subject)).add(crash);
+        entry.or_insert_with(|| Entry::new(subject))
     }
 
     /// Removes the oldest of the entries with the fewest crashes.
@@ -400,8 +405,7 @@
         }
         let unknown = answered.is_some() && report.answered.is_none();
         if !refuted.is_empty() || (unknown && !open.is_empty()) {
-            let entry = self.entries.entry(part);
-            entry.or_insert_with(|| Entry::new(subject)).times_sent = 0;
+            self.entry(part, subject).times_sent = 0;
         }
         changes.extend(self.update_if_candidate(part));
         changes
@@ -473,13 +477,13 @@
         self.answered.expire(now);
         self.trials.expire(now);
         let mut expired = false;
-        self.entries.retain(|_, entry| {
+        self.entries.retain(|fingerprint, entry| {
             let known = entry.crashes.len();
             entry.crashes.retain(|crash| crash.expires > now);
             expired |= entry.crashes.len() < known;
             // An entry without crashes tells peers of an answer.
-            let told = known == 0 && entry.times_sent >= MAX_SENDS;
-            !entry.crashes.is_empty() || (known == 0 && !told)
+            let untold = known == 0 && entry.times_sent < MAX_SENDS;
+            !entry.crashes.is_empty() || (untold && self.answered.last(*fingerprint).is_some())
         });
         if expired {
             self.update_quarantine();
@@ -550,13 +554,15 @@
     /// Returns the number of suspected and quarantined fingerprints.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.entries.len()
+        let entries = self.entries.values();
+        entries.filter(|entry| !entry.crashes.is_empty()).count()
     }
 
     /// Returns whether no fingerprint is suspected.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        let mut entries = self.entries.values();
+        entries.all(|entry| entry.crashes.is_empty())
     }
 
     /// Returns the quarantined fingerprints, whose requests are refused.
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -114,3 +114,32 @@
     assert!(table.is_empty());
     assert_eq!(table.digest(), 0);
 }
+
+/// Guards against reports of answered parts that fill the memory, or that stay in the metrics of a
+/// node without peers.
+#[test]
+fn answered_parts_bounded() {
+    const PARTS: u64 = 10_000;
+    let mut table = PoisonTable::default();
+    for number in 0..PARTS {
+        let part = Fingerprint(100 + number);
+        table.record_answer(part, at(50));
+        let crash = seam_protocol::heartbeat::CrashReport {
+            target: TargetId(1),
+            lifetime: SUSPECT_TTL.as_millis() as u32 - 30_000,
+            alone: false,
+            run: 0,
+        };
+        let report = seam_protocol::heartbeat::SuspectPart {
+            part,
+            depth: 1,
+            answered: None,
+            crashes: vec![crash],
+        };
+        table.merge_part(at(60), &report);
+    }
+    assert!(table.take_updates(at(60), usize::MAX).len() <= 4096);
+    assert_eq!(table.len(), 0, "answered parts are not suspects");
+    table.expire(at(60) + SUSPECT_TTL);
+    assert!(table.take_updates(at(700), usize::MAX).is_empty());
+}
