Keep the newest crashes of a request, as of a part

A request kept its first three crashes. Nodes that heard in another order kept others (any_order), and if the first three came while a part of other prompts crashed targets too, that part explained them for ten minutes and no later one was added: the request went on crashing targets (request_after_part).

--- a/crates/seam-core/src/poison/entry.rs
+++ b/crates/seam-core/src/poison/entry.rs
@@ -13,8 +13,9 @@
 const SEPARATE_SPAN: Duration = Duration::from_millis(250);
 /// The same time for a part to which there were answers, which is less likely to be the cause.
 const ANSWERED_SPAN: Duration = Duration::from_secs(1);
-/// Largest number of crashes that are kept of a part, the newest ones.
-const MAX_PART_CRASHES: usize = 32;
+/// Largest number of crashes that are kept, the newest ones. What is kept does not depend on the
+/// order in which nodes hear of them.
+const MAX_CRASHES: usize = 32;
 /// Crashes within this time of one that a part caused are taken for its doing as well.
 const EXPLAINED_SPAN: Duration = Duration::from_millis(500);
 /// Crashes of a target that nodes saw within this time are one crash, since it has to start again
@@ -75,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
     pub(super) subject: Subject,
-    /// At most [`CRASH_LIMIT`] crashes of a request, [`MAX_PART_CRASHES`] of a part.
+    /// At most [`MAX_CRASHES`] crashes.
     pub(super) crashes: Vec<Crash>,
     /// Times that this entry was sent to peers as it is.
     pub(super) times_sent: u8,
@@ -90,41 +91,26 @@
         }
     }
 
-    /// Adds a crash, unless it is known or enough others are.
+    /// Adds a crash, unless it is known or older than all that are kept.
     pub(super) fn add(&mut self, crash: Crash) {
-        let news = match self.subject {
-            Subject::Request => self.add_request_crash(crash),
-            Subject::Part { .. } => self.add_part_crash(crash),
+        let same = self.crashes.iter().position(|known| known.is_same(&crash));
+        let news = match same {
+            Some(index) => {
+                let known = &mut self.crashes[index];
+                known.run = known.run.min(crash.run);
+                crash.alone && !std::mem::replace(&mut known.alone, true)
+            }
+            None if self.crashes.len() >= MAX_CRASHES => self.replace_oldest(crash),
+            None => {
+                self.crashes.push(crash);
+                true
+            }
         };
         if news {
             self.times_sent = 0;
         }
     }
 
-    fn add_request_crash(&mut self, crash: Crash) -> bool {
-        let mut crashes = self.crashes.iter_mut();
-        if let Some(known) = crashes.find(|known| known.is_same(&crash)) {
-            known.run = known.run.min(crash.run);
-            return crash.alone && !std::mem::replace(&mut known.alone, true);
-        }
-        let missing = self.crashes.len() < CRASH_LIMIT;
-        if missing {
-            self.crashes.push(crash);
-        }
-        missing
-    }
-
-    fn add_part_crash(&mut self, crash: Crash) -> bool {
-        if self.crashes.iter().any(|known| known.is_same(&crash)) {
-            return false;
-        }
-        if self.crashes.len() >= MAX_PART_CRASHES {
-            return self.replace_oldest(crash);
-        }
-        self.crashes.push(crash);
-        true
-    }
-
     /// Replaces the oldest crash by a newer one. Returns whether the crash is newer.
     fn replace_oldest(&mut self, crash: Crash) -> bool {
         let oldest = self.crashes.iter_mut().min_by_key(|known| known.expires);
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -8,6 +8,7 @@
 
 const CULPRIT: Fingerprint = Fingerprint(1);
 const NEIGHBOUR: Fingerprint = Fingerprint(2);
+const PART: Fingerprint = Fingerprint(3);
 
 fn at(seconds: u64) -> Time {
     Time(0) + Duration::from_secs(seconds)
@@ -33,6 +34,21 @@
     }
 }
 
+/// Returns the targets of the crashes that a table attributes to a fingerprint.
+fn known_crashes(table: &mut PoisonTable, fingerprint: Fingerprint) -> Vec<TargetId> {
+    let reports = table.take_updates(at(200), 100).into_iter();
+    let crashes = reports.filter_map(|report| match report {
+        SuspectReport::Request(suspect, crashes) => {
+            (suspect.fingerprint == fingerprint).then_some(crashes)
+        }
+        SuspectReport::Part(part) => (part.part == fingerprint).then_some(part.crashes),
+    });
+    let targets = crashes.flatten().map(|crash| crash.target);
+    let mut targets: Vec<TargetId> = targets.collect();
+    targets.sort_unstable();
+    targets
+}
+
 /// Guards against a quarantine after one crash that two nodes saw.
 #[test]
 fn one_crash() {
@@ -115,6 +131,60 @@
     assert_eq!(table.digest(), 0);
 }
 
+fn crash_of(requests: &[(Fingerprint, u64)], parts: &[Fingerprint]) -> CrashRuns {
+    CrashRuns {
+        parts: parts.iter().map(|part| (*part, 2)).collect(),
+        ..ran(requests)
+    }
+}
+
+/// Guards against a request that is never found, because its first crashes came while a part of
+/// other prompts crashed targets too.
+#[test]
+fn request_after_part() {
+    let mut table = PoisonTable::default();
+    table.record_crash(at(8), TargetId(9), &crash_of(&[], &[PART]));
+    let both = crash_of(&[(CULPRIT, 50), (NEIGHBOUR, 50)], &[PART]);
+    for (seconds, target) in [(10, 1), (12, 2), (14, 3)] {
+        table.record_crash(at(seconds), TargetId(target), &both);
+    }
+    assert!(table.quarantined(PART));
+    assert!(!table.suspected(CULPRIT));
+    for (seconds, target) in [(20, 4), (30, 5), (40, 6)] {
+        let alone = ran(&[(CULPRIT, 50)]);
+        table.record_crash(at(seconds), TargetId(target), &alone);
+    }
+    assert!(table.quarantined(CULPRIT));
+    assert!(!table.quarantined(NEIGHBOUR));
+}
+
+/// Guards against crashes that two nodes keep differently, depending on which they heard of first.
+#[test]
+fn any_order() {
+    let crashes: Vec<(u64, u32)> = (0..40)
+        .map(|index| (10 + 3 * index, index as u32))
+        .collect();
+    let mut forward = PoisonTable::default();
+    let mut backward = PoisonTable::default();
+    let runs = crash_of(&[(CULPRIT, 50), (NEIGHBOUR, 50)], &[PART]);
+    let tables = crashes.iter().map(|(seconds, target)| {
+        let mut table = PoisonTable::default();
+        table.record_crash(at(*seconds), TargetId(*target), &runs);
+        table
+    });
+    let mut tables: Vec<PoisonTable> = tables.collect();
+    for table in &mut tables {
+        tell(at(200), table, &mut forward);
+    }
+    for table in tables.iter_mut().rev() {
+        tell(at(200), table, &mut backward);
+    }
+    for fingerprint in [CULPRIT, NEIGHBOUR, PART] {
+        let crashes = [&mut forward, &mut backward].map(|table| known_crashes(table, fingerprint));
+        assert_eq!(crashes[0], crashes[1], "{fingerprint}");
+    }
+}
+
 /// Guards against reports of answered parts that fill the memory, or that stay in the metrics of a
 /// node without peers.
 #[test]
