Do not refuse a part for the crashes of one request

A request that crashes targets itself, and reaches several nodes before they have told each other, left three crashes for each part of its prompt; callers of sound prompts with such a part were refused with it (request_with_part, red before). A request that is quarantined by its number of crashes now explains them for parts, and only them: the crash of another request with the part shows that the part is the cause.

Tried and dropped: to rank requests by all crashes that are kept now.

--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -290,6 +290,7 @@
     /// Decides anew which fingerprints are quarantined. Returns those for which that changed.
     fn update_quarantine(&mut self) -> Vec<QuarantineChange> {
         let mut explained: Vec<Crash> = Vec::new();
+        let mut requested: Vec<Crash> = Vec::new();
         let mut quarantine = BTreeSet::new();
         let mut digest = 0;
         let only_suspects = self.only_suspects();
@@ -315,12 +316,19 @@
                     let mut alone = open.iter().filter(|crash| crash.alone);
                     open.len() >= CRASH_LIMIT || alone.any(|crash| !contested(fingerprint, crash))
                 }
-                Subject::Part { .. } => entry.is_part_cause(open.iter()),
+                Subject::Part { .. } => {
+                    let by_request =
+                        |crash: &&Crash| requested.iter().any(|known| known.is_same(crash));
+                    entry.is_part_cause(open.iter().filter(|crash| !by_request(crash)))
+                }
             };
             if quarantined {
                 quarantine.insert(fingerprint);
-                if let Subject::Part { .. } = entry.subject {
-                    explained.extend(&entry.crashes);
+                match entry.subject {
+                    Subject::Part { .. } => explained.extend(&entry.crashes),
+                    // Prompts that share a part with the request may be sound.
+                    Subject::Request if open.len() >= CRASH_LIMIT => requested.extend(&open),
+                    Subject::Request => {}
                 }
             }
             let folded = (fingerprint.0 >> 32) as u32 ^ fingerprint.0 as u32;
--- a/crates/seam-core/src/poison/entry.rs
+++ b/crates/seam-core/src/poison/entry.rs
@@ -163,11 +163,12 @@
 
     /// Returns how unlikely it is that this is the cause of its crashes, for comparison with others.
     pub(super) fn doubts(&self) -> (bool, Reverse<usize>, Option<Reverse<u8>>) {
-        let (answered, position) = match self.subject {
-            Subject::Request => (false, None),
-            Subject::Part { depth, answered } => (answered, Some(Reverse(depth))),
-        };
-        (answered, Reverse(self.crashes.len()), position)
+        let crashes = self.crashes.len();
+        match self.subject {
+            // A request is quarantined at so many crashes; more of them are those of another cause.
+            Subject::Request => (false, Reverse(crashes.min(CRASH_LIMIT)), None),
+            Subject::Part { depth, answered } => (answered, Reverse(crashes), Some(Reverse(depth))),
+        }
     }
 
     pub(super) fn longest_run(&self) -> Duration {
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -158,6 +158,29 @@
     assert!(!table.quarantined(NEIGHBOUR));
 }
 
+/// Guards against refusing prompts that share a part with a request which crashes targets itself,
+/// and arrives at several nodes before they have told each other.
+#[test]
+fn request_with_part() {
+    let mut nodes = [(); 3].map(|()| PoisonTable::default());
+    let culprit = crash_of(&[(CULPRIT, 50)], &[PART]);
+    for (index, node) in nodes.iter_mut().enumerate() {
+        let crashed = at(10) + Duration::from_millis(300 * index as u64);
+        node.record_crash(crashed, TargetId(index as u32), &culprit);
+    }
+    let mut table = PoisonTable::default();
+    for node in &mut nodes {
+        tell(at(11), node, &mut table);
+    }
+    assert!(table.quarantined(CULPRIT));
+    assert!(!table.quarantined(PART));
+    // Another request with the part crashes a target, so the request was not the cause.
+    let other = crash_of(&[(NEIGHBOUR, 50)], &[PART]);
+    table.record_crash(at(15), TargetId(9), &other);
+    assert!(table.quarantined(PART));
+    assert!(!table.suspected(NEIGHBOUR));
+}
+
 /// Guards against crashes that two nodes keep differently, depending on which they heard of first.
 #[test]
 fn any_order() {
