Say what counts as an answer, and write repeated code once

No behaviour changes. The words of record_answer said that the answer ended well, but one that is still written counts too.

--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -14,7 +14,6 @@
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
 use crate::limits::LimitContext;
 use crate::peers::Peers;
-use crate::poison::SuspectReport;
 use crate::share::{SlotDemand, split};
 use crate::targets::target_nodes;
 
@@ -131,7 +130,9 @@
         } else {
             self.poison.take_candidates(now, MAX_QUARANTINE_REPORT)
         };
-        list_suspects(&mut heartbeat, reports);
+        for report in reports {
+            report.list_in(&mut heartbeat);
+        }
         out.push(Command::Heartbeat {
             to,
             address,
@@ -393,8 +394,9 @@
                 .summaries
                 .extend(self.peers.summaries(now, round, region, MAX_SUMMARIES));
         }
-        let updates = self.poison.take_updates(now, MAX_SUSPECTS);
-        list_suspects(&mut heartbeat, updates);
+        for report in self.poison.take_updates(now, MAX_SUSPECTS) {
+            report.list_in(&mut heartbeat);
+        }
         out.push(Command::Heartbeat {
             to,
             address,
@@ -521,16 +523,3 @@
         }
     }
 }
-
-/// Adds suspects with their crashes to a heartbeat.
-fn list_suspects(heartbeat: &mut Heartbeat, suspects: Vec<SuspectReport>) {
-    for report in suspects {
-        match report {
-            SuspectReport::Request(suspect, crashes) => {
-                heartbeat.suspects.push(suspect);
-                heartbeat.quarantine.crashes.push(crashes);
-            }
-            SuspectReport::Part(part) => heartbeat.suspect_parts.push(part),
-        }
-    }
-}
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -18,7 +18,7 @@
 
 use seam_protocol::heartbeat::{CrashReport, Suspect, SuspectPart};
 use seam_protocol::id::rank;
-use seam_protocol::{Fingerprint, ServiceId, TargetId, Time};
+use seam_protocol::{Fingerprint, Heartbeat, ServiceId, TargetId, Time};
 
 use crate::prompt::Prompt;
 use entry::{Crash, Entry, Subject};
@@ -94,6 +94,19 @@
     Part(SuspectPart),
 }
 
+impl SuspectReport {
+    /// Adds the entry to a heartbeat.
+    pub fn list_in(self, heartbeat: &mut Heartbeat) {
+        match self {
+            Self::Request(suspect, crashes) => {
+                heartbeat.suspects.push(suspect);
+                heartbeat.quarantine.crashes.push(crashes);
+            }
+            Self::Part(part) => heartbeat.suspect_parts.push(part),
+        }
+    }
+}
+
 /// A fingerprint that entered or left the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineChange {
@@ -453,8 +466,8 @@
         self.completed.record(now, fingerprint);
     }
 
-    /// Records that a target began an answer, which ended well, to a prompt with a part. The part
-    /// caused none of the crashes before. Returns the fingerprints that entered or left the
+    /// Records that a target began an answer to a prompt with a part, and did not crash then. The
+    /// part caused none of the crashes before. Returns the fingerprints that entered or left the
     /// quarantine.
     ///
     /// Unlike a completed request, the part may crash targets from then on.
--- a/crates/seam-core/src/poison/evidence.rs
+++ b/crates/seam-core/src/poison/evidence.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// When targets last began an answer that ended well, by part of the prompt.
+/// When a target last began an answer without a crash, by part of the prompt.
 ///
 /// A part that crashes each target which begins to answer has no such answer.
 #[derive(Clone, Debug, Default)]
--- a/crates/seam-core/tests/crashing_parts.rs
+++ b/crates/seam-core/tests/crashing_parts.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// Returns traffic in which a new part has crashed engines for a while.
+fn day_with_part(seed: u64, rate: f64, span: Duration) -> PartCrashes {
+    let mut day = PartCrashes::new(seed);
+    day.run(secs(4));
+    day.parts.push(after(NEW_PART, rate));
+    day.run(span);
+    day
+}
+
 /// Guards against requests that crash one engine after the other, no two of them alike.
 #[parameterized(
     many = { after(NEW_PART, 2.4) },
@@ -111,10 +120,7 @@
 #[test]
 fn nodes_rolled() {
     for seed in seeds() {
-        let mut day = PartCrashes::new(seed);
-        day.run(secs(4));
-        day.parts.push(after(NEW_PART, 2.4));
-        day.run(secs(12));
+        let mut day = day_with_part(seed, 2.4, secs(12));
         for node in 0..2 * SMALL.nodes {
             day.restart(node);
             day.run(secs(3));
@@ -129,10 +135,7 @@
 #[parameterized(at_start = { 1 }, when_found = { 5 }, long_after = { 15 })]
 fn cut_regions(seconds: u64) {
     for seed in seeds() {
-        let mut day = PartCrashes::new(seed);
-        day.run(secs(4));
-        day.parts.push(after(NEW_PART, 2.4));
-        day.run(secs(seconds));
+        let mut day = day_with_part(seed, 2.4, secs(seconds));
         day.cut_regions(true);
         day.run(secs(10));
         day.cut_regions(false);
@@ -145,10 +148,7 @@
 #[test]
 fn region_restarts() {
     for seed in seeds() {
-        let mut day = PartCrashes::new(seed);
-        day.run(secs(4));
-        day.parts.push(after(NEW_PART, 1.5));
-        day.run(secs(15));
+        let mut day = day_with_part(seed, 1.5, secs(15));
         for nodes in [0..3, 3..6] {
             for node in nodes {
                 day.restart(node);
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -53,13 +53,7 @@
     let mut heartbeat = Heartbeat::empty(VmId(u32::MAX), RegionId(u32::MAX));
     let empty = heartbeat.encode().len();
     for report in reports {
-        match report {
-            SuspectReport::Request(suspect, crashes) => {
-                heartbeat.suspects.push(suspect);
-                heartbeat.quarantine.crashes.push(crashes);
-            }
-            SuspectReport::Part(part) => heartbeat.suspect_parts.push(part),
-        }
+        report.list_in(&mut heartbeat);
     }
     (heartbeat.encode().len() - empty) as f64
 }
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -114,7 +114,7 @@
     pub part: Fingerprint,
     /// Position of the part in its prompts.
     pub depth: u8,
-    /// Milliseconds since a target began the last answer that is known to have ended well.
+    /// Milliseconds since a target began the last answer that is known to have crashed nothing.
     pub answered: Option<u32>,
     /// The crashes since then.
     pub crashes: Vec<CrashReport>,
