--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -187,6 +187,8 @@
         let age = self.runtime.now().since(self.arrived);
         let poison = refusal.is_some_and(|refusal| refusal.reason == Reason::Poison);
         let parts = poison.then(|| self.inbound.shared_parts());
+        let caller = self.inbound.caller.map(|caller| caller.to_string());
+        let caller = caller.unwrap_or_default();
         self.runtime
             .metrics
             .request_ended(&self.inbound.customer_name, end, age);
@@ -194,6 +196,7 @@
             target: "request",
             request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
             outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
+            method = self.inbound.method.as_str(), path = self.inbound.path.as_str(), caller = caller.as_str(),
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
             parts = parts.unwrap_or_default().as_str(),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -81,7 +81,7 @@
         return response;
     }
     let request_line = format!("{} {}", request.method(), request.uri().path());
-    let inbound = read::read(runtime, request, &id).await;
+    let inbound = read::read(runtime, request, &id, from.ip()).await;
     let response = serve(runtime, inbound, &id).await;
     log::debug!(
         "request {id} from {from}: {request_line}: {}",
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -180,6 +180,7 @@
     let path = path.to_owned();
     Ok(InboundRequest {
         id: id.to_owned(),
+        caller: Some(from),
         repeatable: route.retry_policy != RetryPolicy::Once,
         fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
         rules: Some(route_rules(route)),
@@ -203,6 +204,7 @@
     runtime: &NodeRuntime,
     request: Request<Incoming>,
     id: &str,
+    from: IpAddr,
 ) -> Result<InboundRequest, Rejection> {
     let snapshot = snapshot(runtime)?;
     let (head, body) = request.into_parts();
@@ -233,6 +235,7 @@
     headers.remove(KEY_HEADER);
     Ok(InboundRequest {
         id: id.to_owned(),
+        caller: Some(from),
         repeatable: service_config.repeatable(head.method.as_str(), &path),
         fingerprint: fingerprint(service, &head.method, &path, None, body.first()),
         host: None,
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -48,6 +48,8 @@
 pub struct InboundRequest {
     /// Identifier for logs and responses.
     pub id: String,
+    /// The caller's address, unless another node forwarded the request.
+    pub caller: Option<IpAddr>,
     /// HTTP method.
     pub method: Method,
     /// Path below the service, with the query.
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -198,6 +198,7 @@
     };
     Ok(InboundRequest {
         id: head.id,
+        caller: None,
         method,
         path: head.path,
         headers,
