Recognize requests that crash targets by what they share

Cause: a request was recognized by its path, caller and body together. Requests that differ in one of them had a fingerprint each, so crashes were never added up. The same class as the parts of prompts: evidence collected under an identity too narrow to repeat.

The caller, each parameter of the query, the path and all but the caller are now entries of the table beside parts of prompts, and travel with forwarded requests. They are not blamed while a service answers nothing between its crashes, so targets that crash under everything do not get callers refused.

--- a/crates/seam-core/src/arrival.rs
+++ b/crates/seam-core/src/arrival.rs
@@ -64,6 +64,9 @@
     pub key: Option<IdempotencyKey>,
     /// Fingerprint, equal for requests that a target cannot tell apart.
     pub fingerprint: Fingerprint,
+    /// What it may share with other requests to the service besides parts of its prompt, such as
+    /// its caller or its path, the narrowest last.
+    pub attributes: Vec<Fingerprint>,
     /// Digest of the prompt prefix, for model engines.
     pub prefix: Option<u64>,
     /// Time left until the caller's deadline.
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -73,6 +73,7 @@
             replayable: true,
             key: None,
             fingerprint: Fingerprint(0),
+            attributes: Vec::new(),
             prefix: None,
             budget: Duration::from_millis(spec.deadline),
             route: None,
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -68,6 +68,10 @@
 pub(crate) struct ServiceState {
     pub(crate) queue: FairQueue,
     pub(crate) retry_budget: RetryBudget,
+    /// When a target last answered a request to its end.
+    pub(crate) last_answer: Option<Time>,
+    /// When a target last crashed.
+    pub(crate) last_crash: Option<Time>,
     /// Mean service time in seconds; for streams, the time to the first event.
     pub(crate) mean_secs: Option<f64>,
     /// Mean seconds for which a streaming request occupies its slot, from start to end.
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -99,22 +99,20 @@
         Ok(())
     }
 
-    /// Returns whether a request is quarantined, or a part of its prompt.
+    /// Returns whether a request is quarantined, or something that it shares with others.
     pub(super) fn is_quarantined(&self, request: &Request) -> bool {
         if self.poison.refuses_nothing() {
             return false;
         }
-        let mut parts = request.parts.iter();
+        let mut shared = request.shared();
         self.poison.quarantined(request.fingerprint)
-            || (!request.trial && parts.any(|part| self.poison.quarantined(*part)))
+            || (!request.trial && shared.any(|part| self.poison.quarantined(part)))
     }
 
-    /// Lets a request through to try whether the quarantined part of its prompt still crashes
-    /// targets. One node of all does so for each part.
+    /// Lets a request through to try whether the quarantined part of it still crashes targets. One node of all does so for each part.
     fn begin_trial(&mut self, now: Time, ticket: Ticket) -> bool {
         let request = &self.requests[&ticket];
-        let mut parts = request.parts.iter().copied();
-        let part = parts.find(|part| self.poison.quarantined(*part));
+        let part = request.shared().find(|part| self.poison.quarantined(*part));
         let whole = self.poison.quarantined(request.fingerprint);
         let (Some(part), Some(bundle), false) = (part, &self.bundle, whole) else {
             return false;
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use seam_protocol::{Fingerprint, Kind, RegionId, TargetId, Time};
+use seam_protocol::{Fingerprint, Kind, RegionId, ServiceId, TargetId, Time};
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
@@ -130,7 +130,7 @@
     }
 
     /// Returns whether a service's targets are model engines that the platform publishes.
-    fn is_engine(&self, service: seam_protocol::ServiceId) -> bool {
+    fn is_engine(&self, service: ServiceId) -> bool {
         let spec = self.bundle.as_ref().and_then(|b| b.services.get(&service));
         self.roster.is_some() && spec.is_some_and(|spec| spec.kind == Kind::Engine)
     }
@@ -148,6 +148,10 @@
         let suspects = requests.keys().filter(known).count();
         let ran = requests.len();
         self.counters.crashes += 1;
+        if let Some(key) = self.targets.key(target) {
+            let service = self.targets.get(key).service;
+            self.service_state(service).last_crash = Some(now);
+        }
         out.push(self.audit(
             now,
             Change::Crash,
@@ -157,7 +161,7 @@
                 format!("{ran} requests ran"),
             ),
             format!(
-                "fingerprints {}; prompt parts {}",
+                "fingerprints {}; shared parts {}",
                 list(requests.keys()),
                 list(watch.runs.parts.keys())
             ),
@@ -178,7 +182,7 @@
     ) {
         for change in changes {
             let kind = if change.is_part {
-                "prompt part"
+                "shared part"
             } else {
                 "fingerprint"
             };
@@ -296,17 +300,17 @@
         self.dispatch(now, service, out);
     }
 
-    /// Records that the parts of a prompt crashed no target when its answer began.
+    /// Records that what a request shares with others crashed no target when its answer began.
     fn record_answer(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Command>) {
         let request = self.requests.get(&attempt.ticket);
         let Some((request, began)) = request.zip(attempt.responded) else {
             return;
         };
-        let parts = request.parts.iter();
-        let changes: Vec<QuarantineChange> = parts
-            .flat_map(|part| self.poison.record_answer(*part, began))
+        let changes: Vec<QuarantineChange> = request
+            .shared()
+            .flat_map(|part| self.poison.record_answer(part, began))
             .collect();
-        self.audit_quarantine(now, &changes, "a target answers a prompt with it", out);
+        self.audit_quarantine(now, &changes, "a target answers a request with it", out);
     }
 
     /// Records the answers that targets are writing since [`ANSWER_BEGINS`] or longer. Answers that
@@ -339,6 +343,7 @@
             self.prefixes.record(now, target, prefix);
         }
         let service = request.service;
+        self.service_state(service).last_answer = Some(now);
         if streams {
             let sample = elapsed.as_secs_f64();
             let state = self.service_state(service);
@@ -350,11 +355,7 @@
     }
 
     /// Updates a service's mean service time; for streams, the time to the first event.
-    fn record_service_time(
-        &mut self,
-        service: seam_protocol::ServiceId,
-        elapsed: std::time::Duration,
-    ) {
+    fn record_service_time(&mut self, service: ServiceId, elapsed: std::time::Duration) {
         let sample = elapsed.as_secs_f64();
         let before = self.expected_time(service).as_secs_f64();
         let after = if self.roster.is_none() {
@@ -390,6 +391,19 @@
         }
     }
 
+    /// Returns whether a service answered requests since its last crash, or shortly before.
+    ///
+    /// Targets that crash under every request say nothing of what these requests are like.
+    fn answers_between_crashes(&self, now: Time, service: ServiceId) -> bool {
+        const ANSWER_TTL: Duration = Duration::from_secs(10);
+        let Some(state) = self.service_states.get(&service) else {
+            return true;
+        };
+        let answered = state.last_answer.unwrap_or_default();
+        let crashed = state.last_crash;
+        crashed.is_none_or(|crashed| answered > crashed) || now.since(answered) < ANSWER_TTL
+    }
+
     /// Remembers which requests may have crashed a target, and probes whether it crashed.
     fn watch_crash(
         &mut self,
@@ -401,6 +415,7 @@
         let Some(request) = self.requests.get(&attempt.ticket) else {
             return;
         };
+        let answers = self.answers_between_crashes(now, request.service);
         let state = self.targets.get(target);
         let probe = Command::Probe {
             target: state.id,
@@ -421,9 +436,14 @@
             .responded
             .is_none_or(|responded| now.since(responded) < ANSWER_BEGINS);
         if begins {
-            let parts = (0..).zip(&request.parts);
-            let parts = parts.map(|(depth, part)| (*part, depth));
-            watch.runs.parts.extend(parts);
+            let shared = (0..).zip(request.shared());
+            let shared = shared.map(|(depth, part)| (part, depth));
+            let count = if answers {
+                usize::MAX
+            } else {
+                request.parts.len()
+            };
+            watch.runs.parts.extend(shared.take(count));
         }
     }
 }
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -97,9 +97,9 @@
 
     /// Returns whether a request whose connection broke may have crashed its target.
     fn may_crash_targets(&self, request: &Request) -> bool {
-        let mut parts = request.parts.iter();
+        let mut shared = request.shared();
         self.poison.suspected(request.fingerprint)
-            || parts.any(|part| self.poison.part_suspected(*part))
+            || shared.any(|part| self.poison.part_suspected(part))
     }
 
     /// Returns whether every other node would refuse a request for the same reason.
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -1,10 +1,11 @@
-//! Detection of requests, and of parts of prompts, that crash their targets.
+//! Detection of requests, and of what requests share, that crash their targets.
 //!
 //! Each node sees only its own requests at a target that crashes, so nodes exchange the crashes
 //! that they attribute to a fingerprint and add them up. A fingerprint stands for requests that a
-//! target cannot tell apart, or for a part that many prompts share.
+//! target cannot tell apart, or for a part that many of them share: a part of their prompts, or an
+//! attribute such as their path.
 //!
-//! A part is to blame for crashes if no answer to a prompt with it began since. Where several parts
+//! A part is to blame for crashes if no answer to a request with it began since. Where several parts
 //! are possible, the one with the most crashes is quarantined, and its crashes speak against nothing
 //! else any more.
 
@@ -70,8 +71,8 @@
 pub struct CrashRuns {
     /// Fingerprints of the requests, with the time that each had been there.
     pub requests: BTreeMap<Fingerprint, Duration>,
-    /// Fingerprints of the parts of prompts whose answers had not begun, or only just, with the
-    /// position of each.
+    /// Fingerprints of what the requests share with others whose answers had not begun, or only
+    /// just, with the position of each, the widest first.
     pub parts: BTreeMap<Fingerprint, u8>,
 }
 
--- a/crates/seam-core/src/poison/evidence.rs
+++ b/crates/seam-core/src/poison/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence that requests and parts of prompts crash no targets.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use seam_protocol::{Fingerprint, Time};
 
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct AnsweredParts {
     began: BTreeMap<Fingerprint, Time>,
+    /// The same, the oldest first.
+    by_time: BTreeSet<(Time, Fingerprint)>,
 }
 
 impl AnsweredParts {
@@ -62,13 +64,13 @@
         if self.began.get(&part).is_some_and(|known| *known >= began) {
             return false;
         }
-        if self.began.len() >= MAX_ANSWERED && !self.began.contains_key(&part) {
-            let oldest = self.began.iter().min_by_key(|(_, began)| **began);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
-                self.began.remove(&oldest);
-            }
+        if let Some(known) = self.began.insert(part, began) {
+            self.by_time.remove(&(known, part));
+        }
+        self.by_time.insert((began, part));
+        if self.began.len() > MAX_ANSWERED {
+            self.drop_oldest();
         }
-        self.began.insert(part, began);
         true
     }
 
@@ -78,7 +80,15 @@
     }
 
     pub(super) fn expire(&mut self, now: Time) {
-        self.began
-            .retain(|_, began| now.since(*began) < SUSPECT_TTL);
+        let expired = |(began, _): &(Time, Fingerprint)| now.since(*began) >= SUSPECT_TTL;
+        while self.by_time.first().is_some_and(expired) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((_, part)) = self.by_time.pop_first() {
+            self.began.remove(&part);
+        }
     }
 }
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -52,7 +52,9 @@
     pub fingerprint: Fingerprint,
     /// Fingerprints of the parts of its prompt that other requests may share.
     pub parts: Vec<Fingerprint>,
-    /// Whether it is served although such a part is quarantined.
+    /// Fingerprints of its other attributes that other requests may share, the narrowest last.
+    pub attributes: Vec<Fingerprint>,
+    /// Whether it is served although a shared part or attribute is quarantined.
     pub trial: bool,
     /// Digest of the prompt prefix.
     pub prefix: Option<u64>,
@@ -106,6 +108,7 @@
             key_owner: None,
             fingerprint: arrival.fingerprint,
             parts,
+            attributes: arrival.attributes.clone(),
             trial: false,
             prefix: arrival.prefix,
             arrived: now,
@@ -124,6 +127,12 @@
         }
     }
 
+    /// Returns the fingerprints of all that it may share with other requests, for the table of
+    /// suspects.
+    pub fn shared(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.parts.iter().chain(&self.attributes).copied()
+    }
+
     /// Returns whether another node forwarded it.
     #[must_use]
     pub fn forwarded(&self) -> bool {
--- a/crates/seam-core/tests/crashing_parts.rs
+++ b/crates/seam-core/tests/crashing_parts.rs
@@ -1,5 +1,5 @@
-//! A part of prompts that crashes every engine that begins to answer one is refused by all nodes
-//! soon, and prompts without it are served.
+//! A part of prompts, or an attribute of requests, that crashes every target that begins to answer one
+//! is refused by all nodes soon, and requests without it are served.
 
 #[allow(dead_code, reason = "each test file uses a part")]
 #[path = "live/fleet.rs"]
@@ -99,6 +99,20 @@
     }
 }
 
+/// Guards against requests without a prompt that crash one target after the other and share one
+/// attribute, such as a path, beside those that they share with sound requests.
+#[parameterized(many = { 2.4 }, some = { 1.5 }, few = { 0.3 }, rare = { 0.15 })]
+fn attribute_refused(rate: f64) {
+    for seed in seeds() {
+        let mut day = PartCrashes::new(seed);
+        day.plain = true;
+        day.run(secs(6));
+        day.parts.push(after(NEW_PART, rate));
+        day.run(secs(120));
+        check(&day, NEW_PART, seed);
+    }
+}
+
 /// Guards against the news of a part that drowns among those of everything that ran beside it.
 #[parameterized(at_once = { 12.0 }, slowly = { 1.0 })]
 fn many_nodes(rate: f64) {
@@ -178,10 +192,14 @@
 }
 
 /// Guards against refusing parts of many requests because engines crashed for another reason.
-#[parameterized(at_once = { 0 }, again = { 4 }, often = { 9 })]
-fn engines_crash(repeats: u64) {
+#[parameterized(
+    at_once = { 0, false }, again = { 4, false }, often = { 9, false },
+    plain_once = { 0, true }, plain_again = { 4, true }, plain_often = { 9, true },
+)]
+fn engines_crash(repeats: u64, plain: bool) {
     for seed in seeds() {
         let mut day = PartCrashes::new(seed);
+        day.plain = plain;
         day.run(secs(4));
         for repeat in 0..=repeats {
             // All engines at first, then a changing half of them.
@@ -202,10 +220,11 @@
 }
 
 /// Guards against parts that are refused for long after engines crashed under every request.
-#[test]
-fn faulty_engines() {
+#[parameterized(prompts = { false }, plain = { true })]
+fn faulty_engines(plain: bool) {
     for seed in seeds() {
         let mut day = PartCrashes::new(seed);
+        day.plain = plain;
         day.run(secs(4));
         day.faulty_engines = true;
         day.run(secs(20));
@@ -221,11 +240,12 @@
 }
 
 /// Guards against a part that is not found, or neighbours that are refused, beside random faults.
-#[test]
-fn random_faults() {
+#[parameterized(prompts = { false }, plain = { true })]
+fn random_faults(plain: bool) {
     for seed in seeds() {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut day = PartCrashes::new(seed);
+        day.plain = plain;
         day.run(secs(rng.random_range(1..8)));
         day.parts.push(CrashingPart {
             second: rng.random(),
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -399,6 +399,7 @@
         replayable: true,
         key: None,
         fingerprint: Fingerprint(ticket),
+        attributes: Vec::new(),
         prefix: None,
         budget: Duration::from_secs(4),
         route: Some(RouteRules {
--- a/crates/seam-core/tests/live/part_crashes.rs
+++ b/crates/seam-core/tests/live/part_crashes.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use seam_core::prompt::{Part, Prompt};
 use seam_core::{AttemptKey, AttemptOutcome, Command, Event, Refusal, Ticket};
-use seam_protocol::{Reason, TargetId, Time};
+use seam_protocol::{Fingerprint, Reason, TargetId, Time};
 
 use super::fleet::{ENGINE, Fleet, NORTH, SOUTH, arrival, settled_fleet};
 
@@ -96,6 +96,8 @@
     pub engines: Vec<String>,
     rng: Pcg64Mcg,
     pub parts: Vec<CrashingPart>,
+    /// Whether requests have attributes instead of the parts of a prompt.
+    pub plain: bool,
     /// Whether engines crash whatever they answer.
     pub faulty_engines: bool,
     requests: BTreeMap<u64, Sent>,
@@ -139,6 +141,7 @@
             engines: engines.into_iter().map(|(name, _)| name).collect(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             parts: Vec::new(),
+            plain: false,
             faulty_engines: false,
             requests: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -281,7 +284,13 @@
         if self.rng.random_bool(0.4) {
             request = arrival(ticket, "hint", ENGINE, 2);
         }
-        request.prompt = Some(prompt.clone());
+        if self.plain {
+            // Requests are named by their tickets.
+            let ids = prompt.parts.iter().map(|part| part.id | 1 << 40);
+            request.attributes = ids.map(Fingerprint).collect();
+        } else {
+            request.prompt = Some(prompt.clone());
+        }
         let sent = Sent {
             crashes: self.crashing_part(&prompt),
             prompt,
--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -67,6 +67,7 @@
         replayable: true,
         key: None,
         fingerprint: Fingerprint(ticket),
+        attributes: Vec::new(),
         prefix: Some(ticket % 64),
         budget: std::time::Duration::from_secs(3600),
         route: None,
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -545,6 +545,7 @@
             replayable: true,
             key: call_state.key(op),
             fingerprint: call_state.fingerprint,
+            attributes: Vec::new(),
             prefix: call_state.call.prefix,
             budget,
             route: None,
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -72,6 +72,10 @@
         replayable: inbound.body.replayable(),
         key: inbound.key.clone(),
         fingerprint: inbound.fingerprint,
+        attributes: inbound
+            .attributes()
+            .map(|attribute| attribute.fingerprint)
+            .collect(),
         prefix,
         budget: inbound.budget,
         route: inbound.rules,
@@ -187,8 +191,7 @@
         let age = self.runtime.now().since(self.arrived);
         let poison = refusal.is_some_and(|refusal| refusal.reason == Reason::Poison);
         let parts = poison.then(|| self.inbound.shared_parts());
-        let caller = self.inbound.caller.map(|caller| caller.to_string());
-        let caller = caller.unwrap_or_default();
+        let caller = self.inbound.caller_text();
         self.runtime
             .metrics
             .request_ended(&self.inbound.customer_name, end, age);
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -183,6 +183,7 @@
         caller: Some(from),
         repeatable: route.retry_policy != RetryPolicy::Once,
         fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
+        content: fingerprint(service, &head.method, &path, None, body.first()),
         rules: Some(route_rules(route)),
         prompt: options.prompt.map(Arc::new),
         host: Some(host),
@@ -233,11 +234,13 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(KEY_HEADER);
+    let content = fingerprint(service, &head.method, &path, None, body.first());
     Ok(InboundRequest {
         id: id.to_owned(),
         caller: Some(from),
         repeatable: service_config.repeatable(head.method.as_str(), &path),
-        fingerprint: fingerprint(service, &head.method, &path, None, body.first()),
+        fingerprint: content,
+        content,
         host: None,
         rules: None,
         prompt: options.prompt.map(Arc::new),
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -48,7 +48,7 @@
 pub struct InboundRequest {
     /// Identifier for logs and responses.
     pub id: String,
-    /// The caller's address, unless another node forwarded the request.
+    /// The caller's address, if known.
     pub caller: Option<IpAddr>,
     /// HTTP method.
     pub method: Method,
@@ -80,6 +80,27 @@
     pub prompt: Option<Arc<Prompt>>,
     /// Digest that is equal for repeats of the same request.
     pub fingerprint: Fingerprint,
+    /// The same digest without the caller.
+    pub content: Fingerprint,
+}
+
+/// Something that a request may share with others to the same service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attribute {
+    /// What it is, for log lines.
+    pub kind: &'static str,
+    /// Digest that is equal for requests that share it.
+    pub fingerprint: Fingerprint,
+}
+
+impl Attribute {
+    fn new(kind: &'static str, service: ServiceId, value: &str) -> Self {
+        let text = format!("{} {kind} {value}", service.0);
+        Self {
+            kind,
+            fingerprint: Fingerprint(Digest::of(text.as_bytes()).leading_u64()),
+        }
+    }
 }
 
 /// Removes hop-by-hop headers and those reserved for the system.
@@ -169,24 +190,64 @@
         })
     }
 
-    /// Returns the last parts of the prompt that other requests may share, for log lines. Each has
-    /// its identifier and the fingerprint that the quarantine names.
+    /// Returns the address of the caller as text, empty if unknown.
+    #[must_use]
+    pub fn caller_text(&self) -> String {
+        let caller = self.caller.map(|caller| caller.to_string());
+        caller.unwrap_or_default()
+    }
+
+    /// Returns what the request may share with others to the service, the narrowest last: its
+    /// caller, the parameters of its query, its path, and all of it but the caller. Prompts share
+    /// their parts instead of the first three.
+    pub fn attributes(&self) -> impl Iterator<Item = Attribute> {
+        const MAX_PARAMETERS: usize = 8;
+        let (path, query) = self.path.split_once('?').unwrap_or((&self.path, ""));
+        let service = self.service;
+        let is_plain = self.prompt.is_none();
+        let caller = self.caller.filter(|_| is_plain).map(|caller| {
+            let caller = caller.to_string();
+            Attribute::new("caller", service, &caller)
+        });
+        let parameters = query
+            .split('&')
+            .filter(move |text| is_plain && !text.is_empty());
+        let parameters = parameters
+            .take(MAX_PARAMETERS)
+            .map(move |text| Attribute::new("parameter", service, text));
+        let path = is_plain.then(|| Attribute::new("path", service, path));
+        // Without a query and a body, the path is all that there is.
+        let has_more = !is_plain || !query.is_empty() || !self.body.first().is_empty();
+        let content = has_more && self.content != self.fingerprint;
+        let content = content.then_some(Attribute {
+            kind: "content",
+            fingerprint: self.content,
+        });
+        caller
+            .into_iter()
+            .chain(parameters)
+            .chain(path)
+            .chain(content)
+    }
+
+    /// Returns what the request shares with others, for log lines: its attributes and the last parts
+    /// of its prompt, the narrowest first. Each has its kind or identifier and the fingerprint that
+    /// the quarantine names.
     #[must_use]
     pub fn shared_parts(&self) -> String {
         const MAX_LISTED: usize = 8;
-        let Some(prompt) = self.prompt.as_deref() else {
-            return String::new();
-        };
-        let fingerprints = part_fingerprints(self.service, prompt);
-        let parts = prompt
-            .shared_parts()
-            .iter()
-            .rev()
-            .zip(fingerprints.iter().rev());
-        let parts = parts.take(MAX_LISTED);
-        let listed: Vec<String> = parts
-            .map(|(part, fingerprint)| format!("{:x}/{fingerprint}", part.id))
+        let attributes = self.attributes();
+        let mut listed: Vec<String> = attributes
+            .map(|attribute| format!("{}/{}", attribute.kind, attribute.fingerprint))
             .collect();
+        listed.reverse();
+        if let Some(prompt) = self.prompt.as_deref() {
+            let fingerprints = part_fingerprints(self.service, prompt);
+            let parts = prompt.shared_parts().iter().zip(&fingerprints).rev();
+            let parts = parts.map(|(part, fingerprint)| format!("{:x}/{fingerprint}", part.id));
+            listed.extend(parts);
+        }
+        listed.truncate(MAX_LISTED);
         listed.join(" ")
     }
 
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -82,6 +82,8 @@
         fingerprint: inbound.fingerprint.0,
         prefix: None,
         host: inbound.host.clone().unwrap_or_default(),
+        caller: inbound.caller_text(),
+        content: inbound.content.0,
     }
 }
 
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -196,9 +196,16 @@
         }
         (Some(_), route) => route.is_some_and(|route| route.retry_policy != RetryPolicy::Once),
     };
+    // A node of an earlier version sends none.
+    let content = if head.content == 0 {
+        head.fingerprint
+    } else {
+        head.content
+    };
     Ok(InboundRequest {
         id: head.id,
-        caller: None,
+        caller: head.caller.parse().ok(),
+        content: Fingerprint(content),
         method,
         path: head.path,
         headers,
--- a/crates/seam-protocol/src/lib.rs
+++ b/crates/seam-protocol/src/lib.rs
@@ -18,7 +18,7 @@
 ///
 /// The generated file is committed, so that a build does not need `protoc`. Its source is
 /// `proto/peer.proto`.
-#[allow(missing_docs, clippy::pedantic)]
+#[allow(missing_docs, clippy::pedantic, clippy::large_enum_variant)]
 pub mod peer {
     include!("generated/seam_peer.rs");
 }
