Keep to the rate limit that a target names for all nodes together

Cause: nothing read the limit. Its class is a rate that a target grants to all nodes of its region; the rate of a cold target is the other one, and both now use one limiter with a share per node by rank. The limiter of starts is left as it is: it bounds free slots, of which nodes tell each other within 300 ms.

Any answer to the request may name a limit, refusals included. One that ran without it ends it. Peers hear of changes with the next work update and of the others in turn. While all targets of a service take a granted rate only, the wait for a share counts as the wait of the region, so requests go elsewhere or are refused at once; this holds for cold targets too, whose callers waited until their deadlines before.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -27,6 +27,8 @@
     Item,
     /// The platform became unreachable or reachable again.
     Platform,
+    /// A target named a limit of requests per second, another one, or none any more.
+    RateLimit,
     /// An order was sent to an engine.
     Order,
 }
--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -81,6 +81,9 @@
     VmList(Vec<VmState>),
     /// A target reported its load.
     Load(TargetId, LoadReport),
+    /// The head of an answer arrived that names the requests per second which the target takes from
+    /// all nodes together, or (`None`) that names no such limit.
+    NamedLimit(AttemptKey, Option<f64>),
     /// A target reported changes to its prefix cache.
     Cache(TargetId, Vec<CacheEvent>),
     /// An operator drains a node or target, or ends the drain.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -8,6 +8,7 @@
 mod members;
 mod outcome;
 mod published;
+mod rate_limits;
 mod routing;
 mod summaries;
 mod tick;
@@ -68,6 +69,8 @@
 pub(crate) struct ServiceState {
     pub(crate) queue: FairQueue,
     pub(crate) retry_budget: RetryBudget,
+    /// When queued requests may be sent to a target that takes only a granted rate.
+    pub(crate) next_grant: Option<Time>,
     /// When a target last answered a request to its end.
     pub(crate) last_answer: Option<Time>,
     /// When a target last crashed.
@@ -201,6 +204,7 @@
     /// Item revision that is being fetched from a peer, and since when.
     pub(crate) pending_items: Option<(u64, Time)>,
     pub(crate) pending_update: work_update::PendingUpdate,
+    pub(crate) limit_reports: rate_limits::LimitReports,
     pub(crate) regions: BTreeMap<VmId, RegionId>,
     pub(crate) boot: Time,
     /// Since when this node may own keys chosen by callers, under the current set of nodes and
@@ -277,6 +281,7 @@
             roster: None,
             pending_items: None,
             pending_update: work_update::PendingUpdate::default(),
+            limit_reports: rate_limits::LimitReports::default(),
             regions: BTreeMap::new(),
             boot: now,
             owner_since: now,
@@ -341,6 +346,7 @@
             }
             Event::VmList(list) => self.handle_vm_list(now, &list, out),
             Event::Load(target, report) => self.record_load_report(now, target, report, out),
+            Event::NamedLimit(attempt, rate) => self.handle_named_limit(now, attempt, rate, out),
             Event::Cache(target, events) => self.record_cache_events(now, target, &events),
             Event::Drain { what, on, actor } => self.drain(now, what, on, &actor, out),
         }
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -72,6 +72,8 @@
                 Some(chosen) => self.send(now, ticket, chosen, out),
                 None => {
                     deferred.push(ticket);
+                    let next = self.targets.next_grant(now, service);
+                    self.service_state(service).next_grant = next.filter(|next| *next > now);
                     // Targets that a suspect may not use can still accept other requests.
                     if !suspect {
                         break;
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -66,6 +66,7 @@
         let uninformed = back || self.awaits_echo(heartbeat);
         self.merge_suspects(now, heartbeat, uninformed, out);
         self.merge_work(now, heartbeat);
+        self.merge_limits(now, heartbeat, out);
         self.lend(now, heartbeat, out);
         self.accept_grants(now, heartbeat, out);
         if effect.members_changed {
@@ -253,6 +254,7 @@
         let ready = self.ready_nodes(now);
         self.targets.select_subset(now, self.id.vm, &ready);
         self.share_slots(now);
+        self.share_limits();
     }
 
     /// Sets this node's share of each target's slots by the demand that nodes report in heartbeats.
@@ -378,6 +380,7 @@
         };
         let round = self.gossip.round();
         if self.regions.get(&to) == Some(&self.id.region) {
+            self.list_limits(now, false, &mut heartbeat);
             let others = self.peers.freshest(now, self.id.region, to, MAX_RECORDS);
             heartbeat.records.extend(others);
             if round.is_multiple_of(SUMMARY_ROUNDS) {
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -178,19 +178,11 @@
     }
 
     /// Sets this node's share of the request rate that a cold target can handle.
-    ///
-    /// Nodes that are not known to be alive count too, since they may still reach the target.
     fn limit_cold_target(&mut self, id: TargetId, until: Time, rate: f64) {
-        let Some(bundle) = &self.bundle else {
-            return;
-        };
-        let nodes: Vec<VmId> = bundle.deployment.vms_in(self.id.region).collect();
-        let rank_of = |vm: VmId| seam_protocol::id::rank(u64::from(id.0), u64::from(vm.0));
-        let own_rank = rank_of(self.id.vm);
-        let rank = nodes.iter().filter(|vm| rank_of(**vm) > own_rank).count();
+        let (nodes, rank) = self.rank_for_target(id);
         if let Some(key) = self.targets.key(id) {
-            let allowed = cold_share(rate, nodes.len(), rank);
-            self.targets.set_cold(key, self.boot, until, allowed);
+            let share = cold_share(rate, nodes, rank);
+            self.targets.set_cold(key, self.boot, until, share);
         }
     }
 
--- /dev/null
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -0,0 +1,190 @@
+//! Rate limits that targets name in their answers, for all nodes of their region together.
+
+use std::time::Duration;
+
+use seam_protocol::heartbeat::NamedLimit;
+use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VmId};
+
+use super::Node;
+use crate::audit::Change;
+use crate::command::Command;
+use crate::handle::{AttemptKey, TargetKey};
+use crate::request::Destination;
+use crate::targets::{LimitWord, limit_share};
+
+/// Maximum number of limits in one datagram.
+const MAX_LIMITS: usize = 4;
+/// Time for which the end of a limit is told to other nodes.
+const ENDED_TTL: Duration = Duration::from_secs(30);
+
+/// Limits that the next datagrams report.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LimitReports {
+    /// Targets whose limit began, ended or changed.
+    news: Vec<TargetKey>,
+    /// The target that was reported last.
+    last: Option<TargetKey>,
+}
+
+impl Node {
+    /// Handles the limit that an answer to an attempt names, in requests per second, or `None` for an
+    /// answer without one.
+    pub(super) fn handle_named_limit(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        rate: Option<f64>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(attempt) = self.attempts.get(&key) else {
+            return;
+        };
+        let Destination::Target(target) = attempt.destination else {
+            return;
+        };
+        if rate.is_none() {
+            // A target that named a limit while this request was already there may still name it.
+            let word = self.targets.get(target).rate_limit.word();
+            let is_end =
+                word.is_some_and(|word| word.rate.is_some() && word.heard < attempt.started);
+            if !is_end {
+                return;
+            }
+        }
+        let word = LimitWord { rate, heard: now };
+        if self.record_limit(now, target, word, "an answer", out) {
+            self.limit_reports.news.push(target);
+            self.pending_update.mark_changed();
+        }
+        let service = self.targets.get(target).service;
+        self.dispatch(now, service, out);
+    }
+
+    /// Returns whether a target names a limit.
+    #[must_use]
+    pub fn is_rate_limited(&self, target: TargetId) -> bool {
+        let key = self.targets.key(target);
+        key.is_some_and(|key| self.targets.get(key).rate_limit.rate().is_some())
+    }
+
+    /// Merges the limits that another node reports.
+    pub(super) fn merge_limits(
+        &mut self,
+        now: Time,
+        heartbeat: &Heartbeat,
+        out: &mut Vec<Command>,
+    ) {
+        let cause = format!("reported by node {}", heartbeat.from);
+        for limit in &heartbeat.limits {
+            let valid = limit.rate.is_none_or(|rate| rate >= 0.0);
+            if let Some(target) = self.targets.key(limit.target).filter(|_| valid) {
+                let word = LimitWord {
+                    rate: limit.rate.map(f64::from),
+                    heard: now - Duration::from_millis(limit.age.into()),
+                };
+                self.record_limit(now, target, word, &cause, out);
+            }
+        }
+    }
+
+    /// Records what a target says of its limit, and audits a change. Returns whether there is one.
+    fn record_limit(
+        &mut self,
+        now: Time,
+        target: TargetKey,
+        word: LimitWord,
+        cause: &str,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let old = self.targets.record_limit_word(target, word);
+        let id = self.targets.get(target).id;
+        self.share_limit(target);
+        let Some(old) = old else {
+            return false;
+        };
+        let text = |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| format!("{rate}/s"));
+        out.push(self.audit(
+            now,
+            Change::RateLimit,
+            format!("target {id}"),
+            (text(old), text(word.rate)),
+            cause,
+        ));
+        true
+    }
+
+    /// Sets this node's share of each limit that a target names.
+    pub(super) fn share_limits(&mut self) {
+        let limited = self.targets.all();
+        let limited = limited.filter(|(_, state)| state.rate_limit.rate().is_some());
+        let keys: Vec<TargetKey> = limited.map(|(key, _)| key).collect();
+        for key in keys {
+            self.share_limit(key);
+        }
+    }
+
+    fn share_limit(&mut self, target: TargetKey) {
+        let state = self.targets.get(target);
+        let Some(rate) = state.rate_limit.rate() else {
+            return;
+        };
+        let (nodes, rank) = self.rank_for_target(state.id);
+        let share = limit_share(rate, nodes, rank);
+        self.targets.set_limit_share(target, self.boot, share);
+    }
+
+    /// Returns the number of nodes of this region and this node's position among them for a target.
+    ///
+    /// Nodes that are not known to be alive count too, since they may still reach the target.
+    pub(super) fn rank_for_target(&self, target: TargetId) -> (usize, usize) {
+        let Some(bundle) = &self.bundle else {
+            return (1, 0);
+        };
+        let nodes: Vec<VmId> = bundle.deployment.vms_in(self.id.region).collect();
+        let rank_of = |vm: VmId| seam_protocol::id::rank(u64::from(target.0), u64::from(vm.0));
+        let own = rank_of(self.id.vm);
+        let rank = nodes.iter().filter(|vm| rank_of(**vm) > own).count();
+        (nodes.len(), rank)
+    }
+
+    /// Predicts how long a request waits until this node may send one to a target of a service, if
+    /// all of them take only a granted rate.
+    pub(super) fn granted_wait(&self, now: Time, service: ServiceId) -> Duration {
+        let queued = self.service_states.get(&service);
+        let queued = queued.map_or(0, |state| state.queue.queued());
+        self.targets.granted_wait(now, service, queued)
+    }
+
+    /// Adds to a datagram for a node of this region what changed, if `only_news`, or the next few of
+    /// all limits.
+    pub(super) fn list_limits(&mut self, now: Time, only_news: bool, heartbeat: &mut Heartbeat) {
+        let told = |word: &LimitWord| word.rate.is_some() || now.since(word.heard) < ENDED_TTL;
+        let mut listed: Vec<(TargetKey, NamedLimit)> = self
+            .targets
+            .all()
+            .filter(|(key, _)| !only_news || self.limit_reports.news.contains(key))
+            .filter_map(|(key, state)| {
+                let word = state.rate_limit.word().filter(told)?;
+                let limit = NamedLimit {
+                    target: state.id,
+                    rate: word.rate.map(|rate| rate as f32),
+                    age: now.since(word.heard).as_millis() as u32,
+                };
+                Some((key, limit))
+            })
+            .collect();
+        if !only_news {
+            let last = self.limit_reports.last;
+            let next = listed.partition_point(|(key, _)| Some(*key) <= last);
+            listed.rotate_left(next);
+            listed.truncate(MAX_LIMITS);
+            self.limit_reports.last = listed.last().map(|(key, _)| *key);
+        }
+        heartbeat.limits = listed.into_iter().map(|(_, limit)| limit).collect();
+    }
+
+    /// Forgets the changes, once they were reported.
+    pub(super) fn clear_limit_news(&mut self) {
+        self.limit_reports.news.clear();
+    }
+}
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -273,13 +273,14 @@
         specs.is_some_and(|(service, customer)| bundle.allows_region(service, customer, region))
     }
 
-    /// Predicts the wait for an engine and a slot in this region.
+    /// Predicts the wait for an engine and a slot in this region, or for a share of a granted rate.
     fn local_wait(&self, now: Time, request: &Request) -> Duration {
         let prompt_wait = match request.prompt {
             Some(_) => self.prompt_wait(now, request.service),
             None => Duration::ZERO,
         };
-        prompt_wait + self.slot_wait(now, request)
+        let wait = prompt_wait + self.slot_wait(now, request);
+        wait.max(self.granted_wait(now, request.service))
     }
 
     /// Predicts how long a prompt waits for an engine.
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -13,7 +13,7 @@
 const AMPLE_DIVISOR: u32 = 4;
 /// Wait in a summary that marks a service without a target that accepts work.
 pub(super) const WAIT_NO_TARGET: u32 = u32::MAX;
-/// Shortest wait for engines at which a service is listed in a summary even with enough free slots.
+/// Shortest wait for targets at which a service is listed in a summary even with enough free slots.
 const MIN_REPORTED_WAIT: Duration = Duration::from_millis(30);
 /// Maximum number of ready nodes in a region's summary.
 const SUMMARY_NODES: usize = 4;
@@ -79,12 +79,13 @@
                 Kind::Engine => self.prompt_wait(now, service),
                 Kind::Plain => Duration::ZERO,
             };
+            let target_wait = prompt_wait.max(self.granted_wait(now, service));
             let ample = free >= ample_slots(spec.slots_in(self.id.region));
-            if ample && prompt_wait < MIN_REPORTED_WAIT {
+            if ample && target_wait < MIN_REPORTED_WAIT {
                 continue;
             }
             let ahead = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
-            let wait = prompt_wait
+            let wait = target_wait
                 + self
                     .slot_time(service)
                     .mul_f64(ahead / f64::from(slots.max(1)));
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -6,7 +6,7 @@
 use seam_protocol::heartbeat::Shortage;
 use seam_protocol::{Reason, Time, VmId};
 
-use super::Node;
+use super::{Node, ServiceState};
 use crate::audit::Change;
 use crate::command::Command;
 use crate::handle::Ticket;
@@ -36,9 +36,24 @@
         if now.since(self.last_refresh) >= REFRESH_INTERVAL {
             self.refresh(now, out);
         }
+        self.use_grants(now, out);
         self.unpark(now, out);
     }
 
+    /// Starts queued requests for which this node's share of a granted rate has become free.
+    fn use_grants(&mut self, now: Time, out: &mut Vec<Command>) {
+        let due = |state: &ServiceState| state.next_grant.is_some_and(|next| next <= now);
+        let states = self.service_states.iter_mut();
+        let mut services = Vec::new();
+        for (service, state) in states.filter(|(_, state)| due(state)) {
+            state.next_grant = None;
+            services.push(*service);
+        }
+        for service in services {
+            self.dispatch(now, service, out);
+        }
+    }
+
     /// Announces a change of readiness at once to nodes of the region and some of other regions.
     fn announce_readiness(&mut self, now: Time, out: &mut Vec<Command>) {
         let ready = self.ready(now);
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -65,6 +65,7 @@
             if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
                 heartbeat.target_work = Some(own_work.clone());
                 heartbeat.prefilled.clone_from(&parts);
+                self.list_limits(now, true, &mut heartbeat);
                 out.push(Command::Heartbeat {
                     to,
                     address,
@@ -72,6 +73,7 @@
                 });
             }
         }
+        self.clear_limit_news();
     }
 
     /// Merges a work update of another node.
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -77,6 +77,8 @@
     pub load: u32,
     /// Models that it reports as loaded.
     pub models: Vec<String>,
+    /// Limit in force that it names for the requests of all nodes together, in requests per second.
+    pub rate_limit: Option<f64>,
 }
 
 /// Load of a service at this node.
@@ -184,6 +186,7 @@
                 running: state.running,
                 cap: state.max_running(now),
                 load: state.load(now),
+                rate_limit: state.rate_limit.rate(),
                 models: state
                     .report
                     .as_ref()
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -3,6 +3,8 @@
 mod choice;
 mod cold;
 mod engine;
+mod rate_limit;
+mod shared_rate;
 mod sliding_window;
 mod start_limit;
 mod state;
@@ -20,6 +22,8 @@
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
+pub use rate_limit::{LimitWord, RateLimit, limit_share};
+pub use shared_rate::{RateShare, ShareLimiter};
 pub use sliding_window::SlidingWindow;
 pub use start_limit::StartLimiter;
 pub use state::{Phase, TargetState};
@@ -278,10 +282,57 @@
             .any(|(_, state)| state.phase == Phase::Serving)
     }
 
-    /// Sets until when a target is cold, and the requests per second that this node may send it
-    /// until then.
-    pub fn set_cold(&mut self, key: TargetKey, boot: Time, until: Time, allowed: u32) {
-        self.get_mut(key).cold.set(boot, until, allowed);
+    /// Sets until when a target is cold, and this node's share of the rate that it takes until then.
+    pub fn set_cold(&mut self, key: TargetKey, boot: Time, until: Time, share: RateShare) {
+        self.get_mut(key).cold.set(boot, until, share);
+    }
+
+    /// Records what a target says of its rate limit. See [`RateLimit::record_word`].
+    pub fn record_limit_word(&mut self, key: TargetKey, word: LimitWord) -> Option<Option<f64>> {
+        self.get_mut(key).rate_limit.record_word(word)
+    }
+
+    /// Sets this node's share of the rate limit that a target names.
+    pub fn set_limit_share(&mut self, key: TargetKey, boot: Time, share: RateShare) {
+        self.get_mut(key).rate_limit.set_share(boot, share);
+    }
+
+    /// Predicts how long the last of some queued requests waits for this node's share of granted
+    /// rates, zero if a serving target of the service takes requests at any rate.
+    #[must_use]
+    pub fn granted_wait(&self, now: Time, service: ServiceId, queued: usize) -> Duration {
+        /// Wait at a node without a share.
+        const NO_SHARE: Duration = Duration::from_secs(60);
+        let mut first: Option<Time> = None;
+        let mut rate = 0.0;
+        let serving = self.for_service(service);
+        for (_, state) in serving.filter(|(_, state)| state.phase == Phase::Serving) {
+            if !state.is_granted(now) {
+                return Duration::ZERO;
+            }
+            if let Some(next) = state.next_grant(now) {
+                first = Some(first.map_or(next, |first| first.min(next)));
+                rate += state.granted_rate(now);
+            }
+        }
+        match first {
+            Some(first) => {
+                let wait = first.since(now).as_secs_f64() + queued as f64 / rate;
+                Duration::from_secs_f64(wait.min(NO_SHARE.as_secs_f64()))
+            }
+            None if self.serving(service) => NO_SHARE,
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns when this node may next send a request to a target of a service that takes only a
+    /// granted rate, if there is one.
+    #[must_use]
+    pub fn next_grant(&self, now: Time, service: ServiceId) -> Option<Time> {
+        let serving = self.for_service(service);
+        let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
+        let granted = serving.filter(|(_, state)| state.is_granted(now));
+        granted.filter_map(|(_, state)| state.next_grant(now)).min()
     }
 
     /// Returns the shortest predicted wait of a prompt over the engines that accept requests, or
@@ -327,6 +378,7 @@
     pub fn begin_request(&mut self, now: Time, key: TargetKey, suspect: bool, work: PromptWork) {
         let state = self.get_mut(key);
         state.cold.record(now);
+        state.rate_limit.record(now);
         state.starts.record(now);
         state.engine.begin_request(work);
         state.running += 1;
--- /dev/null
+++ b/crates/seam-core/src/targets/rate_limit.rs
@@ -0,0 +1,145 @@
+//! Rate limits that targets in need name in their answers.
+
+use std::time::Duration;
+
+use seam_protocol::Time;
+
+use super::{RateShare, ShareLimiter};
+
+/// Time for which a limit holds on after an answer that names a higher one. A target may name
+/// another limit in each answer.
+const RAISE_DELAY: Duration = Duration::from_secs(4);
+/// Smallest rate that is shared out, in requests per second. With a lower one, a request now and
+/// then shows whether the target still names it.
+const MIN_RATE: f64 = 0.1;
+/// Largest rate that is shared out, in requests per second, beyond what targets reach.
+const MAX_RATE: f64 = 100_000.0;
+/// Largest number of requests in the window of a share.
+const MAX_BURST: f64 = 20.0;
+/// Minimum interval between two changes of a limit that are reported. Its start and its end are
+/// always reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a target last said about its limit, as this node or another one heard it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitWord {
+    /// Requests per second from all nodes together; `None` if the target names no limit.
+    pub rate: Option<f64>,
+    /// When the answer arrived.
+    pub heard: Time,
+}
+
+/// The rate limit of one target, and this node's share of it.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimit {
+    word: Option<LimitWord>,
+    /// The lowest rate that was named lately, and when.
+    lowest: Option<(f64, Time)>,
+    limiter: ShareLimiter,
+    reported: Option<LimitWord>,
+}
+
+impl RateLimit {
+    /// Records what a target says, unless it is older than what is known. Returns what it said
+    /// before, if that is worth a report.
+    ///
+    /// ```
+    /// use seam_core::targets::{LimitWord, RateLimit};
+    /// use seam_protocol::Time;
+    /// let mut limit = RateLimit::default();
+    /// let word = |rate, heard| LimitWord { rate, heard: Time(heard) };
+    /// limit.record_word(word(Some(1.0), 5_000_000));
+    /// limit.record_word(word(Some(8.0), 6_000_000));
+    /// assert_eq!(limit.rate(), Some(1.0));
+    /// limit.record_word(word(Some(8.0), 10_000_000));
+    /// assert_eq!(limit.rate(), Some(8.0));
+    /// limit.record_word(word(None, 9_000_000));
+    /// assert_eq!(limit.rate(), Some(8.0));
+    /// limit.record_word(word(None, 11_000_000));
+    /// assert_eq!(limit.rate(), None);
+    /// ```
+    pub fn record_word(&mut self, word: LimitWord) -> Option<Option<f64>> {
+        if self.word.is_some_and(|known| known.heard >= word.heard) {
+            return None;
+        }
+        self.word = Some(word);
+        self.lowest = word.rate.map(|rate| {
+            let held = self
+                .lowest
+                .filter(|(lowest, named)| *lowest < rate && word.heard.since(*named) < RAISE_DELAY);
+            held.unwrap_or((rate, word.heard))
+        });
+        let before = self.reported;
+        let old = before.and_then(|before| before.rate);
+        let recent = before.is_some_and(|before| word.heard.since(before.heard) < REPORT_INTERVAL);
+        let is_news = old.is_some() != word.rate.is_some() || (old != word.rate && !recent);
+        if is_news {
+            self.reported = Some(word);
+        }
+        is_news.then_some(old)
+    }
+
+    /// Returns the last word of the target.
+    #[must_use]
+    pub fn word(&self) -> Option<LimitWord> {
+        self.word
+    }
+
+    /// Returns the limit in force, in requests per second from all nodes together.
+    #[must_use]
+    pub fn rate(&self) -> Option<f64> {
+        self.lowest.map(|(rate, _)| rate)
+    }
+
+    /// Sets the share of this node, whose process started at `boot`.
+    pub fn set_share(&mut self, boot: Time, share: RateShare) {
+        self.limiter.set(boot, share);
+    }
+
+    /// Returns this node's limiter while the target names a limit.
+    #[must_use]
+    pub fn limiter(&self) -> Option<&ShareLimiter> {
+        self.lowest.is_some().then_some(&self.limiter)
+    }
+
+    /// Records a request that is being sent.
+    pub fn record(&mut self, now: Time) {
+        if self.lowest.is_some() {
+            self.limiter.record(now);
+        }
+    }
+}
+
+/// Returns a node's share of a rate limit, in requests per second, that a target names for all
+/// nodes of its region.
+///
+/// `rank` is the node's position among all nodes, from 0. Shares with less than a request are not
+/// spread over more nodes than requests may come at once, since all of them may send one at the same
+/// time. There is a share more than nodes, since a new one may not be known yet.
+///
+/// ```
+/// use std::time::Duration;
+/// use seam_core::targets::limit_share;
+/// let share = limit_share(1.0, 3, 0);
+/// assert_eq!((share.allowed, share.window), (1, Duration::from_secs(3)));
+/// assert_eq!(limit_share(1.0, 30, 2), share);
+/// assert_eq!(limit_share(1.0, 30, 3).allowed, 0);
+/// assert_eq!(limit_share(500.0, 3, 2).rate(), 125.0);
+/// ```
+#[must_use]
+pub fn limit_share(rate: f64, nodes: usize, rank: usize) -> RateShare {
+    /// Holders of a share for each request per second, and beyond that.
+    const HOLDERS: (f64, f64) = (1.0, 2.0);
+    let rate = rate.clamp(MIN_RATE, MAX_RATE);
+    let most = (HOLDERS.0 * rate + HOLDERS.1) as usize;
+    let holders = most.min(nodes + 1);
+    if rank >= holders {
+        return RateShare::default();
+    }
+    let own = rate / holders as f64;
+    let allowed = own.floor().clamp(1.0, MAX_BURST);
+    RateShare {
+        allowed: allowed as u32,
+        window: Duration::from_secs_f64(allowed / own),
+    }
+}
--- a/crates/seam-core/src/targets/sliding_window.rs
+++ b/crates/seam-core/src/targets/sliding_window.rs
@@ -36,4 +36,30 @@
         let recent = self.times.iter().filter(|time| now.since(**time) < window);
         recent.count()
     }
+
+    /// Returns from when on fewer than `limit` events are within the window, or `None` for a limit of
+    /// zero.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::targets::SlidingWindow;
+    /// use seam_protocol::Time;
+    /// let window = Duration::from_secs(1);
+    /// let mut events = SlidingWindow::default();
+    /// events.record(Time(0), window);
+    /// events.record(Time(600_000), window);
+    /// assert_eq!(events.next_free(Time(900_000), window, 3), Some(Time(900_000)));
+    /// assert_eq!(events.next_free(Time(900_000), window, 2), Some(Time(1_000_000)));
+    /// assert_eq!(events.next_free(Time(900_000), window, 0), None);
+    /// ```
+    #[must_use]
+    pub fn next_free(&self, now: Time, window: Duration, limit: usize) -> Option<Time> {
+        // The event that has to leave the window first.
+        let index = self.times.len().checked_sub(limit);
+        match index {
+            _ if limit == 0 => None,
+            None => Some(now),
+            Some(index) => Some(now.max(self.times[index] + window)),
+        }
+    }
 }
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -7,7 +7,7 @@
 use seam_protocol::heartbeat::TargetWork;
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
 
-use super::{ColdShare, EngineModel, StartLimiter};
+use super::{ColdShare, EngineModel, RateLimit, ShareLimiter, StartLimiter};
 
 /// Time over which the usable slots of a new or returning target ramp up.
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -67,6 +67,8 @@
     pub engine: EngineModel,
     /// Limit of requests while it is cold.
     pub cold: ColdShare,
+    /// Limit of requests that it names for all nodes together.
+    pub rate_limit: RateLimit,
     /// Limit of requests that this node starts before other nodes learn of them.
     pub(super) starts: StartLimiter,
     /// Work of other nodes, by their own reports, with the time of receipt.
@@ -105,6 +107,7 @@
             share: 1,
             engine: EngineModel::default(),
             cold: ColdShare::default(),
+            rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
             others: BTreeMap::new(),
             failures: 0,
@@ -199,6 +202,30 @@
         self.running + by_nodes.max(reported)
     }
 
+    /// Returns the limiters of the rates that the target grants to all nodes together.
+    fn limiters(&self, now: Time) -> impl Iterator<Item = &ShareLimiter> {
+        let cold = self.cold.limiter(now);
+        cold.into_iter().chain(self.rate_limit.limiter())
+    }
+
+    /// Returns whether the target takes only a granted rate of requests.
+    pub(super) fn is_granted(&self, now: Time) -> bool {
+        self.limiters(now).next().is_some()
+    }
+
+    /// Returns when this node may send the next request by the granted rates, or `None` if it has no
+    /// share of one.
+    pub(super) fn next_grant(&self, now: Time) -> Option<Time> {
+        let mut limiters = self.limiters(now);
+        limiters.try_fold(now, |latest, limiter| Some(latest.max(limiter.next(now)?)))
+    }
+
+    /// Returns this node's share of the lowest granted rate, in requests per second.
+    pub(super) fn granted_rate(&self, now: Time) -> f64 {
+        let rates = self.limiters(now).map(|limiter| limiter.share().rate());
+        rates.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns whether the target accepts one more request of this node.
     ///
     /// Within its share, this node does not consider the load by other nodes. Beyond it, the
@@ -206,7 +233,8 @@
     #[must_use]
     pub fn accepts(&self, now: Time, heavy: bool, shared: bool) -> bool {
         const SPARE_SLOTS: u32 = 2;
-        if self.phase != Phase::Serving || !self.cold.allows(now) {
+        let granted = self.limiters(now).all(|limiter| limiter.allows(now));
+        if self.phase != Phase::Serving || !granted {
             return false;
         }
         if shared {
--- a/crates/seam-harness/src/fault.rs
+++ b/crates/seam-harness/src/fault.rs
@@ -76,6 +76,13 @@
         /// Service time as a percentage of the normal one.
         percent: u32,
     },
+    /// A target names a rate limit in its answers, or none any more.
+    NameLimit {
+        /// Target name.
+        target: String,
+        /// Thousandths of a request per second from all nodes together.
+        millis: Option<u64>,
+    },
     /// The platform lists a target as leaving, and the target exits later.
     Leave {
         /// Target name.
--- a/crates/seam-harness/src/mutation.rs
+++ b/crates/seam-harness/src/mutation.rs
@@ -37,6 +37,8 @@
     AllUnits,
     /// Nodes do not see idempotency keys.
     DropKeys,
+    /// Every node may use all of a rate limit that a target names, not just its own share.
+    WholeLimit,
 }
 
 impl Mutation {
@@ -65,7 +67,7 @@
     /// Changes an event before a node handles it.
     #[must_use]
     pub fn event(self, event: Event) -> Event {
-        /// Number of VMs in a history, which share a customer's concurrency.
+        /// Number of VMs in a history, which share a customer's concurrency and a target's limit.
         const FACTOR: u32 = 9;
         match (self, event) {
             (Self::AllUnits, Event::Bundle(bundle)) => {
@@ -75,6 +77,9 @@
                 }
                 Event::Bundle(Arc::new(bundle))
             }
+            (Self::WholeLimit, Event::NamedLimit(attempt, rate)) => {
+                Event::NamedLimit(attempt, rate.map(|rate| rate * f64::from(FACTOR)))
+            }
             (_, event) => event,
         }
     }
--- a/crates/seam-harness/src/oracle.rs
+++ b/crates/seam-harness/src/oracle.rs
@@ -37,6 +37,8 @@
     OverLimit(u32, u32),
     /// A request ran this often after it should have been refused for crashing its targets.
     CrashedOn(OpId, usize),
+    /// A target that names a rate limit got this many requests within a window.
+    OverRate(TargetId, usize),
 }
 
 impl fmt::Display for Breach {
--- a/crates/seam-harness/src/target.rs
+++ b/crates/seam-harness/src/target.rs
@@ -5,15 +5,66 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use seam_protocol::{Kind, RegionId, ServiceId, Time};
+use seam_protocol::{Incarnation, Kind, RegionId, ServiceId, Time, VmId};
 
 use crate::ids::RunId;
+use crate::oracle::CONTACT_TIME;
 
 /// Maximum number of prefixes in an engine's cache.
 const CACHE_PREFIXES: usize = 64;
+/// Window in which requests are counted against a limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on what a limit allows within the window.
+const LIMIT_OVERAGE: f64 = 1.5;
+/// Requests within the window beyond that.
+const LIMIT_SLACK: f64 = 5.0;
+/// Time from an answer that names a limit to the time from which its receiver is counted.
+const NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Fraction of the service time that a cached prefix saves.
 const CACHE_SAVING: f64 = 0.35;
 
+/// A limit of the requests from all nodes together, and what the target got since it named it.
+#[derive(Clone, Debug)]
+pub struct NamedLimit {
+    /// Requests per second.
+    pub rate: f64,
+    /// Since when it is named.
+    pub since: Time,
+    /// When each process first received an answer that names it.
+    pub told: BTreeMap<(VmId, Incarnation), Time>,
+    /// Recent requests from nodes that had been told.
+    pub arrivals: VecDeque<Time>,
+}
+
+impl NamedLimit {
+    /// Returns a limit that is named from now on.
+    #[must_use]
+    pub fn new(now: Time, rate: f64) -> Self {
+        Self {
+            rate,
+            since: now,
+            told: BTreeMap::new(),
+            arrivals: VecDeque::new(),
+        }
+    }
+
+    /// Records a request of a settled node. Returns the number of requests within [`LIMIT_WINDOW`]
+    /// if it exceeds what the limit allows.
+    pub fn record_arrival(&mut self, now: Time, from: (VmId, Incarnation)) -> Option<usize> {
+        let told = self.told.get(&from);
+        let was_told = told.is_some_and(|told| now.since(*told) >= NOTICE_TIME);
+        if !was_told || now.since(self.since) < CONTACT_TIME {
+            return None;
+        }
+        self.arrivals.push_back(now);
+        self.arrivals
+            .retain(|arrived| now.since(*arrived) < LIMIT_WINDOW);
+        let allowed = LIMIT_OVERAGE * self.rate * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+        let count = self.arrivals.len();
+        (count as f64 > allowed).then_some(count)
+    }
+}
+
 /// State of a fake target.
 #[derive(Clone, Debug)]
 pub struct FakeTarget {
@@ -35,6 +86,8 @@
     pub silent: bool,
     /// Whether the platform lists it as leaving.
     pub leaving: bool,
+    /// Limit that it names in its answers.
+    pub limit: Option<NamedLimit>,
     /// Running requests with their start times.
     pub running: BTreeMap<RunId, Time>,
     /// Requests in the target's queue.
@@ -67,6 +120,7 @@
             down_until: None,
             silent: false,
             leaving: false,
+            limit: None,
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
             cache: VecDeque::new(),
--- a/crates/seam-harness/src/world/faults.rs
+++ b/crates/seam-harness/src/world/faults.rs
@@ -10,6 +10,7 @@
 use crate::fault::Fault;
 use crate::mutation::Mutation;
 use crate::oracle::{Breach, CONTACT_TIME};
+use crate::target::NamedLimit;
 
 /// Time within which nodes read the configuration after the service is reachable again.
 const RECOVERY_TIME: Duration = Duration::from_secs(30);
@@ -82,6 +83,12 @@
                     fake.slowdown = f64::from(*percent) / 100.0;
                 }
             }
+            Fault::NameLimit { target, millis } => {
+                let limit = millis.map(|millis| NamedLimit::new(self.now, millis as f64 / 1000.0));
+                if let Some(fake) = self.targets.get_mut(&TargetId::of(target)) {
+                    fake.limit = limit;
+                }
+            }
             Fault::Leave { target, ms } => self.leave_target(target, *ms),
             Fault::ServiceDown => self.platform.down = true,
             Fault::ServiceUp => self.service_up(),
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -70,6 +70,7 @@
             return;
         }
         self.last_request_at.insert(target, now);
+        self.check_rate(target, vm, incarnation);
         let since = self.leaving_since.get(&target).copied();
         if let Some(since) = since
             && now.since(since) > LEAVING_GRACE
@@ -123,6 +124,39 @@
         }
     }
 
+    /// Checks a request against the limit that its target names.
+    fn check_rate(&mut self, target: TargetId, vm: VmId, incarnation: Incarnation) {
+        let (now, settled) = (self.now, self.settled(vm));
+        let limit = self.targets.get_mut(&target);
+        let limit = limit
+            .and_then(|fake| fake.limit.as_mut())
+            .filter(|_| settled);
+        let excess = limit.and_then(|limit| limit.record_arrival(now, (vm, incarnation)));
+        if let Some(count) = excess {
+            self.oracle.record_breach(Breach::OverRate(target, count));
+        }
+    }
+
+    /// Tells a node the limit that an answer to its attempt names.
+    fn tell_limit(&mut self, vm: VmId, attempt: AttemptKey, target: TargetId) {
+        let now = self.now;
+        let Some(process) = self.processes.get(&vm) else {
+            return;
+        };
+        let incarnation = process.incarnation;
+        let node = process.node.as_ref();
+        let known = node.is_some_and(|node| node.is_rate_limited(target));
+        let limit = self.targets.get_mut(&target);
+        let limit = limit.and_then(|fake| fake.limit.as_mut());
+        let rate = limit.map(|limit| {
+            limit.told.entry((vm, incarnation)).or_insert(now);
+            limit.rate
+        });
+        if rate.is_some() || known {
+            self.handle(vm, Event::NamedLimit(attempt, rate));
+        }
+    }
+
     fn request_of(
         &self,
         vm: VmId,
@@ -204,6 +238,11 @@
 
     /// Handles a complete response of a target.
     pub(super) fn target_replies(&mut self, vm: VmId, attempt: AttemptKey, run: RunId) {
+        let exchange = self.exchange(vm, attempt);
+        let to = exchange.map(|exchange| exchange.to.clone());
+        if let Some(Destination::Target(target)) = to {
+            self.tell_limit(vm, attempt, target);
+        }
         let Some(process) = self.processes.get_mut(&vm) else {
             return;
         };
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -90,6 +90,13 @@
     /// Reads a target's load from the headers of a response.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
+    /// Reads the requests per second that a target takes from all nodes together from the headers
+    /// of a response, if it names such a limit.
+    ///
+    /// # Errors
+    /// What is wrong with a limit that cannot be read.
+    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, String>;
+
     /// Builds the response to a refused request.
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body>;
 
@@ -166,6 +173,10 @@
         None
     }
 
+    fn named_limit(&self, _headers: &HeaderMap) -> Result<Option<f64>, String> {
+        Ok(None)
+    }
+
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body> {
         problem(id, refusal, detail)
     }
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -36,6 +36,7 @@
     running: Gauge<u64>,
     load: Gauge<u64>,
     serving: Gauge<u64>,
+    limited: Gauge<u64>,
     quarantine: Gauge<u64>,
     suspects: Gauge<u64>,
     items: Gauge<u64>,
@@ -58,6 +59,7 @@
             running: gauge("seam_running", "requests at targets, by service"),
             load: gauge("seam_target_load", "estimated requests at a target"),
             serving: gauge("seam_target_serving", "1 if a target takes new work"),
+            limited: gauge("seam_target_limited", "1 if a target names a rate limit"),
             quarantine: gauge("seam_quarantine", "fingerprints in quarantine"),
             suspects: gauge(
                 "seam_suspects",
@@ -96,6 +98,8 @@
             self.load.record(u64::from(target.load), &label);
             let serving = u64::from(target.phase == "serving");
             self.serving.record(serving, &label);
+            let limited = u64::from(target.rate_limit.is_some());
+            self.limited.record(limited, &label);
         }
         let counters = &status.counters;
         for (kind, count) in [
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http::{Request, StatusCode, header, request};
+use http::{Request, StatusCode, header, request, response};
 use http_body_util::BodyExt;
 use seam_core::keys::MAX_RESPONSE_BYTES;
 use seam_core::{AttemptOutcome, Event, Refusal};
@@ -81,6 +81,42 @@
     if let Some(load) = dialect.load_report(&head.headers) {
         runtime.handle(Event::Load(to.target, load));
     }
+    if let Some(reply) = unusable_head(runtime, to, inbound, &head) {
+        return reply;
+    }
+    if writer.has_started() && !head.status.is_success() {
+        // Only a successful stream can resume one that broke off.
+        return AttemptOutcome::Broken { started: true };
+    }
+    if head.status.is_server_error() && runtime.should_discard(to.attempt) {
+        return AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken));
+    }
+    let mut headers = head.headers;
+    let streams = inbound.rules.map(|rules| rules.streams);
+    let is_stream = streams == Some(true) && head.status.is_success();
+    progress.mark_head(Framing::of(&headers, &body), &headers, is_stream);
+    dialect.strip_headers(&mut headers);
+    let response = TargetResponse {
+        status: head.status,
+        headers,
+        body,
+        max_buffered: max_buffered_bytes(streams),
+    };
+    let reply = relay_response(monitor, response, writer, progress).await;
+    if matches!(reply, AttemptOutcome::Complete { .. }) {
+        keep_connection(runtime, to, connection).await;
+    }
+    reply
+}
+
+/// Judges the head of a target's response. Returns the result of the attempt if the response is a
+/// refusal or does not belong to the request, `None` if it can be relayed.
+fn unusable_head(
+    runtime: &NodeRuntime,
+    to: TargetAttempt,
+    inbound: &InboundRequest,
+    head: &response::Parts,
+) -> Option<AttemptOutcome> {
     let log_refusal = |retry: Option<Duration>| {
         log::info!(
             target: "request",
@@ -89,17 +125,23 @@
             "refused by a target"
         );
     };
+    let class = runtime
+        .dialect
+        .classify_response(inbound, head.status, &head.headers);
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        report_limit(runtime, to, class, &head.headers);
+    }
     if let Some(refusal) = status_refusal(runtime, to, head.status, &head.headers) {
         log_refusal(refusal.retry_after);
-        return AttemptOutcome::Refused(refusal);
+        return Some(AttemptOutcome::Refused(refusal));
     }
-    match dialect.classify_response(inbound, head.status, &head.headers) {
-        ResponseClass::Valid => {}
+    match class {
+        ResponseClass::Valid => None,
         ResponseClass::NotRun(retry) => {
             log_refusal(retry);
             let refusal =
                 Refusal::not_run(Reason::Refused).with_retry_after(retry.unwrap_or(RETRY_DELAY));
-            return AttemptOutcome::Refused(refusal);
+            Some(AttemptOutcome::Refused(refusal))
         }
         ResponseClass::Mismatched => {
             log::warn!(
@@ -108,32 +150,35 @@
                 to.target,
                 head.status
             );
-            return AttemptOutcome::Broken { started: false };
+            Some(AttemptOutcome::Broken { started: false })
         }
     }
-    if writer.has_started() && !head.status.is_success() {
-        // Only a successful stream can resume one that broke off.
-        return AttemptOutcome::Broken { started: true };
-    }
-    if head.status.is_server_error() && runtime.should_discard(to.attempt) {
-        return AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken));
-    }
-    let mut headers = head.headers;
-    let streams = inbound.rules.map(|rules| rules.streams);
-    let is_stream = streams == Some(true) && head.status.is_success();
-    progress.mark_head(Framing::of(&headers, &body), &headers, is_stream);
-    dialect.strip_headers(&mut headers);
-    let response = TargetResponse {
-        status: head.status,
-        headers,
-        body,
-        max_buffered: max_buffered_bytes(streams),
+}
+
+/// Reports the rate limit that a target's response names, or that it names none any more.
+///
+/// A refusal may leave it out, as the target did not get to it.
+fn report_limit(
+    runtime: &NodeRuntime,
+    to: TargetAttempt,
+    class: ResponseClass,
+    headers: &http::HeaderMap,
+) {
+    let limit = match runtime.dialect.named_limit(headers) {
+        _ if class == ResponseClass::Mismatched => return,
+        Ok(limit) => limit,
+        Err(detail) => {
+            log::info!("target {}: {detail}", to.target);
+            return;
+        }
     };
-    let reply = relay_response(monitor, response, writer, progress).await;
-    if matches!(reply, AttemptOutcome::Complete { .. }) {
-        keep_connection(runtime, to, connection).await;
+    let ended = || {
+        let known = runtime.read(|node, _| node.is_rate_limited(to.target));
+        known && class == ResponseClass::Valid
+    };
+    if limit.is_some() || ended() {
+        runtime.handle(Event::NamedLimit(to.attempt, limit));
     }
-    reply
 }
 
 /// Puts a connection into the pool once it can carry another request.
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -120,6 +120,17 @@
     pub crashes: Vec<CrashReport>,
 }
 
+/// The limit that a target names for the requests of all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NamedLimit {
+    /// The target.
+    pub target: TargetId,
+    /// Requests per second; `None` if the target names no limit any more.
+    pub rate: Option<f32>,
+    /// Milliseconds since the answer that says so.
+    pub age: u32,
+}
+
 /// A request for more concurrency units for a customer at the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shortage {
@@ -210,6 +221,9 @@
     /// that a process of an earlier version reads the rest.
     #[serde(skip)]
     pub suspect_parts: Vec<SuspectPart>,
+    /// Limits that targets of the sender's region name. They come last, for the same reason.
+    #[serde(skip)]
+    pub limits: Vec<NamedLimit>,
 }
 
 impl Heartbeat {
@@ -226,7 +240,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let parts = !self.suspect_parts.is_empty();
+        let limits = !self.limits.is_empty();
+        let parts = limits || !self.suspect_parts.is_empty();
         if self.quarantine == QuarantineReport::default() && !parts {
             return bytes;
         }
@@ -235,7 +250,12 @@
         if !parts {
             return bytes;
         }
-        postcard::to_extend(&self.suspect_parts, bytes).expect("parts always serialize")
+        let bytes =
+            postcard::to_extend(&self.suspect_parts, bytes).expect("parts always serialize");
+        if !limits {
+            return bytes;
+        }
+        postcard::to_extend(&self.limits, bytes).expect("limits always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat.
@@ -247,8 +267,13 @@
         }
         let (quarantine, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.quarantine = quarantine;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (parts, rest) = postcard::take_from_bytes(rest).ok()?;
+        heartbeat.suspect_parts = parts;
         if !rest.is_empty() {
-            heartbeat.suspect_parts = postcard::from_bytes(rest).ok()?;
+            heartbeat.limits = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -275,6 +300,7 @@
             prefilled: Vec::new(),
             quarantine: QuarantineReport::default(),
             suspect_parts: Vec::new(),
+            limits: Vec::new(),
         }
     }
 }
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,6 +1,6 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
-use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect, SuspectPart};
+use seam_protocol::heartbeat::{CrashReport, NamedLimit, QuarantineReport, Suspect, SuspectPart};
 use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
 fn heartbeat() -> Heartbeat {
@@ -60,6 +60,30 @@
     }
 }
 
+/// Guards against rate limits that get lost, with or without a quarantine beside them.
+#[test]
+fn limits_kept() {
+    let mut heartbeat = heartbeat();
+    heartbeat.limits = [Some(0.2), None]
+        .map(|rate| NamedLimit {
+            target: TargetId(5),
+            rate,
+            age: 1500,
+        })
+        .to_vec();
+    for digest in [0, 4] {
+        heartbeat.quarantine.digest = digest;
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
+        // A process of the version before reads what precedes the limits.
+        let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&whole).unwrap();
+        let (_, rest) = postcard::take_from_bytes::<QuarantineReport>(rest).unwrap();
+        let parts: Vec<SuspectPart> = postcard::from_bytes(rest).unwrap();
+        assert_eq!(parts, heartbeat.suspect_parts);
+    }
+}
+
 /// Guards against datagrams that processes of the version before cannot exchange with this one.
 #[test]
 fn earlier_version() {
