Count an event as relayed only once it is written to the caller's channel

Cause: the position in a stream moved before the write, which waits while the channel is full. An attempt that ended there lost the events, and the resumed stream began after them. A write that is dropped now moves the position back.

--- a/crates/seam-node/src/events.rs
+++ b/crates/seam-node/src/events.rs
@@ -91,11 +91,20 @@
     }
 }
 
+/// A position in an event stream.
+#[derive(Debug)]
+struct Position {
+    /// The identifier of the event before it, if there is one.
+    last_id: Option<String>,
+}
+
 /// The position in an event stream up to which whole events were relayed.
 #[derive(Debug, Default)]
 pub struct EventStreamCursor {
     scanner: EventScanner,
     last_id: Option<String>,
+    /// The identifier before the last events, if one of them has another.
+    before: Option<Position>,
     partial: Vec<u8>,
     oversized: bool,
 }
@@ -127,9 +136,12 @@
             std::mem::take(&mut self.partial).into()
         };
         self.partial.extend_from_slice(&bytes[end..]);
+        self.before = None;
         for line in complete.split(|byte| matches!(byte, b'\r' | b'\n')) {
             if let Some(id) = line.strip_prefix(b"id:") {
-                self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
+                let id = String::from_utf8_lossy(id).trim().to_owned();
+                let last_id = self.last_id.replace(id);
+                self.before.get_or_insert(Position { last_id });
             }
         }
         complete
@@ -153,6 +165,15 @@
         self.scanner = EventScanner::default();
     }
 
+    /// Moves the position back to before the events that [`Self::push`] returned last, and discards
+    /// the incomplete one.
+    pub fn rewind(&mut self) {
+        if let Some(before) = self.before.take() {
+            self.last_id = before.last_id;
+        }
+        self.discard_partial();
+    }
+
     /// Returns the bytes left in the buffer at the end of the stream.
     pub fn take_rest(&mut self) -> Bytes {
         std::mem::take(&mut self.partial).into()
--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -49,6 +49,22 @@
     cursor: Arc<Mutex<Option<EventStreamCursor>>>,
 }
 
+/// A write of events that moves the position in the stream back if it is dropped before its end.
+struct PendingWrite<'a> {
+    writer: &'a ResponseWriter,
+    done: bool,
+}
+
+impl Drop for PendingWrite<'_> {
+    fn drop(&mut self) {
+        if !self.done
+            && let Some(cursor) = &mut *lock(&self.writer.cursor)
+        {
+            cursor.rewind();
+        }
+    }
+}
+
 /// Creates a response writer and the receiver of its parts.
 ///
 /// An event stream is written in whole events. With `resumable`, another target can resume it if one
@@ -120,12 +136,20 @@
 
     /// Writes bytes of the body, waiting while the channel is full. They are dropped if the reader
     /// has left.
+    ///
+    /// If the future is dropped before its end, the position in an event stream stays before the
+    /// events of these bytes.
     pub async fn write_data(&self, bytes: Bytes) {
         let bytes = match &mut *lock(&self.cursor) {
             Some(cursor) => cursor.push(&bytes),
             None => bytes,
         };
+        let mut write = PendingWrite {
+            writer: self,
+            done: false,
+        };
         self.send_data(bytes).await;
+        write.done = true;
     }
 
     async fn send_data(&self, bytes: Bytes) {
