--- a/crates/seam-node/tests/lost_frames.rs
+++ b/crates/seam-node/tests/lost_frames.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use seam_emulator::Caller;
+use seam_emulator::{Caller, CallerResponse};
 use seam_fleet::{Fleet, SWAKOP_TOKEN, with_fleet};
 
 /// Length of the head of an HTTP/2 frame.
@@ -22,8 +22,8 @@
     of_client: bool,
     /// Text in the first frame that is dropped.
     from: &'static str,
-    /// Text in the next frame that is passed on.
-    until: &'static str,
+    /// Text in the next frame that is passed on; `None` for the one after the first.
+    until: Option<&'static str>,
 }
 
 fn contains(bytes: &[u8], text: &str) -> bool {
@@ -48,8 +48,8 @@
             let mut payload = vec![0; length as usize];
             from.read_exact(&mut payload)?;
             if head[3] == DATA && is_client == loss.of_client {
+                lossy &= loss.until.is_some_and(|until| !contains(&payload, until));
                 lossy |= contains(&payload, loss.from);
-                lossy &= !contains(&payload, loss.until);
             }
             if head[3] != DATA || is_client != loss.of_client || !lossy {
                 to.write_all(&head)?;
@@ -107,7 +107,7 @@
         let loss = Loss {
             of_client: false,
             from: "\"token\":3",
-            until: "\"token\":5",
+            until: Some("\"token\":5"),
         };
         add_relays(&mut fleet, loss).await;
         let caller = Caller::new(fleet.caller_address("khomas-1"), SWAKOP_TOKEN);
@@ -127,7 +127,7 @@
         let loss = Loss {
             of_client: true,
             from: "part-6",
-            until: "part-7",
+            until: Some("part-7"),
         };
         add_relays(&mut fleet, loss).await;
         let node = fleet.caller_address("khomas-1");
@@ -167,3 +167,20 @@
         );
     });
 }
+
+/// Guards against a whole response that is taken as complete without its body.
+#[test]
+fn lost_response() {
+    with_fleet(|mut fleet| async move {
+        let loss = Loss {
+            of_client: false,
+            from: "\"runs\"",
+            until: None,
+        };
+        add_relays(&mut fleet, loss).await;
+        let caller = Caller::new(fleet.caller_address("khomas-1"), SWAKOP_TOKEN);
+        let response = caller.post("/booking-desk/notes", "notes").await;
+        let complete = |response: &CallerResponse| response.status == 200;
+        assert!(!response.as_ref().is_ok_and(complete), "{response:?}");
+    });
+}
