--- a/crates/seam-harness/src/target.rs
+++ b/crates/seam-harness/src/target.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Records a request of a settled node. Returns the number of requests within [`LIMIT_WINDOW`]
+    /// Records a request of a settled node. Returns the number of requests within four seconds
     /// if it exceeds what the limit allows.
     pub fn record_arrival(&mut self, now: Time, from: (VmId, Incarnation)) -> Option<usize> {
         let told = self.told.get(&from);
