--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -109,7 +109,8 @@
             || (!request.trial && shared.any(|part| self.poison.quarantined(part)))
     }
 
-    /// Lets a request through to try whether the quarantined part of it still crashes targets. One node of all does so for each part.
+    /// Lets a request through to try whether the quarantined part of it still crashes targets. One
+    /// node of all does so for each part.
     fn begin_trial(&mut self, now: Time, ticket: Ticket) -> bool {
         let request = &self.requests[&ticket];
         let part = request.shared().find(|part| self.poison.quarantined(*part));
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -436,14 +436,12 @@
             .responded
             .is_none_or(|responded| now.since(responded) < ANSWER_BEGINS);
         if begins {
-            let shared = (0..).zip(request.shared());
-            let shared = shared.map(|(depth, part)| (part, depth));
-            let count = if answers {
-                usize::MAX
+            let shared: Vec<Fingerprint> = if answers {
+                request.shared().collect()
             } else {
-                request.parts.len()
+                request.parts.clone()
             };
-            watch.runs.parts.extend(shared.take(count));
+            watch.runs.parts.extend(shared.into_iter().zip(0..));
         }
     }
 }
--- a/crates/seam-core/src/targets/shared_rate.rs
+++ b/crates/seam-core/src/targets/shared_rate.rs
@@ -39,6 +39,9 @@
 }
 
 impl ShareLimiter {
+    /// Longest time after the start of a process for which nothing is sent.
+    pub const MAX_BOOT_WAIT: Duration = Duration::from_secs(4);
+
     /// Sets the share of this node, whose process started at `boot`.
     ///
     /// A new process does not know what the previous one sent, so nothing is sent within the first
@@ -48,9 +51,6 @@
         self.not_before = boot + share.window.min(Self::MAX_BOOT_WAIT);
     }
 
-    /// Longest time after the start of a process for which nothing is sent.
-    pub const MAX_BOOT_WAIT: Duration = Duration::from_secs(4);
-
     /// Returns the share.
     #[must_use]
     pub fn share(&self) -> RateShare {
