--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits that targets name in their answers, for all nodes of their region together.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use seam_protocol::heartbeat::NamedLimit;
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LimitReports {
     /// Targets whose limit began, ended or changed.
-    news: Vec<TargetKey>,
+    news: BTreeSet<TargetKey>,
     /// The target that was reported last.
     last: Option<TargetKey>,
 }
@@ -53,7 +54,7 @@
         }
         let word = LimitWord { rate, heard: now };
         if self.record_limit(now, target, word, "an answer", out) {
-            self.limit_reports.news.push(target);
+            self.limit_reports.news.insert(target);
             self.pending_update.mark_changed();
         }
         let service = self.targets.get(target).service;
@@ -102,7 +103,9 @@
         let Some(old) = old else {
             return false;
         };
-        let text = |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| format!("{rate}/s"));
+        // Other nodes report rates with less precision.
+        let text =
+            |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| format!("{rate:.2}/s"));
         out.push(self.audit(
             now,
             Change::RateLimit,
