--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -151,9 +151,20 @@
 ) -> impl Stream<Item = Result<Frame<Bytes>, BodyError>> {
     stream::unfold(Some((frames, numbers)), |state| async move {
         let (mut frames, mut numbers) = state?;
-        let message = frames.message().await.ok().flatten();
-        let message = message.filter(|message| numbers.accept(message.number));
-        match message.and_then(|message| message.frame) {
+        let frame = match frames.message().await {
+            Ok(Some(message)) if numbers.accept(message.number) => message.frame,
+            Ok(Some(message)) => {
+                let number = message.number;
+                log::info!("a forwarded request lacks frames before frame {number} of its body");
+                None
+            }
+            Ok(None) => None,
+            Err(status) => {
+                log::info!("the body of a forwarded request broke off: {status}");
+                None
+            }
+        };
+        match frame {
             Some(request_frame::Frame::Body(bytes)) => {
                 Some((Ok(Frame::data(bytes.into())), Some((frames, numbers))))
             }
