--- a/crates/seam-core/tests/rate_limits.rs
+++ b/crates/seam-core/tests/rate_limits.rs
@@ -109,6 +109,39 @@
     assert_eq!(informed(&fleet, named), [false; 4]);
 }
 
+/// Guards against limits that never reach a node which restarted, since each heartbeat to it carries
+/// the same few of them.
+#[test]
+fn many_limits() {
+    for count in [4_usize, 8, 12, 16, 40] {
+        let names: Vec<String> = (0..count).map(|index| format!("d{index}")).collect();
+        let targets: Vec<(&str, &str, &str)> = names
+            .iter()
+            .map(|name| (name.as_str(), PLAIN, NORTH))
+            .collect();
+        let mut fleet = settled_fleet(&[NORTH; 3], &targets);
+        for ticket in 0..20 * count as u64 {
+            fleet.arrive(0, arrival(ticket, "view", PLAIN, 2));
+        }
+        for (node, attempt, _) in fleet.sends() {
+            fleet.handle(node, Event::NamedLimit(attempt, Some(1.0)));
+            fleet.handle(node, Event::AttemptEnded(attempt, COMPLETE));
+        }
+        let known = |fleet: &Fleet, node: usize| {
+            let limited = names.iter().filter(|name| {
+                let id = target(name);
+                fleet.nodes[node].is_rate_limited(id)
+            });
+            limited.count()
+        };
+        fleet.wait(Duration::from_secs(1));
+        assert_eq!((known(&fleet, 0), known(&fleet, 1)), (count, count));
+        fleet.restart(1);
+        fleet.wait(Duration::from_secs(6));
+        assert_eq!(known(&fleet, 1), count, "of {count} limits");
+    }
+}
+
 /// Guards against nodes whose shares add up to more than the target takes, in a region of many.
 #[test]
 fn many_nodes() {
