Tell each node of all rate limits, not the same few again

Cause: one rotation served all receivers, so in a region of three each peer always got the same slice. The few in a heartbeat now begin at a random limit, and a node that restarted or was cut off gets up to 64 at once.

many_limits: 4 of 8 limits known after 6 s before; all of 4, 8, 12, 16 and 40 after.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -204,7 +204,8 @@
     /// Item revision that is being fetched from a peer, and since when.
     pub(crate) pending_items: Option<(u64, Time)>,
     pub(crate) pending_update: work_update::PendingUpdate,
-    pub(crate) limit_reports: rate_limits::LimitReports,
+    /// Targets whose rate limit began, ended or changed since the last work update.
+    pub(crate) limit_news: BTreeSet<TargetKey>,
     pub(crate) regions: BTreeMap<VmId, RegionId>,
     pub(crate) boot: Time,
     /// Since when this node may own keys chosen by callers, under the current set of nodes and
@@ -281,7 +282,7 @@
             roster: None,
             pending_items: None,
             pending_update: work_update::PendingUpdate::default(),
-            limit_reports: rate_limits::LimitReports::default(),
+            limit_news: BTreeSet::new(),
             regions: BTreeMap::new(),
             boot: now,
             owner_since: now,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -10,6 +10,7 @@
 };
 
 use super::Node;
+use super::rate_limits::LimitSelection;
 use crate::command::Command;
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
 use crate::limits::LimitContext;
@@ -67,6 +68,9 @@
         self.merge_suspects(now, heartbeat, uninformed, out);
         self.merge_work(now, heartbeat);
         self.merge_limits(now, heartbeat, out);
+        if uninformed && heartbeat.region == self.id.region {
+            self.report_limits(now, heartbeat.from, out);
+        }
         self.lend(now, heartbeat, out);
         self.accept_grants(now, heartbeat, out);
         if effect.members_changed {
@@ -380,7 +384,7 @@
         };
         let round = self.gossip.round();
         if self.regions.get(&to) == Some(&self.id.region) {
-            self.list_limits(now, false, &mut heartbeat);
+            self.list_limits(now, LimitSelection::Some, &mut heartbeat);
             let others = self.peers.freshest(now, self.id.region, to, MAX_RECORDS);
             heartbeat.records.extend(others);
             if round.is_multiple_of(SUMMARY_ROUNDS) {
--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -1,8 +1,8 @@
 //! Rate limits that targets name in their answers, for all nodes of their region together.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::RngExt;
 use seam_protocol::heartbeat::NamedLimit;
 use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VmId};
 
@@ -13,18 +13,22 @@
 use crate::request::Destination;
 use crate::targets::{LimitWord, limit_share};
 
-/// Maximum number of limits in one datagram.
+/// Maximum number of limits in a heartbeat.
 const MAX_LIMITS: usize = 4;
+/// The same maximum in a heartbeat to a node that may know none.
+const MAX_LIMITS_TO_NEW: usize = 64;
 /// Time for which the end of a limit is told to other nodes.
 const ENDED_TTL: Duration = Duration::from_secs(30);
 
-/// Limits that the next datagrams report.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct LimitReports {
-    /// Targets whose limit began, ended or changed.
-    news: BTreeSet<TargetKey>,
-    /// The target that was reported last.
-    last: Option<TargetKey>,
+/// Which limits to report in a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LimitSelection {
+    /// Those that changed since the last work update.
+    News,
+    /// A few of all.
+    Some,
+    /// All, for a node that may know none.
+    All,
 }
 
 impl Node {
@@ -54,7 +58,7 @@
         }
         let word = LimitWord { rate, heard: now };
         if self.record_limit(now, target, word, "an answer", out) {
-            self.limit_reports.news.insert(target);
+            self.limit_news.insert(target);
             self.pending_update.mark_changed();
         }
         let service = self.targets.get(target).service;
@@ -158,36 +162,60 @@
         self.targets.granted_wait(now, service, queued)
     }
 
-    /// Adds to a datagram for a node of this region what changed, if `only_news`, or the next few of
-    /// all limits.
-    pub(super) fn list_limits(&mut self, now: Time, only_news: bool, heartbeat: &mut Heartbeat) {
+    /// Adds limits to a heartbeat for a node of this region.
+    ///
+    /// A few begin at a random one. With one rotation for all receivers, each could always get the
+    /// same ones.
+    pub(super) fn list_limits(
+        &mut self,
+        now: Time,
+        selection: LimitSelection,
+        heartbeat: &mut Heartbeat,
+    ) {
         let told = |word: &LimitWord| word.rate.is_some() || now.since(word.heard) < ENDED_TTL;
-        let mut listed: Vec<(TargetKey, NamedLimit)> = self
+        let is_news = |key: &TargetKey| self.limit_news.contains(key);
+        let mut limits: Vec<NamedLimit> = self
             .targets
             .all()
-            .filter(|(key, _)| !only_news || self.limit_reports.news.contains(key))
-            .filter_map(|(key, state)| {
+            .filter(|(key, _)| selection != LimitSelection::News || is_news(key))
+            .filter_map(|(_, state)| {
                 let word = state.rate_limit.word().filter(told)?;
-                let limit = NamedLimit {
+                Some(NamedLimit {
                     target: state.id,
                     rate: word.rate.map(|rate| rate as f32),
                     age: now.since(word.heard).as_millis() as u32,
-                };
-                Some((key, limit))
+                })
             })
             .collect();
-        if !only_news {
-            let last = self.limit_reports.last;
-            let next = listed.partition_point(|(key, _)| Some(*key) <= last);
-            listed.rotate_left(next);
-            listed.truncate(MAX_LIMITS);
-            self.limit_reports.last = listed.last().map(|(key, _)| *key);
+        if !limits.is_empty() && selection != LimitSelection::News {
+            let first = self.rng.random_range(0..limits.len());
+            limits.rotate_left(first);
+            limits.truncate(match selection {
+                LimitSelection::All => MAX_LIMITS_TO_NEW,
+                _ => MAX_LIMITS,
+            });
+        }
+        heartbeat.limits = limits;
+    }
+
+    /// Reports the limits to a node of this region that may know none.
+    pub(super) fn report_limits(&mut self, now: Time, to: VmId, out: &mut Vec<Command>) {
+        let sent = self.next_timestamp(now);
+        let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) else {
+            return;
+        };
+        self.list_limits(now, LimitSelection::All, &mut heartbeat);
+        if !heartbeat.limits.is_empty() {
+            out.push(Command::Heartbeat {
+                to,
+                address,
+                heartbeat,
+            });
         }
-        heartbeat.limits = listed.into_iter().map(|(_, limit)| limit).collect();
     }
 
     /// Forgets the changes, once they were reported.
     pub(super) fn clear_limit_news(&mut self) {
-        self.limit_reports.news.clear();
+        self.limit_news.clear();
     }
 }
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -10,6 +10,7 @@
 use seam_protocol::{Heartbeat, Time, VmId};
 
 use super::Node;
+use super::rate_limits::LimitSelection;
 use crate::command::Command;
 use crate::handle::TargetKey;
 
@@ -65,7 +66,7 @@
             if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
                 heartbeat.target_work = Some(own_work.clone());
                 heartbeat.prefilled.clone_from(&parts);
-                self.list_limits(now, true, &mut heartbeat);
+                self.list_limits(now, LimitSelection::News, &mut heartbeat);
                 out.push(Command::Heartbeat {
                     to,
                     address,
