Show that a node passes on the summaries of every second region only

Of two other regions one is passed on within the region, for any even number half of them. Found when the cause of many_limits was sought in the other tables that nodes spread.

--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -4,6 +4,7 @@
 #[path = "live/fleet.rs"]
 mod fleet;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fleet::{
@@ -208,3 +209,45 @@
         "three of twelve nodes have 57% of the weight: {counts:?}"
     );
 }
+
+/// Guards against summaries of regions that a node never passes on within its own.
+#[test]
+fn all_summaries() {
+    for count in [2_usize, 3, 4, 24] {
+        let mut fleet = settled_fleet(&[NORTH, NORTH], &[]);
+        let regions: BTreeSet<RegionId> = (0..count)
+            .map(|index| RegionId::of(&format!("region-{index}")))
+            .collect();
+        let mut passed_on = BTreeSet::new();
+        for step in 0..8 * count as u32 {
+            let mut heartbeat = Heartbeat::empty(VmId::of("vm-1"), RegionId::of(NORTH));
+            heartbeat.sent = (1 << 40) + u64::from(step);
+            heartbeat.records.push(VmRecord {
+                vm: VmId::of("vm-1"),
+                incarnation: Incarnation(78),
+                sequence: step + 1,
+                revision: 7,
+                ready: true,
+                loads: Vec::new(),
+            });
+            let summaries = regions.iter().map(|region| RegionSummary {
+                region: *region,
+                vm: VmId(region.0.into()),
+                incarnation: Incarnation(77),
+                sequence: step + 1,
+                age: 0,
+                revision: 7,
+                nodes: vec![VmId(region.0.into())],
+                capacities: Vec::new(),
+            });
+            heartbeat.summaries.extend(summaries);
+            fleet.handle(0, Event::Heartbeat(heartbeat));
+            for _ in 0..8 {
+                fleet.wait(Duration::from_millis(50));
+                let sent = &fleet.last_heartbeats[&0].summaries;
+                passed_on.extend(sent.iter().map(|summary| summary.region));
+            }
+        }
+        assert_eq!(passed_on, regions, "{} of {count}", passed_on.len());
+    }
+}
