Rotate what heartbeats carry by receiver

Cause: the round decided both whether a heartbeat carries summaries and which one comes first, so with an even number of other regions every second one was never passed on; receivers in rotation could fall into step the same way. Each receiver now has a turn of its own. Rate limits use it as well, instead of a random start, which leaves long gaps by chance. Tried: a start drawn by receiver and round, which chose the same of two regions for twelve rounds.

--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -4,6 +4,7 @@
 //! with the fleet. Heartbeats also carry records of other nodes and summaries of other regions.
 //! Urgent updates are sent immediately.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -22,8 +23,8 @@
 pub const MAX_RECORDS: usize = 4;
 /// Maximum number of summaries of other regions in one datagram.
 pub const MAX_SUMMARIES: usize = 1;
-/// Interval between rounds whose datagrams inside the region carry region summaries, in rounds.
-pub const SUMMARY_ROUNDS: usize = 2;
+/// Interval between heartbeats to a node of the region that carry region summaries, in heartbeats.
+pub const SUMMARY_TURNS: usize = 2;
 /// Maximum number of service loads in one record.
 pub const MAX_LOADS: usize = 3;
 /// Maximum number of suspect fingerprints in one datagram.
@@ -40,6 +41,8 @@
     round: usize,
     local: Vec<VmId>,
     remote: Vec<Vec<VmId>>,
+    /// Heartbeats sent to each node.
+    turns: BTreeMap<VmId, usize>,
 }
 
 impl Gossip {
@@ -61,6 +64,8 @@
             .collect();
         let regions = self.remote.len().max(1);
         self.remote.rotate_left(position % regions);
+        let vms = &bundle.deployment.vms;
+        self.turns.retain(|vm, _| vms.contains_key(vm));
     }
 
     /// Returns the receivers of a due round: those in this region and those in other regions.
@@ -96,6 +101,25 @@
             .copied()
     }
 
+    /// Returns the number of this heartbeat among those to a node, by which its contents rotate.
+    ///
+    /// Counted over all receivers, a rotation can fall into step with them, so that each always gets
+    /// the same contents.
+    ///
+    /// ```
+    /// use seam_core::gossip::Gossip;
+    /// use seam_protocol::VmId;
+    /// let mut gossip = Gossip::default();
+    /// assert_eq!([gossip.next_turn(VmId(1)), gossip.next_turn(VmId(2))], [0, 0]);
+    /// assert_eq!(gossip.next_turn(VmId(1)), 1);
+    /// ```
+    pub fn next_turn(&mut self, to: VmId) -> usize {
+        let turns = self.turns.entry(to).or_default();
+        let turn = *turns;
+        *turns = turn.wrapping_add(1);
+        turn
+    }
+
     /// Returns the number of rounds so far.
     #[must_use]
     pub fn round(&self) -> usize {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use super::rate_limits::LimitSelection;
 use crate::command::Command;
-use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_ROUNDS};
+use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_TURNS};
 use crate::limits::LimitContext;
 use crate::peers::Peers;
 use crate::share::{SlotDemand, split};
@@ -382,15 +382,16 @@
         let Some((address, mut heartbeat)) = self.new_heartbeat(sent, to) else {
             return;
         };
-        let round = self.gossip.round();
+        let turn = self.gossip.next_turn(to);
         if self.regions.get(&to) == Some(&self.id.region) {
-            self.list_limits(now, LimitSelection::Some, &mut heartbeat);
+            self.list_limits(now, LimitSelection::Turn(turn), &mut heartbeat);
             let others = self.peers.freshest(now, self.id.region, to, MAX_RECORDS);
             heartbeat.records.extend(others);
-            if round.is_multiple_of(SUMMARY_ROUNDS) {
+            if turn.is_multiple_of(SUMMARY_TURNS) {
+                let turn = turn / SUMMARY_TURNS;
                 heartbeat.summaries =
                     self.peers
-                        .summaries(now, round, self.id.region, MAX_SUMMARIES);
+                        .summaries(now, turn, self.id.region, MAX_SUMMARIES);
             }
         } else {
             let region = self.regions.get(&to).copied().unwrap_or_default();
@@ -399,7 +400,7 @@
             }
             heartbeat
                 .summaries
-                .extend(self.peers.summaries(now, round, region, MAX_SUMMARIES));
+                .extend(self.peers.summaries(now, turn, region, MAX_SUMMARIES));
         }
         for report in self.poison.take_updates(now, MAX_SUSPECTS) {
             report.list_in(&mut heartbeat);
--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
 use seam_protocol::heartbeat::NamedLimit;
 use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VmId};
 
@@ -25,8 +24,8 @@
 pub(super) enum LimitSelection {
     /// Those that changed since the last work update.
     News,
-    /// A few of all.
-    Some,
+    /// A few of all, by the receiver's turn.
+    Turn(usize),
     /// All, for a node that may know none.
     All,
 }
@@ -163,11 +162,8 @@
     }
 
     /// Adds limits to a heartbeat for a node of this region.
-    ///
-    /// A few begin at a random one. With one rotation for all receivers, each could always get the
-    /// same ones.
     pub(super) fn list_limits(
-        &mut self,
+        &self,
         now: Time,
         selection: LimitSelection,
         heartbeat: &mut Heartbeat,
@@ -187,13 +183,14 @@
                 })
             })
             .collect();
-        if !limits.is_empty() && selection != LimitSelection::News {
-            let first = self.rng.random_range(0..limits.len());
-            limits.rotate_left(first);
-            limits.truncate(match selection {
-                LimitSelection::All => MAX_LIMITS_TO_NEW,
-                _ => MAX_LIMITS,
-            });
+        match selection {
+            LimitSelection::News => {}
+            LimitSelection::Turn(turn) => {
+                let count = limits.len().max(1);
+                limits.rotate_left(turn * MAX_LIMITS % count);
+                limits.truncate(MAX_LIMITS);
+            }
+            LimitSelection::All => limits.truncate(MAX_LIMITS_TO_NEW),
         }
         heartbeat.limits = limits;
     }
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -330,12 +330,12 @@
     }
 
     /// Returns at most `limit` valid region summaries with their current age, starting at the
-    /// position in the rotation for `round`.
+    /// position in the rotation for `turn`.
     #[must_use]
     pub fn summaries(
         &self,
         now: Time,
-        round: usize,
+        turn: usize,
         except: RegionId,
         limit: usize,
     ) -> Vec<RegionSummary> {
@@ -347,7 +347,7 @@
             .collect();
         let count = live.len();
         (0..limit.min(count))
-            .map(|step| live[(round * limit + step) % count])
+            .map(|step| live[(turn * limit + step) % count])
             .map(|known| RegionSummary {
                 age: Self::age(now, known).as_millis() as u32,
                 ..known.summary.clone()
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -232,12 +232,12 @@
             });
             let summaries = regions.iter().map(|region| RegionSummary {
                 region: *region,
-                vm: VmId(region.0.into()),
+                vm: VmId(region.0),
                 incarnation: Incarnation(77),
                 sequence: step + 1,
                 age: 0,
                 revision: 7,
-                nodes: vec![VmId(region.0.into())],
+                nodes: vec![VmId(region.0)],
                 capacities: Vec::new(),
             });
             heartbeat.summaries.extend(summaries);
