Show that two peers hear only parts of a large quarantine

Of 36 quarantined requests each of two peers that are told in turn hears 24, always the same. Found when the cause of all_summaries was sought in the other tables.

--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -4,6 +4,7 @@
 
 use seam_core::poison::{CrashRuns, PoisonTable, SUSPECT_TTL, SuspectReport};
 use seam_protocol::heartbeat::Suspect;
+use seam_protocol::id::rank;
 use seam_protocol::{Fingerprint, TargetId, Time};
 
 const CULPRIT: Fingerprint = Fingerprint(1);
@@ -236,3 +237,35 @@
     table.expire(at(60) + SUSPECT_TTL);
     assert!(table.take_updates(at(700), usize::MAX).is_empty());
 }
+
+/// Guards against a quarantine of which two peers, told in turn, each hear only a part.
+#[test]
+fn two_receivers() {
+    const LIMIT: usize = 24;
+    for count in [12_u64, 30, 36, 60, 96] {
+        let mut table = PoisonTable::default();
+        for culprit in 0..count {
+            for crash in 0..3 {
+                let now = at(3 * culprit + crash);
+                let runs = ran(&[(Fingerprint(rank(culprit, 7)), 50)]);
+                let target = TargetId((3 * culprit + crash) as u32);
+                table.record_crash(now, target, &runs);
+            }
+        }
+        let now = at(3 * count);
+        let mut told = [PoisonTable::default(), PoisonTable::default()];
+        for _ in 0..20 {
+            for receiver in &mut told {
+                for report in table.take_candidates(now, LIMIT) {
+                    if let SuspectReport::Request(suspect, crashes) = report {
+                        receiver.merge_suspect(now, suspect, Some(&crashes));
+                    }
+                }
+            }
+        }
+        for receiver in &told {
+            assert_eq!(receiver.len(), count as usize);
+            assert_eq!(receiver.digest(), table.digest());
+        }
+    }
+}
