Begin the turns of each pair of nodes elsewhere

In a fleet of 370 nodes, where a far node gets a heartbeat from the same sender every few minutes, everyone was told the same first region; large_fleet failed (a request that crashes targets crashed one each in two regions only).

--- a/crates/seam-core/src/gossip.rs
+++ b/crates/seam-core/src/gossip.rs
@@ -9,6 +9,7 @@
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use seam_protocol::id::rank;
 use seam_protocol::{Bundle, RegionId, Time, VmId};
 
 /// Time between two gossip rounds.
@@ -41,13 +42,15 @@
     round: usize,
     local: Vec<VmId>,
     remote: Vec<Vec<VmId>>,
-    /// Heartbeats sent to each node.
+    me: VmId,
+    /// The next turn of each node, see [`Self::next_turn`].
     turns: BTreeMap<VmId, usize>,
 }
 
 impl Gossip {
     /// Sets the published nodes. Each node starts its rotation at its own position in the list.
     pub fn set_members(&mut self, bundle: &Bundle, me: VmId, region: RegionId) {
+        self.me = me;
         let nodes_of =
             |region: RegionId| -> Vec<VmId> { bundle.deployment.vms_in(region).collect() };
         self.local = nodes_of(region);
@@ -101,22 +104,25 @@
             .copied()
     }
 
-    /// Returns the number of this heartbeat among those to a node, by which its contents rotate.
+    /// Returns the turn of a heartbeat to a node, by which its contents rotate.
     ///
     /// Counted over all receivers, a rotation can fall into step with them, so that each always gets
-    /// the same contents.
+    /// the same contents. Turns of other pairs of nodes begin elsewhere, since in a large fleet a node
+    /// rarely gets more than one heartbeat from the same sender.
     ///
     /// ```
     /// use seam_core::gossip::Gossip;
     /// use seam_protocol::VmId;
     /// let mut gossip = Gossip::default();
-    /// assert_eq!([gossip.next_turn(VmId(1)), gossip.next_turn(VmId(2))], [0, 0]);
-    /// assert_eq!(gossip.next_turn(VmId(1)), 1);
+    /// let first = gossip.next_turn(VmId(1));
+    /// assert_ne!(gossip.next_turn(VmId(2)), first);
+    /// assert_eq!(gossip.next_turn(VmId(1)), first + 1);
     /// ```
     pub fn next_turn(&mut self, to: VmId) -> usize {
-        let turns = self.turns.entry(to).or_default();
-        let turn = *turns;
-        *turns = turn.wrapping_add(1);
+        let first = rank(u64::from(self.me.0), u64::from(to.0)) as u16;
+        let next = self.turns.entry(to).or_insert(first.into());
+        let turn = *next;
+        *next = turn.wrapping_add(1);
         turn
     }
 
