Report a large quarantine to each peer in turn

Cause: one rotation served all receivers. Each now has a position of its own, forgotten once it was told everything or nothing is quarantined.

two_receivers: 24 of 36 quarantined requests known to each of two peers before; all of 12, 30, 36, 60 and 96 after. The calls in crash_storms and in the test name the receiver now; what they check is unchanged.

--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -131,9 +131,9 @@
         };
         self.quarantine_reports.insert(to, now);
         let reports = if with_suspects {
-            self.poison.take_report(now, MAX_QUARANTINE_REPORT)
+            self.poison.take_report(now, to, MAX_QUARANTINE_REPORT)
         } else {
-            self.poison.take_candidates(now, MAX_QUARANTINE_REPORT)
+            self.poison.take_candidates(now, to, MAX_QUARANTINE_REPORT)
         };
         for report in reports {
             report.list_in(&mut heartbeat);
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -19,7 +19,7 @@
 
 use seam_protocol::heartbeat::{CrashReport, Suspect, SuspectPart};
 use seam_protocol::id::rank;
-use seam_protocol::{Fingerprint, Heartbeat, ServiceId, TargetId, Time};
+use seam_protocol::{Fingerprint, Heartbeat, ServiceId, TargetId, Time, VmId};
 
 use crate::prompt::Prompt;
 use entry::{Crash, Entry, Subject};
@@ -128,8 +128,8 @@
     explained: Vec<Crash>,
     /// Digest of the candidates and of which of them are quarantined.
     digest: u32,
-    /// The candidate that was reported last.
-    last_reported: Option<Fingerprint>,
+    /// The candidate that was reported last to each node that was not told all of them at once.
+    last_reported: BTreeMap<VmId, Fingerprint>,
     completed: Completions,
     answered: AnsweredParts,
     trials: Trials,
@@ -510,6 +510,9 @@
         if expired {
             self.update_quarantine();
         }
+        if self.quarantine.is_empty() {
+            self.last_reported.clear();
+        }
     }
 
     /// Returns up to `limit` requests and as many parts for gossip, and counts them as sent: those
@@ -539,18 +542,22 @@
     }
 
     /// Returns up to `limit` entries that the quarantine follows from, for a peer with another
-    /// digest: half of them are the likeliest causes, and later calls return the next of the others.
-    pub fn take_candidates(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
+    /// digest: half of them are the likeliest causes, and later calls for the same peer return the
+    /// next of the others.
+    pub fn take_candidates(&mut self, now: Time, to: VmId, limit: usize) -> Vec<SuspectReport> {
         let ranked = self.ranked_candidates().into_iter();
         let ranked: Vec<Fingerprint> = ranked.map(|(fingerprint, _)| fingerprint).collect();
         let (first, rest) = ranked.split_at(ranked.len().min(limit.div_ceil(2)));
         let mut rest = rest.to_vec();
         rest.sort_unstable();
-        let last = self.last_reported;
+        let last = self.last_reported.remove(&to);
         let next = rest.partition_point(|fingerprint| Some(*fingerprint) <= last);
         rest.rotate_left(next);
+        let count = rest.len();
         rest.truncate(limit - first.len());
-        self.last_reported = rest.last().copied();
+        if let Some(last) = rest.last().filter(|_| rest.len() < count) {
+            self.last_reported.insert(to, *last);
+        }
         let candidates = first.iter().chain(&rest);
         candidates
             .filter_map(|fingerprint| self.report(now, *fingerprint))
@@ -559,8 +566,8 @@
 
     /// Returns up to `limit` entries for a peer that may know none of them: those that the
     /// quarantine follows from, then the suspects with the most and the most recent crashes.
-    pub fn take_report(&mut self, now: Time, limit: usize) -> Vec<SuspectReport> {
-        let mut reports = self.take_candidates(now, limit);
+    pub fn take_report(&mut self, now: Time, to: VmId, limit: usize) -> Vec<SuspectReport> {
+        let mut reports = self.take_candidates(now, to, limit);
         let mut suspects: Vec<_> = self
             .entries
             .iter()
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -5,7 +5,7 @@
 use seam_core::poison::{CrashRuns, PoisonTable, SUSPECT_TTL, SuspectReport};
 use seam_protocol::heartbeat::Suspect;
 use seam_protocol::id::rank;
-use seam_protocol::{Fingerprint, TargetId, Time};
+use seam_protocol::{Fingerprint, TargetId, Time, VmId};
 
 const CULPRIT: Fingerprint = Fingerprint(1);
 const NEIGHBOUR: Fingerprint = Fingerprint(2);
@@ -255,8 +255,8 @@
         let now = at(3 * count);
         let mut told = [PoisonTable::default(), PoisonTable::default()];
         for _ in 0..20 {
-            for receiver in &mut told {
-                for report in table.take_candidates(now, LIMIT) {
+            for (receiver, vm) in told.iter_mut().zip([VmId(1), VmId(2)]) {
+                for report in table.take_candidates(now, vm, LIMIT) {
                     if let SuspectReport::Request(suspect, crashes) = report {
                         receiver.merge_suspect(now, suspect, Some(&crashes));
                     }
--- a/crates/seam-core/tests/crash_storms.rs
+++ b/crates/seam-core/tests/crash_storms.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::poison::{CrashRuns, PoisonTable, SuspectReport};
-use seam_protocol::{Fingerprint, TargetId, Time};
+use seam_protocol::{Fingerprint, TargetId, Time, VmId};
 use yare::parameterized;
 
 const NODES: usize = 90;
@@ -63,7 +63,8 @@
             let updates = self.tables[node].take_updates(now, MAX_ENTRIES);
             merge(&mut self.tables[to], now, updates);
             if self.tables[to].digest() != self.tables[node].digest() {
-                let candidates = self.tables[to].take_candidates(now, MAX_REPORT);
+                let sender = VmId(node as u32);
+                let candidates = self.tables[to].take_candidates(now, sender, MAX_REPORT);
                 merge(&mut self.tables[node], now, candidates);
             }
         }
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -66,7 +66,7 @@
     let reports = |title: &str, table: fn(usize) -> PoisonTable| {
         let points: Vec<(f64, f64)> = [1, 4, 12, 24]
             .map(|count| {
-                let reports = table(count).take_report(Time(0), count);
+                let reports = table(count).take_report(Time(0), VmId(1), count);
                 (count as f64, report_bytes(reports))
             })
             .into();
