--- a/crates/seam-config/src/check.rs
+++ b/crates/seam-config/src/check.rs
@@ -271,6 +271,7 @@
                     address: source.address,
                     slots: source.slots,
                     fenced: source.fenced,
+                    version: String::new(),
                 };
                 Some((TargetId::of(&target.name), resolved))
             })
--- a/crates/seam-core/tests/catalogue_merge.rs
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -13,6 +13,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             slots: 1,
             fenced: false,
+            version: String::new(),
         },
         boot: 0,
         sequence: 0,
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -115,6 +115,7 @@
             address: "127.0.0.1:9".parse().unwrap(),
             slots: 64,
             fenced: false,
+            version: String::new(),
         },
         boot: 1,
         sequence: 0,
--- a/crates/seam-harness/src/deployments.rs
+++ b/crates/seam-harness/src/deployments.rs
@@ -196,6 +196,7 @@
                     address: next(),
                     slots: service.slots,
                     fenced: index % 2 == 0,
+                    version: String::new(),
                     name: name.clone(),
                 };
                 targets.insert(TargetId::of(&name), target);
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -27,6 +27,8 @@
     pub budget: Option<Duration>,
     /// The prompt, for a model engine.
     pub prompt: Option<Prompt>,
+    /// The caller's identifier of the request that began the stream which this one takes up.
+    pub resumes: Option<String>,
 }
 
 /// What a target is sent in addition to the caller's headers.
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -201,7 +201,7 @@
             outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
             method = self.inbound.method.as_str(), path = self.inbound.path.as_str(), caller = caller.as_str(),
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
-            parts = parts.unwrap_or_default().as_str(),
+            parts = parts.unwrap_or_default().as_str(), resumes = self.inbound.resumes.as_deref().unwrap_or_default(),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
             age_ms = age.as_millis() as u64;
             "request ended"
@@ -213,12 +213,21 @@
         self.runtime.now().since(self.arrived).as_millis() as u64
     }
 
+    /// Returns the published version of a target's software, empty if there is none.
+    fn target_version(&self, to: TargetAttempt) -> String {
+        let snapshot = self.runtime.snapshot();
+        let services = snapshot.as_ref().map(|snapshot| &snapshot.bundle.services);
+        let service = services.and_then(|services| services.get(&to.service));
+        let target = service.and_then(|service| service.targets.get(&to.target));
+        target.map_or_else(String::new, |target| target.version.clone())
+    }
+
     fn send(&mut self, to: TargetAttempt) {
         log::info!(
             target: "request",
             request = self.inbound.id.as_str(), attempt = to.attempt.0, to:% = to.target,
             address:% = to.address, copies = to.copy_from.is_some(), load = to.estimate.load, unread = to.estimate.prefill_tokens,
-            predicted_ms = to.estimate.predicted_ms, age_ms = self.age();
+            predicted_ms = to.estimate.predicted_ms, version = self.target_version(to).as_str(), age_ms = self.age();
             "sent to a target"
         );
         self.start_attempt(to.attempt, Destination::Target(to));
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -78,6 +78,8 @@
     pub rules: Option<RouteRules>,
     /// The prompt, for a model engine.
     pub prompt: Option<Arc<Prompt>>,
+    /// The caller's identifier of the request that began the stream which this one takes up.
+    pub resumes: Option<String>,
     /// Digest that is equal for repeats of the same request.
     pub fingerprint: Fingerprint,
     /// The same digest without the caller.
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -237,6 +237,7 @@
         budget: Duration::from_micros(head.budget_micros),
         rules: route.map(route_rules),
         prompt: options.prompt.map(Arc::new),
+        resumes: options.resumes,
         fingerprint: Fingerprint(head.fingerprint),
         host,
     })
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -102,6 +102,9 @@
         pub slots: u32,
         /// Whether it rejects orders with an outdated fencing token.
         pub fenced: bool,
+        /// Version of its software, empty if none is published.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub version: String,
     }
 
     /// A service and its settings.
