--- a/crates/seam-core/src/arrival.rs
+++ b/crates/seam-core/src/arrival.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{CustomerId, Fingerprint, IssuedKey, RegionId, ServiceId, VmId};
+use seam_protocol::{
+    CustomerId, Fingerprint, IssuedKey, RegionId, ServiceId, StreamId, VersionId, VmId,
+};
 
 use crate::handle::Ticket;
 use crate::prompt::Prompt;
@@ -45,6 +47,17 @@
     },
 }
 
+/// The stream that a request begins or takes up, where another target can resume it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamPart {
+    /// Identifies the stream over all requests that take it up.
+    pub id: StreamId,
+    /// Whether an event of it may have reached its caller.
+    pub begun: bool,
+    /// Version of the targets' software that began it, if known.
+    pub version: Option<VersionId>,
+}
+
 /// A request that an adapter has read.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -75,6 +88,8 @@
     pub route: Option<RouteRules>,
     /// Prompt for a model engine with its token counts, if the caller states them.
     pub prompt: Option<Arc<Prompt>>,
+    /// Stream that it begins or takes up, if the response can be resumed.
+    pub stream: Option<StreamPart>,
 }
 
 /// Rules that a published route sets for each of its requests.
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Heartbeat, ServiceId, StoredResponse, TargetId, VmId};
+use seam_protocol::{Heartbeat, ServiceId, StoredResponse, TargetId, VersionId, VmId};
 
 use crate::arrival::Hop;
 use crate::audit::Audit;
@@ -14,6 +14,29 @@
 use crate::spill::RoutingDecision;
 use crate::targets::TargetEstimate;
 
+/// How a node found the version that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginSource {
+    /// It had recorded it.
+    Known,
+    /// Another node replied to its query.
+    Reported,
+    /// No node that it reached knows it.
+    Unknown,
+}
+
+impl OriginSource {
+    /// Returns the name for log lines.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Reported => "reported",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// An output of [`crate::Node::handle`].
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -39,6 +62,17 @@
         copy_from: Option<SocketAddr>,
         /// Estimates on which the choice of the target was based.
         estimate: TargetEstimate,
+        /// Version of the target's software.
+        version: VersionId,
+    },
+    /// Log which version began the stream that a request takes up.
+    LogOrigin {
+        /// The request.
+        ticket: Ticket,
+        /// The version, `None` if it is unknown.
+        version: Option<VersionId>,
+        /// How it was found.
+        source: OriginSource,
     },
     /// Log a routing decision and its inputs. Omitted for a request that starts here at once.
     LogRouting {
@@ -61,6 +95,8 @@
         hops: Vec<Hop>,
         /// Configuration revision used for routing.
         revision: u64,
+        /// Version of the targets' software that alone may go on with the request's stream.
+        version: Option<VersionId>,
         /// Time until the caller's deadline.
         budget: Duration,
     },
--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use seam_protocol::{Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, VmState};
+use seam_protocol::{
+    Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, VersionId, VmState,
+};
 
 use crate::arrival::Arrival;
 use crate::catalogue::{ItemBatch, Source};
@@ -54,6 +56,8 @@
     Silent(AttemptKey),
     /// The first bytes of the response to an attempt arrived.
     FirstBytes(AttemptKey),
+    /// Another node passes on the beginning of an answer by a version of the targets' software.
+    StreamBegan(AttemptKey, VersionId),
     /// A target ran a request and responded with its own error.
     ErrorResponse(AttemptKey),
     /// An attempt ended.
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -78,6 +78,7 @@
             budget: Duration::from_millis(spec.deadline),
             route: None,
             prompt: None,
+            stream: None,
         };
         let request = Request::new(now, &arrival);
         let allowed = bundle.allowed_regions(spec, customer_spec);
--- a/crates/seam-core/src/lib.rs
+++ b/crates/seam-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod share;
 pub mod spill;
 pub mod status;
+pub mod streams;
 pub mod targets;
 
 pub use arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules};
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -10,6 +10,7 @@
 mod published;
 mod rate_limits;
 mod routing;
+mod streams;
 mod summaries;
 mod tick;
 mod work_update;
@@ -43,6 +44,7 @@
 use crate::retry::RetryBudget;
 use crate::roster::Roster;
 use crate::spill::Spill;
+use crate::streams::StreamOrigins;
 use crate::targets::Targets;
 
 /// Interval between two [`Event::Tick`]s.
@@ -234,6 +236,7 @@
     pub(crate) crash_watches: BTreeMap<TargetKey, CrashWatch>,
     pub(crate) prefixes: PrefixTable,
     pub(crate) spill: Spill,
+    pub(crate) streams: StreamOrigins,
     pub(crate) region_sends: BTreeMap<(RegionId, ServiceId), RegionSends>,
     pub(crate) placement: Placement,
     pub(crate) requests: BTreeMap<Ticket, Request>,
@@ -304,6 +307,7 @@
             crash_watches: BTreeMap::new(),
             prefixes: PrefixTable::default(),
             spill: Spill::default(),
+            streams: StreamOrigins::default(),
             region_sends: BTreeMap::new(),
             placement: Placement::default(),
             requests: BTreeMap::new(),
@@ -334,6 +338,7 @@
             Event::Sending(attempt) => self.authorize_send(now, attempt, out),
             Event::Silent(attempt) => self.handle_silence(now, attempt, out),
             Event::FirstBytes(attempt) => self.handle_first_bytes(now, attempt),
+            Event::StreamBegan(attempt, version) => self.begin_stream(now, attempt, version),
             Event::ErrorResponse(attempt) => self.handle_target_error(now, attempt, out),
             Event::AttemptEnded(attempt, outcome) => self.end_attempt(now, attempt, outcome, out),
             Event::CallerGone(ticket) => self.handle_disconnect(now, ticket, out),
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -16,7 +16,7 @@
 use crate::request::{Request, Stage};
 
 /// Retry-after of refusals because of a temporary state of this node.
-const TRANSIENT_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const TRANSIENT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum number of nodes that may have forwarded a request before this one.
 const MAX_HOPS: usize = 1;
 
@@ -46,7 +46,11 @@
             return;
         }
         match self.owner_of(arrival) {
-            None => self.charge(now, arrival.ticket, out),
+            None => {
+                if self.find_origin(now, arrival.ticket, out) {
+                    self.charge(now, arrival.ticket, out);
+                }
+            }
             Some(KeyOwner::ThisNode) => self.claim(now, arrival.ticket, out),
             Some(KeyOwner::OtherNode(vm)) => {
                 self.request_mut(arrival.ticket).key_owner = Some(vm);
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use seam_protocol::{Fingerprint, Kind, RegionId, ServiceId, TargetId, Time};
+use seam_protocol::{Fingerprint, Kind, Reason, RegionId, ServiceId, TargetId, Time};
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
@@ -240,13 +240,20 @@
                 let other_nodes = region == self.id.region || self.roster.is_some();
                 let can_retry = other_nodes && matches!(outcome, AttemptOutcome::NotSent);
                 let served = matches!(outcome, AttemptOutcome::Complete { .. });
+                // That no target there may go on with a stream says nothing of the load there.
+                let lacks_version = matches!(
+                    outcome,
+                    AttemptOutcome::Refused(refusal) if refusal.reason == Reason::Version
+                );
                 if !served
                     && !can_retry
                     && let Some(request) = self.requests.get_mut(&attempt.ticket)
                 {
                     request.refused.insert(region);
                     let service = request.service;
-                    self.region_sends.entry((region, service)).or_default().full = true;
+                    if !lacks_version {
+                        self.region_sends.entry((region, service)).or_default().full = true;
+                    }
                 }
                 self.continue_request(now, attempt, outcome, out);
             }
@@ -380,6 +387,7 @@
         let Destination::Target(target) = attempt.destination else {
             return;
         };
+        self.begin_stream(now, key, self.targets.get(target).version);
         let elapsed = now.since(attempt.started);
         self.targets.record_prefill(target, attempt.work, elapsed);
         self.pending_update.mark_changed();
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -54,6 +54,7 @@
             }
             let request = &self.requests[&ticket];
             let suspect = self.poison.suspected(request.fingerprint);
+            let version = request.version();
             let (prompt, avoid) = (request.prompt.clone(), request.avoid.clone());
             let chosen = self.choose(
                 now,
@@ -66,6 +67,7 @@
                     just_booted: self.just_booted(now),
                     avoid: (!avoid.is_empty()).then_some(&avoid),
                     heavy: &heavy,
+                    version,
                 },
             );
             match chosen {
@@ -74,8 +76,9 @@
                     deferred.push(ticket);
                     let next = self.targets.next_grant(now, service);
                     self.service_state(service).next_grant = next.filter(|next| *next > now);
-                    // Targets that a suspect may not use can still accept other requests.
-                    if !suspect {
+                    // Targets that a suspect or a begun stream may not use can still accept other
+                    // requests.
+                    if !suspect && version.is_none() {
                         break;
                     }
                 }
@@ -95,7 +98,9 @@
         query: TargetQuery,
     ) -> Option<TargetChoice> {
         if !self.policy.load_aware {
-            let key = self.targets.any_serving(service, &mut self.rng)?;
+            let key = self
+                .targets
+                .any_serving(service, query.version, &mut self.rng)?;
             return Some(TargetChoice::plain(key));
         }
         self.targets
@@ -139,6 +144,14 @@
             return true;
         };
         let customer = self.flow(request.customer);
+        let version = request.version();
+        if version.is_some() && !self.targets.serving(service, version) {
+            // The last target of the version here left while the request waited.
+            self.service_state(service).queue.end(customer);
+            self.request_mut(ticket).stage = Stage::Routing;
+            self.route(now, ticket, out);
+            return true;
+        }
         let quarantined = self.is_quarantined(request);
         let in_time = request.budget(now) > min_time || !self.policy.shed;
         // A new revision may have forbidden the request here while it waited.
@@ -202,6 +215,7 @@
             keep_response: keep,
             copy_from,
             estimate: chosen.estimate,
+            version: state.version,
         });
     }
 
@@ -265,6 +279,7 @@
             address: node.peer,
             hops: vec![hop],
             revision: bundle.revision,
+            version: request.version(),
             budget: request.budget(now),
         });
     }
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -159,6 +159,11 @@
             }
             Stage::Parked => self.limits.remove_parked(request.customer, ticket),
             Stage::Joined => self.remove_key_waiter(&request, ticket),
+            Stage::Asking => {
+                if let Some(stream) = request.stream {
+                    self.streams.remove_waiter(stream.id, ticket);
+                }
+            }
             Stage::Routing | Stage::Running(_) | Stage::Forwarded(_) => {}
         }
     }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -35,6 +35,8 @@
             return;
         }
         self.merge_vms(now, heartbeat, out);
+        // Origins never change, so a datagram that was overtaken is as good.
+        self.merge_origins(now, heartbeat, out);
         let me = (self.id.vm, self.id.incarnation, self.id.region);
         let was_alive = self.peers.alive(now, heartbeat.from).is_some();
         let effect = self
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -85,7 +85,9 @@
                 // A suspect whose connection breaks again may be crashing its targets, so it is not
                 // retried.
                 let suspect = !attempt.silent && self.may_crash_targets(request);
-                let resumable = request.route.is_some_and(|class| class.resumable);
+                // A node of an earlier version does not say which version began the stream.
+                let bound = request.stream.is_none_or(|stream| stream.version.is_some());
+                let resumable = request.route.is_some_and(|class| class.resumable) && bound;
                 if repeatable && (!started || resumable) && !suspect {
                     self.retry_or_refuse(now, ticket, refusal, true, out);
                 } else {
--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use seam_protocol::heartbeat::NamedLimit;
-use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VmId};
+use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VersionId, VmId};
 
 use super::Node;
 use crate::audit::Change;
@@ -155,10 +155,15 @@
 
     /// Predicts how long a request waits until this node may send one to a target of a service, if
     /// all of them take only a granted rate.
-    pub(super) fn granted_wait(&self, now: Time, service: ServiceId) -> Duration {
+    pub(super) fn granted_wait(
+        &self,
+        now: Time,
+        service: ServiceId,
+        version: Option<VersionId>,
+    ) -> Duration {
         let queued = self.service_states.get(&service);
         let queued = queued.map_or(0, |state| state.queue.queued());
-        self.targets.granted_wait(now, service, queued)
+        self.targets.granted_wait(now, service, version, queued)
     }
 
     /// Adds limits to a heartbeat for a node of this region.
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -5,7 +5,7 @@
 
 use seam_protocol::heartbeat::ServiceCapacity;
 use seam_protocol::id::{rank, weighted_rank};
-use seam_protocol::{Reason, RegionId, ServiceId, Time, VmId};
+use seam_protocol::{Reason, RegionId, ServiceId, Time, VersionId, VmId};
 
 use super::Node;
 use super::dispatch::{MAX_RETRY_AFTER, MIN_RETRY_AFTER};
@@ -54,6 +54,7 @@
                 out.push(log);
                 let reason = match wait {
                     Some(_) => Reason::Overload,
+                    None if self.requests[&ticket].version().is_some() => Reason::Version,
                     None => Reason::NoTarget,
                 };
                 let retry = wait.unwrap_or(MAX_RETRY_AFTER / 10);
@@ -72,8 +73,10 @@
         let routing = self.routing_request(now, &self.requests[&ticket]);
         let mut local = self.local_prompt_view(now, ticket, routing.expected);
         let request = &self.requests[&ticket];
-        let all_failed =
-            local.possible && self.targets.covers_serving(request.service, &request.avoid);
+        let all_failed = local.possible
+            && self
+                .targets
+                .covers_serving(request.service, request.version(), &request.avoid);
         let retry_regions = all_failed.then(|| self.remote_views(now, request));
         if retry_regions
             .as_ref()
@@ -171,6 +174,7 @@
                 let query = TargetQuery {
                     prompt: Some(&prompt),
                     just_booted: self.just_booted(now),
+                    version: request.version(),
                     ..TargetQuery::default()
                 };
                 self.choose(now, service, query)
@@ -190,7 +194,8 @@
     /// Returns whether residency allows a request in this region and a target that this node uses
     /// is serving.
     fn possible_here(&self, request: &Request) -> bool {
-        self.allows(request, self.id.region) && self.targets.serving(request.service)
+        self.allows(request, self.id.region)
+            && self.targets.serving(request.service, request.version())
     }
 
     /// Predicts the wait for a slot in this region.
@@ -210,7 +215,9 @@
         let tried = request.refused.contains(&region) || request.forwarded();
         if tried
             || !self.allows(request, region)
-            || !self.targets.serving_in_region(request.service)
+            || !self
+                .targets
+                .serving_in_region(request.service, request.version())
         {
             return None;
         }
@@ -246,7 +253,7 @@
     /// earlier, or know only some nodes of this region.
     fn use_targets_briefly(&mut self, now: Time, service: ServiceId) {
         const USE_TIME: Duration = Duration::from_secs(10);
-        if !self.targets.serving(service) && self.targets.serving_in_region(service) {
+        if !self.targets.serving(service, None) && self.targets.serving_in_region(service, None) {
             self.targets.use_until(service, now + USE_TIME);
             self.refresh_members(now);
         }
@@ -276,19 +283,24 @@
     /// Predicts the wait for an engine and a slot in this region, or for a share of a granted rate.
     fn local_wait(&self, now: Time, request: &Request) -> Duration {
         let prompt_wait = match request.prompt {
-            Some(_) => self.prompt_wait(now, request.service),
+            Some(_) => self.prompt_wait(now, request.service, request.version()),
             None => Duration::ZERO,
         };
         let wait = prompt_wait + self.slot_wait(now, request);
-        wait.max(self.granted_wait(now, request.service))
+        wait.max(self.granted_wait(now, request.service, request.version()))
     }
 
     /// Predicts how long a prompt waits for an engine.
-    pub(super) fn prompt_wait(&self, now: Time, service: ServiceId) -> Duration {
+    pub(super) fn prompt_wait(
+        &self,
+        now: Time,
+        service: ServiceId,
+        version: Option<VersionId>,
+    ) -> Duration {
         /// Wait while no engine accepts work: about the time for which a returning one counts as
         /// cold.
         const NO_OPEN_ENGINE: Duration = Duration::from_secs(2);
-        let wait = self.targets.prompt_wait(now, service);
+        let wait = self.targets.prompt_wait(now, service, version);
         wait.unwrap_or(NO_OPEN_ENGINE)
     }
 
@@ -370,6 +382,10 @@
             .allowed_regions(service, customer)
             .into_iter()
             .filter(|region| *region != self.id.region && !request.refused.contains(region))
+            .filter(|region| {
+                let version = request.version();
+                version.is_none_or(|version| self.lists_version(request.service, *region, version))
+            })
             .filter_map(|region| self.remote_capacity(now, region, request.service))
             .collect()
     }
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -76,10 +76,10 @@
             let (running, queued) = self.regional_load(now, service);
             let free = slots.saturating_sub(running + queued);
             let prompt_wait = match spec.kind {
-                Kind::Engine => self.prompt_wait(now, service),
+                Kind::Engine => self.prompt_wait(now, service, None),
                 Kind::Plain => Duration::ZERO,
             };
-            let target_wait = prompt_wait.max(self.granted_wait(now, service));
+            let target_wait = prompt_wait.max(self.granted_wait(now, service, None));
             let ample = free >= ample_slots(spec.slots_in(self.id.region));
             if ample && target_wait < MIN_REPORTED_WAIT {
                 continue;
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -33,6 +33,7 @@
         self.send_due_heartbeats(now, out);
         self.maintain_roster(now, out);
         self.send_work_update(now, out);
+        self.exchange_origins(now, out);
         if now.since(self.last_refresh) >= REFRESH_INTERVAL {
             self.refresh(now, out);
         }
@@ -87,6 +88,7 @@
         self.keys.expire(now);
         self.record_open_answers(now, out);
         self.poison.expire(now);
+        self.streams.expire(now);
         self.expire_quarantine_reports(now);
         self.limits.expire(now);
         self.crash_watches
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -66,6 +66,7 @@
             if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
                 heartbeat.target_work = Some(own_work.clone());
                 heartbeat.prefilled.clone_from(&parts);
+                heartbeat.streams = self.streams.take_report(to);
                 self.list_limits(now, LimitSelection::News, &mut heartbeat);
                 out.push(Command::Heartbeat {
                     to,
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{CustomerId, Fingerprint, RegionId, ServiceId, Time, VmId};
+use seam_protocol::{CustomerId, Fingerprint, RegionId, ServiceId, Time, VersionId, VmId};
 
-use crate::arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules};
+use crate::arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules, StreamPart};
 use crate::handle::{AttemptKey, TargetKey, Ticket};
 use crate::poison::part_fingerprints;
 use crate::prompt::Prompt;
@@ -19,6 +19,8 @@
     Parked,
     /// It waits for another request with the same key.
     Joined,
+    /// It waits until other nodes say which version began its stream.
+    Asking,
     /// Its region and node are being chosen.
     Routing,
     /// It waits for a free slot at a target.
@@ -80,6 +82,8 @@
     pub route: Option<RouteRules>,
     /// Prompt for a model engine with its token counts, if known.
     pub prompt: Option<Arc<Prompt>>,
+    /// Stream that it begins or takes up, if the response can be resumed.
+    pub stream: Option<StreamPart>,
     /// Number of attempts at targets that may have run.
     pub runs: u32,
     /// Targets that refused the request or failed while running it.
@@ -122,6 +126,7 @@
             maybe_ran: false,
             route: arrival.route,
             prompt: arrival.prompt.clone(),
+            stream: arrival.stream,
             runs: 0,
             avoid: BTreeSet::new(),
         }
@@ -133,6 +138,13 @@
         self.parts.iter().chain(&self.attributes).copied()
     }
 
+    /// Returns the version of the targets' software that alone may go on with its stream, if the
+    /// stream has begun.
+    #[must_use]
+    pub fn version(&self) -> Option<VersionId> {
+        self.stream.and_then(|stream| stream.version)
+    }
+
     /// Returns whether another node forwarded it.
     #[must_use]
     pub fn forwarded(&self) -> bool {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -16,7 +16,7 @@
 
 use seam_protocol::bundle::Capacity;
 use seam_protocol::heartbeat::TargetWork;
-use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
+use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use crate::handle::TargetKey;
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
@@ -83,6 +83,7 @@
             if let Some(key) = self.keys.get(id) {
                 let state = &mut self.arena[key.0 as usize];
                 state.limit = state.limit.min(f64::from(spec.slots));
+                state.version = spec.version_id();
                 state.spec = spec.clone();
                 state.service = *service;
                 if state.phase == Phase::Gone {
@@ -257,29 +258,35 @@
     }
 
     /// Returns whether any target of a service in this region is serving, in this node's subset or
-    /// not.
+    /// not, with the given version of its software if there is one.
     #[must_use]
-    pub fn serving_in_region(&self, service: ServiceId) -> bool {
+    pub fn serving_in_region(&self, service: ServiceId, version: Option<VersionId>) -> bool {
         self.all()
-            .any(|(_, state)| state.service == service && state.phase == Phase::Serving)
+            .any(|(_, state)| state.service == service && state.serves(version))
     }
 
     /// Returns whether a non-empty set contains every serving target of a service in this node's
-    /// subset.
+    /// subset, or every one of a version.
     #[must_use]
-    pub fn covers_serving(&self, service: ServiceId, set: &BTreeSet<TargetKey>) -> bool {
+    pub fn covers_serving(
+        &self,
+        service: ServiceId,
+        version: Option<VersionId>,
+        set: &BTreeSet<TargetKey>,
+    ) -> bool {
         !set.is_empty()
             && self
                 .for_service(service)
-                .filter(|(_, state)| state.phase == Phase::Serving)
+                .filter(|(_, state)| state.serves(version))
                 .all(|(key, _)| set.contains(&key))
     }
 
-    /// Returns whether any target of a service in this node's subset is serving.
+    /// Returns whether any target of a service in this node's subset is serving, with the given
+    /// version of its software if there is one.
     #[must_use]
-    pub fn serving(&self, service: ServiceId) -> bool {
+    pub fn serving(&self, service: ServiceId, version: Option<VersionId>) -> bool {
         self.for_service(service)
-            .any(|(_, state)| state.phase == Phase::Serving)
+            .any(|(_, state)| state.serves(version))
     }
 
     /// Sets until when a target is cold, and this node's share of the rate that it takes until then.
@@ -300,13 +307,19 @@
     /// Predicts how long the last of some queued requests waits for this node's share of granted
     /// rates, zero if a serving target of the service takes requests at any rate.
     #[must_use]
-    pub fn granted_wait(&self, now: Time, service: ServiceId, queued: usize) -> Duration {
+    pub fn granted_wait(
+        &self,
+        now: Time,
+        service: ServiceId,
+        version: Option<VersionId>,
+        queued: usize,
+    ) -> Duration {
         /// Wait at a node without a share.
         const NO_SHARE: Duration = Duration::from_secs(60);
         let mut first: Option<Time> = None;
         let mut rate = 0.0;
         let serving = self.for_service(service);
-        for (_, state) in serving.filter(|(_, state)| state.phase == Phase::Serving) {
+        for (_, state) in serving.filter(|(_, state)| state.serves(version)) {
             if !state.is_granted(now) {
                 return Duration::ZERO;
             }
@@ -320,7 +333,7 @@
                 let wait = first.since(now).as_secs_f64() + queued as f64 / rate;
                 Duration::from_secs_f64(wait.min(NO_SHARE.as_secs_f64()))
             }
-            None if self.serving(service) => NO_SHARE,
+            None if self.serving(service, version) => NO_SHARE,
             None => Duration::ZERO,
         }
     }
@@ -338,9 +351,15 @@
     /// Returns the shortest predicted wait of a prompt over the engines that accept requests, or
     /// `None` if there is none.
     #[must_use]
-    pub fn prompt_wait(&self, now: Time, service: ServiceId) -> Option<Duration> {
+    pub fn prompt_wait(
+        &self,
+        now: Time,
+        service: ServiceId,
+        version: Option<VersionId>,
+    ) -> Option<Duration> {
         const MILLIS: f64 = 1000.0;
         let open = self.for_service(service);
+        let open = open.filter(|(_, state)| state.serves(version));
         let open = open.filter(|(_, state)| state.accepts(now, false, self.shared));
         let waits = open.map(|(_, state)| {
             let load = state.load(now);
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use seam_protocol::id::rank;
-use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time};
+use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
 use super::{EngineModel, Phase, PromptWork, Targets};
 use crate::handle::TargetKey;
@@ -33,6 +33,8 @@
     pub avoid: Option<&'a BTreeSet<TargetKey>>,
     /// Customers that run far more requests than the others, with their fractions of the load.
     pub heavy: &'a [(CustomerId, f64)],
+    /// Version of the software that alone may go on with its stream.
+    pub version: Option<VersionId>,
 }
 
 /// Estimates by which a target was chosen, for the log.
@@ -101,6 +103,7 @@
         let heavy = query.heavy.iter().any(|(id, _)| *id == query.customer);
         let mut available: Vec<TargetKey> = self
             .for_service(service)
+            .filter(|(_, state)| state.serves(query.version))
             .filter(|(_, state)| state.accepts(now, heavy, self.shared()))
             .filter(|(_, state)| query.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
@@ -395,11 +398,17 @@
         });
     }
 
-    /// Chooses a random serving target, regardless of its load.
-    pub fn any_serving(&self, service: ServiceId, rng: &mut Pcg64Mcg) -> Option<TargetKey> {
+    /// Chooses a random serving target, regardless of its load, with the given version of its software
+    /// if there is one.
+    pub fn any_serving(
+        &self,
+        service: ServiceId,
+        version: Option<VersionId>,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<TargetKey> {
         let serving: Vec<TargetKey> = self
             .for_service(service)
-            .filter(|(_, state)| state.phase == Phase::Serving)
+            .filter(|(_, state)| state.serves(version))
             .map(|(key, _)| key)
             .collect();
         (!serving.is_empty()).then(|| serving[rng.random_range(0..serving.len())])
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -5,7 +5,7 @@
 
 use seam_protocol::bundle::Capacity;
 use seam_protocol::heartbeat::TargetWork;
-use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VmId};
+use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use super::{ColdShare, EngineModel, RateLimit, ShareLimiter, StartLimiter};
 
@@ -50,6 +50,8 @@
     pub service: ServiceId,
     /// Specification from the configuration.
     pub spec: Target,
+    /// Version of its software.
+    pub version: VersionId,
     /// Capacity of each target of the service.
     pub capacity: Capacity,
     /// Phase, which decides whether it accepts new requests.
@@ -98,6 +100,7 @@
             id,
             service,
             limit: f64::from(spec.slots),
+            version: spec.version_id(),
             spec,
             capacity: Capacity::default(),
             phase: Phase::Serving,
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Returns whether it accepts requests in principle, with the given version of its software if
+    /// there is one.
+    pub(super) fn serves(&self, version: Option<VersionId>) -> bool {
+        self.phase == Phase::Serving && version.is_none_or(|version| version == self.version)
+    }
+
     /// Returns this node's share of the slots, reduced while the target is slow or in slow start.
     pub(super) fn own_share(&self, now: Time) -> f64 {
         let ramp = self.slow_start.map_or(1.0, |slow_start| {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -411,6 +411,7 @@
             resumable: route == "hint",
         }),
         prompt: None,
+        stream: None,
     }
 }
 
--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -72,6 +72,7 @@
         budget: std::time::Duration::from_secs(3600),
         route: None,
         prompt: None,
+        stream: None,
     })
 }
 
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -7,7 +7,11 @@
 use seam_harness::deployments::{self, DeploymentSpec, customer_name};
 use seam_harness::ids::KeyChoice;
 use seam_harness::traffic::Traffic;
-use seam_protocol::{CustomerId, Heartbeat, RegionId, ServiceId, Time, VmId};
+use seam_protocol::heartbeat::StreamOrigin;
+use seam_protocol::{
+    CustomerId, Heartbeat, Incarnation, RegionId, ServiceId, StreamId, Time, VersionId, VmId,
+    VmRecord,
+};
 
 use crate::fit;
 
@@ -58,6 +62,30 @@
     (heartbeat.encode().len() - empty) as f64
 }
 
+/// Returns the size of a datagram that reports the origins of streams, with its headers.
+fn origin_bytes(count: usize) -> f64 {
+    /// UDP and IP headers, and the MAC.
+    const HEADER_BYTES: usize = 44;
+    let mut heartbeat = Heartbeat::empty(VmId(u32::MAX), RegionId(u32::MAX));
+    let record = VmRecord {
+        vm: VmId(u32::MAX),
+        incarnation: Incarnation(u64::MAX),
+        sequence: u32::MAX,
+        revision: 1 << 20,
+        ready: true,
+        loads: Vec::new(),
+    };
+    heartbeat.sent = u64::MAX;
+    heartbeat.records.push(record);
+    heartbeat.streams.origins = (0..count as u64)
+        .map(|number| StreamOrigin {
+            stream: StreamId(u64::MAX - number),
+            version: Some(VersionId(u32::MAX)),
+        })
+        .collect();
+    (heartbeat.encode().len() + HEADER_BYTES) as f64
+}
+
 /// Prints tables of heartbeat bytes per second with their fitted lines.
 pub fn print() {
     println!(
@@ -80,6 +108,13 @@
         "A report of suspected parts with one crash each",
         crate::memory::suspect_parts,
     );
+    let points = [1, 4, 12, 24].map(|count| (count as f64, origin_bytes(count)));
+    fit::print(
+        "A datagram with origins of streams",
+        "streams",
+        "bytes",
+        &points,
+    );
     let run = |title: &str, x: &str, specs: &[(usize, DeploymentSpec)]| {
         let points: Vec<(f64, f64)> = specs
             .iter()
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -101,7 +101,10 @@
             }
             // A world keeps no other logs, publishes complete bundles instead of items, and its
             // targets return no error responses.
-            Command::LogRouting { .. } | Command::FetchItems { .. } | Command::Discard(_) => {}
+            Command::LogRouting { .. }
+            | Command::LogOrigin { .. }
+            | Command::FetchItems { .. }
+            | Command::Discard(_) => {}
         }
     }
 
@@ -550,6 +553,7 @@
             budget,
             route: None,
             prompt: None,
+            stream: None,
         };
         self.mutation.arrival(&mut arrival);
         self.handle(vm, Event::Arrive(arrival));
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -8,10 +8,11 @@
 use async_executor::Task;
 use futures_lite::future;
 use seam_core::arrival::Arrival;
+use seam_core::command::OriginSource;
 use seam_core::spill::{RegionChoice, RoutingDecision};
 use seam_core::{AttemptKey, AttemptOutcome, Event, Origin, Refusal};
 use seam_http::spawn;
-use seam_protocol::{Outcome, Reason, Time};
+use seam_protocol::{Outcome, Reason, Time, VersionId};
 
 use crate::inbound::InboundRequest;
 use crate::progress::Progress;
@@ -80,6 +81,7 @@
         budget: inbound.budget,
         route: inbound.rules,
         prompt: inbound.prompt.clone(),
+        stream: inbound.stream(),
     };
     let (sender, commands) = async_channel::unbounded();
     let resumable = inbound.rules.is_some_and(|rules| rules.resumable);
@@ -125,6 +127,7 @@
             };
             match command {
                 Some(TaskCommand::LogRouting(decision)) => self.log_routing(&decision),
+                Some(TaskCommand::LogOrigin(version, source)) => self.log_origin(version, source),
                 Some(TaskCommand::Send(to)) => self.send(to),
                 Some(TaskCommand::Forward(to)) => self.forward(to),
                 Some(TaskCommand::Cancel(attempt)) => self.cancel(attempt).await,
@@ -174,6 +177,28 @@
         );
     }
 
+    /// Logs which version of the targets' software began the stream that the request takes up.
+    fn log_origin(&self, version: Option<VersionId>, source: OriginSource) {
+        let snapshot = self.runtime.snapshot();
+        let services = snapshot.as_ref().map(|snapshot| &snapshot.bundle.services);
+        let service = services.and_then(|services| services.get(&self.inbound.service));
+        let version = version.map_or_else(String::new, |version| {
+            let targets = service
+                .into_iter()
+                .flat_map(|service| service.targets.values());
+            let target = targets
+                .into_iter()
+                .find(|target| target.version_id() == version);
+            target.map_or_else(|| version.to_string(), |target| target.version.clone())
+        });
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), resumes = self.inbound.resumes.as_deref().unwrap_or_default(),
+            version = version.as_str(), origin = source.name(), age_ms = self.age();
+            "takes up a stream"
+        );
+    }
+
     /// Logs the end of the request, once per request.
     fn log_end(&self) {
         let (end, refusal) = match self.refusal {
--- a/crates/seam-node/src/front/response.rs
+++ b/crates/seam-node/src/front/response.rs
@@ -21,7 +21,7 @@
     match reader.recv().await {
         Ok(ResponsePart::Refusal(refusal)) => runtime.dialect.refusal_response(id, refusal, ""),
         Ok(ResponsePart::Replay(stored)) => replay(runtime, &stored, id),
-        Ok(ResponsePart::Head(status, headers)) => {
+        Ok(ResponsePart::Head(status, headers, _)) => {
             let mut response = Response::new(body(reader));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::events::LAST_EVENT_ID_HEADER;
 use crate::request_body::{BUFFERED_BYTES, RequestBody};
 use http::{HeaderMap, HeaderName, Method, header};
+use seam_core::arrival::StreamPart;
 use seam_core::poison::part_fingerprints;
 use seam_core::{AttemptOutcome, IdempotencyKey, Prompt, Refusal, RouteRules};
 use seam_http::Body;
 use seam_protocol::{
     CustomerId, Digest, Fingerprint, HostRoute, Kind, Reason, RetryPolicy, Service, ServiceId,
+    StreamId, VersionId,
 };
 
 /// Prefix of headers that are reserved for the system.
@@ -80,6 +83,8 @@
     pub prompt: Option<Arc<Prompt>>,
     /// The caller's identifier of the request that began the stream which this one takes up.
     pub resumes: Option<String>,
+    /// Version of the targets' software that began the stream, if another node states it.
+    pub version: Option<VersionId>,
     /// Digest that is equal for repeats of the same request.
     pub fingerprint: Fingerprint,
     /// The same digest without the caller.
@@ -192,6 +197,19 @@
         })
     }
 
+    /// Returns the stream that the request begins or takes up, if its response can be resumed.
+    #[must_use]
+    pub fn stream(&self) -> Option<StreamPart> {
+        let resumable = self.rules.is_some_and(|rules| rules.resumable);
+        let first = self.resumes.as_deref().unwrap_or(&self.id);
+        let taken_up = self.resumes.is_some() || self.headers.contains_key(LAST_EVENT_ID_HEADER);
+        resumable.then(|| StreamPart {
+            id: StreamId::new(self.customer, first),
+            begun: taken_up || self.version.is_some(),
+            version: self.version,
+        })
+    }
+
     /// Returns the address of the caller as text, empty if unknown.
     #[must_use]
     pub fn caller_text(&self) -> String {
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -11,13 +11,13 @@
 use http_body_util::BodyExt;
 use seam_config::PartSet;
 use seam_config::bundle::parse_manifest;
-use seam_core::{AttemptOutcome, Refusal};
+use seam_core::{AttemptKey, AttemptOutcome, Event, Refusal};
 use seam_http::Body;
 use seam_protocol::peer::{
     ItemsRequest, NewestRequest, PartRequest, ReplyFrame, RequestFrame, RequestHead, reply_frame,
     request_frame,
 };
-use seam_protocol::{Delta, Digest, Outcome, Reason};
+use seam_protocol::{Delta, Digest, Outcome, Reason, VersionId};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tonic::Streaming;
 
@@ -84,6 +84,7 @@
         host: inbound.host.clone().unwrap_or_default(),
         caller: inbound.caller_text(),
         content: inbound.content.0,
+        version: to.version.map(|version| version.0),
     }
 }
 
@@ -140,7 +141,7 @@
         return AttemptOutcome::NotSent;
     };
     progress.mark_sent();
-    let head = head(&to, inbound, writer);
+    let (head, attempt) = (head(&to, inbound, writer), to.attempt);
     let mut request = tonic::Request::new(frames(head, body));
     runtime.peers.authenticate(&mut request);
     let timeout = async {
@@ -149,7 +150,8 @@
     };
     match client.forward(request).or(timeout).await {
         Ok(response) => {
-            let reply = relay_response(runtime, response.into_inner(), writer, progress).await;
+            let reply =
+                relay_response(runtime, attempt, response.into_inner(), writer, progress).await;
             reply.unwrap_or_else(|error| {
                 log::info!(
                     "request {}: response from node {} broke off: {error}",
@@ -211,7 +213,8 @@
 }
 
 async fn relay_response(
-    runtime: &NodeRuntime,
+    runtime: &Arc<NodeRuntime>,
+    attempt: AttemptKey,
     mut frames: Streaming<ReplyFrame>,
     writer: &ResponseWriter,
     progress: &Progress,
@@ -238,9 +241,13 @@
                 started = true;
                 success = status.is_success();
                 progress.mark_responded(runtime.now());
+                let version = head.version.map(VersionId);
+                if let Some(version) = version.filter(|_| success) {
+                    runtime.handle(Event::StreamBegan(attempt, version));
+                }
                 let headers = wire::headers(&head.headers);
                 progress.mark_head(Framing::Link, &headers, false);
-                writer.write_head(status, headers).await;
+                writer.write_head(status, headers, version).await;
             }
             Some(reply_frame::Frame::Body(bytes)) => {
                 recorder.add(&bytes);
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -17,7 +17,7 @@
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
-use seam_protocol::{CustomerId, Fingerprint, RetryPolicy, ServiceId};
+use seam_protocol::{CustomerId, Fingerprint, RetryPolicy, ServiceId, VersionId};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
 
@@ -238,6 +238,7 @@
         rules: route.map(route_rules),
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
+        version: head.version.map(VersionId),
         fingerprint: Fingerprint(head.fingerprint),
         host,
     })
@@ -270,6 +271,7 @@
                 status: u32::from(refusal.reason.status()),
                 headers: Vec::new(),
                 refusal: Some(wire::wire_refusal(refusal)),
+                version: None,
             };
             (vec![reply_frame::Frame::Head(head)], true)
         }
@@ -285,6 +287,7 @@
                 status: u32::from(response.status),
                 headers: headers.collect(),
                 refusal: None,
+                version: None,
             };
             let frames = vec![
                 reply_frame::Frame::Head(head),
@@ -293,11 +296,12 @@
             ];
             (frames, true)
         }
-        ResponsePart::Head(status, headers) => {
+        ResponsePart::Head(status, headers, version) => {
             let head = ReplyHead {
                 status: u32::from(status.as_u16()),
                 headers: wire::wire_headers(&headers),
                 refusal: None,
+                version: version.map(|version| version.0),
             };
             (vec![reply_frame::Frame::Head(head)], false)
         }
--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use seam_core::Refusal;
-use seam_protocol::StoredResponse;
+use seam_protocol::{StoredResponse, VersionId};
 
 use crate::events::{EventStreamCursor, is_event_stream};
 
@@ -22,8 +22,8 @@
     Refusal(Refusal),
     /// A stored response. It is the whole response.
     Replay(Arc<StoredResponse>),
-    /// Status and headers of a target's response.
-    Head(StatusCode, HeaderMap),
+    /// Status and headers of a target's response, and the version of its software if it is known.
+    Head(StatusCode, HeaderMap, Option<VersionId>),
     /// Bytes of the body.
     Data(Bytes),
     /// The end of a complete body.
@@ -123,13 +123,19 @@
     }
 
     /// Writes the head of the response. Returns `false` if the response has started already.
-    pub async fn write_head(&self, status: StatusCode, headers: HeaderMap) -> bool {
+    pub async fn write_head(
+        &self,
+        status: StatusCode,
+        headers: HeaderMap,
+        version: Option<VersionId>,
+    ) -> bool {
         let first = self.transition(Phase::Open, Phase::Started);
         if first {
             if is_event_stream(&headers) {
                 lock(&self.cursor).get_or_insert_default();
             }
-            let _ = self.parts.send(ResponsePart::Head(status, headers)).await;
+            let head = ResponsePart::Head(status, headers, version);
+            let _ = self.parts.send(head).await;
         }
         first
     }
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -15,12 +15,14 @@
 use async_channel::Sender;
 use seam_config::Settings;
 use seam_config::settings::Secrets;
+use seam_core::command::OriginSource;
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
 use seam_core::{AttemptKey, Command, Event, Node, Refusal, Ticket};
 use seam_protocol::{
-    Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredResponse, TargetId, Time, VmId,
+    Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredResponse, TargetId, Time, VersionId,
+    VmId,
 };
 
 use crate::budget::ByteBudget;
@@ -61,6 +63,8 @@
 pub enum TaskCommand {
     /// Log the basis of the routing decision.
     LogRouting(RoutingDecision),
+    /// Log which version began the stream that the request takes up.
+    LogOrigin(Option<VersionId>, OriginSource),
     /// Send the request to a target.
     Send(TargetAttempt),
     /// Forward the request to another node.
@@ -96,6 +100,8 @@
     pub copy_from: Option<SocketAddr>,
     /// The estimate by which the target was chosen.
     pub estimate: TargetEstimate,
+    /// Version of the target's software.
+    pub version: VersionId,
 }
 
 /// An attempt at another node.
@@ -109,6 +115,8 @@
     pub hops: Vec<seam_core::Hop>,
     /// Revision of the configuration by which it was routed.
     pub revision: u64,
+    /// Version of the targets' software that alone may go on with its stream.
+    pub version: Option<VersionId>,
     /// Time until the deadline.
     pub budget: std::time::Duration,
 }
@@ -336,6 +344,7 @@
                 keep_response,
                 copy_from,
                 estimate,
+                version,
             } => {
                 self.record_attempt(attempt, ticket);
                 let deadline = self.now() + budget;
@@ -349,12 +358,18 @@
                     keep_response,
                     copy_from,
                     estimate,
+                    version,
                 };
                 self.notify(ticket, TaskCommand::Send(to));
             }
             Command::LogRouting { ticket, decision } => {
                 self.notify(ticket, TaskCommand::LogRouting(decision));
             }
+            Command::LogOrigin {
+                ticket,
+                version,
+                source,
+            } => self.notify(ticket, TaskCommand::LogOrigin(version, source)),
             Command::Forward {
                 ticket,
                 attempt,
@@ -362,6 +377,7 @@
                 address,
                 hops,
                 revision,
+                version,
                 budget,
             } => {
                 self.record_attempt(attempt, ticket);
@@ -370,6 +386,7 @@
                     address,
                     hops,
                     revision,
+                    version,
                     budget,
                 };
                 self.notify(ticket, TaskCommand::Forward(to));
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -12,7 +12,7 @@
 use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::client::describe;
 use seam_http::{ClientError, Connection, ResponseBody};
-use seam_protocol::{HeaderField, Reason, StoredResponse};
+use seam_protocol::{HeaderField, Reason, StoredResponse, VersionId};
 
 use crate::dialect::{ResponseClass, TargetContext};
 use crate::events::LAST_EVENT_ID_HEADER;
@@ -306,6 +306,7 @@
 struct BufferedResponse<'a> {
     writer: &'a ResponseWriter,
     head: Option<(StatusCode, http::HeaderMap)>,
+    version: VersionId,
     bytes: Vec<Bytes>,
     remaining: usize,
 }
@@ -330,7 +331,8 @@
 
     async fn flush(&mut self) {
         if let Some((status, headers)) = self.head.take() {
-            self.writer.write_head(status, headers).await;
+            let version = Some(self.version);
+            self.writer.write_head(status, headers, version).await;
         }
         for bytes in std::mem::take(&mut self.bytes) {
             self.writer.write_data(bytes).await;
@@ -355,6 +357,7 @@
     let mut response = BufferedResponse {
         writer,
         head: Some((status, headers)),
+        version: monitor.to.version,
         bytes: Vec::new(),
         remaining: max_buffered,
     };
--- a/crates/seam-node/tests/response_writers.rs
+++ b/crates/seam-node/tests/response_writers.rs
@@ -14,7 +14,7 @@
         let mut headers = HeaderMap::new();
         let kind = HeaderValue::from_static("text/event-stream");
         headers.insert(header::CONTENT_TYPE, kind);
-        writer.write_head(StatusCode::OK, headers).await;
+        writer.write_head(StatusCode::OK, headers, None).await;
         let mut written = 0;
         loop {
             let event = Bytes::from(format!("id: {}\ndata: a\n\n", written + 1));
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::Digest;
-use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, VmId};
+use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, VersionId, VmId};
 use crate::route::{CallLimits, RouteTable};
 
 crate::message! {
@@ -273,6 +273,14 @@
     }
 }
 
+impl Target {
+    /// Returns the ID of the version of its software.
+    #[must_use]
+    pub fn version_id(&self) -> VersionId {
+        VersionId::of(&self.version)
+    }
+}
+
 impl Service {
     /// Returns the total slots of all targets in a region.
     #[must_use]
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bundle::Vm;
-use crate::id::{CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, TargetId, VmId};
+use crate::id::{
+    CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, StreamId, TargetId, VersionId, VmId,
+};
 
 /// Load of a service at a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,6 +133,32 @@
     pub age: u32,
 }
 
+/// The version of the software that began a stream, as far as the sender knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// The version; `None` in reply to a query about a stream that the sender does not know.
+    pub version: Option<VersionId>,
+}
+
+/// What two nodes tell and ask each other about the origins of streams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReport {
+    /// Origins, unasked or in reply to queries.
+    pub origins: Vec<StreamOrigin>,
+    /// Streams whose origin the sender asks for.
+    pub queries: Vec<StreamId>,
+}
+
+impl StreamReport {
+    /// Returns whether it says nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty() && self.queries.is_empty()
+    }
+}
+
 /// A request for more concurrency units for a customer at the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shortage {
@@ -221,9 +249,12 @@
     /// that a process of an earlier version reads the rest.
     #[serde(skip)]
     pub suspect_parts: Vec<SuspectPart>,
-    /// Limits that targets of the sender's region name. They come last, for the same reason.
+    /// Limits that targets of the sender's region name. They come next, for the same reason.
     #[serde(skip)]
     pub limits: Vec<NamedLimit>,
+    /// Origins of streams. They come last, for the same reason.
+    #[serde(skip)]
+    pub streams: StreamReport,
 }
 
 impl Heartbeat {
@@ -240,7 +271,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let limits = !self.limits.is_empty();
+        let streams = !self.streams.is_empty();
+        let limits = streams || !self.limits.is_empty();
         let parts = limits || !self.suspect_parts.is_empty();
         if self.quarantine == QuarantineReport::default() && !parts {
             return bytes;
@@ -255,7 +287,11 @@
         if !limits {
             return bytes;
         }
-        postcard::to_extend(&self.limits, bytes).expect("limits always serialize")
+        let bytes = postcard::to_extend(&self.limits, bytes).expect("limits always serialize");
+        if !streams {
+            return bytes;
+        }
+        postcard::to_extend(&self.streams, bytes).expect("origins always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat.
@@ -272,8 +308,13 @@
         }
         let (parts, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.suspect_parts = parts;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (limits, rest) = postcard::take_from_bytes(rest).ok()?;
+        heartbeat.limits = limits;
         if !rest.is_empty() {
-            heartbeat.limits = postcard::from_bytes(rest).ok()?;
+            heartbeat.streams = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -301,6 +342,7 @@
             quarantine: QuarantineReport::default(),
             suspect_parts: Vec::new(),
             limits: Vec::new(),
+            streams: StreamReport::default(),
         }
     }
 }
--- a/crates/seam-protocol/src/id.rs
+++ b/crates/seam-protocol/src/id.rs
@@ -25,6 +25,10 @@
     Incarnation(u64);
     /// A digest that is equal for requests that are the same to a target.
     Fingerprint(u64);
+    /// A version of the software of a service's targets.
+    VersionId(u32);
+    /// A stream, from the request that began it to the last one that takes it up.
+    StreamId(u64);
 }
 
 /// Implements `of` for IDs that are derived from a name.
@@ -48,7 +52,7 @@
     };
 }
 
-id_from_name!(RegionId: u32, CentreId: u32, VmId: u32, ServiceId: u32, TargetId: u32, CustomerId: u64);
+id_from_name!(RegionId: u32, CentreId: u32, VmId: u32, ServiceId: u32, TargetId: u32, CustomerId: u64, VersionId: u32);
 
 impl ServiceId {
     /// Returns the short ID for heartbeats. Two services with the same tag cannot be published.
@@ -63,6 +67,23 @@
     }
 }
 
+impl StreamId {
+    /// Returns the ID of the stream that a customer's request began. Customers choose the identifiers
+    /// of their requests, so those of two customers may be equal.
+    ///
+    /// ```
+    /// use seam_protocol::{CustomerId, StreamId};
+    /// let id = |customer| StreamId::new(CustomerId(customer), "a1");
+    /// assert_eq!(id(1), id(1));
+    /// assert_ne!(id(1), id(2));
+    /// ```
+    #[must_use]
+    pub fn new(customer: CustomerId, request: &str) -> Self {
+        let text = format!("{} {request}", customer.0);
+        Self(Digest::of(text.as_bytes()).leading_u64())
+    }
+}
+
 /// Returns the rank of a member for a key, for rendezvous hashing. The highest rank wins.
 ///
 /// Uses the finalizer of `SplitMix64`.
--- a/crates/seam-protocol/src/lib.rs
+++ b/crates/seam-protocol/src/lib.rs
@@ -29,7 +29,8 @@
 pub use digest::Digest;
 pub use heartbeat::{Heartbeat, RegionSummary, ServiceLoad, VmRecord};
 pub use id::{
-    CentreId, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, ServiceTag, TargetId, VmId,
+    CentreId, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, ServiceTag, StreamId,
+    TargetId, VersionId, VmId,
 };
 pub use inventory::{Delta, Entry, Inventory, ListedTarget, RawItem};
 pub use key::{IssuedKey, KeyError};
--- a/crates/seam-protocol/src/outcome.rs
+++ b/crates/seam-protocol/src/outcome.rs
@@ -93,6 +93,9 @@
     Deadline = "deadline", 504, "allow more time";
     /// No target is available.
     NoTarget = "no-target", 503, "send again after the stated time";
+    /// A stream can go on only at the version of the targets' software that began it, which is not
+    /// known or has no target left.
+    Version = "version", 503, "no target can continue this stream; begin it anew";
     /// The node is draining or not ready.
     NotReady = "not-ready", 503, "ask for the entries and use another";
     /// The node was paused or partitioned, so it does not run requests that must not be retried.
