Copy prompt caches between engines of one version only

Also looked at: a target that starts again under its id has another key, since the key holds its boot; stored answers by idempotency key are whole; a prompt's home only saves prefill.

--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -1,6 +1,6 @@
 //! Chooses a target for a request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::RngExt;
@@ -217,12 +217,16 @@
     ) -> Option<TargetChoice> {
         let home = self.home(available.iter().copied(), prompt);
         let presumed_home = home.filter(|_| just_booted);
-        let holder = match presumed_home {
-            Some(home) => Some((home, prompt.unshared_tokens())),
-            None => self.holder(available, prompt, prefixes),
+        let holders = match presumed_home {
+            Some(home) => {
+                let holder = (home, prompt.unshared_tokens());
+                BTreeMap::from([(self.get(home).version, holder)])
+            }
+            None => self.holders(available, prompt, prefixes),
         };
         let costs = available.iter().map(|key| {
             let at_home = home == Some(*key);
+            let holder = holders.get(&self.get(*key).version).copied();
             self.cost(now, *key, prompt, prefixes, (at_home, holder))
         });
         let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
@@ -235,24 +239,32 @@
         engines.max_by_key(|key| rank(shared_part.id, u64::from(self.get(*key).id.0)))
     }
 
-    /// Returns the engine that has most of a prompt cached, with the number of uncached tokens.
+    /// Returns the engine of each version that has most of a prompt cached, with the number of uncached
+    /// tokens.
     ///
-    /// Returns `None` if engines cannot copy KV tokens from each other.
-    fn holder(
+    /// Returns none if engines cannot copy KV tokens from each other. Those of two versions cannot.
+    fn holders(
         &self,
         available: &[TargetKey],
         prompt: &Prompt,
         prefixes: &PrefixTable,
-    ) -> Option<(TargetKey, u32)> {
+    ) -> BTreeMap<VersionId, (TargetKey, u32)> {
+        let mut holders = BTreeMap::new();
         let can_copy = available
             .first()
             .is_some_and(|key| self.get(*key).capacity.copies);
-        let uncached_by_engine = available
-            .iter()
-            .map(|key| (*key, prefixes.uncached_tokens(*key, prompt)));
-        uncached_by_engine
-            .min_by_key(|(_, uncached)| *uncached)
-            .filter(|_| can_copy)
+        if !can_copy {
+            return holders;
+        }
+        for key in available {
+            let uncached = prefixes.uncached_tokens(*key, prompt);
+            let version = self.get(*key).version;
+            let (_, fewest) = holders.entry(version).or_insert((*key, uncached));
+            if uncached < *fewest {
+                holders.insert(version, (*key, uncached));
+            }
+        }
+        holders
     }
 
     /// Returns the cost of a prompt at one engine.
--- a/crates/seam-core/tests/stream_versions.rs
+++ b/crates/seam-core/tests/stream_versions.rs
@@ -6,6 +6,7 @@
 mod fleet;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fleet::{ENGINE, Fleet, NORTH, SOUTH, arrival, item, listed, prompt, settled_fleet};
@@ -47,6 +48,7 @@
 struct Play {
     fleet: Fleet,
     versions: BTreeMap<TargetId, &'static str>,
+    targets: BTreeMap<SocketAddr, TargetId>,
     streams: BTreeMap<u64, CallerStream>,
     tickets: u64,
     revision: u64,
@@ -71,6 +73,7 @@
         let mut play = Self {
             fleet: settled_fleet(&NODES, &[]),
             versions: BTreeMap::new(),
+            targets: BTreeMap::new(),
             streams: BTreeMap::new(),
             tickets: 0,
             revision: 100,
@@ -97,8 +100,13 @@
         } else {
             version
         };
-        let (id, entry) = target_entry(&name, region, published, leaving);
+        let (id, mut entry) = target_entry(&name, region, published, leaving);
         self.versions.insert(id, version);
+        if let Entry::Target(target) = &mut entry {
+            let port = 1000 + self.targets.len() as u16;
+            target.spec.address.set_port(port);
+            self.targets.insert(target.spec.address, id);
+        }
         self.publish(&name, Some(&entry));
     }
 
@@ -110,6 +118,11 @@
         }
     }
 
+    /// Returns the target at an address.
+    fn at(&self, address: SocketAddr) -> TargetId {
+        self.targets[&address]
+    }
+
     fn arrival(&mut self, node: usize, stream: u64, begun: bool) -> Arrival {
         self.tickets += 1;
         Arrival {
@@ -321,6 +334,33 @@
     }
 }
 
+/// Guards against a KV cache that an engine copies from one of another version, while engines of one
+/// version copy from each other.
+#[test]
+fn caches_of_versions() {
+    let mut play = Play::new(Mutation::None);
+    let mut copies = 0;
+    for number in 0..400 {
+        let mut arrival = play.arrival(number % 3, 9000 + number as u64, false);
+        arrival.prompt = Some(prompt(7, 9000 + number as u64));
+        play.fleet.arrive(number % 3, arrival);
+        for (_, command) in std::mem::take(&mut play.fleet.commands) {
+            if let Command::Send {
+                target,
+                copy_from: Some(from),
+                ..
+            } = command
+            {
+                let to = play.versions[&target];
+                assert_eq!(play.versions[&play.at(from)], to);
+                copies += 1;
+            }
+        }
+        play.fleet.wait(Duration::from_millis(50));
+    }
+    assert!(copies > 0, "nothing was copied");
+}
+
 /// Step of a history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
