Audit that a node reaches no target of a service

Needed to tell a node that lost its links from a region that lost its targets: the ejections of single targets look the same. No decision depends on it yet.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -17,6 +17,8 @@
     TargetDrain,
     /// A target was ejected after failures or returned to service.
     Ejection,
+    /// This node reaches no target of a service any more, or reaches one again.
+    Reach,
     /// A target crashed while requests ran there.
     Crash,
     /// A fingerprint was quarantined.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod published;
 mod rate_limits;
+mod reach;
 mod routing;
 mod streams;
 mod summaries;
@@ -75,6 +76,8 @@
     pub(crate) next_grant: Option<Time>,
     /// When a target last answered a request to its end.
     pub(crate) last_answer: Option<Time>,
+    /// Since when this node reaches no target of its region, although there are some.
+    pub(crate) stranded_since: Option<Time>,
     /// When a target last crashed.
     pub(crate) last_crash: Option<Time>,
     /// Mean service time in seconds; for streams, the time to the first event.
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -215,6 +215,10 @@
             (format!("{:?}", change.old), format!("{:?}", change.new)),
             cause,
         ));
+        if let Some(key) = self.targets.key(change.target) {
+            let service = self.targets.get(key).service;
+            self.update_reach(now, service, out);
+        }
     }
 
     /// Handles the end of an attempt.
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -101,6 +101,7 @@
         self.send_next_order(now, out);
         let services: Vec<_> = self.service_states.keys().copied().collect();
         for service in services {
+            self.update_reach(now, service, out);
             self.dispatch(now, service, out);
         }
     }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -265,6 +265,19 @@
             .any(|(_, state)| state.service == service && state.serves(version))
     }
 
+    /// Returns whether a service has targets in this region that would accept requests if this node
+    /// reached them.
+    #[must_use]
+    pub fn listed_in_region(&self, service: ServiceId) -> bool {
+        self.all().any(|(_, state)| {
+            state.service == service
+                && matches!(
+                    state.phase,
+                    Phase::Serving | Phase::Ejected(_) | Phase::Probing
+                )
+        })
+    }
+
     /// Returns whether a non-empty set contains every serving target of a service in this node's
     /// subset, or every one of a version.
     #[must_use]
