Hand requests to neighbours that reach the targets

Cause: a cut node took its own failures for the region's. It looked at other regions only, whose nodes were cut off too and may not hand a request on, and its summaries said that its region had no targets. The class is what nodes must know of each other within a second: who reaches what. Ruled out: time lost on connections that hang; from 6 s on refusals came at once.

Fix: heartbeats inside a region say when a target last answered the sender. A node that lost most targets hands requests to a neighbour that got an answer since, also requests of other regions, and its summary counts what neighbours reach. Queued requests are routed again.

A heartbeat grows by 7 bytes and 6 a service (capacity example).

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -74,9 +74,11 @@
     pub(crate) retry_budget: RetryBudget,
     /// When queued requests may be sent to a target that takes only a granted rate.
     pub(crate) next_grant: Option<Time>,
+    /// When a target last began or ended an answer to this node.
+    pub(crate) last_contact: Option<Time>,
     /// When a target last answered a request to its end.
     pub(crate) last_answer: Option<Time>,
-    /// Since when this node reaches no target of its region, although there are some.
+    /// Since when this node reaches few or no targets of its region, although there are more.
     pub(crate) stranded_since: Option<Time>,
     /// When a target last crashed.
     pub(crate) last_crash: Option<Time>,
@@ -240,6 +242,8 @@
     pub(crate) prefixes: PrefixTable,
     pub(crate) spill: Spill,
     pub(crate) streams: StreamOrigins,
+    /// Which services' targets the other nodes of this region reach.
+    pub(crate) reach: reach::PeerReach,
     pub(crate) region_sends: BTreeMap<(RegionId, ServiceId), RegionSends>,
     pub(crate) placement: Placement,
     pub(crate) requests: BTreeMap<Ticket, Request>,
@@ -311,6 +315,7 @@
             prefixes: PrefixTable::default(),
             spill: Spill::default(),
             streams: StreamOrigins::default(),
+            reach: reach::PeerReach::default(),
             region_sends: BTreeMap::new(),
             placement: Placement::default(),
             requests: BTreeMap::new(),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -249,7 +249,15 @@
                     outcome,
                     AttemptOutcome::Refused(refusal) if refusal.reason == Reason::Version
                 );
-                if !served
+                let no_target = matches!(
+                    outcome,
+                    AttemptOutcome::Refused(refusal)
+                        if matches!(refusal.reason, Reason::NoTarget | Reason::Version)
+                );
+                if no_target && region == self.id.region {
+                    // Another node of this region may reach one.
+                    self.record_unreached(attempt.ticket, vm);
+                } else if !served
                     && !can_retry
                     && let Some(request) = self.requests.get_mut(&attempt.ticket)
                 {
@@ -354,6 +362,7 @@
             self.prefixes.record(now, target, prefix);
         }
         let service = request.service;
+        self.record_contact(now, service);
         self.service_state(service).last_answer = Some(now);
         if streams {
             let sample = elapsed.as_secs_f64();
@@ -393,6 +402,7 @@
         };
         self.begin_stream(now, key, self.targets.get(target).version);
         let elapsed = now.since(attempt.started);
+        self.record_contact(now, self.targets.get(target).service);
         self.targets.record_prefill(target, attempt.work, elapsed);
         self.pending_update.mark_changed();
         let request = self.requests.get(&attempt.ticket);
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -146,7 +146,7 @@
     }
 
     /// Removes a request from the queue that it waits in, if any.
-    fn remove_from_queue(&mut self, ticket: Ticket) {
+    pub(super) fn remove_from_queue(&mut self, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket).cloned() else {
             return;
         };
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -69,6 +69,7 @@
         let uninformed = back || self.awaits_echo(heartbeat);
         self.merge_suspects(now, heartbeat, uninformed, out);
         self.merge_work(now, heartbeat);
+        self.merge_reached(now, heartbeat);
         self.merge_limits(now, heartbeat, out);
         if uninformed && heartbeat.region == self.id.region {
             self.report_limits(now, heartbeat.from, out);
@@ -256,6 +257,7 @@
             .collect();
         alive.insert(self.id.vm);
         self.limits.set_alive(&alive);
+        self.reach.retain(&alive);
         self.alive = alive;
         let ready = self.ready_nodes(now);
         self.targets.select_subset(now, self.id.vm, &ready);
@@ -482,6 +484,9 @@
         heartbeat.platform_reachable = self.catalogue.platform_reachable();
         heartbeat.quarantine.digest = self.poison.digest();
         heartbeat.records.push(self.own_record(bundle.revision));
+        if self.regions.get(&to) == Some(&self.id.region) {
+            self.list_reached(sent, &mut heartbeat);
+        }
         Some((address, heartbeat))
     }
 
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -85,10 +85,10 @@
             // Every target of this region has failed the request, but other regions may serve it.
             local.possible = false;
         }
-        let local_node = if local.possible {
-            None
-        } else {
-            self.node_with_targets(now, request)
+        let relay = self.relay_node(now, request);
+        let local_node = match relay {
+            None if !local.possible => self.node_with_targets(now, request),
+            relay => relay,
         };
         if local_node.is_some() {
             local.possible = true;
@@ -112,6 +112,13 @@
             RegionChoice::Refuse(Some(_)) if !self.policy.shed => RegionChoice::Local,
             choice => choice,
         };
+        let (choice, local_node) = match choice {
+            RegionChoice::Refuse(None) => match self.last_relay(now, request) {
+                Some(vm) => (RegionChoice::Local, Some(vm)),
+                None => (choice, None),
+            },
+            choice => (choice, local_node),
+        };
         let chosen = |remote: &RemoteView| choice == RegionChoice::Remote(remote.region);
         let regions = remotes.iter().copied();
         let best = regions.min_by_key(|remote| (!chosen(remote), remote.cost()));
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -65,7 +65,11 @@
         };
         let mut slots: BTreeMap<_, u32> = BTreeMap::new();
         for (_, state) in self.targets.all() {
-            let serving = state.phase == crate::targets::Phase::Serving;
+            let serving = if self.reached_by_others(now, state.service) {
+                state.phase.may_serve_others()
+            } else {
+                state.phase == crate::targets::Phase::Serving
+            };
             *slots.entry(state.service).or_default() += u32::from(serving) * state.spec.slots;
         }
         let mut capacities = Vec::new();
@@ -75,7 +79,9 @@
             };
             let (running, queued) = self.regional_load(now, service);
             let free = slots.saturating_sub(running + queued);
+            let relayed = self.reached_by_others(now, service);
             let prompt_wait = match spec.kind {
+                Kind::Engine if relayed => Duration::ZERO,
                 Kind::Engine => self.prompt_wait(now, service, None),
                 Kind::Plain => Duration::ZERO,
             };
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -104,6 +104,7 @@
             self.update_reach(now, service, out);
             self.dispatch(now, service, out);
         }
+        self.reroute_stranded(now, out);
     }
 
     /// Drops all state received from peers after a pause of the process, since it may be outdated.
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -72,6 +72,8 @@
     pub charged: bool,
     /// Regions that refused or failed it.
     pub refused: BTreeSet<RegionId>,
+    /// Nodes of this region that do not reach a target for it either.
+    pub tried: BTreeSet<VmId>,
     /// Number of attempts so far.
     pub attempts: u32,
     /// Whether the caller disconnected or got its response while an attempt continues.
@@ -121,6 +123,7 @@
             stage: Stage::Routing,
             charged: false,
             refused: BTreeSet::new(),
+            tried: BTreeSet::new(),
             attempts: 0,
             orphaned: false,
             maybe_ran: false,
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -265,17 +265,19 @@
             .any(|(_, state)| state.service == service && state.serves(version))
     }
 
-    /// Returns whether a service has targets in this region that would accept requests if this node
-    /// reached them.
+    /// Returns the slots of the targets in this node's subset that accept requests from this node, and
+    /// of those that would if this node reached them.
     #[must_use]
-    pub fn listed_in_region(&self, service: ServiceId) -> bool {
-        self.all().any(|(_, state)| {
-            state.service == service
-                && matches!(
-                    state.phase,
-                    Phase::Serving | Phase::Ejected(_) | Phase::Probing
-                )
-        })
+    pub fn reached_slots(&self, service: ServiceId) -> (u32, u32) {
+        self.for_service(service)
+            .fold((0, 0), |(reached, listed), (_, state)| {
+                let slots = state.spec.slots;
+                match state.phase {
+                    Phase::Serving => (reached + slots, listed + slots),
+                    phase if phase.may_serve_others() => (reached, listed + slots),
+                    _ => (reached, listed),
+                }
+            })
     }
 
     /// Returns whether a non-empty set contains every serving target of a service in this node's
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -41,6 +41,15 @@
     Gone,
 }
 
+impl Phase {
+    /// Returns whether the target may accept requests of other nodes: this one at most fails to reach
+    /// it.
+    #[must_use]
+    pub fn may_serve_others(self) -> bool {
+        matches!(self, Self::Serving | Self::Ejected(_) | Self::Probing)
+    }
+}
+
 /// This node's view of a target.
 #[derive(Clone, Debug)]
 pub struct TargetState {
--- a/crates/seam-core/tests/cut_off_nodes.rs
+++ b/crates/seam-core/tests/cut_off_nodes.rs
@@ -195,14 +195,10 @@
         let first = self.forwarded.get(&(node, ticket));
         match first {
             Some((from, attempt)) => self.open_service(*from, self.attempts[&(*from, *attempt)]),
-            None => self.engine_tickets(ticket),
+            None => ticket.0.is_multiple_of(2),
         }
     }
 
-    fn engine_tickets(&self, ticket: Ticket) -> bool {
-        ticket.0.is_multiple_of(2)
-    }
-
     /// Lets time pass, with requests at all nodes. Returns the first tries at the cut nodes and at the
     /// others.
     fn run(&mut self, span: Duration) -> (Tally, Tally) {
--- a/crates/seam-harness/examples/capacity/traffic.rs
+++ b/crates/seam-harness/examples/capacity/traffic.rs
@@ -7,10 +7,10 @@
 use seam_harness::deployments::{self, DeploymentSpec, customer_name};
 use seam_harness::ids::KeyChoice;
 use seam_harness::traffic::Traffic;
-use seam_protocol::heartbeat::StreamOrigin;
+use seam_protocol::heartbeat::{ServiceReach, StreamOrigin};
 use seam_protocol::{
-    CustomerId, Heartbeat, Incarnation, RegionId, ServiceId, StreamId, Time, VersionId, VmId,
-    VmRecord,
+    CustomerId, Heartbeat, Incarnation, RegionId, ServiceId, ServiceTag, StreamId, Time, VersionId,
+    VmId, VmRecord,
 };
 
 use crate::fit;
@@ -62,10 +62,8 @@
     (heartbeat.encode().len() - empty) as f64
 }
 
-/// Returns the size of a datagram that reports the origins of streams, with its headers.
-fn origin_bytes(count: usize) -> f64 {
-    /// UDP and IP headers, and the MAC.
-    const HEADER_BYTES: usize = 44;
+/// Returns a heartbeat with the widest values of what every one has.
+fn short_heartbeat() -> Heartbeat {
     let mut heartbeat = Heartbeat::empty(VmId(u32::MAX), RegionId(u32::MAX));
     let record = VmRecord {
         vm: VmId(u32::MAX),
@@ -77,6 +75,27 @@
     };
     heartbeat.sent = u64::MAX;
     heartbeat.records.push(record);
+    heartbeat
+}
+
+/// Returns the bytes that reached services add to a heartbeat.
+fn reach_bytes(count: usize) -> f64 {
+    let mut heartbeat = short_heartbeat();
+    let empty = heartbeat.encode().len();
+    heartbeat.reached = (0..count as u16)
+        .map(|number| ServiceReach {
+            service: ServiceTag(u16::MAX - number),
+            age: Some(4999),
+        })
+        .collect();
+    (heartbeat.encode().len() - empty) as f64
+}
+
+/// Returns the size of a datagram that reports the origins of streams, with its headers.
+fn origin_bytes(count: usize) -> f64 {
+    /// UDP and IP headers, and the MAC.
+    const HEADER_BYTES: usize = 44;
+    let mut heartbeat = short_heartbeat();
     heartbeat.streams.origins = (0..count as u64)
         .map(|number| StreamOrigin {
             stream: StreamId(u64::MAX - number),
@@ -115,6 +134,13 @@
         "bytes",
         &points,
     );
+    let points = [1, 4, 12, 16].map(|count| (count as f64, reach_bytes(count)));
+    fit::print(
+        "Reached services in a heartbeat",
+        "services",
+        "bytes",
+        &points,
+    );
     let run = |title: &str, x: &str, specs: &[(usize, DeploymentSpec)]| {
         let points: Vec<(f64, f64)> = specs
             .iter()
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -159,6 +159,16 @@
     }
 }
 
+/// Whether the sender reaches targets of a service in its region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceReach {
+    /// The service.
+    pub service: ServiceTag,
+    /// Milliseconds since a target last answered the sender; `None` if the sender has lost most of
+    /// them.
+    pub age: Option<u16>,
+}
+
 /// A request for more concurrency units for a customer at the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shortage {
@@ -255,6 +265,10 @@
     /// Origins of streams. They come last, for the same reason.
     #[serde(skip)]
     pub streams: StreamReport,
+    /// Services whose targets the sender reached lately, or does not reach. They are in one section
+    /// with the origins.
+    #[serde(skip)]
+    pub reached: Vec<ServiceReach>,
 }
 
 impl Heartbeat {
@@ -271,8 +285,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let streams = !self.streams.is_empty();
-        let limits = streams || !self.limits.is_empty();
+        let last = !self.streams.is_empty() || !self.reached.is_empty();
+        let limits = last || !self.limits.is_empty();
         let parts = limits || !self.suspect_parts.is_empty();
         if self.quarantine == QuarantineReport::default() && !parts {
             return bytes;
@@ -288,10 +302,11 @@
             return bytes;
         }
         let bytes = postcard::to_extend(&self.limits, bytes).expect("limits always serialize");
-        if !streams {
+        if !last {
             return bytes;
         }
-        postcard::to_extend(&self.streams, bytes).expect("origins always serialize")
+        let section = (&self.streams, &self.reached);
+        postcard::to_extend(&section, bytes).expect("origins and services always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat.
@@ -314,7 +329,7 @@
         let (limits, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.limits = limits;
         if !rest.is_empty() {
-            heartbeat.streams = postcard::from_bytes(rest).ok()?;
+            (heartbeat.streams, heartbeat.reached) = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -343,6 +358,7 @@
             suspect_parts: Vec::new(),
             limits: Vec::new(),
             streams: StreamReport::default(),
+            reached: Vec::new(),
         }
     }
 }
