--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -17,8 +17,7 @@
 
 /// Retry-after of refusals because of a temporary state of this node.
 pub(super) const TRANSIENT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Maximum number of nodes that may have forwarded a request to this region, before this one. A node
-/// that has lost its links to the targets may hand it on within the region.
+/// Maximum number of nodes that may have forwarded a request before this one.
 const MAX_HOPS: usize = 1;
 
 /// Owner of an idempotency key: the one node that decides whether its request runs.
@@ -161,9 +160,7 @@
             return Ok(());
         };
         let visited = hops.iter().any(|hop| hop.vm == self.id.vm);
-        let within = hops.last().is_some_and(|hop| hop.region == self.id.region);
-        let max_hops = if within { MAX_HOPS + 1 } else { MAX_HOPS };
-        if visited || hops.is_empty() || hops.len() > max_hops {
+        if visited || hops.is_empty() || hops.len() > MAX_HOPS {
             return Err(Refusal::not_run(Reason::Loop));
         }
         if *revision > own_revision {
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -271,15 +271,13 @@
         let attempt = self.start_attempt(now, ticket, destination, PromptWork::default());
         let hop = self.own_hop();
         let request = self.request_mut(ticket);
-        let mut hops = request.hops.clone();
-        hops.push(hop);
         request.stage = Stage::Forwarded(attempt);
         out.push(Command::Forward {
             ticket,
             attempt,
             vm,
             address: node.peer,
-            hops,
+            hops: vec![hop],
             revision: bundle.revision,
             version: request.version(),
             budget: request.budget(now),
--- a/crates/seam-core/src/node/reach.rs
+++ b/crates/seam-core/src/node/reach.rs
@@ -173,8 +173,8 @@
         })
     }
 
-    /// Chooses among nodes of this region by the prompt of a request. A request that another node of
-    /// this region handed on is not handed on again.
+    /// Chooses among nodes of this region by the prompt of a request. A forwarded request is not handed
+    /// on.
     fn choose_relay(
         &self,
         now: Time,
@@ -182,8 +182,8 @@
         usable: impl Fn(VmId) -> bool,
     ) -> Option<VmId> {
         let region = self.id.region;
-        let handed_on = request.hops.iter().any(|hop| hop.region == region);
-        if handed_on || request.refused.contains(&region) || !self.allows(request, region) {
+        if request.forwarded() || request.refused.contains(&region) || !self.allows(request, region)
+        {
             return None;
         }
         let passed = |vm: &VmId| *vm == self.id.vm || request.tried.contains(vm);
@@ -205,6 +205,16 @@
         others.any(|vm| self.reach.contact(vm, tag).is_since(now, since))
     }
 
+    /// Returns whether a node of this region reports that it has lost the targets of some service.
+    pub(super) fn has_lost_targets(&self, vm: VmId) -> bool {
+        if vm == self.id.vm {
+            let mut states = self.service_states.values();
+            return states.any(|state| state.stranded_since.is_some());
+        }
+        let contacts = self.reach.contacts.get(&vm);
+        contacts.is_some_and(|contacts| contacts.values().any(|contact| *contact == Contact::Lost))
+    }
+
     /// Routes the queued requests of services again whose targets this node has lost.
     pub(super) fn reroute_stranded(&mut self, now: Time, out: &mut Vec<Command>) {
         let states = &self.service_states;
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -40,6 +40,10 @@
         if self.freshness.fresh() && self.drain_since.is_none() {
             nodes.insert(0, self.id.vm);
         }
+        // Other regions cannot know which nodes lost their links to the targets here.
+        if nodes.iter().any(|vm| !self.has_lost_targets(*vm)) {
+            nodes.retain(|vm| !self.has_lost_targets(*vm));
+        }
         nodes.truncate(match self.roster {
             Some(_) => SUMMARY_NODES_DISCOVERED,
             None => SUMMARY_NODES,
