Keep targets that are silent for a second or so

Before, a connection that hung for 700 ms ejected it, a failed probe cancelled answers that had come meanwhile, a request that may be repeated ran again elsewhere after one silence limit, and TCP_USER_TIMEOUT of 1.8 s closed a connection at the first unanswered keepalive probe.

--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -124,6 +124,8 @@
         target: TargetId,
         /// Its address.
         address: SocketAddr,
+        /// Time for which to try again while connections hang.
+        patience: Duration,
     },
     /// Send a heartbeat.
     Heartbeat {
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -10,11 +10,16 @@
 use crate::event::AttemptOutcome;
 use crate::handle::{AttemptKey, TargetKey};
 use crate::poison::QuarantineChange;
-use crate::request::{Attempt, Destination};
+use crate::request::{Attempt, Destination, Silence};
 use crate::targets::PhaseChange;
 
 /// Maximum number of fingerprints in the audit entry of a crash.
 const MAX_LISTED_FINGERPRINTS: usize = 8;
+/// Longest time for which a sound target may be silent, with a margin for lost packets to be sent
+/// again.
+const MAX_SILENCE: Duration = Duration::from_millis(1800);
+/// Time after which a connection that could not be opened was not refused, but hung.
+const HUNG_AFTER: Duration = Duration::from_millis(500);
 /// Time after the first bytes of an answer in which it counts as beginning.
 const ANSWER_BEGINS: Duration = Duration::from_millis(250);
 /// Weight of a new sample in the mean service and slot times.
@@ -64,24 +69,39 @@
     /// Handles an attempt that made no progress for the service's silence time.
     ///
     /// A silent target is probed with a new connection; an attempt at a node is cancelled.
-    pub(super) fn handle_silence(&mut self, _now: Time, key: AttemptKey, out: &mut Vec<Command>) {
-        let Some(attempt) = self.attempts.get_mut(&key) else {
+    pub(super) fn handle_silence(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
+        let Some(attempt) = self.attempts.get(&key) else {
             return;
         };
-        attempt.silent = true;
-        match attempt.destination {
-            Destination::Target(target) => {
-                let state = self.targets.get(target);
-                out.push(Command::Probe {
-                    target: state.id,
-                    address: state.spec.address,
-                });
-            }
+        let target = match attempt.destination {
+            Destination::Target(target) => target,
             Destination::Node { .. } => {
-                attempt.cancelled = true;
-                out.push(Command::Cancel(key));
+                self.cancel(key, out);
+                return;
             }
+        };
+        let limit = self.silence(self.targets.get(target).service);
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            // A silence that goes on is reported again after each limit.
+            let goes_on = |silence: &Silence| now.since(silence.reported) < limit + limit / 2;
+            let before = attempt.silent.filter(goes_on);
+            attempt.silent = Some(Silence {
+                since: before.map_or(now - limit, |silence| silence.since),
+                reported: now,
+            });
         }
+        self.probe(now, target, MAX_SILENCE.saturating_sub(limit), out);
+    }
+
+    /// Probes a target, for at least `patience` while connections to it hang.
+    fn probe(&mut self, now: Time, target: TargetKey, patience: Duration, out: &mut Vec<Command>) {
+        self.targets.begin_probe(now, target);
+        let state = self.targets.get(target);
+        out.push(Command::Probe {
+            target: state.id,
+            address: state.spec.address,
+            patience,
+        });
     }
 
     /// Handles the result of a probe, which opens a new connection to a target.
@@ -95,6 +115,8 @@
         let Some(key) = self.targets.key(target) else {
             return;
         };
+        // A target that answered meanwhile was only silent.
+        let accepted = accepted || self.targets.answered_since_probe(key);
         let change = self.targets.record_probe(now, key, accepted);
         self.record_phase_change(now, change, "probe", out);
         if let Some(watch) = self.crash_watches.remove(&key)
@@ -103,19 +125,28 @@
             self.prefixes.forget(key);
             self.blame_crash(now, target, &watch, out);
         }
-        self.cancel_silent(key, accepted, out);
+        self.cancel_silent(now, key, accepted, out);
         let service = self.targets.get(key).service;
         self.dispatch(now, service, out);
     }
 
     /// Cancels silent attempts at a target after a probe.
     ///
-    /// If the probe succeeded, the old connection is at fault: a repeatable request is cancelled
-    /// there to be retried, and any other one waits for its deadline.
-    fn cancel_silent(&mut self, target: TargetKey, accepted: bool, out: &mut Vec<Command>) {
+    /// If the probe succeeded and the silence is too long for a sound target, the old connection is at
+    /// fault: a repeatable request is cancelled there to be retried, and any other one waits for its
+    /// deadline.
+    fn cancel_silent(
+        &mut self,
+        now: Time,
+        target: TargetKey,
+        accepted: bool,
+        out: &mut Vec<Command>,
+    ) {
         let engine = self.is_engine(self.targets.get(target).service);
         for (key, attempt) in &mut self.attempts {
-            let affected = attempt.destination == Destination::Target(target) && attempt.silent;
+            let too_long = |silence: Silence| !accepted || now.since(silence.since) >= MAX_SILENCE;
+            let affected = attempt.destination == Destination::Target(target)
+                && attempt.silent.is_some_and(too_long);
             let can_retry = self.requests.get(&attempt.ticket).is_some_and(|request| {
                 request.repeatable && request.sendable() && Self::runs_left(request) > 1
             });
@@ -305,8 +336,7 @@
                 }
             }
             AttemptOutcome::NotSent if !attempt.cancelled => {
-                let change = self.targets.record_failure(now, target, true);
-                self.record_phase_change(now, change, "connection refused", out);
+                self.record_not_sent(now, attempt.started, target, out);
             }
             AttemptOutcome::Broken { .. } if !attempt.cancelled => {
                 let change = self.targets.record_failure(now, target, false);
@@ -319,6 +349,24 @@
         self.dispatch(now, service, out);
     }
 
+    /// Handles a connection to a target that could not be opened: a refused one ejects the target, and
+    /// one that hung makes others preferred until a probe ends.
+    fn record_not_sent(
+        &mut self,
+        now: Time,
+        started: Time,
+        target: TargetKey,
+        out: &mut Vec<Command>,
+    ) {
+        let tried = now.since(started);
+        if tried < HUNG_AFTER {
+            let change = self.targets.record_failure(now, target, true);
+            self.record_phase_change(now, change, "connection refused", out);
+        } else if self.targets.suspend(target) {
+            self.probe(now, target, MAX_SILENCE.saturating_sub(tried), out);
+        }
+    }
+
     /// Records that what a request shares with others crashed no target when its answer began.
     fn record_answer(&mut self, now: Time, attempt: &Attempt, out: &mut Vec<Command>) {
         let request = self.requests.get(&attempt.ticket);
@@ -396,6 +444,7 @@
             return;
         };
         attempt.responded = Some(now);
+        attempt.silent = None;
         let attempt = *attempt;
         let Destination::Target(target) = attempt.destination else {
             return;
@@ -403,6 +452,7 @@
         self.begin_stream(now, key, self.targets.get(target).version);
         let elapsed = now.since(attempt.started);
         self.record_contact(now, self.targets.get(target).service);
+        self.targets.record_answer(now, target);
         self.targets.record_prefill(target, attempt.work, elapsed);
         self.pending_update.mark_changed();
         let request = self.requests.get(&attempt.ticket);
@@ -442,6 +492,7 @@
         let probe = Command::Probe {
             target: state.id,
             address: state.spec.address,
+            patience: MAX_SILENCE,
         };
         let watch = self.crash_watches.entry(target).or_insert_with(|| {
             out.push(probe);
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -220,7 +220,7 @@
     }
 
     /// Returns the time without progress after which an attempt counts as silent.
-    fn silence(&self, service: ServiceId) -> Duration {
+    pub(super) fn silence(&self, service: ServiceId) -> Duration {
         self.bundle
             .as_ref()
             .and_then(|bundle| bundle.services.get(&service))
@@ -246,7 +246,7 @@
                 destination,
                 started: now,
                 sent: false,
-                silent: false,
+                silent: None,
                 cancelled: false,
                 suspect,
                 work,
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -76,7 +76,7 @@
                 }
             }
             AttemptOutcome::Broken { started } => {
-                let reason = if attempt.silent {
+                let reason = if attempt.silent.is_some() {
                     Reason::Silent
                 } else {
                     Reason::Broken
@@ -84,7 +84,7 @@
                 let refusal = Refusal::unknown(reason);
                 // A suspect whose connection breaks again may be crashing its targets, so it is not
                 // retried.
-                let suspect = !attempt.silent && self.may_crash_targets(request);
+                let suspect = attempt.silent.is_none() && self.may_crash_targets(request);
                 // A node of an earlier version does not say which version began the stream.
                 let bound = request.stream.is_none_or(|stream| stream.version.is_some());
                 let resumable = request.route.is_some_and(|class| class.resumable) && bound;
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -94,7 +94,12 @@
         self.crash_watches
             .retain(|_, watch| now.since(watch.since) < CRASH_PROBE_TIMEOUT);
         for (target, address) in self.targets.due_probes(now) {
-            out.push(Command::Probe { target, address });
+            let patience = Duration::ZERO;
+            out.push(Command::Probe {
+                target,
+                address,
+                patience,
+            });
         }
         self.handle_parked(now, out);
         self.review_loans(now, out);
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -461,6 +461,31 @@
         Some(Self::change_phase(state, Phase::Ejected(until)))
     }
 
+    /// Prefers other targets to one whose connections hang, until it answers or a probe ends. Returns
+    /// whether it was not suspended before.
+    pub fn suspend(&mut self, key: TargetKey) -> bool {
+        !std::mem::replace(&mut self.get_mut(key).suspended, true)
+    }
+
+    /// Records that a probe of a target begins.
+    pub fn begin_probe(&mut self, now: Time, key: TargetKey) {
+        self.get_mut(key).probed = Some(now);
+    }
+
+    /// Records that a target answers.
+    pub fn record_answer(&mut self, now: Time, key: TargetKey) {
+        let state = self.get_mut(key);
+        state.answered = Some(now);
+        state.suspended = false;
+    }
+
+    /// Returns whether a target answered after the last probe began.
+    #[must_use]
+    pub fn answered_since_probe(&self, key: TargetKey) -> bool {
+        let state = self.get(key);
+        state.probed.is_some() && state.answered > state.probed
+    }
+
     fn change_phase(state: &mut TargetState, new: Phase) -> PhaseChange {
         let old = state.phase;
         state.phase = new;
@@ -492,6 +517,7 @@
         key: TargetKey,
         accepted: bool,
     ) -> Option<PhaseChange> {
+        self.get_mut(key).suspended = false;
         if !accepted {
             return self.record_failure(now, key, true);
         }
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -109,6 +109,9 @@
             .map(|(key, _)| key)
             .collect();
         self.separate_heavy(now, service, query, &mut available);
+        if available.iter().any(|key| !self.get(*key).suspended) {
+            available.retain(|key| !self.get(*key).suspended);
+        }
         if let Some(avoid) = query.avoid
             && available.iter().any(|key| !avoid.contains(key))
         {
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -84,6 +84,12 @@
     pub(super) starts: StartLimiter,
     /// Work of other nodes, by their own reports, with the time of receipt.
     pub(super) others: BTreeMap<VmId, (Time, TargetWork)>,
+    /// Whether connections to it hang, so that others are preferred.
+    pub(super) suspended: bool,
+    /// When the last probe beside requests began.
+    pub(super) probed: Option<Time>,
+    /// When it last began an answer.
+    pub(super) answered: Option<Time>,
     /// Consecutive failures.
     pub(super) failures: u32,
     /// Ejections since the last success.
@@ -122,6 +128,9 @@
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
             others: BTreeMap::new(),
+            suspended: false,
+            probed: None,
+            answered: None,
             failures: 0,
             ejections: 0,
             slow_start,
--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -25,14 +25,21 @@
 /// regions.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after which a connection with sent but unacknowledged bytes is closed
-/// (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_millis(1800);
+/// (`TCP_USER_TIMEOUT`). It also ends connections whose keepalive probes are not answered.
+///
+/// A sound target may be silent for 1.5 s. The system sends lost bytes again after 0.2, 0.6, 1.4 and 3 s,
+/// and three probes must have been due before a connection is closed.
+const USER_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Idle time after which TCP keepalive probes start.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Interval between TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered TCP keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 3;
+const _: () = assert!(
+    USER_TIMEOUT.as_millis() > KEEPALIVE_IDLE.as_millis() + 2 * KEEPALIVE_INTERVAL.as_millis(),
+    "the third keepalive probe must be due before the user timeout"
+);
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -14,12 +14,13 @@
 use seam_core::event::Drainable;
 use seam_core::node::TICK;
 use seam_core::{Event, Identity, Node};
-use seam_http::{Connection, Listener, Stop, spawn};
+use seam_http::{Listener, Stop, spawn};
 use seam_protocol::{CentreId, Incarnation, RegionId, Vm, VmId};
 use snafu::{ResultExt, Snafu};
 
 use crate::heartbeats::HeartbeatSocket;
 use crate::items;
+use crate::pool;
 use crate::runtime::{Job, NodeRuntime, PlatformAdapter};
 use crate::watch::HttpPlatform;
 use crate::{admin, front, link, peer_server, polls, watch};
@@ -312,10 +313,10 @@
     while let Ok(job) = jobs.recv().await {
         match job {
             Job::Heartbeat(to, heartbeat) => heartbeats.send(&runtime, to, &heartbeat).await,
-            Job::Probe(target, address) => {
+            Job::Probe(target, address, patience) => {
                 let runtime = runtime.clone();
                 spawn(async move {
-                    let accepted = Connection::open(address).await.is_ok();
+                    let accepted = pool::accepts(address, patience).await;
                     runtime.handle(Event::Probed { target, accepted });
                 })
                 .detach();
--- a/crates/seam-node/src/pool.rs
+++ b/crates/seam-node/src/pool.rs
@@ -78,6 +78,24 @@
     }
 }
 
+/// Returns whether a target accepts a new connection. Connections that hang are tried again for at
+/// least `patience`, since the system repeats its first packet late.
+pub async fn accepts(address: SocketAddr, patience: Duration) -> bool {
+    let start = Instant::now();
+    loop {
+        let opened = Connection::open_within(address, CONNECT_TIMEOUT).await;
+        let Err(error) = opened else {
+            return true;
+        };
+        let hung = matches!(&error, ClientError::Connect { source, .. }
+            if source.kind() == std::io::ErrorKind::TimedOut);
+        if !hung || start.elapsed() >= patience {
+            log::info!("probe of {address} failed: {error}");
+            return false;
+        }
+    }
+}
+
 /// Returns the maximum number of idle connections that one node keeps to a target.
 ///
 /// `connections` is the number that the target accepts, zero if it states none, and `nodes` is the
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -126,8 +126,8 @@
 pub enum Job {
     /// Send a heartbeat.
     Heartbeat(SocketAddr, Box<Heartbeat>),
-    /// Test whether a target accepts a new connection.
-    Probe(TargetId, SocketAddr),
+    /// Test whether a target accepts a new connection, again for a while if connections hang.
+    Probe(TargetId, SocketAddr, std::time::Duration),
     /// Fetch the newest bundle from a peer.
     FetchBundle(VmId, SocketAddr),
     /// Fetch the items that changed since a revision from a peer.
@@ -398,19 +398,16 @@
             Command::Replay { ticket, response } => {
                 self.notify(ticket, TaskCommand::Replay(response));
             }
-            Command::Cancel(attempt) => {
-                let attempts = lock(&self.attempts);
-                let ticket = attempts.get(&attempt).copied();
-                drop(attempts);
-                if let Some(ticket) = ticket {
-                    self.notify(ticket, TaskCommand::Cancel(attempt));
-                }
-            }
+            Command::Cancel(attempt) => self.cancel(attempt),
             Command::Done(ticket) => {
                 self.notify(ticket, TaskCommand::Done);
                 lock(&self.request_channels).remove(&ticket);
             }
-            Command::Probe { target, address } => self.enqueue(Job::Probe(target, address)),
+            Command::Probe {
+                target,
+                address,
+                patience,
+            } => self.enqueue(Job::Probe(target, address, patience)),
             Command::Heartbeat {
                 address, heartbeat, ..
             } => self.enqueue(Job::Heartbeat(address, heartbeat)),
@@ -431,6 +428,15 @@
         }
     }
 
+    fn cancel(&self, attempt: AttemptKey) {
+        let attempts = lock(&self.attempts);
+        let ticket = attempts.get(&attempt).copied();
+        drop(attempts);
+        if let Some(ticket) = ticket {
+            self.notify(ticket, TaskCommand::Cancel(attempt));
+        }
+    }
+
     fn enqueue(&self, job: Job) {
         let _ = self.jobs.try_send(job);
     }
