Keep to a share of the slots of brittle targets

Each node now keeps to its share of the slots by the list of nodes while a service's targets say so, and pauses for a second where it was turned away.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -335,6 +335,7 @@
                     self.record_answer(now, &attempt, out);
                 }
             }
+            AttemptOutcome::Refused(_) => self.targets.record_rejection(now, target),
             AttemptOutcome::NotSent if !attempt.cancelled => {
                 self.record_not_sent(now, attempt.started, target, out);
             }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -1,5 +1,6 @@
 //! Targets of this node's region: load, concurrency limits and ejection.
 
+mod brittle;
 mod choice;
 mod cold;
 mod engine;
@@ -19,6 +20,7 @@
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use crate::handle::TargetKey;
+pub use brittle::slot_share;
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
@@ -57,6 +59,8 @@
     every_node: BTreeSet<ServiceId>,
     /// Whether nodes exchange work updates and use targets without fixed shares of the slots.
     shared: bool,
+    /// Services whose targets are brittle, and until when that counts.
+    brittle: BTreeMap<ServiceId, Time>,
     /// Services whose targets outside its subset this node uses too, and until when.
     temporary: BTreeMap<ServiceId, Time>,
 }
@@ -233,7 +237,8 @@
         // The sum is rounded, not each target's share: rounding each up would exceed the real
         // slots.
         if self.shared {
-            return serving.map(|(_, state)| state.spec.slots).sum();
+            let brittle = self.is_brittle(now, service);
+            return serving.map(|(_, state)| state.usable_slots(brittle)).sum();
         }
         let slots: f64 = serving.map(|(_, state)| state.own_share(now)).sum();
         if slots > 0.0 {
@@ -375,7 +380,7 @@
         const MILLIS: f64 = 1000.0;
         let open = self.for_service(service);
         let open = open.filter(|(_, state)| state.serves(version));
-        let open = open.filter(|(_, state)| state.accepts(now, false, self.shared));
+        let open = open.filter(|(key, _)| self.accepts(now, *key, false));
         let waits = open.map(|(_, state)| {
             let load = state.load(now);
             let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
@@ -486,6 +491,41 @@
         state.probed.is_some() && state.answered > state.probed
     }
 
+    /// Records whether the targets of a service are brittle.
+    pub fn set_brittle(&mut self, now: Time, service: ServiceId, brittle: bool) {
+        /// Time for which an answer shows that targets are brittle.
+        const BRITTLE_TTL: Duration = Duration::from_secs(30);
+        if brittle {
+            self.brittle.insert(service, now + BRITTLE_TTL);
+        } else {
+            self.brittle.remove(&service);
+        }
+    }
+
+    /// Returns whether the targets of a service are known to be brittle.
+    #[must_use]
+    pub fn is_brittle(&self, now: Time, service: ServiceId) -> bool {
+        self.brittle.get(&service).is_some_and(|until| *until > now)
+    }
+
+    /// Sets this node's share of a brittle target's slots.
+    pub fn set_brittle_share(&mut self, key: TargetKey, share: u32) {
+        self.get_mut(key).brittle.share = share;
+    }
+
+    /// Records that a target turned a request away.
+    pub fn record_rejection(&mut self, now: Time, key: TargetKey) {
+        self.get_mut(key).brittle.rejected = Some(now);
+    }
+
+    /// Returns whether a target accepts one more request of this node. See [`TargetState::accepts`].
+    #[must_use]
+    pub fn accepts(&self, now: Time, key: TargetKey, heavy: bool) -> bool {
+        let state = self.get(key);
+        let room = !self.is_brittle(now, state.service) || state.has_sure_room(now);
+        room && state.accepts(now, heavy, self.shared)
+    }
+
     fn change_phase(state: &mut TargetState, new: Phase) -> PhaseChange {
         let old = state.phase;
         state.phase = new;
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -104,7 +104,7 @@
         let mut available: Vec<TargetKey> = self
             .for_service(service)
             .filter(|(_, state)| state.serves(query.version))
-            .filter(|(_, state)| state.accepts(now, heavy, self.shared()))
+            .filter(|(key, _)| self.accepts(now, *key, heavy))
             .filter(|(_, state)| query.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
             .collect();
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -7,6 +7,7 @@
 use seam_protocol::heartbeat::TargetWork;
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
+use super::brittle::BrittleRoom;
 use super::{ColdShare, EngineModel, RateLimit, ShareLimiter, StartLimiter};
 
 /// Time over which the usable slots of a new or returning target ramp up.
@@ -84,6 +85,8 @@
     pub(super) starts: StartLimiter,
     /// Work of other nodes, by their own reports, with the time of receipt.
     pub(super) others: BTreeMap<VmId, (Time, TargetWork)>,
+    /// Room at it while it is brittle.
+    pub(super) brittle: BrittleRoom,
     /// Whether connections to it hang, so that others are preferred.
     pub(super) suspended: bool,
     /// When the last probe beside requests began.
@@ -128,6 +131,7 @@
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
             others: BTreeMap::new(),
+            brittle: BrittleRoom::default(),
             suspended: false,
             probed: None,
             answered: None,
@@ -253,6 +257,21 @@
         rates.fold(f64::INFINITY, f64::min)
     }
 
+    /// Returns the slots that this node may use of a shared target.
+    pub(super) fn usable_slots(&self, brittle: bool) -> u32 {
+        match self.brittle.share {
+            share if brittle && share > 0 => share,
+            _ => self.spec.slots,
+        }
+    }
+
+    /// Returns whether the target has room for one more request, if it is brittle.
+    pub(super) fn has_sure_room(&self, now: Time) -> bool {
+        let slots = self.spec.slots;
+        self.brittle
+            .is_sure(now, self.running, self.load(now), slots)
+    }
+
     /// Returns whether the target accepts one more request of this node.
     ///
     /// Within its share, this node does not consider the load by other nodes. Beyond it, the
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -99,6 +99,9 @@
     /// What is wrong with a limit that cannot be read.
     fn named_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, String>;
 
+    /// Returns whether a target states that it falls over if it has to turn away many requests.
+    fn is_brittle(&self, headers: &HeaderMap) -> bool;
+
     /// Builds the response to a refused request.
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body>;
 
@@ -179,6 +182,10 @@
         Ok(None)
     }
 
+    fn is_brittle(&self, _headers: &HeaderMap) -> bool {
+        false
+    }
+
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body> {
         problem(id, refusal, detail)
     }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -130,6 +130,7 @@
         .classify_response(inbound, head.status, &head.headers);
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         report_limit(runtime, to, class, &head.headers);
+        report_brittle(runtime, to, class, &head.headers);
     }
     if let Some(refusal) = status_refusal(runtime, to, head.status, &head.headers) {
         log_refusal(refusal.retry_after);
@@ -181,6 +182,23 @@
     }
 }
 
+/// Reports that a target's response states that it is brittle, or that it no longer does.
+fn report_brittle(
+    runtime: &NodeRuntime,
+    to: TargetAttempt,
+    class: ResponseClass,
+    headers: &http::HeaderMap,
+) {
+    if class == ResponseClass::Mismatched {
+        return;
+    }
+    let brittle = runtime.dialect.is_brittle(headers);
+    let known = runtime.read(|node, now| node.is_brittle(now, to.service));
+    if brittle || (known && class == ResponseClass::Valid) {
+        runtime.handle(Event::Brittle(to.attempt, brittle));
+    }
+}
+
 /// Puts a connection into the pool once it can carry another request.
 async fn keep_connection(runtime: &NodeRuntime, to: TargetAttempt, mut connection: Connection) {
     if connection.ready().await.is_err() {
