Send nothing more to a target that says that it leaves

A target may say in its answers that it is about to leave (DRAIN); nothing read that, so 38 requests reached one in the two seconds after. It now counts as leaving at the node that got the answer, for that start of it, whatever the platform lists. said_in_answers failed before and passes now. time_to_return, listed as red, shows the next fault: the time in a 503 with Retry-After is not kept.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -88,6 +88,8 @@
     /// The head of an answer arrived that names the requests per second which the target takes from
     /// all nodes together, or (`None`) that names no such limit.
     NamedLimit(AttemptKey, Option<f64>),
+    /// The head of an answer arrived that says that its target is about to leave.
+    TargetLeaves(AttemptKey),
     /// The head of an answer arrived that says whether the targets of the service are brittle: they
     /// fall over if they have to turn away many requests.
     Brittle(AttemptKey, bool),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -252,6 +252,18 @@
         }
     }
 
+    /// Handles an answer that says that its target is about to leave. The target gets nothing more from
+    /// this node, whatever the platform lists.
+    pub(super) fn handle_leaving(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
+        let Some(attempt) = self.attempts.get(&key) else {
+            return;
+        };
+        if let Destination::Target(target) = attempt.destination {
+            let change = self.targets.record_leaving(now, target);
+            self.record_phase_change(now, change, "its own answer", out);
+        }
+    }
+
     /// Handles the end of an attempt.
     pub(super) fn end_attempt(
         &mut self,
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -260,7 +260,7 @@
                 match (leaving, state.phase) {
                     (true, Phase::Leaving | Phase::Drained) | (false, Phase::Drained) => None,
                     (true, _) => Some((key, Phase::Leaving)),
-                    (false, Phase::Leaving) => Some((key, Phase::Serving)),
+                    (false, Phase::Leaving) if !state.says_leaving() => Some((key, Phase::Serving)),
                     (false, _) => None,
                 }
             })
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -90,7 +90,9 @@
                 state.version = spec.version_id();
                 state.spec = spec.clone();
                 state.service = *service;
-                if state.phase == Phase::Gone {
+                if state.phase == Phase::Gone && state.says_leaving {
+                    state.phase = Phase::Leaving;
+                } else if state.phase == Phase::Gone {
                     state.phase = Phase::Serving;
                     state.slow_start = slow_start;
                     returned.push(*id);
@@ -579,7 +581,8 @@
             return None;
         }
         let returning = phase == Phase::Serving;
-        if returning && !matches!(state.phase, Phase::Leaving | Phase::Drained) {
+        let may_return = matches!(state.phase, Phase::Leaving | Phase::Drained);
+        if returning && (!may_return || state.says_leaving) {
             return None;
         }
         if returning {
@@ -588,6 +591,12 @@
         Some(Self::change_phase(state, phase))
     }
 
+    /// Records that a target says that it is about to leave. It is not used again.
+    pub fn record_leaving(&mut self, now: Time, key: TargetKey) -> Option<PhaseChange> {
+        self.get_mut(key).says_leaving = true;
+        self.set_phase(now, key, Phase::Leaving)
+    }
+
     /// Records a target's load report.
     pub fn record_report(&mut self, now: Time, key: TargetKey, report: LoadReport) {
         let state = self.get_mut(key);
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -85,6 +85,8 @@
     pub(super) starts: StartLimiter,
     /// Work of other nodes, by their own reports, with the time of receipt.
     pub(super) others: BTreeMap<VmId, (Time, TargetWork)>,
+    /// Whether it said in an answer that it is about to leave.
+    pub(super) says_leaving: bool,
     /// Room at it while it is brittle.
     pub(super) brittle: BrittleRoom,
     /// Whether connections to it hang, so that others are preferred.
@@ -131,6 +133,7 @@
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
             others: BTreeMap::new(),
+            says_leaving: false,
             brittle: BrittleRoom::default(),
             suspended: false,
             probed: None,
@@ -257,6 +260,11 @@
         rates.fold(f64::INFINITY, f64::min)
     }
 
+    /// Returns whether it said in an answer that it is about to leave.
+    pub(crate) fn says_leaving(&self) -> bool {
+        self.says_leaving
+    }
+
     /// Returns the slots that this node may use of a shared target.
     pub(super) fn usable_slots(&self, brittle: bool) -> u32 {
         match self.brittle.share {
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -99,6 +99,9 @@
     /// What is wrong with a limit that cannot be read.
     fn named_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, String>;
 
+    /// Returns whether a target states that it is about to leave.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Returns whether a target states that it falls over if it has to turn away many requests.
     fn is_brittle(&self, headers: &HeaderMap) -> bool;
 
@@ -182,6 +185,10 @@
         Ok(None)
     }
 
+    fn is_leaving(&self, _headers: &HeaderMap) -> bool {
+        false
+    }
+
     fn is_brittle(&self, _headers: &HeaderMap) -> bool {
         false
     }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -131,6 +131,9 @@
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         report_limit(runtime, to, class, &head.headers);
         report_brittle(runtime, to, class, &head.headers);
+        if class != ResponseClass::Mismatched && runtime.dialect.is_leaving(&head.headers) {
+            runtime.handle(Event::TargetLeaves(to.attempt));
+        }
     }
     if let Some(refusal) = status_refusal(runtime, to, head.status, &head.headers) {
         log_refusal(refusal.retry_after);
