--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -1,6 +1,7 @@
 //! Events that adapters report to a node.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use seam_protocol::{
     Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, VersionId, VmState,
@@ -90,6 +91,9 @@
     NamedLimit(AttemptKey, Option<f64>),
     /// The head of an answer arrived that says that its target is about to leave.
     TargetLeaves(AttemptKey),
+    /// The head of an answer arrived with status 503 and the time after which its target takes requests
+    /// again.
+    TargetClosed(AttemptKey, Duration),
     /// The head of an answer arrived that says whether the targets of the service are brittle: they
     /// fall over if they have to turn away many requests.
     Brittle(AttemptKey, bool),
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -363,6 +363,7 @@
             Event::Load(target, report) => self.record_load_report(now, target, report, out),
             Event::NamedLimit(attempt, rate) => self.handle_named_limit(now, attempt, rate, out),
             Event::TargetLeaves(attempt) => self.handle_leaving(now, attempt, out),
+            Event::TargetClosed(attempt, time) => self.handle_closed(now, attempt, time, out),
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
             Event::Cache(target, events) => self.record_cache_events(now, target, &events),
             Event::Drain { what, on, actor } => self.drain(now, what, on, &actor, out),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -264,6 +264,28 @@
         }
     }
 
+    /// Handles an answer that says for how long its target wants no requests. A short time is left to
+    /// the retries of single requests.
+    pub(super) fn handle_closed(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        time: Duration,
+        out: &mut Vec<Command>,
+    ) {
+        /// Shortest time that is kept.
+        const MIN_CLOSED: Duration = Duration::from_millis(500);
+        let Some(attempt) = self.attempts.get(&key) else {
+            return;
+        };
+        if let Destination::Target(target) = attempt.destination
+            && time >= MIN_CLOSED
+        {
+            let change = self.targets.close(target, now + time);
+            self.record_phase_change(now, change, "status 503 with Retry-After", out);
+        }
+    }
+
     /// Handles the end of an attempt.
     pub(super) fn end_attempt(
         &mut self,
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -591,6 +591,18 @@
         Some(Self::change_phase(state, phase))
     }
 
+    /// Ejects a target until the time at which it takes requests again, by its own answer.
+    pub fn close(&mut self, key: TargetKey, until: Time) -> Option<PhaseChange> {
+        let state = self.get_mut(key);
+        match state.phase {
+            Phase::Ejected(before) if before >= until => None,
+            Phase::Serving | Phase::Ejected(_) | Phase::Probing => {
+                Some(Self::change_phase(state, Phase::Ejected(until)))
+            }
+            Phase::Leaving | Phase::Drained | Phase::Gone => None,
+        }
+    }
+
     /// Records that a target says that it is about to leave. It is not used again.
     pub fn record_leaving(&mut self, now: Time, key: TargetKey) -> Option<PhaseChange> {
         self.get_mut(key).says_leaving = true;
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -131,6 +131,11 @@
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         report_limit(runtime, to, class, &head.headers);
         report_brittle(runtime, to, class, &head.headers);
+        if class != ResponseClass::Mismatched
+            && let Some(time) = closed_for(head)
+        {
+            runtime.handle(Event::TargetClosed(to.attempt, time));
+        }
         if class != ResponseClass::Mismatched && runtime.dialect.is_leaving(&head.headers) {
             runtime.handle(Event::TargetLeaves(to.attempt));
         }
@@ -202,6 +207,19 @@
     }
 }
 
+/// Returns the time for which a target wants no requests, if its response states one.
+fn closed_for(head: &response::Parts) -> Option<Duration> {
+    /// Longest time that a target is taken at its word for.
+    const MAX_CLOSED: Duration = Duration::from_secs(3600);
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = head.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let time = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(time.min(MAX_CLOSED))
+}
+
 /// Puts a connection into the pool once it can carry another request.
 async fn keep_connection(runtime: &NodeRuntime, to: TargetAttempt, mut connection: Connection) {
     if connection.ready().await.is_err() {
