Use the field's words for limits that targets advertise

Private words had come back (LimitWord, told, heard). Names only: AdvertisedLimit, TargetLimit, LimitAdvertised, received, reported. The label of received heartbeats in the metrics is received instead of heard.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -88,7 +88,7 @@
     Load(TargetId, LoadReport),
     /// The head of an answer arrived that names the requests per second which the target takes from
     /// all nodes together, or (`None`) that names no such limit.
-    NamedLimit(AttemptKey, Option<f64>),
+    LimitAdvertised(AttemptKey, Option<f64>),
     /// The head of an answer arrived that says that its target is about to leave.
     TargetLeaves(AttemptKey),
     /// The head of an answer arrived with status 503 and the time after which its target takes requests
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -213,7 +213,7 @@
     pub(crate) pending_items: Option<(u64, Time)>,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
-    pub(crate) limit_news: BTreeSet<TargetKey>,
+    pub(crate) changed_limits: BTreeSet<TargetKey>,
     pub(crate) regions: BTreeMap<VmId, RegionId>,
     pub(crate) boot: Time,
     /// Since when this node may own keys chosen by callers, under the current set of nodes and
@@ -293,7 +293,7 @@
             roster: None,
             pending_items: None,
             pending_update: work_update::PendingUpdate::default(),
-            limit_news: BTreeSet::new(),
+            changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
             boot: now,
             owner_since: now,
@@ -361,7 +361,9 @@
             }
             Event::VmList(list) => self.handle_vm_list(now, &list, out),
             Event::Load(target, report) => self.record_load_report(now, target, report, out),
-            Event::NamedLimit(attempt, rate) => self.handle_named_limit(now, attempt, rate, out),
+            Event::LimitAdvertised(attempt, rate) => {
+                self.handle_advertised_limit(now, attempt, rate, out);
+            }
             Event::TargetLeaves(attempt) => self.handle_leaving(now, attempt, out),
             Event::TargetClosed(attempt, time) => self.handle_closed(now, attempt, time, out),
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -262,7 +262,7 @@
         let ready = self.ready_nodes(now);
         self.targets.select_subset(now, self.id.vm, &ready);
         self.share_slots(now);
-        self.share_limits();
+        self.update_limit_shares();
     }
 
     /// Sets this node's share of each target's slots by the demand that nodes report in heartbeats.
--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use seam_protocol::heartbeat::NamedLimit;
+use seam_protocol::heartbeat::TargetLimit;
 use seam_protocol::{Heartbeat, ServiceId, TargetId, Time, VersionId, VmId};
 
 use super::Node;
@@ -10,20 +10,20 @@
 use crate::command::Command;
 use crate::handle::{AttemptKey, TargetKey};
 use crate::request::Destination;
-use crate::targets::{LimitWord, limit_share};
+use crate::targets::{AdvertisedLimit, limit_share};
 
 /// Maximum number of limits in a heartbeat.
 const MAX_LIMITS: usize = 4;
 /// The same maximum in a heartbeat to a node that may know none.
 const MAX_LIMITS_TO_NEW: usize = 64;
-/// Time for which the end of a limit is told to other nodes.
+/// Time for which the end of a limit is reported to other nodes.
 const ENDED_TTL: Duration = Duration::from_secs(30);
 
 /// Which limits to report in a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LimitSelection {
     /// Those that changed since the last work update.
-    News,
+    Changed,
     /// A few of all, by the receiver's turn.
     Turn(usize),
     /// All, for a node that may know none.
@@ -33,7 +33,7 @@
 impl Node {
     /// Handles the limit that an answer to an attempt names, in requests per second, or `None` for an
     /// answer without one.
-    pub(super) fn handle_named_limit(
+    pub(super) fn handle_advertised_limit(
         &mut self,
         now: Time,
         key: AttemptKey,
@@ -48,16 +48,20 @@
         };
         if rate.is_none() {
             // A target that named a limit while this request was already there may still name it.
-            let word = self.targets.get(target).rate_limit.word();
-            let is_end =
-                word.is_some_and(|word| word.rate.is_some() && word.heard < attempt.started);
+            let advertised = self.targets.get(target).rate_limit.advertised();
+            let is_end = advertised.is_some_and(|advertised| {
+                advertised.rate.is_some() && advertised.received < attempt.started
+            });
             if !is_end {
                 return;
             }
         }
-        let word = LimitWord { rate, heard: now };
-        if self.record_limit(now, target, word, "an answer", out) {
-            self.limit_news.insert(target);
+        let advertised = AdvertisedLimit {
+            rate,
+            received: now,
+        };
+        if self.record_limit(now, target, advertised, "an answer", out) {
+            self.changed_limits.insert(target);
             self.pending_update.mark_changed();
         }
         let service = self.targets.get(target).service;
@@ -82,27 +86,27 @@
         for limit in &heartbeat.limits {
             let valid = limit.rate.is_none_or(|rate| rate >= 0.0);
             if let Some(target) = self.targets.key(limit.target).filter(|_| valid) {
-                let word = LimitWord {
+                let advertised = AdvertisedLimit {
                     rate: limit.rate.map(f64::from),
-                    heard: now - Duration::from_millis(limit.age.into()),
+                    received: now - Duration::from_millis(limit.age.into()),
                 };
-                self.record_limit(now, target, word, &cause, out);
+                self.record_limit(now, target, advertised, &cause, out);
             }
         }
     }
 
-    /// Records what a target says of its limit, and audits a change. Returns whether there is one.
+    /// Records what a target advertises of its limit, and audits a change. Returns whether there is one.
     fn record_limit(
         &mut self,
         now: Time,
         target: TargetKey,
-        word: LimitWord,
+        advertised: AdvertisedLimit,
         cause: &str,
         out: &mut Vec<Command>,
     ) -> bool {
-        let old = self.targets.record_limit_word(target, word);
+        let old = self.targets.record_advertised_limit(target, advertised);
         let id = self.targets.get(target).id;
-        self.share_limit(target);
+        self.update_limit_share(target);
         let Some(old) = old else {
             return false;
         };
@@ -113,23 +117,23 @@
             now,
             Change::RateLimit,
             format!("target {id}"),
-            (text(old), text(word.rate)),
+            (text(old), text(advertised.rate)),
             cause,
         ));
         true
     }
 
     /// Sets this node's share of each limit that a target names.
-    pub(super) fn share_limits(&mut self) {
+    pub(super) fn update_limit_shares(&mut self) {
         let limited = self.targets.all();
         let limited = limited.filter(|(_, state)| state.rate_limit.rate().is_some());
         let keys: Vec<TargetKey> = limited.map(|(key, _)| key).collect();
         for key in keys {
-            self.share_limit(key);
+            self.update_limit_share(key);
         }
     }
 
-    fn share_limit(&mut self, target: TargetKey) {
+    fn update_limit_share(&mut self, target: TargetKey) {
         let state = self.targets.get(target);
         let Some(rate) = state.rate_limit.rate() else {
             return;
@@ -173,23 +177,25 @@
         selection: LimitSelection,
         heartbeat: &mut Heartbeat,
     ) {
-        let told = |word: &LimitWord| word.rate.is_some() || now.since(word.heard) < ENDED_TTL;
-        let is_news = |key: &TargetKey| self.limit_news.contains(key);
-        let mut limits: Vec<NamedLimit> = self
+        let is_reported = |advertised: &AdvertisedLimit| {
+            advertised.rate.is_some() || now.since(advertised.received) < ENDED_TTL
+        };
+        let is_changed = |key: &TargetKey| self.changed_limits.contains(key);
+        let mut limits: Vec<TargetLimit> = self
             .targets
             .all()
-            .filter(|(key, _)| selection != LimitSelection::News || is_news(key))
+            .filter(|(key, _)| selection != LimitSelection::Changed || is_changed(key))
             .filter_map(|(_, state)| {
-                let word = state.rate_limit.word().filter(told)?;
-                Some(NamedLimit {
+                let advertised = state.rate_limit.advertised().filter(is_reported)?;
+                Some(TargetLimit {
                     target: state.id,
-                    rate: word.rate.map(|rate| rate as f32),
-                    age: now.since(word.heard).as_millis() as u32,
+                    rate: advertised.rate.map(|rate| rate as f32),
+                    age: now.since(advertised.received).as_millis() as u32,
                 })
             })
             .collect();
         match selection {
-            LimitSelection::News => {}
+            LimitSelection::Changed => {}
             LimitSelection::Turn(turn) => {
                 let count = limits.len().max(1);
                 limits.rotate_left(turn * MAX_LIMITS % count);
@@ -217,7 +223,7 @@
     }
 
     /// Forgets the changes, once they were reported.
-    pub(super) fn clear_limit_news(&mut self) {
-        self.limit_news.clear();
+    pub(super) fn clear_changed_limits(&mut self) {
+        self.changed_limits.clear();
     }
 }
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -67,7 +67,7 @@
                 heartbeat.target_work = Some(own_work.clone());
                 heartbeat.prefilled.clone_from(&parts);
                 heartbeat.streams = self.streams.take_report(to);
-                self.list_limits(now, LimitSelection::News, &mut heartbeat);
+                self.list_limits(now, LimitSelection::Changed, &mut heartbeat);
                 out.push(Command::Heartbeat {
                     to,
                     address,
@@ -75,7 +75,7 @@
                 });
             }
         }
-        self.clear_limit_news();
+        self.clear_changed_limits();
     }
 
     /// Merges a work update of another node.
--- a/crates/seam-core/src/poison.rs
+++ b/crates/seam-core/src/poison.rs
@@ -128,7 +128,7 @@
     explained: Vec<Crash>,
     /// Digest of the candidates and of which of them are quarantined.
     digest: u32,
-    /// The candidate that was reported last to each node that was not told all of them at once.
+    /// The candidate that was reported last to each node that did not receive all of them at once.
     last_reported: BTreeMap<VmId, Fingerprint>,
     completed: Completions,
     answered: AnsweredParts,
--- a/crates/seam-core/src/poison/entry.rs
+++ b/crates/seam-core/src/poison/entry.rs
@@ -14,7 +14,7 @@
 /// The same time for a part to which there were answers, which is less likely to be the cause.
 const ANSWERED_SPAN: Duration = Duration::from_secs(1);
 /// Largest number of crashes that are kept, the newest ones. What is kept does not depend on the
-/// order in which nodes hear of them.
+/// order in which nodes receive them.
 const MAX_CRASHES: usize = 32;
 /// Crashes within this time of one that a part caused are taken for its doing as well.
 const EXPLAINED_SPAN: Duration = Duration::from_millis(500);
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -24,7 +24,7 @@
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
-pub use rate_limit::{LimitWord, RateLimit, limit_share};
+pub use rate_limit::{AdvertisedLimit, RateLimit, limit_share};
 pub use shared_rate::{RateShare, ShareLimiter};
 pub use sliding_window::SlidingWindow;
 pub use start_limit::StartLimiter;
@@ -316,9 +316,13 @@
         self.get_mut(key).cold.set(boot, until, share);
     }
 
-    /// Records what a target says of its rate limit. See [`RateLimit::record_word`].
-    pub fn record_limit_word(&mut self, key: TargetKey, word: LimitWord) -> Option<Option<f64>> {
-        self.get_mut(key).rate_limit.record_word(word)
+    /// Records what a target advertises of its rate limit. See [`RateLimit::record`].
+    pub fn record_advertised_limit(
+        &mut self,
+        key: TargetKey,
+        advertised: AdvertisedLimit,
+    ) -> Option<Option<f64>> {
+        self.get_mut(key).rate_limit.record(advertised)
     }
 
     /// Sets this node's share of the rate limit that a target names.
@@ -419,7 +423,7 @@
     pub fn begin_request(&mut self, now: Time, key: TargetKey, suspect: bool, work: PromptWork) {
         let state = self.get_mut(key);
         state.cold.record(now);
-        state.rate_limit.record(now);
+        state.rate_limit.record_request(now);
         state.starts.record(now);
         state.engine.begin_request(work);
         state.running += 1;
--- a/crates/seam-core/src/targets/rate_limit.rs
+++ b/crates/seam-core/src/targets/rate_limit.rs
@@ -20,69 +20,74 @@
 /// always reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a target last said about its limit, as this node or another one heard it.
+/// What a target advertises about its limit, as received by this node or another one.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitWord {
+pub struct AdvertisedLimit {
     /// Requests per second from all nodes together; `None` if the target names no limit.
     pub rate: Option<f64>,
     /// When the answer arrived.
-    pub heard: Time,
+    pub received: Time,
 }
 
 /// The rate limit of one target, and this node's share of it.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimit {
-    word: Option<LimitWord>,
+    last: Option<AdvertisedLimit>,
     /// The lowest rate that was named lately, and when.
     lowest: Option<(f64, Time)>,
     limiter: ShareLimiter,
-    reported: Option<LimitWord>,
+    reported: Option<AdvertisedLimit>,
 }
 
 impl RateLimit {
-    /// Records what a target says, unless it is older than what is known. Returns what it said
-    /// before, if that is worth a report.
+    /// Records what a target advertises, unless it is older than what is known. Returns the rate that
+    /// it advertised before, if the change is worth a report.
     ///
     /// ```
-    /// use seam_core::targets::{LimitWord, RateLimit};
+    /// use seam_core::targets::{AdvertisedLimit, RateLimit};
     /// use seam_protocol::Time;
     /// let mut limit = RateLimit::default();
-    /// let word = |rate, heard| LimitWord { rate, heard: Time(heard) };
-    /// limit.record_word(word(Some(1.0), 5_000_000));
-    /// limit.record_word(word(Some(8.0), 6_000_000));
+    /// let limit_at = |rate, received| AdvertisedLimit { rate, received: Time(received) };
+    /// limit.record(limit_at(Some(1.0), 5_000_000));
+    /// limit.record(limit_at(Some(8.0), 6_000_000));
     /// assert_eq!(limit.rate(), Some(1.0));
-    /// limit.record_word(word(Some(8.0), 10_000_000));
+    /// limit.record(limit_at(Some(8.0), 10_000_000));
     /// assert_eq!(limit.rate(), Some(8.0));
-    /// limit.record_word(word(None, 9_000_000));
+    /// limit.record(limit_at(None, 9_000_000));
     /// assert_eq!(limit.rate(), Some(8.0));
-    /// limit.record_word(word(None, 11_000_000));
+    /// limit.record(limit_at(None, 11_000_000));
     /// assert_eq!(limit.rate(), None);
     /// ```
-    pub fn record_word(&mut self, word: LimitWord) -> Option<Option<f64>> {
-        if self.word.is_some_and(|known| known.heard >= word.heard) {
+    pub fn record(&mut self, advertised: AdvertisedLimit) -> Option<Option<f64>> {
+        if self
+            .last
+            .is_some_and(|known| known.received >= advertised.received)
+        {
             return None;
         }
-        self.word = Some(word);
-        self.lowest = word.rate.map(|rate| {
-            let held = self
-                .lowest
-                .filter(|(lowest, named)| *lowest < rate && word.heard.since(*named) < RAISE_DELAY);
-            held.unwrap_or((rate, word.heard))
+        self.last = Some(advertised);
+        self.lowest = advertised.rate.map(|rate| {
+            let held = self.lowest.filter(|(lowest, named)| {
+                *lowest < rate && advertised.received.since(*named) < RAISE_DELAY
+            });
+            held.unwrap_or((rate, advertised.received))
         });
         let before = self.reported;
         let old = before.and_then(|before| before.rate);
-        let recent = before.is_some_and(|before| word.heard.since(before.heard) < REPORT_INTERVAL);
-        let is_news = old.is_some() != word.rate.is_some() || (old != word.rate && !recent);
+        let recent = before
+            .is_some_and(|before| advertised.received.since(before.received) < REPORT_INTERVAL);
+        let is_news =
+            old.is_some() != advertised.rate.is_some() || (old != advertised.rate && !recent);
         if is_news {
-            self.reported = Some(word);
+            self.reported = Some(advertised);
         }
         is_news.then_some(old)
     }
 
-    /// Returns the last word of the target.
+    /// Returns what the target advertised last.
     #[must_use]
-    pub fn word(&self) -> Option<LimitWord> {
-        self.word
+    pub fn advertised(&self) -> Option<AdvertisedLimit> {
+        self.last
     }
 
     /// Returns the limit in force, in requests per second from all nodes together.
@@ -103,7 +108,7 @@
     }
 
     /// Records a request that is being sent.
-    pub fn record(&mut self, now: Time) {
+    pub fn record_request(&mut self, now: Time) {
         if self.lowest.is_some() {
             self.limiter.record(now);
         }
--- a/crates/seam-core/tests/crash_attribution.rs
+++ b/crates/seam-core/tests/crash_attribution.rs
@@ -160,7 +160,7 @@
 }
 
 /// Guards against refusing prompts that share a part with a request which crashes targets itself,
-/// and arrives at several nodes before they have told each other.
+/// and arrives at several nodes before they have reported it to each other.
 #[test]
 fn request_with_part() {
     let mut nodes = [(); 3].map(|()| PoisonTable::default());
@@ -182,7 +182,7 @@
     assert!(!table.suspected(NEIGHBOUR));
 }
 
-/// Guards against crashes that two nodes keep differently, depending on which they heard of first.
+/// Guards against crashes that two nodes keep differently, depending on which they received first.
 #[test]
 fn any_order() {
     let crashes: Vec<(u64, u32)> = (0..40)
@@ -238,7 +238,7 @@
     assert!(table.take_updates(at(700), usize::MAX).is_empty());
 }
 
-/// Guards against a quarantine of which two peers, told in turn, each hear only a part.
+/// Guards against a quarantine of which two peers that get reports in turn each receive only a part.
 #[test]
 fn two_receivers() {
     const LIMIT: usize = 24;
@@ -253,9 +253,9 @@
             }
         }
         let now = at(3 * count);
-        let mut told = [PoisonTable::default(), PoisonTable::default()];
+        let mut receivers = [PoisonTable::default(), PoisonTable::default()];
         for _ in 0..20 {
-            for (receiver, vm) in told.iter_mut().zip([VmId(1), VmId(2)]) {
+            for (receiver, vm) in receivers.iter_mut().zip([VmId(1), VmId(2)]) {
                 for report in table.take_candidates(now, vm, LIMIT) {
                     if let SuspectReport::Request(suspect, crashes) = report {
                         receiver.merge_suspect(now, suspect, Some(&crashes));
@@ -263,7 +263,7 @@
                 }
             }
         }
-        for receiver in &told {
+        for receiver in &receivers {
             assert_eq!(receiver.len(), count as usize);
             assert_eq!(receiver.digest(), table.digest());
         }
--- a/crates/seam-core/tests/rate_limits.rs
+++ b/crates/seam-core/tests/rate_limits.rs
@@ -39,7 +39,7 @@
     for (node, attempt, to) in sends {
         if to == named {
             arrived.push(fleet.now);
-            fleet.handle(node, Event::NamedLimit(attempt, rate));
+            fleet.handle(node, Event::LimitAdvertised(attempt, rate));
         }
         fleet.handle(node, Event::AttemptEnded(attempt, COMPLETE));
     }
@@ -90,7 +90,7 @@
 }
 
 /// Guards against a limit that only the node knows to which it was named, against one that a
-/// restarted node doesn't hear of, and against one that goes on at some node.
+/// restarted node doesn't receive, and against one that goes on at some node.
 #[test]
 fn peers_hear() {
     let targets = [("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)];
@@ -124,7 +124,7 @@
             fleet.arrive(0, arrival(ticket, "view", PLAIN, 2));
         }
         for (node, attempt, _) in fleet.sends() {
-            fleet.handle(node, Event::NamedLimit(attempt, Some(1.0)));
+            fleet.handle(node, Event::LimitAdvertised(attempt, Some(1.0)));
             fleet.handle(node, Event::AttemptEnded(attempt, COMPLETE));
         }
         let known = |fleet: &Fleet, node: usize| {
--- a/crates/seam-harness/src/fault.rs
+++ b/crates/seam-harness/src/fault.rs
@@ -77,7 +77,7 @@
         percent: u32,
     },
     /// A target names a rate limit in its answers, or none any more.
-    NameLimit {
+    AdvertiseLimit {
         /// Target name.
         target: String,
         /// Thousandths of a request per second from all nodes together.
--- a/crates/seam-harness/src/mutation.rs
+++ b/crates/seam-harness/src/mutation.rs
@@ -77,8 +77,8 @@
                 }
                 Event::Bundle(Arc::new(bundle))
             }
-            (Self::WholeLimit, Event::NamedLimit(attempt, rate)) => {
-                Event::NamedLimit(attempt, rate.map(|rate| rate * f64::from(FACTOR)))
+            (Self::WholeLimit, Event::LimitAdvertised(attempt, rate)) => {
+                Event::LimitAdvertised(attempt, rate.map(|rate| rate * f64::from(FACTOR)))
             }
             (_, event) => event,
         }
--- a/crates/seam-harness/src/target.rs
+++ b/crates/seam-harness/src/target.rs
@@ -25,25 +25,25 @@
 
 /// A limit of the requests from all nodes together, and what the target got since it named it.
 #[derive(Clone, Debug)]
-pub struct NamedLimit {
+pub struct FakeLimit {
     /// Requests per second.
     pub rate: f64,
     /// Since when it is named.
     pub since: Time,
     /// When each process first received an answer that names it.
-    pub told: BTreeMap<(VmId, Incarnation), Time>,
-    /// Recent requests from nodes that had been told.
+    pub received: BTreeMap<(VmId, Incarnation), Time>,
+    /// Recent requests from nodes that had received it.
     pub arrivals: VecDeque<Time>,
 }
 
-impl NamedLimit {
+impl FakeLimit {
     /// Returns a limit that is named from now on.
     #[must_use]
     pub fn new(now: Time, rate: f64) -> Self {
         Self {
             rate,
             since: now,
-            told: BTreeMap::new(),
+            received: BTreeMap::new(),
             arrivals: VecDeque::new(),
         }
     }
@@ -51,9 +51,9 @@
     /// Records a request of a settled node. Returns the number of requests within four seconds
     /// if it exceeds what the limit allows.
     pub fn record_arrival(&mut self, now: Time, from: (VmId, Incarnation)) -> Option<usize> {
-        let told = self.told.get(&from);
-        let was_told = told.is_some_and(|told| now.since(*told) >= NOTICE_TIME);
-        if !was_told || now.since(self.since) < CONTACT_TIME {
+        let received = self.received.get(&from);
+        let knows = received.is_some_and(|received| now.since(*received) >= NOTICE_TIME);
+        if !knows || now.since(self.since) < CONTACT_TIME {
             return None;
         }
         self.arrivals.push_back(now);
@@ -87,7 +87,7 @@
     /// Whether the platform lists it as leaving.
     pub leaving: bool,
     /// Limit that it names in its answers.
-    pub limit: Option<NamedLimit>,
+    pub limit: Option<FakeLimit>,
     /// Running requests with their start times.
     pub running: BTreeMap<RunId, Time>,
     /// Requests in the target's queue.
--- a/crates/seam-harness/src/world/faults.rs
+++ b/crates/seam-harness/src/world/faults.rs
@@ -10,7 +10,7 @@
 use crate::fault::Fault;
 use crate::mutation::Mutation;
 use crate::oracle::{Breach, CONTACT_TIME};
-use crate::target::NamedLimit;
+use crate::target::FakeLimit;
 
 /// Time within which nodes read the configuration after the service is reachable again.
 const RECOVERY_TIME: Duration = Duration::from_secs(30);
@@ -83,8 +83,8 @@
                     fake.slowdown = f64::from(*percent) / 100.0;
                 }
             }
-            Fault::NameLimit { target, millis } => {
-                let limit = millis.map(|millis| NamedLimit::new(self.now, millis as f64 / 1000.0));
+            Fault::AdvertiseLimit { target, millis } => {
+                let limit = millis.map(|millis| FakeLimit::new(self.now, millis as f64 / 1000.0));
                 if let Some(fake) = self.targets.get_mut(&TargetId::of(target)) {
                     fake.limit = limit;
                 }
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -149,11 +149,11 @@
         let limit = self.targets.get_mut(&target);
         let limit = limit.and_then(|fake| fake.limit.as_mut());
         let rate = limit.map(|limit| {
-            limit.told.entry((vm, incarnation)).or_insert(now);
+            limit.received.entry((vm, incarnation)).or_insert(now);
             limit.rate
         });
         if rate.is_some() || known {
-            self.handle(vm, Event::NamedLimit(attempt, rate));
+            self.handle(vm, Event::LimitAdvertised(attempt, rate));
         }
     }
 
--- a/crates/seam-harness/tests/rate_limits.rs
+++ b/crates/seam-harness/tests/rate_limits.rs
@@ -60,7 +60,7 @@
 
 fn name_limit(world: &mut World, target: &str, millis: Option<u64>) {
     let target = target.to_owned();
-    world.inject_fault(&Fault::NameLimit { target, millis });
+    world.inject_fault(&Fault::AdvertiseLimit { target, millis });
 }
 
 fn over_rate(world: &World) -> Vec<&Breach> {
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -97,7 +97,7 @@
     ///
     /// # Errors
     /// What is wrong with a limit that cannot be read.
-    fn named_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, String>;
+    fn advertised_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, String>;
 
     /// Returns whether a target states that it is about to leave.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
@@ -181,7 +181,7 @@
         None
     }
 
-    fn named_limit(&self, _headers: &HeaderMap) -> Result<Option<f64>, String> {
+    fn advertised_limit(&self, _headers: &HeaderMap) -> Result<Option<f64>, String> {
         Ok(None)
     }
 
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -54,7 +54,7 @@
             revision: gauge("seam_revision", "revision in force"),
             held: gauge("seam_requests_held", "requests without a final answer"),
             keys: gauge("seam_keys_held", "idempotency keys held"),
-            peers: gauge("seam_peers_alive", "nodes heard of within their lease"),
+            peers: gauge("seam_peers_alive", "nodes with a record within its lease"),
             queued: gauge("seam_queued", "requests that wait, by service"),
             running: gauge("seam_running", "requests at targets, by service"),
             load: gauge("seam_target_load", "estimated requests at a target"),
@@ -195,7 +195,7 @@
 
     /// Counts a received heartbeat.
     pub fn heartbeat_received(&self, bytes: usize) {
-        self.count_heartbeat("heard", bytes);
+        self.count_heartbeat("received", bytes);
     }
 
     /// Counts a datagram that is not a valid heartbeat of this deployment.
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -173,7 +173,7 @@
     class: ResponseClass,
     headers: &http::HeaderMap,
 ) {
-    let limit = match runtime.dialect.named_limit(headers) {
+    let limit = match runtime.dialect.advertised_limit(headers) {
         _ if class == ResponseClass::Mismatched => return,
         Ok(limit) => limit,
         Err(detail) => {
@@ -186,7 +186,7 @@
         known && class == ResponseClass::Valid
     };
     if limit.is_some() || ended() {
-        runtime.handle(Event::NamedLimit(to.attempt, limit));
+        runtime.handle(Event::LimitAdvertised(to.attempt, limit));
     }
 }
 
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -124,7 +124,7 @@
 
 /// The limit that a target names for the requests of all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct NamedLimit {
+pub struct TargetLimit {
     /// The target.
     pub target: TargetId,
     /// Requests per second; `None` if the target names no limit any more.
@@ -261,7 +261,7 @@
     pub suspect_parts: Vec<SuspectPart>,
     /// Limits that targets of the sender's region name. They come next, for the same reason.
     #[serde(skip)]
-    pub limits: Vec<NamedLimit>,
+    pub limits: Vec<TargetLimit>,
     /// Origins of streams. They come last, for the same reason.
     #[serde(skip)]
     pub streams: StreamReport,
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,6 +1,6 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
-use seam_protocol::heartbeat::{CrashReport, NamedLimit, QuarantineReport, Suspect, SuspectPart};
+use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect, SuspectPart, TargetLimit};
 use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
 fn heartbeat() -> Heartbeat {
@@ -65,7 +65,7 @@
 fn limits_kept() {
     let mut heartbeat = heartbeat();
     heartbeat.limits = [Some(0.2), None]
-        .map(|rate| NamedLimit {
+        .map(|rate| TargetLimit {
             target: TargetId(5),
             rate,
             age: 1500,
