End a probe with its result

A failed probe of a crashed target counted as accepted if the target had answered after some earlier probe, begun while it was silent: the time of that probe was never forgotten, so the target got requests again. Found by reading the change of silent targets; crash_after_silence failed before and passes now.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -116,7 +116,7 @@
             return;
         };
         // A target that answered meanwhile was only silent.
-        let accepted = accepted || self.targets.answered_since_probe(key);
+        let accepted = self.targets.end_probe(key) || accepted;
         let change = self.targets.record_probe(now, key, accepted);
         self.record_phase_change(now, change, "probe", out);
         if let Some(watch) = self.crash_watches.remove(&key)
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -490,11 +490,11 @@
         state.suspended = false;
     }
 
-    /// Returns whether a target answered after the last probe began.
-    #[must_use]
-    pub fn answered_since_probe(&self, key: TargetKey) -> bool {
-        let state = self.get(key);
-        state.probed.is_some() && state.answered > state.probed
+    /// Ends a probe that began beside requests. Returns whether the target answered one meanwhile.
+    pub fn end_probe(&mut self, key: TargetKey) -> bool {
+        let state = self.get_mut(key);
+        let probed = state.probed.take();
+        probed.is_some() && state.answered > probed
     }
 
     /// Records whether the targets of a service are brittle.
@@ -550,6 +550,7 @@
                 && until <= now
             {
                 state.phase = Phase::Probing;
+                state.probed = None;
                 due.push((state.id, state.spec.address));
             }
         }
--- a/crates/seam-core/tests/silent_targets.rs
+++ b/crates/seam-core/tests/silent_targets.rs
@@ -141,3 +141,32 @@
     fleet.handle(0, probed);
     assert_eq!(cancels(&fleet), 1, "the connection is at fault");
 }
+
+/// Guards against a crashed target that gets requests again, since it answered after an earlier probe
+/// while it was silent.
+#[test]
+fn crash_after_silence() {
+    let mut fleet = settled(&[("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)]);
+    let (attempt, target) = send(&mut fleet, 1);
+    fleet.handle(0, Event::Sending(attempt));
+    fleet.wait(Duration::from_millis(400));
+    fleet.handle(0, Event::Silent(attempt));
+    fleet.wait(Duration::from_millis(100));
+    fleet.complete(0, attempt);
+    let probed = |accepted| Event::Probed { target, accepted };
+    fleet.handle(0, probed(true));
+    let next = (2..40).find_map(|ticket| {
+        let (attempt, to) = send(&mut fleet, ticket);
+        (to == target).then_some(attempt)
+    });
+    let attempt = next.expect("the target gets a request");
+    fleet.handle(0, Event::AttemptEnded(attempt, AttemptOutcome::NotSent));
+    assert_eq!(ejections(&fleet), 1);
+    fleet.commands.clear();
+    fleet.wait(Duration::from_secs(3));
+    assert_eq!(probes(&fleet, target), 1);
+    fleet.handle(0, probed(false));
+    for ticket in 40..80 {
+        assert_ne!(send(&mut fleet, ticket).1, target, "it is down");
+    }
+}
