Note the silence of attempts at other nodes again

The change of silent targets no longer noted it, so such an attempt would have ended as broken instead of silent. Found by reading the change; the adapter reports no such silence today, and no test failed.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -73,14 +73,9 @@
         let Some(attempt) = self.attempts.get(&key) else {
             return;
         };
-        let target = match attempt.destination {
-            Destination::Target(target) => target,
-            Destination::Node { .. } => {
-                self.cancel(key, out);
-                return;
-            }
-        };
-        let limit = self.silence(self.targets.get(target).service);
+        let destination = attempt.destination;
+        let request = self.requests.get(&attempt.ticket);
+        let limit = request.map_or(MAX_SILENCE, |request| self.silence(request.service));
         if let Some(attempt) = self.attempts.get_mut(&key) {
             // A silence that goes on is reported again after each limit.
             let goes_on = |silence: &Silence| now.since(silence.reported) < limit + limit / 2;
@@ -90,7 +85,12 @@
                 reported: now,
             });
         }
-        self.probe(now, target, MAX_SILENCE.saturating_sub(limit), out);
+        match destination {
+            Destination::Target(target) => {
+                self.probe(now, target, MAX_SILENCE.saturating_sub(limit), out);
+            }
+            Destination::Node { .. } => self.cancel(key, out),
+        }
     }
 
     /// Probes a target, for at least `patience` while connections to it hang.
