Start with settings that the platform writes in another form

Callers saw: nothing, no process of the small twin of the large deployment started. Cause: retries = 35.833 where a whole number was wanted; settings are rendered on all nodes at once, and one unreadable optional value ended each process.

Optional numbers are read in any form and rounded down; out of range, they count as the nearest bound; what cannot be read costs its feature and an error line.

--- a/crates/seam-config/src/check.rs
+++ b/crates/seam-config/src/check.rs
@@ -75,6 +75,7 @@
         self.diagnostics.0.push(Diagnostic {
             file: location.file.clone(),
             line,
+            optional: false,
             kind,
         });
     }
--- a/crates/seam-config/src/error.rs
+++ b/crates/seam-config/src/error.rs
@@ -114,6 +114,8 @@
     pub file: PathBuf,
     /// Line, from 1; 0 means the whole file.
     pub line: usize,
+    /// Whether a node can start without the value.
+    pub optional: bool,
     /// What is wrong.
     pub kind: DiagnosticKind,
 }
--- a/crates/seam-config/src/gather.rs
+++ b/crates/seam-config/src/gather.rs
@@ -45,6 +45,7 @@
     Diagnostic {
         file: path.to_owned(),
         line: 0,
+        optional: false,
         kind: DiagnosticKind::Unreadable {
             message: error.to_string(),
         },
--- a/crates/seam-config/src/reader.rs
+++ b/crates/seam-config/src/reader.rs
@@ -51,12 +51,22 @@
         before.matches('\n').count() + 1
     }
 
-    /// Adds a diagnostic at a byte offset.
+    /// Adds a diagnostic of a required value at a byte offset.
     pub fn report(&mut self, offset: usize, kind: DiagnosticKind) {
+        self.push(offset, kind, false);
+    }
+
+    /// Adds a diagnostic of an optional value at a byte offset.
+    pub fn report_optional(&mut self, offset: usize, kind: DiagnosticKind) {
+        self.push(offset, kind, true);
+    }
+
+    fn push(&mut self, offset: usize, kind: DiagnosticKind, optional: bool) {
         let line = self.line(offset);
         self.diagnostics.0.push(Diagnostic {
             file: self.path.to_owned(),
             line,
+            optional,
             kind,
         });
     }
@@ -104,6 +114,7 @@
         FieldType::String => "a text".to_owned(),
         FieldType::Integer(from, to) => format!("a whole number from {from} to {to}"),
         FieldType::Float(from, to) => format!("a number from {from} to {to}"),
+        FieldType::Rounded(from, to) => format!("a number from {from} to {to}, rounded down"),
         FieldType::Boolean => "true or false".to_owned(),
         FieldType::Strings => "a list of texts".to_owned(),
         FieldType::Integers(from, to) => format!("a list of whole numbers from {from} to {to}"),
@@ -122,13 +133,13 @@
         .filter(|number| (from..=to).contains(number))
 }
 
-fn parse_float(value: &DeValue, from: f64, to: f64) -> Option<f64> {
+fn parse_number(value: &DeValue) -> Option<f64> {
     let number = match value {
-        DeValue::Integer(number) => number.as_str().parse().ok()?,
+        DeValue::Integer(number) => number.as_str().parse::<f64>().ok()?,
         DeValue::Float(number) => number.as_str().parse::<f64>().ok()?,
         _ => return None,
     };
-    (from..=to).contains(&number).then_some(number)
+    (!number.is_nan()).then_some(number)
 }
 
 fn parse_strings(value: &DeValue) -> Option<Vec<(String, Range<usize>)>> {
@@ -171,7 +182,7 @@
                     section: name.clone(),
                     nearest: nearest(field, known.iter().copied()),
                 };
-                file.report(key.span().start, kind);
+                file.report_optional(key.span().start, kind);
             }
         }
         Self {
@@ -241,7 +252,11 @@
             found: found.to_owned(),
             expected: expected.to_owned(),
         };
-        file.report(start, kind);
+        if self.field(name).default.is_some() {
+            file.report_optional(start, kind);
+        } else {
+            file.report(start, kind);
+        }
     }
 
     /// Returns the byte offset of a field's value, or of the table if the field is absent.
@@ -285,22 +300,42 @@
             .unwrap_or(from) as u64
     }
 
-    /// Reads an integer. Returns `None` without a diagnostic if it is absent.
-    pub fn optional_integer(&self, file: &mut ConfigFile, name: &str) -> Option<u64> {
-        self.table.get(name)?;
-        Some(self.integer(file, name))
-    }
-
-    /// Reads a number. Returns the default if it is absent or invalid.
+    /// Reads a number. Returns the default if it is absent or no number, and the nearest bound, with
+    /// a diagnostic, if it is out of range.
     pub fn float(&self, file: &mut ConfigFile, name: &str) -> f64 {
         let field = self.field(name);
         let FieldType::Float(from, to) = field.field_type else {
             unreachable!("{name} is not a number in the schema");
         };
-        let default = || field.default.and_then(|text| text.parse().ok());
-        self.get(file, name, |value| parse_float(value, from, to))
-            .or_else(default)
-            .unwrap_or(from)
+        self.clamped(file, field, from, to)
+    }
+
+    /// Reads a number and rounds it down. Absent, invalid and out of range are as for
+    /// [`Table::float`]; without a default, the lower bound replaces an invalid value.
+    pub fn rounded(&self, file: &mut ConfigFile, name: &str) -> u64 {
+        let field = self.field(name);
+        let FieldType::Rounded(from, to) = field.field_type else {
+            unreachable!("{name} is not a rounded number in the schema");
+        };
+        self.clamped(file, field, from as f64, to as f64) as u64
+    }
+
+    /// Reads a number and rounds it down. Returns `None` without a diagnostic if it is absent.
+    pub fn optional_rounded(&self, file: &mut ConfigFile, name: &str) -> Option<u64> {
+        self.table.get(name)?;
+        Some(self.rounded(file, name))
+    }
+
+    fn clamped(&self, file: &mut ConfigFile, field: &'static Field, from: f64, to: f64) -> f64 {
+        let Some(number) = self.get(file, field.name, parse_number) else {
+            let default = field.default.and_then(|text| text.parse().ok());
+            return default.unwrap_or(from);
+        };
+        if !(from..=to).contains(&number) {
+            let found = format!("the number {number}");
+            self.report_value(file, field.name, &found, &describe_type(field.field_type));
+        }
+        number.clamp(from, to)
     }
 
     /// Reads a boolean. Returns the default if it is absent or invalid.
--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -12,6 +12,8 @@
     Integer(i64, i64),
     /// A number in a range.
     Float(f64, f64),
+    /// A number in a range, rounded down to an integer.
+    Rounded(i64, i64),
     /// A boolean.
     Boolean,
     /// A list of strings.
@@ -301,20 +303,20 @@
 /// Top level of a node's settings.
 pub const NODE: Section = Section {
     header: "top level of a node's settings",
-    doc: "Read by `toucanseam --settings FILE`. Relative paths are relative to the folder of the file.",
+    doc: "Read by `toucanseam --settings FILE`. Relative paths are relative to the folder of the file. A node starts without an optional field that it cannot read and logs an error; a number out of its range counts as the nearest bound. `--check` and a reload refuse such a file.",
     fields: &[
         required("name", FieldType::String, "name of this VM, as published"),
         required("region", FieldType::String, "its region"),
         required("centre", FieldType::String, "its data centre"),
         optional(
             "workers",
-            FieldType::Integer(1, 64),
+            FieldType::Rounded(1, 64),
             "2",
             "number of worker threads; read only at start",
         ),
         optional(
             "drain_limit_s",
-            FieldType::Integer(1, 3600),
+            FieldType::Float(0.0, 3600.0),
             "60",
             "seconds between SIGTERM and the abort of the requests still in flight",
         ),
@@ -326,19 +328,19 @@
         ),
         optional(
             "connections",
-            FieldType::Integer(16, 1_000_000),
+            FieldType::Rounded(16, 1_000_000),
             "10000",
             "maximum concurrent connections from callers",
         ),
         optional(
             "body_memory_mb",
-            FieldType::Integer(1, 1_000_000),
+            FieldType::Rounded(1, 1_000_000),
             "64",
             "maximum memory in megabytes for the bodies of requests in flight",
         ),
         optional(
             "retries",
-            FieldType::Integer(1, MAX_COUNT),
+            FieldType::Rounded(0, MAX_COUNT),
             "no bound",
             "maximum burst of retries to a service over all nodes; only with [items]",
         ),
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use seam_protocol::bundle::Deployment;
 use seam_protocol::{Bundle, CentreId, DataCentre, Region, RegionId};
@@ -166,8 +167,8 @@
     pub centre: String,
     /// Worker threads.
     pub workers: usize,
-    /// Seconds after which a drain aborts the remaining requests.
-    pub drain_limit: u64,
+    /// Time after which a drain aborts the remaining requests.
+    pub drain_limit: Duration,
     /// Maximum concurrent connections from callers.
     pub connections: usize,
     /// Maximum memory in bytes for the bodies of requests in flight.
@@ -189,10 +190,25 @@
 /// # Errors
 /// [`ConfigError::Invalid`] with every error of the file.
 pub fn load(path: &Path) -> Result<Settings, ConfigError> {
+    let (settings, diagnostics) = load_tolerant(path)?;
+    if diagnostics.0.is_empty() {
+        Ok(settings)
+    } else {
+        Err(ConfigError::Invalid { diagnostics })
+    }
+}
+
+/// Reads a node's settings and the files of its secrets. Errors in optional fields are returned
+/// beside the settings, which have the defaults there.
+///
+/// # Errors
+/// [`ConfigError::Invalid`] with every error of the file, if one concerns a required field.
+pub fn load_tolerant(path: &Path) -> Result<(Settings, Diagnostics), ConfigError> {
     let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Invalid {
         diagnostics: Diagnostics(vec![Diagnostic {
             file: path.to_owned(),
             line: 0,
+            optional: false,
             kind: DiagnosticKind::Unreadable {
                 message: error.to_string(),
             },
@@ -209,11 +225,12 @@
         );
         read(&mut file, path, &table)
     });
+    let diagnostics = file.diagnostics;
     match settings {
-        Some(settings) if file.diagnostics.0.is_empty() => Ok(settings),
-        _ => Err(ConfigError::Invalid {
-            diagnostics: file.diagnostics,
-        }),
+        Some(settings) if diagnostics.0.iter().all(|found| found.optional) => {
+            Ok((settings, diagnostics))
+        }
+        _ => Err(ConfigError::Invalid { diagnostics }),
     }
 }
 
@@ -221,10 +238,10 @@
     let name = table.string(file, "name");
     let region = table.string(file, "region");
     let centre = table.string(file, "centre");
-    let workers = table.integer(file, "workers") as usize;
-    let drain_limit = table.integer(file, "drain_limit_s");
-    let connections = table.integer(file, "connections") as usize;
-    let body_memory = (table.integer(file, "body_memory_mb") as usize) << 20;
+    let workers = table.rounded(file, "workers") as usize;
+    let drain_limit = Duration::from_secs_f64(table.float(file, "drain_limit_s"));
+    let connections = table.rounded(file, "connections") as usize;
+    let body_memory = (table.rounded(file, "body_memory_mb") as usize) << 20;
     let seeds = read_seeds(file, table);
     let listen = table.table(file, "listen", &schema::LISTEN);
     let listen = listen.and_then(|table| {
@@ -278,6 +295,7 @@
         {
             let found = "both [platform] and [items]";
             table.report_value(file, "platform", found, "only one of them");
+            return None;
         }
         return read_items(file, table, &items).map(Source::Items);
     }
@@ -313,9 +331,10 @@
     }
     if zones.is_empty() {
         table.report_value(file, "zones", "nothing", "the region of each data centre");
+        return None;
     }
     let retries = table
-        .optional_integer(file, "retries")
+        .optional_rounded(file, "retries")
         .map(|limit| limit as u32);
     Some(Items {
         store: store?,
--- a/crates/seam-fleet/src/lib.rs
+++ b/crates/seam-fleet/src/lib.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use seam_config::settings::{
     Listen, LogFormat, LogSettings, Platform as PlatformSettings, Secrets, Source,
@@ -45,7 +46,7 @@
         region: region.to_owned(),
         centre: String::new(),
         workers: 1,
-        drain_limit: 60,
+        drain_limit: Duration::from_secs(60),
         connections: 10_000,
         body_memory: 64 << 20,
         seeds: Vec::new(),
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -259,7 +259,7 @@
     /// Waits until no request is in flight, the drain limit passes, or `abort` completes. Returns
     /// the number of requests that are aborted.
     pub async fn finish(self, abort: impl Future<Output = ()>) -> usize {
-        let limit = Duration::from_secs(self.runtime.settings().drain_limit);
+        let limit = self.runtime.settings().drain_limit;
         let limit = limit.saturating_sub(DRAIN_MARGIN);
         let runtime = self.runtime.clone();
         let drained = async {
--- a/crates/toucanseam/src/main.rs
+++ b/crates/toucanseam/src/main.rs
@@ -25,14 +25,18 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match seam_config::settings::load(&arguments.settings) {
-        Ok(settings) => settings,
+    let (settings, diagnostics) = match seam_config::settings::load_tolerant(&arguments.settings) {
+        Ok(loaded) => loaded,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::FAILURE;
         }
     };
     if arguments.check {
+        if !diagnostics.0.is_empty() {
+            eprintln!("{diagnostics}");
+            return ExitCode::FAILURE;
+        }
         println!("{} is valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
@@ -40,6 +44,9 @@
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
+    for diagnostic in &diagnostics.0 {
+        log::error!("optional setting not used as written: {diagnostic}");
+    }
     seam_http::start_workers(settings.workers);
     seam_http::block_on(run(arguments.settings, settings))
 }
