Keep the directory inside the regions that a host is bound to

Cause: with no ready node in the asked region, the directory named those of its own region, whatever the routes of the host allow. Ruled out: forwarding, which checks residency before a body leaves. Now the regions that may process all requests of the host come first. directory_keeps_homes fails on the code before.

--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -264,10 +264,16 @@
     /// each caller gets a small subset in which heavy nodes are more likely. The subset of a caller
     /// is stable, since callers close connections to nodes that are no longer listed.
     #[must_use]
-    pub fn directory(&self, now: Time, region: Option<RegionId>, caller: u64) -> Vec<SocketAddr> {
+    pub fn directory(
+        &self,
+        now: Time,
+        region: Option<RegionId>,
+        host: Option<&str>,
+        caller: u64,
+    ) -> Vec<SocketAddr> {
         /// Enough nodes to tolerate the loss of some, few enough for weights to take effect.
         const SUBSET_SIZE: usize = 6;
-        let mut nodes = self.nodes_for_callers(now, region);
+        let mut nodes = self.nodes_for_callers(now, region, host);
         let even = nodes
             .windows(2)
             .all(|pair| pair[0].1.weight == pair[1].1.weight);
@@ -279,8 +285,14 @@
         nodes.into_iter().map(|(_, vm)| vm.caller).collect()
     }
 
-    /// Returns the ready nodes of a region, or of this node's region if there are none.
-    fn nodes_for_callers(&self, now: Time, region: Option<RegionId>) -> Vec<(VmId, &Vm)> {
+    /// Returns the ready nodes of a region, or else of this node's region. For a host with routes that
+    /// are bound to regions, the nodes of these regions come before those of this node's region.
+    fn nodes_for_callers(
+        &self,
+        now: Time,
+        region: Option<RegionId>,
+        host: Option<&str>,
+    ) -> Vec<(VmId, &Vm)> {
         let Some(bundle) = self.bundle.as_ref().filter(|_| self.configured()) else {
             return Vec::new();
         };
@@ -291,10 +303,15 @@
                 .collect()
         };
         let nodes = nodes_in(region);
-        if nodes.is_empty() {
-            nodes_in(self.id.region)
-        } else {
-            nodes
+        if !nodes.is_empty() {
+            return nodes;
+        }
+        let own = nodes_in(self.id.region);
+        match host.and_then(|host| bundle.routes.home_regions(host)) {
+            Some(homes) if !homes.contains(&self.id.region) || own.is_empty() => {
+                homes.into_iter().flat_map(nodes_in).collect()
+            }
+            _ => own,
         }
     }
 }
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -26,6 +26,8 @@
 pub const PLAIN: &str = "desk";
 /// Indices of the seed nodes that every node is given at its start. The last one does not exist.
 pub const SEEDS: [usize; 3] = [0, 1, 99];
+/// Host whose only route is bound to the north.
+pub const HOME_HOST: &str = "home.example";
 /// Name of a target that is cold after its start.
 pub const COLD_TARGET: &str = "e-cold";
 
@@ -103,6 +105,13 @@
             .insert(CustomerId::of(&route.name), route.customer());
         bundle.routes.insert("salon.example", route);
     }
+    let mut home = route("ledger", PLAIN, RetryPolicy::Once, 1);
+    home.home_regions = Some(BTreeSet::from([RegionId::of(NORTH)]));
+    let customer = home.customer();
+    bundle
+        .customers
+        .insert(CustomerId::of(&home.name), customer);
+    bundle.routes.insert(HOME_HOST, home);
     Entry::Config(Arc::new(bundle))
 }
 
--- a/crates/seam-core/tests/live/oracle.rs
+++ b/crates/seam-core/tests/live/oracle.rs
@@ -484,7 +484,7 @@
         let platform_reachable =
             (0..nodes).any(|node| self.down_since[node].is_none() && !self.unreachable[node]);
         for index in (0..nodes).filter(|index| self.down_since[*index].is_none()) {
-            let listed = self.fleet.nodes[index].directory(now, Some(RegionId::of(NORTH)), 0);
+            let listed = self.fleet.nodes[index].directory(now, Some(RegionId::of(NORTH)), None, 0);
             for other in 0..nodes {
                 let is_listed = listed.contains(&address(other + 100));
                 match self.down_since[other] {
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use fleet::{
-    ENGINE, Fleet, NORTH, PLAIN, SOUTH, address, arrival, config, entry_of, item, listed,
-    settled_fleet,
+    ENGINE, Fleet, HOME_HOST, NORTH, PLAIN, SOUTH, address, arrival, config, entry_of, item,
+    listed, settled_fleet,
 };
 use seam_core::{AttemptOutcome, Command, Event, Refusal};
 use seam_protocol::{
@@ -22,7 +22,7 @@
     for node in &fleet.nodes {
         assert!(node.ready(fleet.now));
         assert_eq!(
-            node.directory(fleet.now, Some(RegionId::of(NORTH)), 0)
+            node.directory(fleet.now, Some(RegionId::of(NORTH)), None, 0)
                 .len(),
             2
         );
@@ -58,7 +58,7 @@
     let mut fleet = settled_fleet(&[NORTH, NORTH], &[]);
     fleet.down[1] = true;
     fleet.wait(Duration::from_secs(6));
-    let directory = fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), 0);
+    let directory = fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), None, 0);
     assert_eq!(directory, [address(100)]);
 }
 
@@ -153,7 +153,7 @@
     fleet.publish(0, vec![item("config", 1, Some(config(7)))], 1);
     fleet.wait(Duration::from_secs(2));
     let directory = |fleet: &Fleet, caller| {
-        fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), caller)
+        fleet.nodes[0].directory(fleet.now, Some(RegionId::of(NORTH)), None, caller)
     };
     let mut large_share = 0.0;
     for caller in 0..400 {
@@ -251,3 +251,28 @@
         assert_eq!(passed_on, regions, "{} of {count}", passed_on.len());
     }
 }
+
+/// Guards against a directory that leads requests out of the regions that may process them, while
+/// all nodes of the asked region restart.
+#[test]
+fn directory_keeps_homes() {
+    let mut fleet = settled_fleet(&[NORTH, NORTH, SOUTH, SOUTH], &[]);
+    let listed = |fleet: &Fleet, node: usize, host: &str| {
+        let nodes = &fleet.nodes[node];
+        nodes.directory(fleet.now, Some(RegionId::of("east")), Some(host), 0)
+    };
+    assert_eq!(
+        listed(&fleet, 2, "salon.example"),
+        [address(102), address(103)]
+    );
+    assert_eq!(listed(&fleet, 2, HOME_HOST), [address(100), address(101)]);
+    assert_eq!(listed(&fleet, 0, HOME_HOST), [address(100), address(101)]);
+    fleet.down[0] = true;
+    fleet.down[1] = true;
+    fleet.wait(Duration::from_secs(6));
+    assert_eq!(listed(&fleet, 2, HOME_HOST), []);
+    assert_eq!(
+        listed(&fleet, 2, "salon.example"),
+        [address(102), address(103)]
+    );
+}
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -60,6 +60,8 @@
 pub struct DirectoryQuery {
     /// The caller's region, if stated.
     pub region: Option<String>,
+    /// Host of the caller's requests, if stated.
+    pub host: Option<String>,
 }
 
 /// HTTP conventions between callers, nodes and targets.
--- a/crates/seam-node/src/front/discovery.rs
+++ b/crates/seam-node/src/front/discovery.rs
@@ -31,7 +31,9 @@
             Some(query) => {
                 let region = query.region.as_deref().map(RegionId::of);
                 let caller = Digest::of(from.ip().to_string().as_bytes()).leading_u64();
-                let mut addresses = runtime.read(|node, now| node.directory(now, region, caller));
+                let host = query.host.as_deref();
+                let mut addresses =
+                    runtime.read(|node, now| node.directory(now, region, host, caller));
                 addresses.truncate(MAX_ADDRESSES);
                 runtime.dialect.directory_response(&addresses, CACHE_TIME)
             }
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -80,6 +80,35 @@
         routes.insert(index, route);
     }
 
+    /// Returns the regions that may process the requests of every route of a host, `None` if none of
+    /// its routes is bound to regions. Ignores the host's port and case.
+    ///
+    /// ```
+    /// use std::collections::BTreeSet;
+    /// use seam_protocol::RegionId;
+    /// use seam_protocol::route::{HostRoute, RetryPolicy, RouteTable};
+    /// let route = |prefix: &str, homes: &[u32]| HostRoute {
+    ///     name: prefix.into(), prefix: prefix.into(), shares: vec![],
+    ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
+    ///     attempts: 1,
+    ///     home_regions: (!homes.is_empty()).then(|| homes.iter().copied().map(RegionId).collect()),
+    /// };
+    /// let mut table = RouteTable::default();
+    /// table.insert("salon.example", route("/", &[]));
+    /// assert_eq!(table.home_regions("salon.example"), None);
+    /// table.insert("salon.example", route("/looks/", &[1, 2]));
+    /// table.insert("salon.example", route("/chat/", &[2, 3]));
+    /// assert_eq!(table.home_regions("Salon.example:80"), Some(BTreeSet::from([RegionId(2)])));
+    /// ```
+    #[must_use]
+    pub fn home_regions(&self, host: &str) -> Option<BTreeSet<RegionId>> {
+        let routes = self.hosts.get(&host_name(host))?;
+        let homes = routes
+            .iter()
+            .filter_map(|route| route.home_regions.as_ref());
+        homes.cloned().reduce(|one, other| &one & &other)
+    }
+
     /// Returns the route of a host whose prefix is the longest match for a path. Ignores the host's
     /// port and case.
     ///
@@ -100,11 +129,7 @@
     /// ```
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&HostRoute> {
-        let name = match host.rsplit_once(':') {
-            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-            _ => host,
-        };
-        let routes = self.hosts.get(&name.to_ascii_lowercase())?;
+        let routes = self.hosts.get(&host_name(host))?;
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
@@ -120,6 +145,15 @@
     }
 }
 
+/// Returns a host's name in lower case, without a port.
+fn host_name(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
+
 /// Initial estimate of a plain service's response time in milliseconds, used until it is measured.
 const PLAIN_EXPECTED_MS: u64 = 20;
 /// Initial estimate of an engine's time to first token in milliseconds, used until it is measured.
