Use the retry budget for what another node offered to a target

Cause: a forwarded request that came back as refused was retried for nothing, though the other node had sent it to a target. Ruled out: the size of the budget, which allows about half of what came; restarts, of which there were none.

--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -43,6 +43,14 @@
         if request.maybe_ran && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
+        let elsewhere = matches!(
+            refusal.reason,
+            Reason::Overload | Reason::NoTarget | Reason::Deadline
+        );
+        if request.forwarded() && request.offered && elsewhere {
+            // The sender's next attempt is a retry.
+            refusal.reason = Reason::Refused;
+        }
         let may_have_run = refusal.outcome != Outcome::NotRun;
         let outcome = match &request.key {
             _ if may_have_run => KeyOutcome::Unknown,
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -39,9 +39,8 @@
                 request.avoid.insert(target);
             }
         }
+        let spends_budget = self.record_offer(ticket, &attempt, &outcome);
         let request = &self.requests[&ticket];
-        // Refused requests are load on a target too, so their retries also use the retry budget.
-        let spends_budget = matches!(attempt.destination, Destination::Target(_));
         match outcome {
             AttemptOutcome::Complete { response, .. } => self.complete(now, ticket, response, out),
             AttemptOutcome::NotSent if sent_to_owner => {
@@ -54,7 +53,7 @@
             }
             AttemptOutcome::NotSent => {
                 let refusal = Refusal::not_run(Reason::NoTarget);
-                self.retry_or_refuse(now, ticket, refusal, false, out);
+                self.retry_or_refuse(now, ticket, refusal, spends_budget, out);
             }
             AttemptOutcome::Refused(refusal) => {
                 if Self::is_permanent(refusal.reason) {
@@ -97,6 +96,28 @@
         }
     }
 
+    /// Records whether a request has reached a target. Returns whether it has, so that a further
+    /// attempt uses the retry budget.
+    ///
+    /// A request that a target refused is load on it too, also if another node sent it there.
+    fn record_offer(
+        &mut self,
+        ticket: Ticket,
+        attempt: &Attempt,
+        outcome: &AttemptOutcome,
+    ) -> bool {
+        let arrived = match (attempt.destination, outcome) {
+            (Destination::Target(_), outcome) => !matches!(outcome, AttemptOutcome::NotSent),
+            (Destination::Node { .. }, AttemptOutcome::Refused(refusal)) => {
+                refusal.reason == Reason::Refused
+            }
+            (Destination::Node { .. }, _) => false,
+        };
+        let request = self.request_mut(ticket);
+        request.offered |= arrived;
+        request.offered
+    }
+
     /// Returns whether a request whose connection broke may have crashed its target.
     fn may_crash_targets(&self, request: &Request) -> bool {
         let mut shared = request.shared();
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -90,6 +90,8 @@
     pub runs: u32,
     /// Targets that refused the request or failed while running it.
     pub avoid: BTreeSet<TargetKey>,
+    /// Whether it has reached a target, of this node or of one that it was forwarded to.
+    pub offered: bool,
 }
 
 impl Request {
@@ -132,6 +134,7 @@
             stream: arrival.stream,
             runs: 0,
             avoid: BTreeSet::new(),
+            offered: false,
         }
     }
 
--- a/crates/seam-core/src/retry.rs
+++ b/crates/seam-core/src/retry.rs
@@ -8,16 +8,23 @@
 /// Largest budget, in hundredths of a retry.
 const MAX_SAVED: u32 = 20 * RETRY_COST;
 
+/// Number of processes that a VM may start while retries are counted together. A new process starts
+/// with this fraction of the VM's share, since it does not know what earlier ones have used.
+const STARTS: u32 = 4;
+
 /// Budget of retries of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     saved: u32,
+    /// Whether it was limited to a share of what all nodes may retry.
+    limited: bool,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
         Self {
             saved: MAX_SAVED / 2,
+            limited: false,
         }
     }
 }
@@ -34,9 +41,29 @@
         self.saved >= RETRY_COST
     }
 
-    /// Limits the saved budget to a number of retries.
+    /// Limits the saved budget to a number of retries, and at first to what a new process may use.
+    ///
+    /// ```
+    /// use seam_core::retry::RetryBudget;
+    /// let mut budget = RetryBudget::default();
+    /// budget.cap(8);
+    /// assert_eq!((0..1000).filter(|_| budget.spend()).count(), 2);
+    /// for _ in 0..1000 {
+    ///     budget.earn();
+    /// }
+    /// budget.cap(8);
+    /// assert_eq!((0..1000).filter(|_| budget.spend()).count(), 8);
+    /// ```
     pub fn cap(&mut self, max_retries: u32) {
-        self.saved = self.saved.min(max_retries * RETRY_COST);
+        let max_saved = max_retries.saturating_mul(RETRY_COST);
+        let start = (max_saved / STARTS).max(RETRY_COST);
+        let limit = if self.limited {
+            max_saved
+        } else {
+            max_saved.min(start)
+        };
+        self.saved = self.saved.min(limit);
+        self.limited = true;
     }
 
     /// Uses the budget for one retry. Returns whether it was sufficient.
