Send requests where targets that queue by themselves have room

Callers saw: bookings refused by one full target after another while targets of other regions were free. Cause: each of 20 nodes counted its own requests only and predicted no wait until it alone filled all slots. Ruled out: the retry budget alone, which stops the repeats and not the refusals.

Load at such targets is the predicted wait, here and in what other regions hear; what a target held when it turned a request away limits what it is sent; requests that wait for room are looked at every 25 ms.

--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -75,7 +75,9 @@
                 None => {
                     deferred.push(ticket);
                     let next = self.targets.next_grant(now, service);
-                    self.service_state(service).next_grant = next.filter(|next| *next > now);
+                    let next = next.filter(|next| *next > now);
+                    let review = self.targets.next_room(now, service);
+                    self.service_state(service).next_grant = next.or(review);
                     // Targets that a suspect or a begun stream may not use can still accept other
                     // requests.
                     if !suspect && version.is_none() {
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -289,12 +289,17 @@
 
     /// Predicts the wait for an engine and a slot in this region, or for a share of a granted rate.
     fn local_wait(&self, now: Time, request: &Request) -> Duration {
-        let prompt_wait = match request.prompt {
-            Some(_) => self.prompt_wait(now, request.service, request.version()),
-            None => Duration::ZERO,
+        let (service, version) = (request.service, request.version());
+        let slot_wait = self.slot_wait(now, request);
+        let wait = match request.prompt {
+            Some(_) => self.prompt_wait(now, service, version) + slot_wait,
+            None => {
+                let (_, queued) = self.regional_load(now, service);
+                let wait = self.targets.queue_wait(now, service, version, queued);
+                wait.max(slot_wait)
+            }
         };
-        let wait = prompt_wait + self.slot_wait(now, request);
-        wait.max(self.granted_wait(now, request.service, request.version()))
+        wait.max(self.granted_wait(now, service, version))
     }
 
     /// Predicts how long a prompt waits for an engine.
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -87,7 +87,7 @@
             let prompt_wait = match spec.kind {
                 Kind::Engine if relayed => Duration::ZERO,
                 Kind::Engine => self.prompt_wait(now, service, None),
-                Kind::Plain => Duration::ZERO,
+                Kind::Plain => self.targets.queue_wait(now, service, None, queued),
             };
             let target_wait = prompt_wait.max(self.granted_wait(now, service, None));
             let ample = free >= ample_slots(spec.slots_in(self.id.region));
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod engine;
 mod rate_limit;
+mod room;
 mod shared_rate;
 mod sliding_window;
 mod start_limit;
@@ -25,6 +26,7 @@
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
 pub use rate_limit::{AdvertisedLimit, RateLimit, limit_share};
+pub use room::QueueRoom;
 pub use shared_rate::{RateShare, ShareLimiter};
 pub use sliding_window::SlidingWindow;
 pub use start_limit::StartLimiter;
@@ -374,6 +376,19 @@
         granted.filter_map(|(_, state)| state.next_grant(now)).min()
     }
 
+    /// Returns when to look again for room at the targets of a service that queue requests by
+    /// themselves, if there are any: their load changes by what other nodes do. A brittle one is not
+    /// asked sooner than requests come.
+    #[must_use]
+    pub fn next_room(&self, now: Time, service: ServiceId) -> Option<Time> {
+        const REVIEW_INTERVAL: Duration = Duration::from_millis(25);
+        let serving = self.for_service(service);
+        let mut serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
+        let queues = self.shared && serving.any(|(_, state)| state.queues_itself());
+        let sound = !self.is_brittle(now, service);
+        (queues && sound).then_some(now + REVIEW_INTERVAL)
+    }
+
     /// Returns the shortest predicted wait of a prompt over the engines that accept requests, or
     /// `None` if there is none.
     #[must_use]
@@ -396,6 +411,33 @@
         Some(Duration::from_secs_f64(shortest / MILLIS))
     }
 
+    /// Predicts how long a request waits in the queues of targets that queue requests by themselves,
+    /// behind `queued` others that are not sent yet.
+    #[must_use]
+    pub fn queue_wait(
+        &self,
+        now: Time,
+        service: ServiceId,
+        version: Option<VersionId>,
+        queued: u32,
+    ) -> Duration {
+        let serving = self.for_service(service);
+        let serving = serving.filter(|(_, state)| state.serves(version) && state.queues_itself());
+        let (mut slots, mut load, mut rate) = (0, queued, 0.0);
+        for (_, state) in serving {
+            slots += state.spec.slots;
+            load += state.load(now);
+            if let Some(time) = state.unqueued_time() {
+                rate += f64::from(state.spec.slots) / time.as_secs_f64().max(f64::EPSILON);
+            }
+        }
+        let ahead = (load + 1).saturating_sub(slots);
+        if !self.shared || ahead == 0 || rate == 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(f64::from(ahead) / rate)
+    }
+
     /// Decays the measured slowness of all targets towards 1.
     pub fn decay_slowness(&mut self) {
         for state in &mut self.arena {
@@ -521,7 +563,8 @@
 
     /// Records that a target turned a request away.
     pub fn record_rejection(&mut self, now: Time, key: TargetKey) {
-        self.get_mut(key).brittle.rejected = Some(now);
+        let brittle = self.is_brittle(now, self.get(key).service);
+        self.get_mut(key).record_rejection(now, brittle);
     }
 
     /// Returns whether a target accepts one more request of this node. See [`TargetState::accepts`].
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -8,7 +8,7 @@
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use super::brittle::BrittleRoom;
-use super::{ColdShare, EngineModel, RateLimit, ShareLimiter, StartLimiter};
+use super::{ColdShare, EngineModel, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
 
 /// Time over which the usable slots of a new or returning target ramp up.
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -89,6 +89,8 @@
     pub(super) says_leaving: bool,
     /// Room at it while it is brittle.
     pub(super) brittle: BrittleRoom,
+    /// Requests that it holds before it turns some away, if it queues requests by itself.
+    pub(super) room: QueueRoom,
     /// Whether connections to it hang, so that others are preferred.
     pub(super) suspended: bool,
     /// When the last probe beside requests began.
@@ -135,6 +137,7 @@
             others: BTreeMap::new(),
             says_leaving: false,
             brittle: BrittleRoom::default(),
+            room: QueueRoom::default(),
             suspended: false,
             probed: None,
             answered: None,
@@ -292,10 +295,9 @@
             return false;
         }
         if shared {
-            // Only engines have a configured KV memory. Other targets queue excess requests
-            // themselves, and their requests are short.
-            if self.memory_tokens().is_none() {
-                return self.running < self.spec.slots;
+            if self.queues_itself() {
+                let room = self.room.allows(now, self.load(now), self.spec.slots);
+                return self.running < self.spec.slots && room;
             }
             let free = self.spec.slots.saturating_sub(self.load(now));
             return free > 0 && self.starts.allows(now, free);
@@ -309,6 +311,28 @@
         has_report && !heavy && self.running < self.max_running(now) && has_free_slots
     }
 
+    /// Returns whether the target queues excess requests by itself. Only engines, which do not, have a
+    /// configured KV memory.
+    pub(super) fn queues_itself(&self) -> bool {
+        self.memory_tokens().is_none()
+    }
+
+    /// Returns the service time without a queue, if it was measured.
+    pub(super) fn unqueued_time(&self) -> Option<Duration> {
+        (self.floor_secs < f64::INFINITY).then(|| Duration::from_secs_f64(self.floor_secs))
+    }
+
+    /// Records that the target turned a request of this node away. A brittle one lets fewer wait for
+    /// some time only, so its rejections say nothing of its room later.
+    pub(super) fn record_rejection(&mut self, now: Time, brittle: bool) {
+        self.brittle.rejected = Some(now);
+        let load = self.load(now);
+        if self.queues_itself() && !brittle {
+            let pace = self.unqueued_time().unwrap_or_default();
+            self.room.record_rejection(now, load, self.spec.slots, pace);
+        }
+    }
+
     /// Adjusts the concurrency limit to a measured service time (additive increase, multiplicative
     /// decrease).
     pub(super) fn record_service_time(&mut self, duration: Duration) {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -88,7 +88,14 @@
         cold_rate: 5.25,
         copies: true,
     };
-    for (name, kind) in [(ENGINE, Kind::Engine), (PLAIN, Kind::Plain)] {
+    let plain = Capacity {
+        kv_tokens: 0,
+        ..capacity
+    };
+    for (name, kind, capacity) in [
+        (ENGINE, Kind::Engine, capacity),
+        (PLAIN, Kind::Plain, plain),
+    ] {
         let service = routed_service(name, kind, capacity, 400);
         bundle.services.insert(ServiceId::of(name), service);
     }
