Copy less when the inventory of a large deployment changes

Routes and customers are shared between bundles, shares of slots are computed only where they are in use, and values are encoded in one piece; the bytes on the wire stay (item_bytes).

--- a/crates/seam-config/src/bundle.rs
+++ b/crates/seam-config/src/bundle.rs
@@ -206,7 +206,7 @@
         digest: Digest::of(&set.manifest),
         parent: manifest.parent,
         services,
-        customers,
+        customers: customers.into(),
         ..Bundle::new(deployment.context(MissingPartSnafu { name })?)
     })
 }
--- a/crates/seam-config/src/check.rs
+++ b/crates/seam-config/src/check.rs
@@ -63,7 +63,7 @@
     checker.check_credentials(&sources.customers);
     let bundle = Bundle {
         services,
-        customers,
+        customers: customers.into(),
         ..Bundle::new(deployment)
     };
     checker.check_residency(&bundle, sources);
--- a/crates/seam-config/src/diff.rs
+++ b/crates/seam-config/src/diff.rs
@@ -67,7 +67,7 @@
         |service| service.name.clone(),
         &mut found,
     );
-    let customers = old.map(|old| old.customers.clone());
+    let customers = old.map(|old| (*old.customers).clone());
     compare(
         "customer",
         customers,
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -139,6 +139,18 @@
     Items(Items),
 }
 
+impl Source {
+    /// Returns the bandwidth of the node's network link in Mbit/s.
+    #[must_use]
+    pub fn link_mbps(&self) -> f64 {
+        const DEFAULT_MBPS: f64 = 1000.0;
+        match self {
+            Self::Bundles(_) => DEFAULT_MBPS,
+            Self::Items(items) => items.link_mbps,
+        }
+    }
+}
+
 /// Contents of the files that `[secrets]` names.
 #[derive(Clone, Default, PartialEq, Eq)]
 pub struct Secrets {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -261,7 +261,10 @@
         self.alive = alive;
         let ready = self.ready_nodes(now);
         self.targets.select_subset(now, self.id.vm, &ready);
-        self.share_slots(now);
+        // Targets without fixed shares are used by the load that nodes report.
+        if !self.targets.shared() {
+            self.share_slots(now);
+        }
         self.update_limit_shares();
     }
 
--- a/crates/seam-harness/src/deployments.rs
+++ b/crates/seam-harness/src/deployments.rs
@@ -211,7 +211,7 @@
     let mut bundle = Bundle {
         revision: 1,
         services,
-        customers: customers(spec),
+        customers: customers(spec).into(),
         ..Bundle::new(deployment(spec, vms))
     };
     set_digest(&mut bundle);
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -8,6 +8,7 @@
 use crate::digest::Digest;
 use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, VersionId, VmId};
 use crate::route::{CallLimits, RouteTable};
+use crate::shared::Shared;
 
 crate::message! {
     /// Index of a bundle. Nodes watch it for changes, since it is small.
@@ -218,7 +219,7 @@
     /// Services.
     pub services: BTreeMap<ServiceId, Service>,
     /// Customers.
-    pub customers: BTreeMap<CustomerId, Customer>,
+    pub customers: Shared<BTreeMap<CustomerId, Customer>>,
     /// Routes by host; empty if requests name their service in the path.
     pub routes: RouteTable,
     /// Limits on requests of callers.
@@ -337,7 +338,7 @@
             parent: None,
             deployment,
             services: BTreeMap::new(),
-            customers: BTreeMap::new(),
+            customers: Shared::default(),
             routes: RouteTable::default(),
             limits: None,
             retries: None,
--- a/crates/seam-protocol/src/inventory.rs
+++ b/crates/seam-protocol/src/inventory.rs
@@ -55,6 +55,7 @@
     /// Revision of its last change.
     pub revision: u64,
     /// Value; `None` if the item was removed.
+    #[serde(with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
     /// Whether the item may have been removed only because its lease expired while the platform was
     /// unavailable.
--- a/crates/seam-protocol/src/lib.rs
+++ b/crates/seam-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod report;
 pub mod response;
 pub mod route;
+pub mod shared;
 pub mod time;
 
 /// Generated messages and gRPC service for calls between nodes.
@@ -38,4 +39,5 @@
 pub use report::{CacheEvent, LoadReport, VmState};
 pub use response::{HeaderField, StoredResponse};
 pub use route::{CallLimits, HostRoute, RetryPolicy, RouteTable};
+pub use shared::Shared;
 pub use time::Time;
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -6,6 +6,7 @@
 
 use crate::bundle::{Capacity, Customer, Kind, Service};
 use crate::id::{RegionId, ServiceId};
+use crate::shared::Shared;
 
 /// Whether and how requests of a route may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,7 +69,7 @@
 /// Routes by host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
-    hosts: BTreeMap<String, Vec<HostRoute>>,
+    hosts: Shared<BTreeMap<String, Vec<HostRoute>>>,
 }
 
 impl RouteTable {
