Transfer a large configuration to a node once

Cause, by reading: each new revision, and every 500 ms, began another fetch of the same items beside the one in flight, and all nodes of a region asked the two that watch the store, whose links of 20 Mbit/s carry callers' requests too.

One fetch at a time, 200 ms or more apart; a node whose link is busy with a large reply answers without items, and the others ask whoever has them by then. one_fetch_open fails on the code before with 8 fetches.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -80,6 +80,8 @@
     RevisionConfirmed(u64),
     /// Items were read from the platform or received from a peer.
     ItemsRead(ItemBatch, Source),
+    /// Items could not be fetched from a peer.
+    ItemsNotRead,
     /// The platform became unreachable (`true`) or reachable again (`false`).
     PlatformUnreachable(bool),
     /// The platform's list of VMs and targets was read.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -209,8 +209,10 @@
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
-    /// Item revision that is being fetched from a peer, and since when.
-    pub(crate) pending_items: Option<(u64, Time)>,
+    /// Since when items are being fetched from a peer.
+    pub(crate) pending_items: Option<Time>,
+    /// When the last fetch of items from a peer began.
+    pub(crate) items_fetched: Option<Time>,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -292,6 +294,7 @@
             catalogue: Catalogue::default(),
             roster: None,
             pending_items: None,
+            items_fetched: None,
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
@@ -356,6 +359,7 @@
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
             Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
+            Event::ItemsNotRead => self.pending_items = None,
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
             }
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
 use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
@@ -16,6 +17,10 @@
 
 /// Nodes of a region that watch the platform for the others.
 const WATCHER_COUNT: usize = 2;
+/// Time after which items are fetched from another peer, if the fetch has not ended.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest time between two fetches of changed items from peers.
+const FETCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Hash seed of the ranking that selects the watchers.
 const WATCH_SEED: u64 = 0x7761_7463;
 
@@ -241,13 +246,18 @@
         if self.roster.is_none() || heartbeat.items_revision <= own_revision {
             return;
         }
-        if let Some(address) = self.address_to_fetch_from(
-            now,
-            heartbeat.from,
-            self.pending_items,
-            heartbeat.items_revision,
-        ) {
-            self.pending_items = Some((heartbeat.items_revision, now));
+        // Changes that follow each other closely are fetched together, at the next heartbeat.
+        let within = |at: Option<Time>, span| at.is_some_and(|at| now.since(at) < span);
+        let recent = within(self.items_fetched, FETCH_INTERVAL) && self.configured();
+        // A second fetch beside a slow one would transfer the same items again.
+        if recent || within(self.pending_items, FETCH_TIMEOUT) {
+            return;
+        }
+        let vms = self.bundle.as_ref().map(|bundle| &bundle.deployment.vms);
+        let address = vms.and_then(|vms| Some(vms.get(&heartbeat.from)?.peer));
+        if let Some(address) = address {
+            self.pending_items = Some(now);
+            self.items_fetched = Some(now);
             out.push(Command::FetchItems {
                 from: heartbeat.from,
                 address,
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -167,8 +167,10 @@
     pub partitions: BTreeSet<(usize, usize)>,
     /// Node that receives no heartbeats.
     pub blocked_receiver: Option<usize>,
-    /// Whether nodes cannot fetch items from each other.
+    /// Whether fetches of items from other nodes never end.
     pub fetches_fail: bool,
+    /// Fetches of items begun so far, by node.
+    pub fetches: BTreeMap<usize, usize>,
     /// Last heartbeat that each node sent to a reachable node.
     pub last_heartbeats: BTreeMap<usize, Heartbeat>,
     regions: Vec<String>,
@@ -195,6 +197,7 @@
             partitions: BTreeSet::new(),
             blocked_receiver: None,
             fetches_fail: false,
+            fetches: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
             regions: regions.iter().map(|region| (*region).to_owned()).collect(),
             weights: weights.to_vec(),
@@ -271,6 +274,7 @@
                     since,
                     ..
                 } => {
+                    *self.fetches.entry(index).or_default() += 1;
                     let from = (0..self.nodes.len()).find(|other| address(*other) == from);
                     let reached = |from: &usize| !self.fetches_fail && self.connected(index, *from);
                     let Some(from) = from.filter(reached) else {
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -46,6 +46,26 @@
     }
 }
 
+/// Guards against a node that fetches a large configuration again for each change published while it
+/// is transferred.
+#[test]
+fn one_fetch_open() {
+    let mut fleet = settled_fleet(&[NORTH, NORTH, NORTH], &[]);
+    fleet.fetches_fail = true;
+    fleet.fetches.clear();
+    for revision in 60..68 {
+        let entry = entry_of("e1");
+        fleet.publish(0, vec![item("e1", revision, Some(entry))], revision);
+        fleet.wait(Duration::from_millis(100));
+    }
+    for node in [1, 2] {
+        assert_eq!(fleet.fetches.get(&node), Some(&1), "node {node}");
+    }
+    fleet.fetches_fail = false;
+    fleet.wait(Duration::from_secs(2));
+    assert_eq!(fleet.nodes[1].items_revision(), 67);
+}
+
 #[test]
 fn older_config_ignored() {
     let mut fleet = settled_fleet(&[NORTH], &[]);
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -86,6 +86,9 @@
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
     match link::fetch_items(runtime, address, since).await {
         Ok(delta) => apply_delta(runtime, delta, Source::Peer),
-        Err(error) => log::debug!("no items since revision {since} from {address}: {error}"),
+        Err(error) => {
+            log::debug!("no items since revision {since} from {address}: {error}");
+            runtime.handle(Event::ItemsNotRead);
+        }
     }
 }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod store;
 pub mod targets;
 pub mod trail;
+pub mod transfers;
 pub mod watch;
 
 pub use daemon::{Daemon, DaemonError};
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -11,13 +11,13 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use seam_core::Origin;
-use seam_http::{BodyError, Listener, Stop, serve};
+use seam_http::{BodyError, Listener, Stop, lock, serve};
 use seam_protocol::peer::peer_server::{Peer, PeerServer};
 use seam_protocol::peer::{
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
-use seam_protocol::{CustomerId, Fingerprint, RetryPolicy, ServiceId, VersionId};
+use seam_protocol::{CustomerId, Delta, Fingerprint, RetryPolicy, ServiceId, VersionId};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
 
@@ -96,12 +96,24 @@
     async fn items(&self, request: Request<ItemsRequest>) -> Result<Response<ItemsReply>, Status> {
         self.check(&request)?;
         let since = request.into_inner().since;
-        let delta = self.runtime.read(|node, _| node.items_since(since));
+        let (delta, now) = self
+            .runtime
+            .read(|node, now| (node.items_since(since), now));
         if delta.revision == 0 {
             return Err(Status::not_found("no items are known yet"));
         }
-        let delta = delta.encode();
-        Ok(Response::new(ItemsReply { delta }))
+        let values = delta.items.iter().filter_map(|item| item.value.as_ref());
+        let bytes: usize = values.map(Vec::len).sum();
+        let mbps = self.runtime.settings().source.link_mbps();
+        let delta = if lock(&self.runtime.transfers).admit(now, bytes, mbps) {
+            delta
+        } else {
+            // Without items or a revision, so that the caller asks again, or another node.
+            Delta::default()
+        };
+        Ok(Response::new(ItemsReply {
+            delta: delta.encode(),
+        }))
     }
 
     async fn part(&self, request: Request<PartRequest>) -> Result<Response<PartReply>, Status> {
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -34,6 +34,7 @@
 use crate::pool::Pool;
 use crate::store::BundleStore;
 use crate::trail::AuditTrail;
+use crate::transfers::TransferPacer;
 
 /// The active bundle with an index of its credentials.
 #[derive(Debug)]
@@ -156,6 +157,8 @@
     pub pool: Pool,
     /// Connections to other nodes.
     pub peers: PeerConnections,
+    /// Limit of the items that are sent to other nodes at once.
+    pub transfers: Mutex<TransferPacer>,
     /// Memory for request bodies.
     pub body_memory: ByteBudget,
     /// Metrics.
@@ -209,6 +212,7 @@
             audit_trail: AuditTrail::default(),
             store: BundleStore::default(),
             pool: Pool::default(),
+            transfers: Mutex::default(),
             body_memory: ByteBudget::new(settings.body_memory),
             settings: RwLock::new(Arc::new(settings)),
             metrics: Metrics::new(),
