Ask a store again soon after a failed call

Cause: a watch that begins while the store leaves calls unanswered is given up after 5.5 s, also when the store answers again meanwhile; nodes learned 4.2 s after its return that the target was cold. Ruled out: the limiter of cold targets, which kept its share from then on.

After a failed call a watch waits for 0.1 s only. silent_store: 4.96 s from the return to a configuration in force before, 4 s allowed; passes now.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -16,6 +16,9 @@
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
 pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Wait of a watch after a failed call. A store that does not answer may do so again at any time, but
+/// not to a watch that began before.
+const PROBE_WAIT: Duration = Duration::from_millis(100);
 /// Interval at which a node that does not watch the store checks whether it should.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum delay after a failed call.
@@ -51,7 +54,12 @@
         let changes = if read_all {
             store.read().await.map(WatchOutcome::Changes)
         } else {
-            store.watch(after, WATCH_WAIT).await
+            let wait = if failures == 0 {
+                WATCH_WAIT
+            } else {
+                PROBE_WAIT
+            };
+            store.watch(after, wait).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
         match changes {
