--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -43,11 +43,11 @@
         if request.maybe_ran && refusal.outcome == Outcome::NotRun {
             refusal.outcome = Outcome::Unknown;
         }
-        let elsewhere = matches!(
+        let no_room = matches!(
             refusal.reason,
             Reason::Overload | Reason::NoTarget | Reason::Deadline
         );
-        if request.forwarded() && request.offered && elsewhere {
+        if request.forwarded() && request.offered && no_room {
             // The sender's next attempt is a retry.
             refusal.reason = Reason::Refused;
         }
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -317,7 +317,8 @@
             return nodes;
         }
         let own = nodes_in(self.id.region);
-        match host.and_then(|host| bundle.routes.home_regions(host)) {
+        let homes = host.and_then(|host| bundle.routes.home_regions(host));
+        match homes.filter(|homes| !homes.is_empty()) {
             Some(homes) if !homes.contains(&self.id.region) || own.is_empty() => {
                 homes.into_iter().flat_map(nodes_in).collect()
             }
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -28,6 +28,8 @@
 pub const SEEDS: [usize; 3] = [0, 1, 99];
 /// Host whose only route is bound to the north.
 pub const HOME_HOST: &str = "home.example";
+/// Host whose routes are bound to different regions.
+pub const SPLIT_HOST: &str = "split.example";
 /// Name of a target that is cold after its start.
 pub const COLD_TARGET: &str = "e-cold";
 
@@ -112,13 +114,17 @@
             .insert(CustomerId::of(&route.name), route.customer());
         bundle.routes.insert("salon.example", route);
     }
-    let mut home = route("ledger", PLAIN, RetryPolicy::Once, 1);
-    home.home_regions = Some(BTreeSet::from([RegionId::of(NORTH)]));
-    let customer = home.customer();
-    bundle
-        .customers
-        .insert(CustomerId::of(&home.name), customer);
-    bundle.routes.insert(HOME_HOST, home);
+    for (host, name, region) in [
+        (HOME_HOST, "ledger", NORTH),
+        (SPLIT_HOST, "north-ledger", NORTH),
+        (SPLIT_HOST, "south-ledger", SOUTH),
+    ] {
+        let mut home = route(name, PLAIN, RetryPolicy::Once, 1);
+        home.home_regions = Some(BTreeSet::from([RegionId::of(region)]));
+        let customer = home.customer();
+        bundle.customers.insert(CustomerId::of(name), customer);
+        bundle.routes.insert(host, home);
+    }
     Entry::Config(Arc::new(bundle))
 }
 
--- a/crates/seam-core/tests/live_nodes.rs
+++ b/crates/seam-core/tests/live_nodes.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use fleet::{
-    ENGINE, Fleet, HOME_HOST, NORTH, PLAIN, SOUTH, address, arrival, config, entry_of, item,
-    listed, settled_fleet,
+    ENGINE, Fleet, HOME_HOST, NORTH, PLAIN, SOUTH, SPLIT_HOST, address, arrival, config, entry_of,
+    item, listed, settled_fleet,
 };
 use seam_core::{AttemptOutcome, Command, Event, Refusal};
 use seam_protocol::{
@@ -291,6 +291,7 @@
     fleet.down[1] = true;
     fleet.wait(Duration::from_secs(6));
     assert_eq!(listed(&fleet, 2, HOME_HOST), []);
+    assert_eq!(listed(&fleet, 2, SPLIT_HOST), [address(102), address(103)]);
     assert_eq!(
         listed(&fleet, 2, "salon.example"),
         [address(102), address(103)]
