Log why an attempt is withheld, and when a target counts as cold

Now: 'withheld' with its reason, the audit line 'Cold', seam_withheld, seam_target_cold and the status field 'cold'. The reasons themselves are as before.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -31,6 +31,8 @@
     Platform,
     /// A target named a limit of requests per second, another one, or none any more.
     RateLimit,
+    /// A target became cold, so that it takes few requests for some time.
+    Cold,
     /// The targets of a service became brittle or are no longer.
     Brittle,
     /// An order was sent to an engine.
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -37,6 +37,32 @@
     }
 }
 
+/// Why an attempt is not sent after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// It was cancelled meanwhile.
+    Cancelled,
+    /// The process was paused, and has not heard from others since.
+    Paused,
+    /// The request's deadline has passed.
+    Deadline,
+    /// Its residency does not allow the region any more.
+    Residency,
+}
+
+impl Withheld {
+    /// Returns the name for log lines.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::Paused => "paused",
+            Self::Deadline => "deadline",
+            Self::Residency => "residency",
+        }
+    }
+}
+
 /// An output of [`crate::Node::handle`].
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -81,6 +107,15 @@
         /// The decision and its inputs.
         decision: RoutingDecision,
     },
+    /// Log why an attempt is not sent.
+    LogWithheld {
+        /// The request.
+        ticket: Ticket,
+        /// The attempt.
+        attempt: AttemptKey,
+        /// The reason.
+        reason: Withheld,
+    },
     /// Forward a request to another node, without retries.
     Forward {
         /// The request.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempts;
 mod brittle;
+mod cold;
 mod config;
 mod dispatch;
 mod finish;
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -6,11 +6,11 @@
 
 use super::{CrashWatch, Node};
 use crate::audit::Change;
-use crate::command::Command;
+use crate::command::{Command, Withheld};
 use crate::event::AttemptOutcome;
 use crate::handle::{AttemptKey, TargetKey};
 use crate::poison::QuarantineChange;
-use crate::request::{Attempt, Destination, Silence};
+use crate::request::{Attempt, Destination, Request, Silence};
 use crate::targets::PhaseChange;
 
 /// Maximum number of fingerprints in the audit entry of a crash.
@@ -31,33 +31,43 @@
     /// This catches a process that was paused between the decision and its execution, and a request
     /// whose residency rules changed in between.
     pub(super) fn authorize_send(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
-        let fresh = self.freshness.fresh();
-        let Some(attempt) = self.attempts.get_mut(&key) else {
+        let Some(attempt) = self.attempts.get(&key).copied() else {
             out.push(Command::Cancel(key));
             return;
         };
-        let in_time = self
-            .requests
-            .get(&attempt.ticket)
-            .is_some_and(|request| now < request.deadline || request.orphaned);
-        let attempt = *attempt;
-        let allowed = self
-            .requests
-            .get(&attempt.ticket)
-            .is_some_and(|request| self.allows(request, self.region_of(attempt.destination)));
-        let Some(attempt) = self.attempts.get_mut(&key) else {
-            return;
-        };
-        if !fresh || !in_time || !allowed || attempt.cancelled {
-            attempt.cancelled = true;
+        let ticket = attempt.ticket;
+        if let Some(reason) = self.reason_to_withhold(now, &attempt) {
+            out.push(Command::LogWithheld {
+                ticket,
+                attempt: key,
+                reason,
+            });
+            if let Some(attempt) = self.attempts.get_mut(&key) {
+                attempt.cancelled = true;
+            }
             out.push(Command::Cancel(key));
             return;
         }
-        attempt.sent = true;
-        let ticket = attempt.ticket;
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.sent = true;
+        }
         self.request_mut(ticket).maybe_sent = true;
     }
 
+    /// Returns why an attempt may not be sent any more, if there is a reason.
+    fn reason_to_withhold(&self, now: Time, attempt: &Attempt) -> Option<Withheld> {
+        let request = self.requests.get(&attempt.ticket);
+        let allows = |request: &Request| self.allows(request, self.region_of(attempt.destination));
+        match request {
+            _ if attempt.cancelled => Some(Withheld::Cancelled),
+            _ if !self.freshness.fresh() => Some(Withheld::Paused),
+            Some(request) if now < request.deadline || request.orphaned => {
+                (!allows(request)).then_some(Withheld::Residency)
+            }
+            _ => Some(Withheld::Deadline),
+        }
+    }
+
     /// Returns the region of an attempt's target or node.
     fn region_of(&self, destination: Destination) -> RegionId {
         match destination {
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -6,14 +6,13 @@
 use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
-use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, TargetId, Time, Vm, VmId};
+use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, Time, Vm, VmId};
 
 use super::Node;
 use crate::audit::Change;
-use crate::catalogue::{ItemBatch, RENEWAL_WINDOW, Source};
+use crate::catalogue::{ItemBatch, Source};
 use crate::command::Command;
 use crate::roster::Roster;
-use crate::targets::cold_share;
 
 /// Nodes of a region that watch the platform for the others.
 const WATCHER_COUNT: usize = 2;
@@ -156,10 +155,10 @@
         self.target_leaving = listed;
         returned.extend(self.apply_vm_list(now, out));
         for id in returned {
-            self.presume_cold(now, id);
+            self.presume_cold(now, id, out);
         }
         for (id, until, rate) in cold {
-            self.limit_cold_target(id, until, rate);
+            self.limit_cold_target(now, id, until, rate, "its own entry", out);
         }
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
@@ -167,30 +166,6 @@
         }
     }
 
-    /// Limits requests to a target that accepts work again as if it were cold, until it has
-    /// published its entry again.
-    ///
-    /// Its earlier entry, from before it left or its data centre was evacuated, does not show
-    /// whether its cache is cold now.
-    fn presume_cold(&mut self, now: Time, id: TargetId) {
-        let Some(key) = self.targets.key(id) else {
-            return;
-        };
-        let rate = self.targets.get(key).capacity.cold_rate;
-        if rate > 0.0 {
-            self.limit_cold_target(id, now + RENEWAL_WINDOW, rate);
-        }
-    }
-
-    /// Sets this node's share of the request rate that a cold target can handle.
-    fn limit_cold_target(&mut self, id: TargetId, until: Time, rate: f64) {
-        let (nodes, rank) = self.rank_for_target(id);
-        if let Some(key) = self.targets.key(id) {
-            let share = cold_share(rate, nodes, rank);
-            self.targets.set_cold(key, self.boot, until, share);
-        }
-    }
-
     /// Merges the VM addresses of a heartbeat into the roster.
     pub(super) fn merge_vms(&mut self, now: Time, heartbeat: &Heartbeat, out: &mut Vec<Command>) {
         let Some(roster) = &mut self.roster else {
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -79,6 +79,8 @@
     pub models: Vec<String>,
     /// Limit in force that it names for the requests of all nodes together, in requests per second.
     pub rate_limit: Option<f64>,
+    /// Whether it counts as cold, so that it is sent few requests.
+    pub cold: bool,
 }
 
 /// Load of a service at this node.
@@ -187,6 +189,7 @@
                 cap: state.max_running(now),
                 load: state.load(now),
                 rate_limit: state.rate_limit.rate(),
+                cold: state.cold.limiter(now).is_some(),
                 models: state
                     .report
                     .as_ref()
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -103,6 +103,7 @@
             // targets return no error responses.
             Command::LogRouting { .. }
             | Command::LogOrigin { .. }
+            | Command::LogWithheld { .. }
             | Command::FetchItems { .. }
             | Command::Discard(_) => {}
         }
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -8,7 +8,7 @@
 use async_executor::Task;
 use futures_lite::future;
 use seam_core::arrival::Arrival;
-use seam_core::command::OriginSource;
+use seam_core::command::{OriginSource, Withheld};
 use seam_core::spill::{RegionChoice, RoutingDecision};
 use seam_core::{AttemptKey, AttemptOutcome, Event, Origin, Refusal};
 use seam_http::spawn;
@@ -128,6 +128,9 @@
             match command {
                 Some(TaskCommand::LogRouting(decision)) => self.log_routing(&decision),
                 Some(TaskCommand::LogOrigin(version, source)) => self.log_origin(version, source),
+                Some(TaskCommand::LogWithheld(attempt, reason)) => {
+                    self.log_withheld(attempt, reason);
+                }
                 Some(TaskCommand::Send(to)) => self.send(to),
                 Some(TaskCommand::Forward(to)) => self.forward(to),
                 Some(TaskCommand::Cancel(attempt)) => self.cancel(attempt).await,
@@ -199,6 +202,16 @@
         );
     }
 
+    /// Logs why an attempt is not sent after all.
+    fn log_withheld(&self, attempt: AttemptKey, reason: Withheld) {
+        log::info!(
+            target: "request",
+            request = self.inbound.id.as_str(), attempt = attempt.0, reason = reason.name(),
+            age_ms = self.age();
+            "withheld"
+        );
+    }
+
     /// Logs the end of the request, once per request.
     fn log_end(&self) {
         let (end, refusal) = match self.refusal {
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use seam_core::Refusal;
+use seam_core::command::Withheld;
 use seam_core::status::Status;
 
 /// Histogram bucket bounds of request times in seconds, around common latency objectives.
@@ -18,6 +19,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    withheld: Counter<u64>,
     platform: Counter<u64>,
     heartbeats: Counter<u64>,
     heartbeat_bytes: Counter<u64>,
@@ -37,6 +39,7 @@
     load: Gauge<u64>,
     serving: Gauge<u64>,
     limited: Gauge<u64>,
+    cold: Gauge<u64>,
     quarantine: Gauge<u64>,
     suspects: Gauge<u64>,
     items: Gauge<u64>,
@@ -60,6 +63,7 @@
             load: gauge("seam_target_load", "estimated requests at a target"),
             serving: gauge("seam_target_serving", "1 if a target takes new work"),
             limited: gauge("seam_target_limited", "1 if a target names a rate limit"),
+            cold: gauge("seam_target_cold", "1 if a target counts as cold"),
             quarantine: gauge("seam_quarantine", "fingerprints in quarantine"),
             suspects: gauge(
                 "seam_suspects",
@@ -100,6 +104,7 @@
             self.serving.record(serving, &label);
             let limited = u64::from(target.rate_limit.is_some());
             self.limited.record(limited, &label);
+            self.cold.record(u64::from(target.cold), &label);
         }
         let counters = &status.counters;
         for (kind, count) in [
@@ -147,6 +152,7 @@
         };
         Self {
             refusals: counter("seam_refusals", "refusals by reason and outcome"),
+            withheld: counter("seam_withheld", "attempts that were not sent, by reason"),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
             heartbeats: counter("seam_beats", "heartbeats by direction"),
             heartbeat_bytes: counter("seam_beat_bytes", "bytes of heartbeats by direction"),
@@ -170,6 +176,12 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts an attempt that was not sent after all.
+    pub fn withheld(&self, reason: Withheld) {
+        let label = [KeyValue::new("reason", reason.name())];
+        self.withheld.add(1, &label);
+    }
+
     /// Records the end of a request and the time from its arrival.
     pub fn request_ended(&self, route: &str, end: &'static str, elapsed: Duration) {
         let labels = [
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -15,7 +15,7 @@
 use async_channel::Sender;
 use seam_config::Settings;
 use seam_config::settings::Secrets;
-use seam_core::command::OriginSource;
+use seam_core::command::{OriginSource, Withheld};
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
@@ -66,6 +66,8 @@
     LogRouting(RoutingDecision),
     /// Log which version began the stream that the request takes up.
     LogOrigin(Option<VersionId>, OriginSource),
+    /// Log why an attempt is not sent.
+    LogWithheld(AttemptKey, Withheld),
     /// Send the request to a target.
     Send(TargetAttempt),
     /// Forward the request to another node.
@@ -374,6 +376,14 @@
                 version,
                 source,
             } => self.notify(ticket, TaskCommand::LogOrigin(version, source)),
+            Command::LogWithheld {
+                ticket,
+                attempt,
+                reason,
+            } => {
+                self.metrics.withheld(reason);
+                self.notify(ticket, TaskCommand::LogWithheld(attempt, reason));
+            }
             Command::Forward {
                 ticket,
                 attempt,
