Tell the nodes of a region which targets say that they leave

What callers of the platform saw: a request reached a target after it had said in an answer that it leaves. Cause: a fact that one node reads is kept to itself. The node that read the answer stopped; a node that had handed the request over passed the answer on unread, and the others waited for the platform's list. Class: news about a target that only some nodes can see and that binds all of them.

Now the node that reads it tells the live nodes of its region at once and repeats it in its heartbeats, as datagrams get lost and nodes start later, and the answer to a forwarded request names the leaving target. The event names the target, not the attempt, which may have ended. The new section of heartbeats comes last, so that a process of the version before reads the rest (leaving_kept).

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -91,8 +91,9 @@
     /// The head of an answer arrived that names the requests per second which the target takes from
     /// all nodes together, or (`None`) that names no such limit.
     LimitAdvertised(AttemptKey, Option<f64>),
-    /// The head of an answer arrived that says that its target is about to leave.
-    TargetLeaves(AttemptKey),
+    /// The head of an answer arrived, here or at another node, that says that its target is about to
+    /// leave.
+    TargetLeaves(TargetId),
     /// The head of an answer arrived with status 503 and the time after which its target takes requests
     /// again.
     TargetClosed(AttemptKey, Duration),
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -7,6 +7,7 @@
 mod config;
 mod dispatch;
 mod finish;
+mod leaving;
 mod members;
 mod outcome;
 mod published;
@@ -369,7 +370,7 @@
             Event::LimitAdvertised(attempt, rate) => {
                 self.handle_advertised_limit(now, attempt, rate, out);
             }
-            Event::TargetLeaves(attempt) => self.handle_leaving(now, attempt, out),
+            Event::TargetLeaves(target) => self.handle_leaving(now, target, out),
             Event::TargetClosed(attempt, time) => self.handle_closed(now, attempt, time, out),
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
             Event::Cache(target, events) => self.record_cache_events(now, target, &events),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -262,18 +262,6 @@
         }
     }
 
-    /// Handles an answer that says that its target is about to leave. The target gets nothing more from
-    /// this node, whatever the platform lists.
-    pub(super) fn handle_leaving(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
-        let Some(attempt) = self.attempts.get(&key) else {
-            return;
-        };
-        if let Destination::Target(target) = attempt.destination {
-            let change = self.targets.record_leaving(now, target);
-            self.record_phase_change(now, change, "its own answer", out);
-        }
-    }
-
     /// Handles an answer that says for how long its target wants no requests. A short time is left to
     /// the retries of single requests.
     pub(super) fn handle_closed(
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -71,6 +71,7 @@
         self.merge_work(now, heartbeat);
         self.merge_reached(now, heartbeat);
         self.merge_limits(now, heartbeat, out);
+        self.merge_leaving(now, heartbeat, out);
         if uninformed && heartbeat.region == self.id.region {
             self.report_limits(now, heartbeat.from, out);
         }
@@ -392,6 +393,7 @@
         let turn = self.gossip.next_turn(to);
         if self.regions.get(&to) == Some(&self.id.region) {
             self.list_limits(now, LimitSelection::Turn(turn), &mut heartbeat);
+            self.list_leaving(turn, &mut heartbeat);
             let others = self.peers.freshest(now, self.id.region, to, MAX_RECORDS);
             heartbeat.records.extend(others);
             if turn.is_multiple_of(SUMMARY_TURNS) {
--- a/crates/seam-core/tests/leaving_targets.rs
+++ b/crates/seam-core/tests/leaving_targets.rs
@@ -51,8 +51,8 @@
 fn neighbours_stop() {
     let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS);
     let leaving = id_of("e1");
-    let attempt = send_to(&mut fleet, 0, leaving);
-    fleet.handle(0, Event::TargetLeaves(attempt));
+    send_to(&mut fleet, 0, leaving);
+    fleet.handle(0, Event::TargetLeaves(leaving));
     for node in 0..3 {
         assert_eq!(count_sends(&mut fleet, node, leaving), 0, "node {node}");
     }
@@ -65,8 +65,8 @@
     let leaving = id_of("e1");
     fleet.partitions.insert((0, 1));
     fleet.partitions.insert((1, 2));
-    let attempt = send_to(&mut fleet, 0, leaving);
-    fleet.handle(0, Event::TargetLeaves(attempt));
+    send_to(&mut fleet, 0, leaving);
+    fleet.handle(0, Event::TargetLeaves(leaving));
     fleet.partitions.clear();
     fleet.wait(Duration::from_secs(2));
     assert_eq!(count_sends(&mut fleet, 1, leaving), 0);
@@ -106,8 +106,8 @@
     let Entry::Target(target) = entry(5, 1) else {
         unreachable!("a listed target")
     };
-    let attempt = send_to(&mut fleet, 0, target.id());
-    fleet.handle(0, Event::TargetLeaves(attempt));
+    send_to(&mut fleet, 0, target.id());
+    fleet.handle(0, Event::TargetLeaves(target.id()));
     fleet.publish(0, vec![item("e1", 61, Some(entry(4, 9)))], 61);
     let Entry::Target(older) = entry(4, 9) else {
         unreachable!("a listed target")
--- a/crates/seam-node/src/front/response.rs
+++ b/crates/seam-node/src/front/response.rs
@@ -21,10 +21,10 @@
     match reader.recv().await {
         Ok(ResponsePart::Refusal(refusal)) => runtime.dialect.refusal_response(id, refusal, ""),
         Ok(ResponsePart::Replay(stored)) => replay(runtime, &stored, id),
-        Ok(ResponsePart::Head(status, headers, _)) => {
+        Ok(ResponsePart::Head(head)) => {
             let mut response = Response::new(body(reader));
-            *response.status_mut() = status;
-            *response.headers_mut() = headers;
+            *response.status_mut() = head.status;
+            *response.headers_mut() = head.headers;
             runtime
                 .dialect
                 .annotate(&mut response, id, Outcome::Complete);
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -17,14 +17,14 @@
     ItemsRequest, NewestRequest, PartRequest, ReplyFrame, RequestFrame, RequestHead, reply_frame,
     request_frame,
 };
-use seam_protocol::{Delta, Digest, Outcome, Reason, VersionId};
+use seam_protocol::{Delta, Digest, Outcome, Reason, TargetId, VersionId};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tonic::Streaming;
 
 use super::{FrameNumbers, wire};
 use crate::inbound::InboundRequest;
 use crate::progress::{Framing, Progress};
-use crate::response_writer::ResponseWriter;
+use crate::response_writer::{ResponseHead, ResponseWriter};
 use crate::runtime::{NodeAttempt, NodeRuntime};
 use crate::targets::{ResponseRecorder, set_last_event_id};
 
@@ -245,9 +245,19 @@
                 if let Some(version) = version.filter(|_| success) {
                     runtime.handle(Event::StreamBegan(attempt, version));
                 }
+                let leaving = head.leaving.map(TargetId);
+                if let Some(target) = leaving {
+                    runtime.handle(Event::TargetLeaves(target));
+                }
                 let headers = wire::headers(&head.headers);
                 progress.mark_head(Framing::Link, &headers, false);
-                writer.write_head(status, headers, version).await;
+                let head = ResponseHead {
+                    status,
+                    headers,
+                    version,
+                    leaving,
+                };
+                writer.write_head(head).await;
             }
             Some(reply_frame::Frame::Body(bytes)) => {
                 recorder.add(&bytes);
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -285,6 +285,7 @@
                 headers: Vec::new(),
                 refusal: Some(wire::wire_refusal(refusal)),
                 version: None,
+                leaving: None,
             };
             (vec![reply_frame::Frame::Head(head)], true)
         }
@@ -301,6 +302,7 @@
                 headers: headers.collect(),
                 refusal: None,
                 version: None,
+                leaving: None,
             };
             let frames = vec![
                 reply_frame::Frame::Head(head),
@@ -309,12 +311,13 @@
             ];
             (frames, true)
         }
-        ResponsePart::Head(status, headers, version) => {
+        ResponsePart::Head(head) => {
             let head = ReplyHead {
-                status: u32::from(status.as_u16()),
-                headers: wire::wire_headers(&headers),
+                status: u32::from(head.status.as_u16()),
+                headers: wire::wire_headers(&head.headers),
                 refusal: None,
-                version: version.map(|version| version.0),
+                version: head.version.map(|version| version.0),
+                leaving: head.leaving.map(|target| target.0),
             };
             (vec![reply_frame::Frame::Head(head)], false)
         }
--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -8,13 +8,26 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use seam_core::Refusal;
-use seam_protocol::{StoredResponse, VersionId};
+use seam_protocol::{StoredResponse, TargetId, VersionId};
 
 use crate::events::{EventStreamCursor, is_event_stream};
 
 /// Capacity of the channel in parts. A full channel slows a target down to the speed of the reader.
 const CHANNEL_CAPACITY: usize = 8;
 
+/// The head of a target's response.
+#[derive(Debug)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Version of the target's software, if it is known.
+    pub version: Option<VersionId>,
+    /// The target, if the response says that it leaves.
+    pub leaving: Option<TargetId>,
+}
+
 /// A part of a response.
 #[derive(Debug)]
 pub enum ResponsePart {
@@ -22,8 +35,8 @@
     Refusal(Refusal),
     /// A stored response. It is the whole response.
     Replay(Arc<StoredResponse>),
-    /// Status and headers of a target's response, and the version of its software if it is known.
-    Head(StatusCode, HeaderMap, Option<VersionId>),
+    /// The head of a target's response.
+    Head(ResponseHead),
     /// Bytes of the body.
     Data(Bytes),
     /// The end of a complete body.
@@ -123,19 +136,13 @@
     }
 
     /// Writes the head of the response. Returns `false` if the response has started already.
-    pub async fn write_head(
-        &self,
-        status: StatusCode,
-        headers: HeaderMap,
-        version: Option<VersionId>,
-    ) -> bool {
+    pub async fn write_head(&self, head: ResponseHead) -> bool {
         let first = self.transition(Phase::Open, Phase::Started);
         if first {
-            if is_event_stream(&headers) {
+            if is_event_stream(&head.headers) {
                 lock(&self.cursor).get_or_insert_default();
             }
-            let head = ResponsePart::Head(status, headers, version);
-            let _ = self.parts.send(head).await;
+            let _ = self.parts.send(ResponsePart::Head(head)).await;
         }
         first
     }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -12,14 +12,14 @@
 use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::client::describe;
 use seam_http::{ClientError, Connection, ResponseBody};
-use seam_protocol::{HeaderField, Reason, StoredResponse, VersionId};
+use seam_protocol::{HeaderField, Reason, StoredResponse};
 
 use crate::dialect::{ResponseClass, TargetContext};
 use crate::events::LAST_EVENT_ID_HEADER;
 use crate::inbound::InboundRequest;
 use crate::pool::max_idle_connections;
 use crate::progress::{Framing, Progress};
-use crate::response_writer::ResponseWriter;
+use crate::response_writer::{ResponseHead, ResponseWriter};
 use crate::runtime::{NodeRuntime, TargetAttempt};
 
 /// Maximum size in bytes of a response that is read as a whole before it is relayed.
@@ -137,7 +137,7 @@
             runtime.handle(Event::TargetClosed(to.attempt, time));
         }
         if class != ResponseClass::Mismatched && runtime.dialect.is_leaving(&head.headers) {
-            runtime.handle(Event::TargetLeaves(to.attempt));
+            runtime.handle(Event::TargetLeaves(to.target));
         }
     }
     if let Some(refusal) = status_refusal(runtime, to, head.status, &head.headers) {
@@ -344,8 +344,7 @@
 /// off early.
 struct BufferedResponse<'a> {
     writer: &'a ResponseWriter,
-    head: Option<(StatusCode, http::HeaderMap)>,
-    version: VersionId,
+    head: Option<ResponseHead>,
     bytes: Vec<Bytes>,
     remaining: usize,
 }
@@ -369,9 +368,8 @@
     }
 
     async fn flush(&mut self) {
-        if let Some((status, headers)) = self.head.take() {
-            let version = Some(self.version);
-            self.writer.write_head(status, headers, version).await;
+        if let Some(head) = self.head.take() {
+            self.writer.write_head(head).await;
         }
         for bytes in std::mem::take(&mut self.bytes) {
             self.writer.write_data(bytes).await;
@@ -393,10 +391,16 @@
         max_buffered,
     } = response;
     let mut recorder = ResponseRecorder::new(monitor.to.keep_response, status, &headers);
+    let to = monitor.to;
+    let head = ResponseHead {
+        status,
+        leaving: (monitor.runtime.dialect.is_leaving(&headers)).then_some(to.target),
+        headers,
+        version: Some(to.version),
+    };
     let mut response = BufferedResponse {
         writer,
-        head: Some((status, headers)),
-        version: monitor.to.version,
+        head: Some(head),
         bytes: Vec::new(),
         remaining: max_buffered,
     };
--- a/crates/seam-node/tests/response_writers.rs
+++ b/crates/seam-node/tests/response_writers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use seam_node::response_writer::{ResponsePart, response_channel};
+use seam_node::response_writer::{ResponseHead, ResponsePart, response_channel};
 
 /// Guards against an event that was never written and that a resumed stream leaves out, since its
 /// attempt ended while the channel to the caller was full.
@@ -14,7 +14,13 @@
         let mut headers = HeaderMap::new();
         let kind = HeaderValue::from_static("text/event-stream");
         headers.insert(header::CONTENT_TYPE, kind);
-        writer.write_head(StatusCode::OK, headers, None).await;
+        let head = ResponseHead {
+            status: StatusCode::OK,
+            headers,
+            version: None,
+            leaving: None,
+        };
+        writer.write_head(head).await;
         let mut written = 0;
         loop {
             let event = Bytes::from(format!("id: {}\ndata: a\n\n", written + 1));
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -269,6 +269,9 @@
     /// with the origins.
     #[serde(skip)]
     pub reached: Vec<ServiceReach>,
+    /// Targets that say in their answers that they leave. They follow in a section of their own.
+    #[serde(skip)]
+    pub leaving: Vec<TargetId>,
 }
 
 impl Heartbeat {
@@ -285,8 +288,9 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let last = !self.streams.is_empty() || !self.reached.is_empty();
-        let limits = last || !self.limits.is_empty();
+        let leaving = !self.leaving.is_empty();
+        let origins = leaving || !self.streams.is_empty() || !self.reached.is_empty();
+        let limits = origins || !self.limits.is_empty();
         let parts = limits || !self.suspect_parts.is_empty();
         if self.quarantine == QuarantineReport::default() && !parts {
             return bytes;
@@ -302,11 +306,16 @@
             return bytes;
         }
         let bytes = postcard::to_extend(&self.limits, bytes).expect("limits always serialize");
-        if !last {
+        if !origins {
             return bytes;
         }
         let section = (&self.streams, &self.reached);
-        postcard::to_extend(&section, bytes).expect("origins and services always serialize")
+        let bytes =
+            postcard::to_extend(&section, bytes).expect("origins and services always serialize");
+        if !leaving {
+            return bytes;
+        }
+        postcard::to_extend(&self.leaving, bytes).expect("targets always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat.
@@ -328,8 +337,13 @@
         }
         let (limits, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.limits = limits;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (section, rest) = postcard::take_from_bytes(rest).ok()?;
+        (heartbeat.streams, heartbeat.reached) = section;
         if !rest.is_empty() {
-            (heartbeat.streams, heartbeat.reached) = postcard::from_bytes(rest).ok()?;
+            heartbeat.leaving = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -359,6 +373,7 @@
             limits: Vec::new(),
             streams: StreamReport::default(),
             reached: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 }
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,6 +1,8 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
-use seam_protocol::heartbeat::{CrashReport, QuarantineReport, Suspect, SuspectPart, TargetLimit};
+use seam_protocol::heartbeat::{
+    CrashReport, QuarantineReport, ServiceReach, StreamReport, Suspect, SuspectPart, TargetLimit,
+};
 use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
 fn heartbeat() -> Heartbeat {
@@ -84,6 +86,27 @@
     }
 }
 
+/// Guards against leaving targets that get lost, with or without other sections before them.
+#[test]
+fn leaving_kept() {
+    let mut heartbeat = heartbeat();
+    heartbeat.leaving = vec![TargetId(5), TargetId(6)];
+    for digest in [0, 4] {
+        heartbeat.quarantine.digest = digest;
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
+        // A process of the version before reads what precedes them.
+        let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&whole).unwrap();
+        let (_, rest) = postcard::take_from_bytes::<QuarantineReport>(rest).unwrap();
+        let (_, rest) = postcard::take_from_bytes::<Vec<SuspectPart>>(rest).unwrap();
+        let (_, rest) = postcard::take_from_bytes::<Vec<TargetLimit>>(rest).unwrap();
+        let (streams, reached): (StreamReport, Vec<ServiceReach>) =
+            postcard::from_bytes(rest).unwrap();
+        assert_eq!((streams, reached), (heartbeat.streams.clone(), Vec::new()));
+    }
+}
+
 /// Guards against datagrams that processes of the version before cannot exchange with this one.
 #[test]
 fn earlier_version() {
