Withhold a request whose target left since it was placed

Cause: a request that waits for a connection, up to 0.7 s, or behind a paused process, was looked at again before its first byte for its deadline and residency, not for its target. Class: a decision that is carried out later than the facts it rests on. The target's phase is one of them now, for targets that leave, are removed, evacuated or drained; the request is placed again. Ejected targets stay allowed: an open connection shows that they can be reached.

Red before, green now: waiting_request.

--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -48,6 +48,8 @@
     Deadline,
     /// Its residency does not allow the region any more.
     Residency,
+    /// The target leaves, or left, meanwhile.
+    Leaving,
 }
 
 impl Withheld {
@@ -59,6 +61,7 @@
             Self::Paused => "paused",
             Self::Deadline => "deadline",
             Self::Residency => "residency",
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -28,8 +28,8 @@
 impl Node {
     /// Decides just before the first byte whether an attempt may still be sent.
     ///
-    /// This catches a process that was paused between the decision and its execution, and a request
-    /// whose residency rules changed in between.
+    /// This catches a process that was paused between the decision and its execution, a request
+    /// whose residency rules changed in between, and a target that left meanwhile.
     pub(super) fn authorize_send(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
         let Some(attempt) = self.attempts.get(&key).copied() else {
             out.push(Command::Cancel(key));
@@ -62,12 +62,25 @@
             _ if attempt.cancelled => Some(Withheld::Cancelled),
             _ if !self.freshness.fresh() => Some(Withheld::Paused),
             Some(request) if now < request.deadline || request.orphaned => {
-                (!allows(request)).then_some(Withheld::Residency)
+                if allows(request) {
+                    self.target_reason(attempt)
+                } else {
+                    Some(Withheld::Residency)
+                }
             }
             _ => Some(Withheld::Deadline),
         }
     }
 
+    /// Returns why the target of an attempt takes no request any more, if there is a reason.
+    fn target_reason(&self, attempt: &Attempt) -> Option<Withheld> {
+        let Destination::Target(target) = attempt.destination else {
+            return None;
+        };
+        let open = self.targets.get(target).phase.may_serve_others();
+        (!open).then_some(Withheld::Leaving)
+    }
+
     /// Returns the region of an attempt's target or node.
     fn region_of(&self, destination: Destination) -> RegionId {
         match destination {
