Ignore a late entry of an earlier start of a target

Cause: entries of one start are ordered by their sequence numbers, those of two starts by the store's revision alone, though a write may be done seconds late. A late entry of the start before made the earlier start the listed one, so what was known of the present one (that it leaves, that it is cold, what it was sent) no longer counted. Class: order of arrival taken for order of origin; for the same target it had been mended within a start only.

An entry of an earlier start is ignored, unless it says that the target leaves, or a second one follows: then that start is in use and its clock was set back.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -94,19 +94,29 @@
     received: Time,
     /// Until when the entry of a lapsed item (one whose lease may have expired) stays in use.
     keep_until: Option<Time>,
+    /// Boot and sequence number of the last entry of an earlier boot that was not used.
+    outdated: Option<(u64, u64)>,
 }
 
 impl Item {
-    /// Returns whether this entry of a target is newer than `entry`.
+    /// Returns whether an entry of a target is older than this one, written late.
     ///
-    /// Sequence numbers restart with every boot of the target, so only entries of the same boot
-    /// are compared.
-    fn is_newer_than(&self, entry: Option<&Entry>) -> bool {
-        matches!(
-            (&self.entry, entry),
-            (Some(Entry::Target(known)), Some(Entry::Target(received)))
-                if known.boot == received.boot && known.sequence > received.sequence
-        )
+    /// Sequence numbers restart with every boot of the target. A second entry of an earlier boot is
+    /// not late: the boot is in use, and the clock that numbered it was set back. Nor is one ignored
+    /// that says that the target leaves.
+    fn outdates(&mut self, entry: Option<&Entry>) -> bool {
+        let (Some(Entry::Target(known)), Some(Entry::Target(received))) = (&self.entry, entry)
+        else {
+            return false;
+        };
+        if known.boot <= received.boot {
+            return known.boot == received.boot && known.sequence > received.sequence;
+        }
+        if received.leaving {
+            return false;
+        }
+        let last = self.outdated.replace((received.boot, received.sequence));
+        last.is_none_or(|(boot, sequence)| boot != received.boot || sequence >= received.sequence)
     }
 }
 
@@ -224,7 +234,7 @@
             if current.raw.revision >= item.revision {
                 return;
             }
-            if current.is_newer_than(entry.as_ref()) {
+            if current.outdates(entry.as_ref()) {
                 // Keeps the newer entry under the new revision, so that peers receive it as a
                 // change.
                 current.raw.revision = item.revision;
@@ -272,6 +282,7 @@
             entry,
             received: now,
             keep_until,
+            outdated: None,
         };
         self.items.insert(key, item);
     }
