--- /dev/null
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -0,0 +1,156 @@
+//! Targets that become cold in the middle of their life, or start again where nobody sees it.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+#[path = "live/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{ENGINE, Fleet, NORTH, arrival, item, listed, settled_fleet};
+use seam_core::{AttemptKey, AttemptOutcome, Command, Event};
+use seam_protocol::{Entry, TargetId};
+
+const TARGETS: [(&str, &str, &str); 2] = [("e1", ENGINE, NORTH), ("e2", ENGINE, NORTH)];
+/// Requests that all nodes together may send a cold target within a second.
+const LIMIT: usize = 5;
+
+fn id_of(name: &str) -> TargetId {
+    let Entry::Target(target) = listed(name, ENGINE, NORTH, false, 0) else {
+        unreachable!("a listed target")
+    };
+    target.id()
+}
+
+/// Lets a request arrive at a node. Returns the attempts that are sent because of it.
+fn arrive(fleet: &mut Fleet, node: usize, ticket: u64) -> Vec<(AttemptKey, TargetId)> {
+    fleet.commands.clear();
+    fleet.arrive(node, arrival(ticket, "review", ENGINE, 1));
+    let sends = fleet.sends().into_iter();
+    sends
+        .map(|(_, attempt, target)| (attempt, target))
+        .collect()
+}
+
+/// Asks whether an attempt may be sent now. Reports one that may not as not sent.
+fn may_send(fleet: &mut Fleet, node: usize, attempt: AttemptKey) -> bool {
+    fleet.commands.clear();
+    fleet.handle(node, Event::Sending(attempt));
+    let cancelled = fleet
+        .commands
+        .iter()
+        .any(|(_, command)| matches!(command, Command::Cancel(key) if *key == attempt));
+    if cancelled {
+        fleet.handle(node, Event::AttemptEnded(attempt, AttemptOutcome::NotSent));
+    }
+    !cancelled
+}
+
+/// Publishes to all nodes that a target is cold.
+fn become_cold(fleet: &mut Fleet, name: &str, revision: u64) {
+    for node in 0..fleet.nodes.len() {
+        let entry = listed(name, ENGINE, NORTH, false, 3000);
+        fleet.publish(node, vec![item(name, revision, Some(entry))], revision);
+    }
+}
+
+/// Counts the requests that go to a target while some arrive at a node and are answered.
+fn count_sends(fleet: &mut Fleet, node: usize, target: TargetId, tickets: u64) -> usize {
+    let mut count = 0;
+    for ticket in tickets..tickets + 20 {
+        for (attempt, to) in arrive(fleet, node, ticket) {
+            count += usize::from(to == target && may_send(fleet, node, attempt));
+            fleet.complete(node, attempt);
+        }
+    }
+    count
+}
+
+/// Guards against requests to a cold target on top of those that it got in the second before the nodes
+/// learned of it.
+#[test]
+fn sent_before_news() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS);
+    let cold = id_of("e1");
+    let mut sent = 0;
+    for node in 0..3 {
+        sent += count_sends(&mut fleet, node, cold, 0);
+    }
+    assert!(sent > LIMIT);
+    fleet.wait(Duration::from_millis(200));
+    become_cold(&mut fleet, "e1", 60);
+    let more: usize = (0..3)
+        .map(|node| count_sends(&mut fleet, node, cold, 100))
+        .sum();
+    assert_eq!(more, 0);
+    fleet.wait(Duration::from_secs(1));
+    let more: usize = (0..3)
+        .map(|node| count_sends(&mut fleet, node, cold, 200))
+        .sum();
+    assert!((1..=LIMIT).contains(&more), "{more}");
+}
+
+/// Guards against requests that wait for a connection while their target becomes cold, and reach it
+/// all at once.
+#[test]
+fn waiting_requests() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let mut waiting = Vec::new();
+    for node in 0..3 {
+        for ticket in 0..10 {
+            let sends = arrive(&mut fleet, node, ticket);
+            waiting.extend(sends.into_iter().map(|(attempt, _)| (node, attempt)));
+        }
+    }
+    assert_eq!(waiting.len(), 30);
+    fleet.wait(Duration::from_millis(300));
+    become_cold(&mut fleet, "e1", 60);
+    let mut sent = 0;
+    for (node, attempt) in waiting {
+        sent += usize::from(may_send(&mut fleet, node, attempt));
+    }
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
+
+/// Guards against requests to a cold target that were placed over a long time and wait for
+/// connections that open at the same moment.
+#[test]
+fn late_connections() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    become_cold(&mut fleet, "e1", 60);
+    fleet.wait(Duration::from_secs(1));
+    let mut waiting = Vec::new();
+    for round in 0..3 {
+        for node in 0..3 {
+            let sends = arrive(&mut fleet, node, round * 10);
+            waiting.extend(sends.into_iter().map(|(attempt, _)| (node, attempt)));
+        }
+        become_cold(&mut fleet, "e1", 61 + round);
+        fleet.wait(Duration::from_millis(1150));
+    }
+    assert!(waiting.len() > LIMIT, "{waiting:?}");
+    let mut sent = 0;
+    for (node, attempt) in waiting {
+        sent += usize::from(may_send(&mut fleet, node, attempt));
+    }
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
+
+/// Guards against full traffic to a target that a probe finds again, and that started meanwhile while the
+/// platform did not hear of it.
+#[test]
+fn found_by_probe() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    for node in 0..3 {
+        let accepted = false;
+        fleet.handle(node, Event::Probed { target, accepted });
+    }
+    fleet.wait(Duration::from_secs(4));
+    let mut sent = 0;
+    for node in 0..3 {
+        let accepted = true;
+        fleet.handle(node, Event::Probed { target, accepted });
+        sent += count_sends(&mut fleet, node, target, 0);
+    }
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
