Count what a target got before it is known to be cold

What was seen: a cold target got more requests in a second than allowed, within a second after the news. Cause: the limiter recorded requests only while the target was known to be cold. A target that becomes cold in the middle of its life had its full traffic in the second before, and each node sent its share on top. Class: a limit over a window whose record begins with the limit. Server-Limit has the same form, but binds only nodes that were told, from then on.

--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -10,12 +10,23 @@
 const WINDOW: Duration = Duration::from_millis(1100);
 
 /// This node's share of the request rate of a cold target.
-#[derive(Clone, Debug, Default)]
+///
+/// Requests are counted at any time, since a target may be cold before this node learns of it.
+#[derive(Clone, Debug)]
 pub struct ColdShare {
     until: Option<Time>,
     limiter: ShareLimiter,
 }
 
+impl Default for ColdShare {
+    fn default() -> Self {
+        Self {
+            until: None,
+            limiter: ShareLimiter::new(WINDOW),
+        }
+    }
+}
+
 impl ColdShare {
     /// Sets until when the target is cold, and the share of this node, whose process started at
     /// `boot`.
@@ -48,9 +59,7 @@
 
     /// Records a request that is being sent.
     pub fn record(&mut self, now: Time) {
-        if self.until.is_some_and(|until| until > now) {
-            self.limiter.record(now);
-        }
+        self.limiter.record(now);
     }
 }
 
--- a/crates/seam-core/src/targets/shared_rate.rs
+++ b/crates/seam-core/src/targets/shared_rate.rs
@@ -42,6 +42,15 @@
     /// Longest time after the start of a process for which nothing is sent.
     pub const MAX_BOOT_WAIT: Duration = Duration::from_secs(4);
 
+    /// Creates a limiter without a share that counts requests within a window.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            share: RateShare { allowed: 0, window },
+            ..Self::default()
+        }
+    }
+
     /// Sets the share of this node, whose process started at `boot`.
     ///
     /// A new process does not know what the previous one sent, so nothing is sent within the first
--- a/crates/seam-core/src/targets/sliding_window.rs
+++ b/crates/seam-core/src/targets/sliding_window.rs
@@ -26,7 +26,13 @@
 impl SlidingWindow {
     /// Records an event, and removes those older than the window.
     pub fn record(&mut self, now: Time, window: Duration) {
-        self.times.retain(|time| now.since(*time) < window);
+        while self
+            .times
+            .front()
+            .is_some_and(|time| now.since(*time) >= window)
+        {
+            self.times.pop_front();
+        }
         self.times.push_back(now);
     }
 
