Hold a cold target's limit when requests are sent, not when they are placed

What was seen: a cold target got more requests in a second than allowed, some time after nodes knew that it is cold. Cause: the limiter counted a request when its target was chosen. Until its first byte it may wait 0.7 s for a connection, so requests placed while the target was warm, or over several seconds, arrived in one second. Class: as for leaving targets, a decision that is carried out later than the facts it rests on. Just before its first byte a request is checked against the rates that its target grants and counted from then on; one that is withheld counts no more and is placed again. This holds for Server-Limit as well.

--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -50,6 +50,8 @@
     Residency,
     /// The target leaves, or left, meanwhile.
     Leaving,
+    /// This node's share of the rate that the target grants is used up.
+    Rate,
 }
 
 impl Withheld {
@@ -62,6 +64,7 @@
             Self::Deadline => "deadline",
             Self::Residency => "residency",
             Self::Leaving => "leaving",
+            Self::Rate => "rate",
         }
     }
 }
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -29,14 +29,16 @@
     /// Decides just before the first byte whether an attempt may still be sent.
     ///
     /// This catches a process that was paused between the decision and its execution, a request
-    /// whose residency rules changed in between, and a target that left meanwhile.
+    /// whose residency rules changed in between, and a target that left or became cold meanwhile.
     pub(super) fn authorize_send(&mut self, now: Time, key: AttemptKey, out: &mut Vec<Command>) {
         let Some(attempt) = self.attempts.get(&key).copied() else {
             out.push(Command::Cancel(key));
             return;
         };
         let ticket = attempt.ticket;
-        if let Some(reason) = self.reason_to_withhold(now, &attempt) {
+        let reason = self.reason_to_withhold(now, &attempt);
+        let reason = reason.or_else(|| self.exceeded_rate(now, &attempt));
+        if let Some(reason) = reason {
             out.push(Command::LogWithheld {
                 ticket,
                 attempt: key,
@@ -81,6 +83,15 @@
         (!open).then_some(Withheld::Leaving)
     }
 
+    /// Counts an attempt that is sent now, or returns the reason if its target grants no more.
+    fn exceeded_rate(&mut self, now: Time, attempt: &Attempt) -> Option<Withheld> {
+        let Destination::Target(target) = attempt.destination else {
+            return None;
+        };
+        let granted = self.targets.confirm_grant(now, target, attempt.started);
+        (!granted).then_some(Withheld::Rate)
+    }
+
     /// Returns the region of an attempt's target or node.
     fn region_of(&self, destination: Destination) -> RegionId {
         match destination {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -472,6 +472,12 @@
         state.suspects += u32::from(suspect);
     }
 
+    /// Returns whether a request that was placed at a target some time ago may be sent now. If its
+    /// target takes only a granted rate, it counts from now on.
+    pub fn confirm_grant(&mut self, now: Time, key: TargetKey, placed: Time) -> bool {
+        self.get_mut(key).confirm_grant(now, placed)
+    }
+
     /// Counts a request as ended.
     pub fn end_request(&mut self, key: TargetKey, suspect: bool) {
         let state = self.get_mut(key);
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -61,6 +61,11 @@
     pub fn record(&mut self, now: Time) {
         self.limiter.record(now);
     }
+
+    /// Forgets a request that was recorded at this time and not sent.
+    pub fn withdraw(&mut self, placed: Time) {
+        self.limiter.withdraw(placed);
+    }
 }
 
 /// Returns a node's share of the requests per second that a cold target takes from several nodes.
--- a/crates/seam-core/src/targets/rate_limit.rs
+++ b/crates/seam-core/src/targets/rate_limit.rs
@@ -113,6 +113,11 @@
             self.limiter.record(now);
         }
     }
+
+    /// Forgets a request that was recorded at this time and not sent.
+    pub fn withdraw(&mut self, placed: Time) {
+        self.limiter.withdraw(placed);
+    }
 }
 
 /// Returns a node's share of a rate limit, in requests per second, that a target names for all
--- a/crates/seam-core/src/targets/shared_rate.rs
+++ b/crates/seam-core/src/targets/shared_rate.rs
@@ -95,4 +95,9 @@
     pub fn record(&mut self, now: Time) {
         self.sent.record(now, self.share.window);
     }
+
+    /// Forgets a request that was recorded at this time and not sent.
+    pub fn withdraw(&mut self, placed: Time) {
+        self.sent.withdraw(placed);
+    }
 }
--- a/crates/seam-core/src/targets/sliding_window.rs
+++ b/crates/seam-core/src/targets/sliding_window.rs
@@ -36,6 +36,26 @@
         self.times.push_back(now);
     }
 
+    /// Removes an event that was recorded at this time, if there is one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::targets::SlidingWindow;
+    /// use seam_protocol::Time;
+    /// let window = Duration::from_secs(1);
+    /// let mut events = SlidingWindow::default();
+    /// events.record(Time(5), window);
+    /// events.withdraw(Time(4));
+    /// assert_eq!(events.count(Time(6), window), 1);
+    /// events.withdraw(Time(5));
+    /// assert_eq!(events.count(Time(6), window), 0);
+    /// ```
+    pub fn withdraw(&mut self, time: Time) {
+        if let Ok(index) = self.times.binary_search(&time) {
+            self.times.remove(index);
+        }
+    }
+
     /// Returns the number of events within the window.
     #[must_use]
     pub fn count(&self, now: Time, window: Duration) -> usize {
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -245,6 +245,19 @@
         cold.into_iter().chain(self.rate_limit.limiter())
     }
 
+    /// Returns whether a request that was placed at this time may be sent now by the granted rates, and
+    /// counts it at the time at which it is sent.
+    pub(super) fn confirm_grant(&mut self, now: Time, placed: Time) -> bool {
+        self.cold.withdraw(placed);
+        self.rate_limit.withdraw(placed);
+        if !self.limiters(now).all(|limiter| limiter.allows(now)) {
+            return false;
+        }
+        self.cold.record(now);
+        self.rate_limit.record_request(now);
+        true
+    }
+
     /// Returns whether the target takes only a granted rate of requests.
     pub(super) fn is_granted(&self, now: Time) -> bool {
         self.limiters(now).next().is_some()
