--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -176,6 +176,8 @@
     pub partitions: BTreeSet<(usize, usize)>,
     /// Node that receives no heartbeats.
     pub blocked_receiver: Option<usize>,
+    /// Whether heartbeats lack what targets said in their answers.
+    pub answers_kept: bool,
     /// Whether fetches of items from other nodes never end.
     pub fetches_fail: bool,
     /// Fetches of items begun so far, by node.
@@ -205,6 +207,7 @@
             down: vec![false; regions.len()],
             partitions: BTreeSet::new(),
             blocked_receiver: None,
+            answers_kept: false,
             fetches_fail: false,
             fetches: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
@@ -267,9 +270,12 @@
             match command {
                 Command::Heartbeat {
                     address: to,
-                    heartbeat,
+                    mut heartbeat,
                     ..
                 } => {
+                    if self.answers_kept {
+                        heartbeat.leaving.clear();
+                    }
                     let to = (0..self.nodes.len()).find(|other| address(*other) == to);
                     if let Some(to) = to.filter(|to| self.connected(index, *to)) {
                         self.last_heartbeats.insert(index, (*heartbeat).clone());
--- a/crates/seam-core/tests/live/oracle.rs
+++ b/crates/seam-core/tests/live/oracle.rs
@@ -1,6 +1,6 @@
 //! Simulation of live nodes and their platform, with an oracle that checks invariants.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use seam_core::{Command, Event};
@@ -21,6 +21,9 @@
 /// Time for which a target may still receive requests after its item was removed while nodes could
 /// not reach the platform, since its lease may only have expired: the platform's drain time.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Time after which all connected nodes must have stopped sending to a target that said to one of them
+/// that it leaves.
+const ANSWER_SPREAD: Duration = Duration::from_secs(2);
 /// Run time of a request.
 const RUN_TIME: Duration = Duration::from_millis(300);
 /// Time between two rounds of the simulation.
@@ -35,6 +38,8 @@
     Start { target: usize, cold: u64 },
     /// A target announces that it is leaving.
     Leave { target: usize },
+    /// A target says in its answers from now on that it leaves, before it announces it.
+    SayLeaving { target: usize },
     /// A target's item is removed.
     Remove { target: usize },
     /// The data centre is evacuated or restored.
@@ -61,6 +66,8 @@
     HideCold,
     /// Items show no target as leaving.
     HideLeaving,
+    /// Nodes do not pass on what targets say in their answers.
+    KeepAnswers,
     /// Heartbeats of dead nodes continue.
     KeepHeartbeats,
     /// Node 0 receives no heartbeats.
@@ -125,8 +132,14 @@
     heartbeats: BTreeMap<usize, Heartbeat>,
     /// Time of the last change that all nodes must learn of.
     last_change: Time,
-    /// Running attempts: end, node and key.
-    running: Vec<(Time, usize, seam_core::AttemptKey)>,
+    /// Time of the last cut, repair, stop or start of a node.
+    topology_changed: Time,
+    /// Running attempts: end, node, key and target.
+    running: Vec<(Time, usize, seam_core::AttemptKey, TargetId)>,
+    /// Targets that say in their answers that they leave.
+    saying: BTreeSet<TargetId>,
+    /// Targets that said so to a node that has not restarted since, with that node and the time.
+    said: BTreeMap<TargetId, (usize, Time)>,
     sent: BTreeMap<TargetId, Vec<Time>>,
     tickets: u64,
     violation: Option<Violation>,
@@ -158,6 +171,7 @@
         let nodes = regions.len();
         let mut simulation = Self {
             last_change: fleet.now,
+            topology_changed: fleet.now,
             fleet,
             fault,
             revision: 0,
@@ -174,6 +188,8 @@
             down_since: vec![None; nodes],
             heartbeats: BTreeMap::new(),
             running: Vec::new(),
+            saying: BTreeSet::new(),
+            said: BTreeMap::new(),
             sent: BTreeMap::new(),
             tickets: 0,
             violation: None,
@@ -189,10 +205,21 @@
     }
 
     pub fn apply(&mut self, step: Step) {
+        if matches!(
+            step,
+            Step::Cut { .. } | Step::Heal | Step::Kill { .. } | Step::Restart { .. }
+        ) {
+            self.topology_changed = self.fleet.now;
+        }
         match step {
             Step::Arrive { node, count } => self.arrive(node, count),
             Step::Start { target, cold } => self.start(target, cold),
             Step::Leave { target } => self.leave(target),
+            Step::SayLeaving { target } => {
+                if let Some(state) = self.targets.get(&target) {
+                    self.saying.insert(target_id(&entry(target, *state)));
+                }
+            }
             Step::Remove { target } => self.remove(target),
             Step::Evacuate { on } => self.evacuate(on),
             Step::Cut { one, other } => {
@@ -212,6 +239,7 @@
                 let seeds = SEEDS.iter().filter(|seed| **seed != node);
                 let others = seeds.filter(|seed| self.down_since.get(**seed) == Some(&None));
                 if !self.fleet.down[node] && others.count() > 0 {
+                    self.said.retain(|_, (told, _)| *told != node);
                     self.fleet.down[node] = true;
                     self.down_since[node] = Some(self.fleet.now);
                     self.note_change();
@@ -219,7 +247,8 @@
             }
             Step::Restart { node } => {
                 self.fleet.restart(node);
-                self.running.retain(|(_, index, _)| *index != node);
+                self.said.retain(|_, (told, _)| *told != node);
+                self.running.retain(|(_, index, ..)| *index != node);
                 self.down_since[node] = None;
                 self.revisions[node] = 0;
                 self.read_revisions[node] = 0;
@@ -349,7 +378,7 @@
                 continue;
             };
             let now = self.fleet.now;
-            self.running.push((now + RUN_TIME, index, attempt));
+            self.running.push((now + RUN_TIME, index, attempt, target));
             self.sent.entry(target).or_default().push(now);
             let revision = self.fleet.nodes[index].items_revision();
             let closed = self.closed.get(&target);
@@ -358,6 +387,14 @@
             if known_closed && !self.lease_uncertain(target) {
                 self.violation.get_or_insert(Violation::Leaving);
             }
+            let told = self.said.get(&target).map(|(_, told)| *told);
+            let settled = now.since(self.topology_changed) > SETTLE_TIME;
+            if told.is_some_and(|told| now.since(told) > ANSWER_SPREAD)
+                && settled
+                && self.fleet.partitions.is_empty()
+            {
+                self.violation.get_or_insert(Violation::Leaving);
+            }
             if self.cold.get(&target).is_some_and(|until| now < *until) {
                 let sent = &self.sent[&target];
                 let recent = sent.iter().filter(|at| now.since(**at) < COLD_WINDOW);
@@ -430,11 +467,15 @@
     /// Completes the requests whose run time is over.
     fn complete_due(&mut self) {
         let now = self.fleet.now;
-        let (due, rest) = self.running.iter().partition(|(end, _, _)| *end <= now);
+        let (due, rest) = self.running.iter().partition(|(end, ..)| *end <= now);
         let due: Vec<_> = due;
         self.running = rest;
-        for (_, index, attempt) in due {
+        for (_, index, attempt, target) in due {
             if !self.fleet.down[index] {
+                if self.saying.contains(&target) {
+                    self.said.entry(target).or_insert((index, now));
+                    self.fleet.handle(index, Event::TargetLeaves(target));
+                }
                 self.fleet.complete(index, attempt);
                 self.collect_sends();
             }
@@ -456,6 +497,7 @@
                     }
                 }
             }
+            InjectedFault::KeepAnswers => self.fleet.answers_kept = true,
             InjectedFault::DropHeartbeats => self.fleet.blocked_receiver = Some(0),
             InjectedFault::FailFetches => self.fleet.fetches_fail = true,
             InjectedFault::ForgetItems if self.revisions[0] > 1 => self.fleet.restart(0),
--- a/crates/seam-core/tests/live_histories.rs
+++ b/crates/seam-core/tests/live_histories.rs
@@ -37,6 +37,7 @@
         4 => (node(), 1..12_u64).prop_map(|(node, count)| Step::Arrive { node, count }),
         3 => (target(), 0..6_u64).prop_map(|(target, cold)| Step::Start { target, cold }),
         1 => target().prop_map(|target| Step::Leave { target }),
+        1 => target().prop_map(|target| Step::SayLeaving { target }),
         1 => target().prop_map(|target| Step::Remove { target }),
         1 => any::<bool>().prop_map(|on| Step::Evacuate { on }),
         1 => (node(), node()).prop_map(|(one, other)| Step::Cut { one, other }),
@@ -145,6 +146,23 @@
     );
 }
 
+#[test]
+fn detects_kept_answers() {
+    let mut steps = vec![
+        Step::Start { target: 0, cold: 0 },
+        Step::Wait { tenths: 100 },
+        Step::SayLeaving { target: 0 },
+        Step::Arrive { node: 0, count: 1 },
+        Step::Wait { tenths: 30 },
+    ];
+    steps.extend((1..NODES).map(|node| Step::Arrive { node, count: 3 }));
+    assert_eq!(first_violation(InjectedFault::None, &steps), None);
+    assert_eq!(
+        first_violation(InjectedFault::KeepAnswers, &steps),
+        Some(Violation::Leaving)
+    );
+}
+
 #[test]
 fn detects_revision_regression() {
     let steps = [
