Count the remaining time of a cold target from its entry's arrival

Cause: each rebuild of the bundle, after any change of any entry, counted the time in an entry from then on, so a target whose entry stayed as it was, for example while the store was away, counted as cold for as long as others changed.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -330,14 +330,17 @@
         }
     }
 
-    /// Returns the current targets and evacuated data centres.
+    /// Returns the current targets and evacuated data centres. The remaining times of cold targets
+    /// count from when their entries were received.
     #[must_use]
-    pub fn inventory(&self) -> Inventory {
+    pub fn inventory(&self, now: Time) -> Inventory {
         let mut inventory = Inventory::default();
         for (key, item) in &self.items {
             match &item.entry {
                 Some(Entry::Target(target)) => {
-                    inventory.targets.insert(key.clone(), (**target).clone());
+                    let mut target = (**target).clone();
+                    target.cold = target.cold.saturating_sub(now.since(item.received));
+                    inventory.targets.insert(key.clone(), target);
                 }
                 Some(Entry::Evacuation(centre)) => {
                     inventory.evacuated.insert(*centre);
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -135,7 +135,7 @@
         let first = !self.configured();
         let mut bundle = (*base).clone();
         bundle.deployment.vms = roster.vms();
-        let inventory = self.catalogue.inventory();
+        let inventory = self.catalogue.inventory(now);
         let mut listed = std::collections::BTreeMap::new();
         let mut cold = Vec::new();
         for target in inventory.targets.values() {
--- a/crates/seam-core/tests/catalogue_merge.rs
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -56,7 +56,7 @@
 }
 
 fn names(catalogue: &Catalogue) -> Vec<String> {
-    let inventory = catalogue.inventory();
+    let inventory = catalogue.inventory(Time(0));
     let targets = inventory.targets.values();
     targets.map(|target| target.spec.name.clone()).collect()
 }
@@ -216,7 +216,7 @@
         }
         published
     };
-    let is_leaving = |catalogue: &Catalogue| catalogue.inventory().targets["a"].leaving;
+    let is_leaving = |catalogue: &Catalogue| catalogue.inventory(Time(0)).targets["a"].leaving;
     let mut catalogue = Catalogue::default();
     let mut merge = |item, revision| {
         let merged = catalogue.merge(
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -169,3 +169,16 @@
         .sum();
     assert!(sent > LIMIT, "{sent}");
 }
+
+/// Guards against a target that counts as cold long after, since its entry is old and other entries change.
+#[test]
+fn old_entry() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    become_cold(&mut fleet, "e1", 60);
+    fleet.wait(Duration::from_secs(10));
+    let entry = listed("e2", ENGINE, NORTH, true, 0);
+    fleet.publish(0, vec![item("e2", 61, Some(entry))], 61);
+    let sent = count_sends(&mut fleet, 0, target, 0);
+    assert!(sent > LIMIT, "{sent}");
+}
