--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -58,12 +58,26 @@
     parts: Sender<ResponsePart>,
     phase: Arc<Mutex<Phase>>,
     resumable: bool,
-    /// Status and type of the response, once it has begun.
-    begun: Arc<Mutex<Option<(StatusCode, Option<HeaderValue>)>>>,
+    /// What the response is, once it has begun.
+    kind: Arc<Mutex<Option<ResponseKind>>>,
     /// The position in a response that is written in whole events.
     cursor: Arc<Mutex<Option<EventStreamCursor>>>,
 }
 
+/// Status and type of a response, which its rest from another target must have too.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ResponseKind {
+    status: StatusCode,
+    media_type: Option<HeaderValue>,
+}
+
+impl ResponseKind {
+    fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        let media_type = headers.get(header::CONTENT_TYPE).cloned();
+        Self { status, media_type }
+    }
+}
+
 /// A write of events that moves the position in the stream back if it is dropped before its end.
 struct PendingWrite<'a> {
     writer: &'a ResponseWriter,
@@ -94,7 +108,7 @@
         parts,
         phase,
         resumable,
-        begun: Arc::default(),
+        kind: Arc::default(),
         cursor: Arc::new(Mutex::new(cursor)),
     };
     (writer, reader)
@@ -145,8 +159,7 @@
             if is_event_stream(&head.headers) {
                 lock(&self.cursor).get_or_insert_default();
             }
-            let media_type = head.headers.get(header::CONTENT_TYPE).cloned();
-            *lock(&self.begun) = Some((head.status, media_type));
+            *lock(&self.kind) = Some(ResponseKind::of(head.status, &head.headers));
             let _ = self.parts.send(ResponsePart::Head(head)).await;
         }
         first
@@ -156,11 +169,8 @@
     /// which has the same status and type.
     #[must_use]
     pub fn is_continued_by(&self, status: StatusCode, headers: &HeaderMap) -> bool {
-        let media_type = headers.get(header::CONTENT_TYPE);
-        let begun = lock(&self.begun);
-        begun
-            .as_ref()
-            .is_none_or(|(begun, begun_type)| *begun == status && begun_type.as_ref() == media_type)
+        let kind = ResponseKind::of(status, headers);
+        lock(&self.kind).as_ref().is_none_or(|begun| *begun == kind)
     }
 
     /// Writes bytes of the body, waiting while the channel is full. They are dropped if the reader
