Look at a moved server again after two seconds, not with each request

Cause: an answer that another target has the address was a refusal of one request, no news of the target. Now the target is ejected for two seconds, then tried again.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -94,6 +94,8 @@
     /// The head of an answer arrived, here or at another node, that says that its target is about to
     /// leave.
     TargetLeaves(TargetId),
+    /// Another target answered at the address of this one.
+    TargetMoved(TargetId),
     /// A target said in a health check how long it is cold, zero if it is not.
     ColdReported(TargetId, Duration),
     /// The head of an answer arrived with status 503 and the time after which its target takes requests
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -371,6 +371,7 @@
                 self.handle_advertised_limit(now, attempt, rate, out);
             }
             Event::TargetLeaves(target) => self.handle_leaving(now, target, out),
+            Event::TargetMoved(target) => self.handle_moved(now, target, out),
             Event::ColdReported(target, cold) => self.handle_cold_report(now, target, cold, out),
             Event::TargetClosed(attempt, time) => self.handle_closed(now, attempt, time, out),
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -322,6 +322,17 @@
         }
     }
 
+    /// Handles an answer of another target at the address of one. The platform lists an earlier start,
+    /// or the one that is listed has ended, so it is not asked with each request.
+    pub(super) fn handle_moved(&mut self, now: Time, target: TargetId, out: &mut Vec<Command>) {
+        /// Time after which the address is tried again.
+        const MOVED_TIME: Duration = Duration::from_secs(2);
+        if let Some(key) = self.targets.key(target) {
+            let change = self.targets.close(key, now + MOVED_TIME);
+            self.record_phase_change(now, change, "another target answers", out);
+        }
+    }
+
     /// Handles the end of an attempt.
     pub(super) fn end_attempt(
         &mut self,
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -146,6 +146,9 @@
             runtime.handle(Event::TargetLeaves(to.target));
         }
     }
+    if head.status == StatusCode::MISDIRECTED_REQUEST && class != ResponseClass::Mismatched {
+        runtime.handle(Event::TargetMoved(to.target));
+    }
     if let Some(refusal) = status_refusal(runtime, to, head.status, &head.headers) {
         log_refusal(refusal.retry_after);
         return Some(AttemptOutcome::Refused(refusal));
