List other reached services in each heartbeat if there are too many

Each heartbeat now begins at a random place, since a common rotation can be in step with the receivers, and a full list adds to what is known.

Red before, green now: many_services (16 of 24 services in three seconds).

--- a/crates/seam-core/src/node/reach.rs
+++ b/crates/seam-core/src/node/reach.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use rand::RngExt;
 use seam_protocol::heartbeat::ServiceReach;
 use seam_protocol::id::rank;
 use seam_protocol::{Heartbeat, ServiceId, ServiceTag, Time, VmId};
@@ -49,15 +50,18 @@
 }
 
 impl PeerReach {
-    /// Replaces what is known of a node.
+    /// Merges what a node reports of some services, or replaces what is known if it reports all.
     fn merge(&mut self, now: Time, from: VmId, reached: &[ServiceReach]) {
-        let contacts = reached.iter().map(|reach| {
+        let known = self.contacts.entry(from).or_default();
+        if reached.len() < MAX_REACHED {
+            known.clear();
+        }
+        known.extend(reached.iter().map(|reach| {
             let contact = reach.age.map_or(Contact::Lost, |age| {
                 Contact::Answered(now - Duration::from_millis(age.into()))
             });
             (reach.service, contact)
-        });
-        self.contacts.insert(from, contacts.collect());
+        }));
     }
 
     /// Records that a node does not reach a service either.
@@ -110,8 +114,9 @@
         self.service_state(service).last_contact = Some(now);
     }
 
-    /// Lists the services whose targets this node reached lately, or does not reach.
-    pub(super) fn list_reached(&self, now: Time, heartbeat: &mut Heartbeat) {
+    /// Lists the services whose targets this node reached lately, or does not reach. If there are too
+    /// many, each heartbeat lists others, wherever the receivers are in their turns.
+    pub(super) fn list_reached(&mut self, now: Time, heartbeat: &mut Heartbeat) {
         let states = self.service_states.iter();
         let reached = states.filter_map(|(service, state)| {
             let age = state.last_contact.map(|contact| now.since(contact));
@@ -123,7 +128,13 @@
             let service = service.tag();
             Some(ServiceReach { service, age })
         });
-        heartbeat.reached = reached.take(MAX_REACHED).collect();
+        let mut reached: Vec<ServiceReach> = reached.collect();
+        if reached.len() > MAX_REACHED {
+            let start = self.rng.random_range(0..reached.len());
+            reached.rotate_left(start);
+            reached.truncate(MAX_REACHED);
+        }
+        heartbeat.reached = reached;
     }
 
     /// Merges what another node of this region reaches.
--- a/crates/seam-core/tests/cut_off_nodes.rs
+++ b/crates/seam-core/tests/cut_off_nodes.rs
@@ -5,11 +5,16 @@
 mod fleet;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
-use fleet::{ENGINE, Fleet, NORTH, PLAIN, SOUTH, arrival, prompt, settled_fleet};
+use fleet::{
+    ENGINE, Fleet, NORTH, PLAIN, SOUTH, arrival, config, item, listed, prompt, settled_fleet,
+};
 use seam_core::{Arrival, AttemptKey, AttemptOutcome, Command, Event, Origin, Ticket};
-use seam_protocol::{Outcome, TargetId, Time, VmId};
+use seam_protocol::bundle::Capacity;
+use seam_protocol::route::routed_service;
+use seam_protocol::{Entry, Kind, Outcome, ServiceId, TargetId, Time, VmId};
 use yare::parameterized;
 
 /// Region of each node.
@@ -360,3 +365,50 @@
     let (cut, others) = play.run(Duration::from_secs(8));
     assert!(!served_alike(cut, others), "{cut:?} {others:?}");
 }
+
+/// Guards against neighbours that are never known to reach a service, since a heartbeat lists only some.
+#[test]
+fn many_services() {
+    const SERVICES: usize = 24;
+    let mut fleet = settled_fleet(&[NORTH; 2], &[]);
+    let Entry::Config(base) = config(8) else {
+        unreachable!("a configuration")
+    };
+    let mut bundle = (*base).clone();
+    let names: Vec<String> = (0..SERVICES)
+        .map(|number| format!("svc-{number}"))
+        .collect();
+    for name in &names {
+        let service = routed_service(name, Kind::Plain, Capacity::default(), 400);
+        bundle.services.insert(ServiceId::of(name), service);
+    }
+    let mut items = vec![item("config", 60, Some(Entry::Config(Arc::new(bundle))))];
+    for (revision, name) in (61..).zip(&names) {
+        let target = listed(&format!("t-{name}"), name, NORTH, false, 0);
+        items.push(item(&format!("t-{name}"), revision, Some(target)));
+    }
+    for node in 0..2 {
+        fleet.publish(node, items.clone(), 100);
+    }
+    fleet.wait(Duration::from_secs(2));
+    for (ticket, name) in (0..).zip(&names) {
+        let request = Arrival {
+            service: ServiceId::of(name),
+            ..arrival(ticket, "view", name, 2)
+        };
+        fleet.commands.clear();
+        fleet.arrive(1, request);
+        let (_, attempt, _) = fleet.sends()[0];
+        fleet.complete(1, attempt);
+    }
+    let mut listed = BTreeSet::new();
+    for _ in 0..60 {
+        fleet.wait(Duration::from_millis(50));
+        let heartbeat = fleet.last_heartbeats.get(&1);
+        let reached = heartbeat
+            .into_iter()
+            .flat_map(|heartbeat| &heartbeat.reached);
+        listed.extend(reached.map(|reach| reach.service));
+    }
+    assert_eq!(listed.len(), SERVICES);
+}
