--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use seam_protocol::heartbeat::ColdReport;
-use seam_protocol::{Heartbeat, TargetId, Time, VmId};
+use seam_protocol::{Heartbeat, TargetId, Time};
 
 use super::Node;
 use crate::audit::Change;
@@ -79,19 +79,7 @@
         self.record_cold(now, target, cold, "its health answer", out);
         let remaining = cold.as_millis() as u32;
         let report = ColdReport { target, remaining };
-        let me = self.id.vm;
-        let peers: Vec<VmId> = self.alive.iter().copied().filter(|vm| *vm != me).collect();
-        for to in peers {
-            let sent = self.next_timestamp(now);
-            if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
-                heartbeat.cold.push(report);
-                out.push(Command::Heartbeat {
-                    to,
-                    address,
-                    heartbeat,
-                });
-            }
-        }
+        self.tell_region(now, |heartbeat| heartbeat.cold.push(report), out);
     }
 
     /// Merges what targets said to another node of this region.
--- a/crates/seam-core/src/node/leaving.rs
+++ b/crates/seam-core/src/node/leaving.rs
@@ -3,7 +3,7 @@
 //! A node that gets such an answer tells the other nodes of its region at once, and repeats it in its
 //! heartbeats, since datagrams get lost and nodes start later.
 
-use seam_protocol::{Heartbeat, TargetId, Time, VmId};
+use seam_protocol::{Heartbeat, TargetId, Time};
 
 use super::Node;
 use crate::command::Command;
@@ -16,7 +16,7 @@
     /// this node, whatever the platform lists.
     pub(super) fn handle_leaving(&mut self, now: Time, target: TargetId, out: &mut Vec<Command>) {
         if self.record_leaving(now, target, "its own answer", out) {
-            self.report_leaving(now, target, out);
+            self.tell_region(now, |heartbeat| heartbeat.leaving.push(target), out);
         }
     }
 
@@ -52,23 +52,6 @@
         true
     }
 
-    /// Tells the live nodes of this region that a target leaves.
-    fn report_leaving(&mut self, now: Time, target: TargetId, out: &mut Vec<Command>) {
-        let me = self.id.vm;
-        let peers: Vec<VmId> = self.alive.iter().copied().filter(|vm| *vm != me).collect();
-        for to in peers {
-            let sent = self.next_timestamp(now);
-            if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
-                heartbeat.leaving.push(target);
-                out.push(Command::Heartbeat {
-                    to,
-                    address,
-                    heartbeat,
-                });
-            }
-        }
-    }
-
     /// Lists targets that said that they leave, others in each turn if there are too many.
     pub(super) fn list_leaving(&self, turn: usize, heartbeat: &mut Heartbeat) {
         let leaving = self.targets.all();
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -422,6 +422,28 @@
         });
     }
 
+    /// Tells the live nodes of this region something at once, in short heartbeats.
+    pub(super) fn tell_region(
+        &mut self,
+        now: Time,
+        add: impl Fn(&mut Heartbeat),
+        out: &mut Vec<Command>,
+    ) {
+        let me = self.id.vm;
+        let peers: Vec<VmId> = self.alive.iter().copied().filter(|vm| *vm != me).collect();
+        for to in peers {
+            let sent = self.next_timestamp(now);
+            if let Some((address, mut heartbeat)) = self.new_short_heartbeat(sent, to) {
+                add(&mut heartbeat);
+                out.push(Command::Heartbeat {
+                    to,
+                    address,
+                    heartbeat,
+                });
+            }
+        }
+    }
+
     /// Sends a short heartbeat about concurrency units.
     pub(super) fn send_unit_heartbeat(
         &mut self,
