Date what a target says of its coldness by when it was asked

Found by reading the diff: an answer to a health check was taken as of its arrival. A node that was frozen between the answer and its reading told its region that a target is warm which had been lost and started again since, and all lifted the limit (FAILBACK). An answer counts from when the target was asked, and says nothing of a start after the node lost it.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use seam_protocol::{
-    Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, VersionId, VmState,
+    Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, Time, VersionId, VmState,
 };
 
 use crate::arrival::Arrival;
@@ -96,8 +96,15 @@
     TargetLeaves(TargetId),
     /// Another target answered at the address of this one.
     TargetMoved(TargetId),
-    /// A target said in a health check how long it is cold, zero if it is not.
-    ColdReported(TargetId, Duration),
+    /// A target said in a health check how long it is cold.
+    ColdReported {
+        /// The target.
+        target: TargetId,
+        /// Time for which it is cold, zero if it is not.
+        cold: Duration,
+        /// When it was asked.
+        asked: Time,
+    },
     /// The head of an answer arrived with status 503 and the time after which its target takes requests
     /// again.
     TargetClosed(AttemptKey, Duration),
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -372,7 +372,11 @@
             }
             Event::TargetLeaves(target) => self.handle_leaving(now, target, out),
             Event::TargetMoved(target) => self.handle_moved(now, target, out),
-            Event::ColdReported(target, cold) => self.handle_cold_report(now, target, cold, out),
+            Event::ColdReported {
+                target,
+                cold,
+                asked,
+            } => self.handle_cold_report(now, target, cold, asked, out),
             Event::TargetClosed(attempt, time) => self.handle_closed(now, attempt, time, out),
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
             Event::Cache(target, events) => self.record_cache_events(now, target, &events),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -168,6 +168,9 @@
             self.blame_crash(now, target, &watch, out);
         }
         if found || (accepted && broke) {
+            if change.is_none() {
+                self.targets.record_loss(now, key);
+            }
             self.check_restart(now, key, out);
         }
         self.cancel_silent(now, key, accepted, out);
@@ -293,6 +296,7 @@
         ));
         if let Some(key) = self.targets.key(change.target) {
             if matches!(change.new, Phase::Ejected(_)) {
+                self.targets.record_loss(now, key);
                 self.suspect_restart(now, key, out);
             }
             let service = self.targets.get(key).service;
--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -26,6 +26,7 @@
         if let Some(key) = self.targets.key(id)
             && self.targets.get(key).capacity.cold_rate > 0.0
         {
+            self.targets.record_loss(now, key);
             self.limit_presumed(now, key, RENEWAL_WINDOW, "its return", out);
         }
     }
@@ -68,17 +69,21 @@
         }
     }
 
-    /// Handles a target's own statement of how long it is cold, zero if it is not.
+    /// Handles a target's own statement, asked at a time, of how long it is cold, zero if it is not.
     pub(super) fn handle_cold_report(
         &mut self,
         now: Time,
         target: TargetId,
         cold: Duration,
+        asked: Time,
         out: &mut Vec<Command>,
     ) {
-        self.record_cold(now, target, cold, "its health answer", out);
-        let remaining = cold.as_millis() as u32;
-        let report = ColdReport { target, remaining };
+        self.record_cold(now, target, (cold, asked), "its health answer", out);
+        let report = ColdReport {
+            target,
+            remaining: cold.as_millis() as u32,
+            age: now.since(asked).as_millis() as u32,
+        };
         self.tell_region(now, |heartbeat| heartbeat.cold.push(report), out);
     }
 
@@ -87,7 +92,8 @@
         for report in &heartbeat.cold {
             let cold = Duration::from_millis(report.remaining.into());
             let cause = format!("reported by node {}", heartbeat.from);
-            self.record_cold(now, report.target, cold, &cause, out);
+            let asked = now - Duration::from_millis(report.age.into());
+            self.record_cold(now, report.target, (cold, asked), &cause, out);
         }
     }
 
@@ -96,7 +102,7 @@
         &mut self,
         now: Time,
         target: TargetId,
-        cold: Duration,
+        (cold, asked): (Duration, Time),
         cause: &str,
         out: &mut Vec<Command>,
     ) {
@@ -106,7 +112,7 @@
         let state = self.targets.get(key);
         let (service, rate) = (state.service, state.capacity.cold_rate);
         let before = state.cold.limiter(now).is_some();
-        self.targets.end_cold_presumption(key);
+        self.targets.end_cold_presumption(key, asked);
         if !cold.is_zero() {
             self.limit_cold_target(now, target, now + cold, rate, cause, out);
         }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -323,9 +323,14 @@
         self.get_mut(key).cold.presume(boot, until, share);
     }
 
-    /// Ends what was presumed of a target's coldness.
-    pub fn end_cold_presumption(&mut self, key: TargetKey) {
-        self.get_mut(key).cold.end_presumption();
+    /// Records that this node lost a target. See [`ColdShare::record_loss`].
+    pub fn record_loss(&mut self, now: Time, key: TargetKey) {
+        self.get_mut(key).cold.record_loss(now);
+    }
+
+    /// Ends what was presumed of a target's coldness. See [`ColdShare::end_presumption`].
+    pub fn end_cold_presumption(&mut self, key: TargetKey, asked: Time) {
+        self.get_mut(key).cold.end_presumption(asked);
     }
 
     /// Counts a health check like a request, which it is for the target.
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -18,6 +18,8 @@
     until: Option<Time>,
     /// Until when it may be cold, since it may have started again.
     presumed: Option<Time>,
+    /// When this node last lost the target.
+    lost: Option<Time>,
     limiter: ShareLimiter,
 }
 
@@ -26,6 +28,7 @@
         Self {
             until: None,
             presumed: None,
+            lost: None,
             limiter: ShareLimiter::new(WINDOW),
         }
     }
@@ -45,9 +48,29 @@
         self.limiter.set(boot, share);
     }
 
-    /// Ends what was presumed, since the target says how long it is cold.
-    pub fn end_presumption(&mut self) {
-        self.presumed = None;
+    /// Records that this node lost the target, which may start again from now on.
+    pub fn record_loss(&mut self, now: Time) {
+        self.lost = Some(now);
+    }
+
+    /// Ends what was presumed, since the target said how long it is cold. What it was asked before it was
+    /// lost says nothing of a start since.
+    ///
+    /// ```
+    /// use seam_core::targets::{ColdShare, cold_share};
+    /// use seam_protocol::Time;
+    /// let mut share = ColdShare::default();
+    /// share.record_loss(Time(1_000_000));
+    /// share.presume(Time(0), Time(9_000_000), cold_share(5.0, 3, 0));
+    /// share.end_presumption(Time(900_000));
+    /// assert!(share.limiter(Time(2_000_000)).is_some());
+    /// share.end_presumption(Time(1_100_000));
+    /// assert!(share.limiter(Time(2_000_000)).is_none());
+    /// ```
+    pub fn end_presumption(&mut self, asked: Time) {
+        if self.lost.is_none_or(|lost| lost <= asked) {
+            self.presumed = None;
+        }
     }
 
     /// Returns this node's limiter while the target is cold.
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// Lets a node hear from a target how long it is cold, in answer to a health check some time ago.
+fn report(fleet: &mut Fleet, node: usize, target: TargetId, cold: Duration, ago: Duration) {
+    let asked = fleet.now - ago;
+    let reported = Event::ColdReported {
+        target,
+        cold,
+        asked,
+    };
+    fleet.handle(node, reported);
+}
+
 /// Counts the requests that go to a target while some arrive at a node and are answered.
 fn count_sends(fleet: &mut Fleet, node: usize, target: TargetId, tickets: u64) -> usize {
     let mut count = 0;
@@ -154,7 +165,13 @@
     }
     assert!(sent <= LIMIT, "{sent}");
     // One node has an answer to its health check, and tells the others.
-    fleet.handle(1, Event::ColdReported(target, Duration::from_secs(6)));
+    report(
+        &mut fleet,
+        1,
+        target,
+        Duration::from_secs(6),
+        Duration::ZERO,
+    );
     for _ in 0..4 {
         fleet.wait(Duration::from_millis(1200));
         let sent: usize = (0..3)
@@ -162,7 +179,7 @@
             .sum();
         assert!((1..=LIMIT).contains(&sent), "{sent}");
     }
-    fleet.handle(2, Event::ColdReported(target, Duration::ZERO));
+    report(&mut fleet, 2, target, Duration::ZERO, Duration::ZERO);
     fleet.wait(Duration::from_secs(2));
     let sent: usize = (0..3)
         .map(|node| count_sends(&mut fleet, node, target, 100))
@@ -182,3 +199,33 @@
     let sent = count_sends(&mut fleet, 0, target, 0);
     assert!(sent > LIMIT, "{sent}");
 }
+
+/// Guards against a health answer from before a target was lost, read late, that lifts its limit at all nodes.
+#[test]
+fn stale_report() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    for (accepted, millis) in [(false, 4000), (true, 1200)] {
+        for node in 0..3 {
+            fleet.handle(node, Event::Probed { target, accepted });
+        }
+        fleet.wait(Duration::from_millis(millis));
+    }
+    report(
+        &mut fleet,
+        1,
+        target,
+        Duration::ZERO,
+        Duration::from_secs(6),
+    );
+    let sent: usize = (0..3)
+        .map(|node| count_sends(&mut fleet, node, target, 0))
+        .sum();
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+    report(&mut fleet, 1, target, Duration::ZERO, Duration::ZERO);
+    fleet.wait(Duration::from_millis(1200));
+    let sent: usize = (0..3)
+        .map(|node| count_sends(&mut fleet, node, target, 50))
+        .sum();
+    assert!(sent > LIMIT, "{sent}");
+}
--- a/crates/seam-core/tests/cut_off_nodes.rs
+++ b/crates/seam-core/tests/cut_off_nodes.rs
@@ -192,7 +192,11 @@
                 self.schedule(RUN_TIME, node, probed);
             }
             Command::CheckHealth { target, .. } if !self.cut.contains_key(&node) => {
-                let warm = Event::ColdReported(target, Duration::ZERO);
+                let warm = Event::ColdReported {
+                    target,
+                    cold: Duration::ZERO,
+                    asked: self.fleet.now,
+                };
                 self.schedule(RUN_TIME, node, warm);
             }
             _ => {}
--- a/crates/seam-node/src/health.rs
+++ b/crates/seam-node/src/health.rs
@@ -36,10 +36,16 @@
         Timer::after(CHECK_TIMEOUT).await;
         Err(format!("no answer within {} ms", CHECK_TIMEOUT.as_millis()))
     };
+    let asked = runtime.now();
     match ask(runtime, service, address, &path).or(timeout).await {
         Ok(Some(health)) if health.name == name => {
             log::info!("health of {name}: cold for {} ms", health.cold.as_millis());
-            runtime.handle(Event::ColdReported(target, health.cold));
+            let cold = health.cold;
+            runtime.handle(Event::ColdReported {
+                target,
+                cold,
+                asked,
+            });
         }
         Ok(Some(health)) => log::info!("{} answers at {address}, not {name}", health.name),
         Ok(None) => log::info!("health of {name}: its answer does not tell it"),
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -176,6 +176,8 @@
     pub target: TargetId,
     /// Milliseconds for which it is still cold, zero if it is not.
     pub remaining: u32,
+    /// Milliseconds since it was asked.
+    pub age: u32,
 }
 
 /// A request for more concurrency units for a customer at the sender.
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -92,8 +92,11 @@
 fn targets_kept() {
     let mut heartbeat = heartbeat();
     heartbeat.leaving = vec![TargetId(5), TargetId(6)];
-    let (target, remaining) = (TargetId(7), 2900);
-    heartbeat.cold = vec![ColdReport { target, remaining }];
+    heartbeat.cold = vec![ColdReport {
+        target: TargetId(7),
+        remaining: 2900,
+        age: 3,
+    }];
     for digest in [0, 4] {
         heartbeat.quarantine.digest = digest;
         let whole = heartbeat.encode();
