--- a/crates/seam-node/src/health.rs
+++ b/crates/seam-node/src/health.rs
@@ -3,21 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_io::Timer;
-use futures_lite::FutureExt;
-use http::{Request, header};
-use http_body_util::{BodyExt, Limited};
+use http::Request;
 use seam_core::Event;
-use seam_http::empty;
+use seam_http::{empty, fetch};
 use seam_protocol::{ServiceId, TargetId};
 
 use crate::dialect::TargetHealth;
 use crate::runtime::NodeRuntime;
-use crate::targets::keep_connection;
 
 /// Timeout of a check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest answer that is read, so that its connection can be used again.
+/// Largest body of an answer that is read.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
 /// Asks a target for its health, and passes on how long it says that it is cold.
@@ -32,12 +28,8 @@
     let Some((path, name)) = path_and_name(runtime, target, service) else {
         return;
     };
-    let timeout = async {
-        Timer::after(CHECK_TIMEOUT).await;
-        Err(format!("no answer within {} ms", CHECK_TIMEOUT.as_millis()))
-    };
     let asked = runtime.now();
-    match ask(runtime, service, address, &path).or(timeout).await {
+    match ask(runtime, address, &path).await {
         Ok(Some(health)) if health.name == name => {
             log::info!("health of {name}: cold for {} ms", health.cold.as_millis());
             let cold = health.cold;
@@ -65,22 +57,16 @@
     Some((service.health.clone()?, name))
 }
 
-/// Sends a health check and reads the answer.
+/// Sends a health check on a connection of its own, as nothing in an answer shows which check it belongs
+/// to.
 async fn ask(
     runtime: &NodeRuntime,
-    service: ServiceId,
     address: SocketAddr,
     path: &str,
 ) -> Result<Option<TargetHealth>, String> {
-    let connection = runtime.pool.connection(address, true).await;
-    let mut connection = connection.map_err(|error| error.to_string())?;
-    let request = Request::get(path).header(header::HOST, address.to_string());
-    let request = request.body(empty()).map_err(|error| error.to_string())?;
-    let response = connection.send(request).await;
-    let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
-    let health = runtime.dialect.target_health(&head.headers)?;
-    if Limited::new(body, MAX_ANSWER_BYTES).collect().await.is_ok() {
-        keep_connection(runtime, service, address, connection).await;
-    }
-    Ok(health)
+    let request = Request::get(path).body(empty());
+    let request = request.map_err(|error| error.to_string())?;
+    let response = fetch(address, request, CHECK_TIMEOUT, MAX_ANSWER_BYTES).await;
+    let response = response.map_err(|error| error.to_string())?;
+    runtime.dialect.target_health(response.headers())
 }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -1,6 +1,5 @@
 //! Sends requests to targets and relays their responses.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,7 @@
 use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::client::describe;
 use seam_http::{ClientError, Connection, ResponseBody};
-use seam_protocol::{HeaderField, Reason, ServiceId, StoredResponse};
+use seam_protocol::{HeaderField, Reason, StoredResponse};
 
 use crate::dialect::{ResponseClass, TargetContext};
 use crate::events::{Discontinuity, LAST_EVENT_ID_HEADER};
@@ -110,7 +109,7 @@
     };
     let reply = relay_response(monitor, response, writer, progress).await;
     if matches!(reply, AttemptOutcome::Complete { .. }) {
-        keep_connection(runtime, to.service, to.address, connection).await;
+        keep_connection(runtime, to, connection).await;
     }
     reply
 }
@@ -230,27 +229,22 @@
 }
 
 /// Puts a connection into the pool once it can carry another request.
-pub async fn keep_connection(
-    runtime: &NodeRuntime,
-    service: ServiceId,
-    address: SocketAddr,
-    mut connection: Connection,
-) {
+async fn keep_connection(runtime: &NodeRuntime, to: TargetAttempt, mut connection: Connection) {
     if connection.ready().await.is_err() {
         return;
     }
     let max_idle = max_idle_connections(
-        connections(runtime, service),
+        connections(runtime, to),
         runtime.read(seam_core::Node::ready_node_count),
     );
-    runtime.pool.put(address, connection, max_idle);
+    runtime.pool.put(to.address, connection, max_idle);
 }
 
-/// Returns the number of connections that each target of a service accepts, zero if it states none.
-fn connections(runtime: &NodeRuntime, service: ServiceId) -> usize {
+/// Returns the number of connections that a target accepts, zero if it states none.
+fn connections(runtime: &NodeRuntime, to: TargetAttempt) -> usize {
     let snapshot = runtime.snapshot();
     let services = snapshot.as_ref().map(|snapshot| &snapshot.bundle.services);
-    let service = services.and_then(|services| services.get(&service));
+    let service = services.and_then(|services| services.get(&to.service));
     service.map_or(0, |service| service.capacity.connections as usize)
 }
 
