--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -158,7 +158,9 @@
                     inbound.id,
                     to.address
                 );
-                runtime.peers.forget(to.address);
+                if !matches!(error, RelayError::Discontinued) {
+                    runtime.peers.forget(to.address);
+                }
                 AttemptOutcome::Broken {
                     started: writer.has_started(),
                 }
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -15,6 +15,13 @@
     heartbeat
 }
 
+/// Returns what follows the quarantine's report in a datagram.
+fn after_quarantine(datagram: &[u8]) -> &[u8] {
+    let (_, rest) = postcard::take_from_bytes::<Heartbeat>(datagram).unwrap();
+    let (_, rest) = postcard::take_from_bytes::<QuarantineReport>(rest).unwrap();
+    rest
+}
+
 #[test]
 fn report_kept() {
     let mut heartbeat = heartbeat();
@@ -80,9 +87,7 @@
         assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
         assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
         // A process of the version before reads what precedes the limits.
-        let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&whole).unwrap();
-        let (_, rest) = postcard::take_from_bytes::<QuarantineReport>(rest).unwrap();
-        let parts: Vec<SuspectPart> = postcard::from_bytes(rest).unwrap();
+        let parts: Vec<SuspectPart> = postcard::from_bytes(after_quarantine(&whole)).unwrap();
         assert_eq!(parts, heartbeat.suspect_parts);
     }
 }
@@ -103,8 +108,7 @@
         assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
         assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
         // A process of the version before reads what precedes them.
-        let (_, rest) = postcard::take_from_bytes::<Heartbeat>(&whole).unwrap();
-        let (_, rest) = postcard::take_from_bytes::<QuarantineReport>(rest).unwrap();
+        let rest = after_quarantine(&whole);
         let (_, rest) = postcard::take_from_bytes::<Vec<SuspectPart>>(rest).unwrap();
         let (_, rest) = postcard::take_from_bytes::<Vec<TargetLimit>>(rest).unwrap();
         let (streams, reached): (StreamReport, Vec<ServiceReach>) =
