Give every request its final response before a planned stop ends

Callers saw connections close without an answer at the end of a drain: 105 of 200 requests around a SIGTERM at a node whose target never answers, and 1.4 MB less of a 64 MB answer that was read slowly.

Cause: the process ended under what it held. Nothing told the held requests; requests were taken for 3 s whatever their time and whatever the limit, and not looked at again when they were placed or sent late; a request counted as over once its last bytes were in a buffer of this process. Class: an end of the process that no decision takes into account.

Now the decision core knows when the process ends. A request that may not be repeated is taken, queued, retried and sent only if its deadline is before that, any other one if twice the usual time is; the rest is refused as not run with a short time to come back, as other nodes take it at once. 0.6 s before the limit, or at a second SIGTERM, each held request gets its final response: not run if it was not sent, 502 if it was. The process waits until its connections have closed, for as long as the limit allows.

--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -318,7 +318,7 @@
             "drain_limit_s",
             FieldType::Float(0.0, 3600.0),
             "60",
-            "seconds between SIGTERM and the abort of the requests still in flight",
+            "seconds from SIGTERM to the end of the process; requests still in flight 0.6 s before get their final response then",
         ),
         optional(
             "seeds",
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -46,6 +46,8 @@
     Paused,
     /// The request's deadline has passed.
     Deadline,
+    /// Its answer might come after the end of this process.
+    Draining,
     /// Its residency does not allow the region any more.
     Residency,
     /// The target leaves, or left, meanwhile.
@@ -62,6 +64,7 @@
             Self::Cancelled => "cancelled",
             Self::Paused => "paused",
             Self::Deadline => "deadline",
+            Self::Draining => "draining",
             Self::Residency => "residency",
             Self::Leaving => "leaving",
             Self::Rate => "rate",
--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -122,4 +122,8 @@
         /// Who requested it.
         actor: String,
     },
+    /// A planned stop has begun, and the process ends after this time.
+    EndsIn(Duration),
+    /// The process ends now, whatever it still holds.
+    DrainOver,
 }
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod config;
 mod dispatch;
+mod drain;
 mod finish;
 mod leaving;
 mod members;
@@ -53,9 +54,6 @@
 
 /// Interval between two [`Event::Tick`]s.
 pub const TICK: Duration = Duration::from_millis(100);
-/// Time for which a draining node still accepts requests, so that callers can learn that it is
-/// draining.
-pub const DRAIN_GRACE: Duration = Duration::from_secs(3);
 /// Maximum number of requests without a final response at one node.
 pub const MAX_REQUESTS: usize = 20_000;
 
@@ -261,6 +259,8 @@
     pub(crate) freed_customers: BTreeSet<CustomerId>,
     /// When draining began.
     pub(crate) drain_since: Option<Time>,
+    /// When this process ends, if a planned stop has begun.
+    pub(crate) ends_at: Option<Time>,
     /// Readiness last announced to peers.
     pub(crate) announced_ready: bool,
     /// Bundle revision that is being fetched from a peer, and since when.
@@ -331,6 +331,7 @@
             target_leaving: BTreeMap::new(),
             freed_customers: BTreeSet::new(),
             drain_since: None,
+            ends_at: None,
             announced_ready: false,
             pending_manifest: None,
             counters: Counters::default(),
@@ -381,6 +382,8 @@
             Event::Brittle(attempt, brittle) => self.handle_brittle(now, attempt, brittle, out),
             Event::Cache(target, events) => self.record_cache_events(now, target, &events),
             Event::Drain { what, on, actor } => self.drain(now, what, on, &actor, out),
+            Event::EndsIn(time) => self.ends_at = Some(now + time),
+            Event::DrainOver => self.end_drain(now, out),
         }
         self.tick(now, out);
     }
@@ -416,21 +419,6 @@
         self.bundle.as_ref().is_some_and(published)
     }
 
-    /// Returns whether the node is draining.
-    #[must_use]
-    pub fn draining(&self) -> bool {
-        self.drain_since.is_some()
-    }
-
-    /// Returns whether the node is draining, its grace period is over and no request is left.
-    #[must_use]
-    pub fn drained(&self, now: Time) -> bool {
-        let grace_over = self
-            .drain_since
-            .is_some_and(|since| now.since(since) >= DRAIN_GRACE);
-        grace_over && self.requests.is_empty()
-    }
-
     /// Returns the number of requests that have no final response yet.
     #[must_use]
     pub fn held_requests(&self) -> usize {
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -11,7 +11,6 @@
 use crate::handle::Ticket;
 use crate::keys::Claim;
 use crate::limits::Admission;
-use crate::node::DRAIN_GRACE;
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
 
@@ -90,6 +89,9 @@
             return Err(not_found());
         }
         let request = self.requests.get(&arrival.ticket);
+        if request.is_some_and(|request| self.outlasts_process(now, request)) {
+            return Err(Self::draining_refusal());
+        }
         if request.is_some_and(|request| self.is_quarantined(request))
             && !self.begin_trial(now, arrival.ticket)
         {
@@ -139,11 +141,8 @@
         if !self.freshness.fresh() {
             return Err(Refusal::not_run(Reason::Stale).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
-        let drained = self
-            .drain_since
-            .is_some_and(|since| now.since(since) >= DRAIN_GRACE);
-        if drained {
-            return Err(not_ready);
+        if self.grace_over(now) {
+            return Err(Self::draining_refusal());
         }
         Ok(bundle)
     }
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -63,6 +63,7 @@
         match request {
             _ if attempt.cancelled => Some(Withheld::Cancelled),
             _ if !self.freshness.fresh() => Some(Withheld::Paused),
+            Some(request) if self.outlasts_process(now, request) => Some(Withheld::Draining),
             Some(request) if now < request.deadline || request.orphaned => {
                 if allows(request) {
                     self.target_reason(attempt)
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -154,6 +154,11 @@
             self.route(now, ticket, out);
             return true;
         }
+        if self.outlasts_process(now, request) {
+            self.service_state(service).queue.end(customer);
+            self.refuse_dequeued(now, ticket, Self::draining_refusal(), out);
+            return true;
+        }
         let quarantined = self.is_quarantined(request);
         let in_time = request.budget(now) > min_time || !self.policy.shed;
         // A new revision may have forbidden the request here while it waited.
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -226,15 +226,26 @@
     }
 
     fn expire_request(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let [not_run, unknown] =
+            [Refusal::not_run, Refusal::unknown].map(|refusal| refusal(Reason::Deadline));
+        self.give_up(now, ticket, not_run, unknown, out);
+    }
+
+    /// Gives a request its final response now: one of two refusals, by whether it was sent.
+    pub(super) fn give_up(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        not_run: Refusal,
+        unknown: Refusal,
+        out: &mut Vec<Command>,
+    ) {
         let Some(request) = self.requests.get(&ticket) else {
             return;
         };
         let (Stage::Running(key) | Stage::Forwarded(key)) = request.stage else {
-            let refusal = if request.stage == Stage::Joined {
-                Refusal::unknown(Reason::Deadline)
-            } else {
-                Refusal::not_run(Reason::Deadline)
-            };
+            let joined = request.stage == Stage::Joined;
+            let refusal = if joined { unknown } else { not_run };
             self.refuse(now, ticket, refusal, out);
             return;
         };
@@ -244,10 +255,10 @@
             // [`Node::authorize_send`] prevents a cancelled attempt from sending its first byte.
             self.cancel(key, out);
             self.end_unsent(key, ticket);
-            self.refuse_dequeued(now, ticket, Refusal::not_run(Reason::Deadline), out);
+            self.refuse_dequeued(now, ticket, not_run, out);
             return;
         }
-        self.send_refusal(ticket, Refusal::unknown(Reason::Deadline), out);
+        self.send_refusal(ticket, unknown, out);
         self.request_mut(ticket).orphaned = true;
         if !owned {
             self.cancel(key, out);
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -30,6 +30,9 @@
 impl Node {
     /// Routes an admitted request: queues it at this node, forwards it, or refuses it.
     pub(super) fn route(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        if self.refuse_late(now, ticket, out) {
+            return;
+        }
         let request = &self.requests[&ticket];
         if request.forwarded() {
             let service = request.service;
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -26,8 +26,8 @@
 
 /// First bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
-/// Interval between reads of a connection that has sent less than the preface, and pause after a
-/// failed accept.
+/// Interval between reads of a connection that has sent less than the preface and between checks for
+/// open connections, and pause after a failed accept.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
@@ -41,12 +41,27 @@
 pub struct Stop {
     sender: Sender<()>,
     receiver: Receiver<()>,
+    /// Open connections of these servers.
+    open: Arc<AtomicUsize>,
+}
+
+/// An open connection of a server, counted until it is dropped.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Default for Stop {
     fn default() -> Self {
         let (sender, receiver) = async_channel::bounded(1);
-        Self { sender, receiver }
+        Self {
+            sender,
+            receiver,
+            open: Arc::default(),
+        }
     }
 }
 
@@ -56,6 +71,19 @@
         self.sender.close();
     }
 
+    /// Waits until all connections have closed. Once the servers are stopped, each closes after the
+    /// last byte of its response.
+    pub async fn closed(&self) {
+        while self.open.load(Ordering::Relaxed) > 0 {
+            Timer::after(POLL_INTERVAL).await;
+        }
+    }
+
+    fn count_connection(&self) -> OpenConnection {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(self.open.clone())
+    }
+
     /// Waits for [`Self::stop`].
     pub async fn stopped(&self) {
         while self.receiver.recv().await.is_ok() {}
@@ -139,7 +167,9 @@
         }
         open.fetch_add(1, Ordering::Relaxed);
         let (shared, stop, open) = (shared.clone(), stop.clone(), open.clone());
+        let counted = stop.count_connection();
         spawn(async move {
+            let _counted = counted;
             if let Err(error) = connection(stream, from, stop, shared).await {
                 log::debug!("connection from {from} failed: {error}");
             }
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -2,8 +2,9 @@
 
 use std::marker::PhantomData;
 use std::path::Path;
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::Receiver;
 use async_executor::Task;
@@ -29,8 +30,10 @@
 /// Interval at which a drain checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time before the drain limit at which the process ends by itself.
+/// Time before the drain limit at which requests in flight get their final response.
 const DRAIN_MARGIN: Duration = Duration::from_millis(600);
+/// Time from then on in which the last bytes of responses leave.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// An error that prevents a node from starting.
 #[derive(Debug, Snafu)]
@@ -210,6 +213,12 @@
         &self.runtime
     }
 
+    /// Returns the time from the start of a drain to the final responses of what it still holds.
+    fn drain_time(&self) -> Duration {
+        let limit = self.runtime.settings().drain_limit;
+        limit.saturating_sub(DRAIN_MARGIN)
+    }
+
     /// Cancels all tasks at once, as a crash would.
     pub fn abort(self) {
         drop(self.tasks);
@@ -225,6 +234,7 @@
             on: true,
             actor: actor.to_owned(),
         });
+        self.runtime.handle(Event::EndsIn(self.drain_time()));
         Daemon {
             runtime: self.runtime,
             jobs: self.jobs,
@@ -257,11 +267,10 @@
 }
 
 impl Daemon<Draining> {
-    /// Waits until no request is in flight, the drain limit passes, or `abort` completes. Returns
-    /// the number of requests that are aborted.
+    /// Waits until no request is in flight and every response has left, the drain limit passes, or
+    /// `abort` completes. Returns the number of requests that are aborted.
     pub async fn finish(self, abort: impl Future<Output = ()>) -> usize {
-        let limit = self.runtime.settings().drain_limit;
-        let limit = limit.saturating_sub(DRAIN_MARGIN);
+        let end = Instant::now() + self.drain_time();
         let runtime = self.runtime.clone();
         let drained = async {
             while !runtime.read(seam_core::Node::drained) {
@@ -269,16 +278,36 @@
             }
         };
         let timeout = async {
-            Timer::after(limit).await;
+            Timer::at(end).await;
+        };
+        let mut abort = pin!(abort);
+        let aborted = async {
+            abort.as_mut().await;
+            true
         };
-        drained.or(timeout).or(abort).await;
+        let ended = async {
+            drained.or(timeout).await;
+            false
+        };
+        let aborted = ended.or(aborted).await;
         let unfinished = self.runtime.read(|node, _| node.held_requests());
         if unfinished > 0 {
             log::warn!("{unfinished} requests in flight were aborted at the end of the drain");
         }
+        self.runtime.handle(Event::DrainOver);
         self.stop.stop();
-        // Lets the last bytes of completed responses leave before the connections close.
-        Timer::after(DRAIN_POLL_INTERVAL).await;
+        let flush_end = Instant::now() + FLUSH_TIME;
+        let cut = aborted || unfinished > 0;
+        let flush_end = if cut { flush_end } else { flush_end.max(end) };
+        let timeout = async {
+            Timer::at(flush_end).await;
+        };
+        let flushed = self.stop.closed().or(timeout);
+        if aborted {
+            flushed.await;
+        } else {
+            flushed.or(abort).await;
+        }
         unfinished
     }
 }
--- a/crates/seam-protocol/src/outcome.rs
+++ b/crates/seam-protocol/src/outcome.rs
@@ -119,6 +119,8 @@
     Broken = "broken", 502, "the request may have run";
     /// The target stalled: it made no progress within the limit.
     Silent = "silent", 504, "the request may have run";
+    /// The node ended before the response was complete.
+    Stopped = "stopped", 502, "the request may have run";
     /// The node uses a different configuration revision than the node that routed the request.
     Revision = "revision", 503, "send again after the stated time";
     /// The request was already forwarded.
