--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -224,7 +224,7 @@
         self.leaving = leaving;
     }
 
-    /// Treats a node that refused a connection as dead until a newer record arrives.
+    /// Treats a node that refused a connection or is not ready as dead until a newer record arrives.
     pub fn mark_unreachable(&mut self, vm: VmId) {
         if let Some(peer) = self.peers.get_mut(&vm) {
             peer.updated = Time(0);
--- a/crates/seam-core/tests/planned_stops.rs
+++ b/crates/seam-core/tests/planned_stops.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use fleet::{Fleet, NORTH, PLAIN, arrival, settled_fleet};
+use fleet::{Fleet, NORTH, PLAIN, SOUTH, arrival, settled_fleet};
 use seam_core::event::Drainable;
 use seam_core::{AttemptKey, AttemptOutcome, Command, Event, Refusal};
 use seam_protocol::{Outcome, Reason};
@@ -116,3 +116,22 @@
     assert_eq!(refusals[0], Refusal::unknown(Reason::Stopped));
     assert_not_run(refusals[1]);
 }
+
+/// Guards against a request that is refused because the node it was handed to drains, though another
+/// node of that region takes it.
+#[test]
+fn drained_relay() {
+    let targets = [("s1", PLAIN, SOUTH), ("s2", PLAIN, SOUTH)];
+    let mut fleet = settled_fleet(&[NORTH, SOUTH, SOUTH], &targets);
+    let mut request = arrival(1, "book", PLAIN, 1);
+    request.budget = Duration::from_secs(4);
+    fleet.arrive(0, request);
+    let (attempt, first) = fleet.forwards()[0];
+    fleet.commands.clear();
+    let refusal = Refusal::not_run(Reason::NotReady);
+    let refused = AttemptOutcome::Refused(refusal);
+    fleet.handle(0, Event::AttemptEnded(attempt, refused));
+    let forwards = fleet.forwards();
+    assert_eq!(forwards.len(), 1, "{:?}", fleet.refusals());
+    assert_ne!(forwards[0].1, first);
+}
