Hold a node that stood still until it has read what the others know

Cause: after a pause a node waits for a reply of another node. The reply confirmed its view if it had the newest configuration; the list of targets has a revision of its own that was not compared. Until its fetch ended, the node placed requests by the old list. Class: one revision taken for the state of all that is read.

Ruled out: that the reply carries the news itself; it names the revision alone. paused_node failed before and passes.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -224,6 +224,9 @@
     /// When the region that owns a customer's keys last changed.
     pub(crate) owner_changes: BTreeMap<CustomerId, Time>,
     pub(crate) freshness: Freshness,
+    /// Highest item revision of the nodes that replied to a message of this node, which was sent at this
+    /// time, as long as this node has not read that revision.
+    pub(crate) unread_items: Option<(u64, Time)>,
     pub(crate) peers: Peers,
     pub(crate) gossip: Gossip,
     /// Sequence number of the last record of this node in a heartbeat.
@@ -304,6 +307,7 @@
             owner_since: now,
             owner_changes: BTreeMap::new(),
             freshness: Freshness::new(now),
+            unread_items: None,
             peers: Peers::default(),
             gossip: Gossip::default(),
             record_sequence: 0,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -54,7 +54,9 @@
         if let Some(echo) = effect.echo
             && newest <= own_revision
         {
-            self.freshness.confirm(echo);
+            let unread = Some((heartbeat.items_revision, echo));
+            self.unread_items = self.unread_items.max(unread);
+            self.confirm_freshness();
         }
         if self.roster.is_some() {
             self.fetch_newer_items(now, heartbeat, out);
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -102,10 +102,21 @@
             self.rebuild_bundle(now, out);
         }
         if self.catalogue.revision() > old_revision {
+            self.confirm_freshness();
             self.send_urgent_heartbeats(now, out);
         }
     }
 
+    /// Confirms this node's view once it has read all items that the node which replied to it had.
+    pub(super) fn confirm_freshness(&mut self) {
+        if let Some((revision, echo)) = self.unread_items
+            && revision <= self.catalogue.revision()
+        {
+            self.unread_items = None;
+            self.freshness.confirm(echo);
+        }
+    }
+
     /// Records whether the platform is reachable from this node, and audits a change.
     pub(super) fn set_platform_unreachable(
         &mut self,
--- a/crates/seam-core/tests/leaving_targets.rs
+++ b/crates/seam-core/tests/leaving_targets.rs
@@ -72,6 +72,34 @@
     assert_eq!(count_sends(&mut fleet, 1, leaving), 0);
 }
 
+/// Guards against a node that stood still while a target left, and is confirmed by a node that knows of it
+/// before it has read the change itself.
+#[test]
+fn paused_node() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS);
+    let leaving = id_of("e1");
+    fleet.pause(2, Duration::from_secs(5), |fleet| {
+        for node in [0, 1] {
+            let entry = listed("e1", ENGINE, NORTH, true, 0);
+            fleet.publish(node, vec![item("e1", 60, Some(entry))], 60);
+        }
+    });
+    fleet.fetches_fail = true;
+    fleet.wait(Duration::from_millis(300));
+    for ticket in 200..220 {
+        fleet.arrive(2, arrival(ticket, "review", ENGINE, 1));
+    }
+    let sent = fleet
+        .sends()
+        .iter()
+        .filter(|send| send.2 == leaving)
+        .count();
+    assert_eq!(sent, 0, "sent to the target that left");
+    fleet.fetches_fail = false;
+    fleet.wait(Duration::from_secs(2));
+    assert_eq!(count_sends(&mut fleet, 2, leaving), 0);
+}
+
 /// Guards against requests that were placed before a target leaves and sent after.
 #[test]
 fn waiting_request() {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -317,6 +317,15 @@
         }
     }
 
+    /// Lets a node stand still for a time, in which the others go on and something happens.
+    pub fn pause(&mut self, index: usize, span: Duration, meanwhile: impl FnOnce(&mut Self)) {
+        let down = std::mem::replace(&mut self.down[index], true);
+        self.wait(span / 2);
+        meanwhile(self);
+        self.wait(span / 2);
+        self.down[index] = down;
+    }
+
     /// Returns the published entry of an item.
     fn entry(&self, item: &RawItem) -> Option<Entry> {
         item.value.as_ref()?;
