Count seeds that were not heard from for the share of a cold target

A cold server of a region of three nodes got 6 requests in one second, 5 allowed, in the test: the nodes had started while each was cut off from the others, counted themselves as alone and took two each.

Cause: the share rests on the nodes that were heard of. Class: absence of news taken for absence. Now a node that has heard of no other one counts its seeds as well. started_apart::three failed before (6) and passes (3). Ruled out: no share at all for such a node, since it would leave targets idle in a region whose seeds are out of date (returning_target_cold and two others fail then).

--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -14,7 +14,8 @@
 use crate::catalogue::RENEWAL_WINDOW;
 use crate::command::Command;
 use crate::handle::TargetKey;
-use crate::targets::cold_share;
+use crate::roster::Roster;
+use crate::targets::{RateShare, cold_share};
 
 impl Node {
     /// Limits requests to a target that accepts work again as if it were cold, until it has
@@ -134,9 +135,8 @@
         source: &str,
         out: &mut Vec<Command>,
     ) {
-        let (nodes, rank) = self.rank_for_target(id);
+        let (share, nodes) = self.own_cold_share(id, rate);
         if let Some(key) = self.targets.key(id) {
-            let share = cold_share(rate, nodes, rank);
             self.audit_cold(now, key, until, (share.allowed, nodes), source, out);
             self.targets.set_cold(key, self.boot, until, share);
         }
@@ -152,14 +152,24 @@
         out: &mut Vec<Command>,
     ) -> u32 {
         let state = self.targets.get(key);
-        let (nodes, rank) = self.rank_for_target(state.id);
-        let share = cold_share(state.capacity.cold_rate, nodes, rank);
+        let (share, nodes) = self.own_cold_share(state.id, state.capacity.cold_rate);
         let (allowed, until) = (share.allowed, now + span);
         self.audit_cold(now, key, until, (allowed, nodes), source, out);
         self.targets.presume_cold(key, self.boot, until, share);
         allowed
     }
 
+    /// Returns this node's share of the rate of a cold target, and the number of nodes that it rests on.
+    ///
+    /// A node that has heard of no other one since its start counts its seeds, since they may be cut off
+    /// like it.
+    fn own_cold_share(&self, target: TargetId, rate: f64) -> (RateShare, usize) {
+        let (known, rank) = self.rank_for_target(target);
+        let unheard = self.roster.as_ref().map_or(0, Roster::unheard_seeds);
+        let nodes = known + unheard;
+        (cold_share(rate, nodes, rank), nodes)
+    }
+
     /// Audits that a target becomes cold, unless it is known to be.
     fn audit_cold(
         &self,
--- a/crates/seam-core/src/roster.rs
+++ b/crates/seam-core/src/roster.rs
@@ -119,7 +119,9 @@
     /// let mut roster = Roster::new(Time(0), vm("a", "127.0.0.1:1"), seeds);
     /// assert_eq!(roster.due_seeds(Time(0), true).len(), 1);
     /// assert!(roster.due_seeds(Time(1), true).is_empty());
+    /// assert_eq!(roster.unheard_seeds(), 1);
     /// assert!(roster.record_direct(Time(2), &vm("b", "127.0.0.1:2")));
+    /// assert_eq!(roster.unheard_seeds(), 0);
     /// assert!(roster.due_seeds(Time(9_000_000), false).is_empty());
     /// ```
     pub fn due_seeds(&mut self, now: Time, alone: bool) -> Vec<SocketAddr> {
@@ -176,6 +178,16 @@
         self.known.len() < before
     }
 
+    /// Returns the number of seeds while this node has heard of no other node. Each of them may be one.
+    #[must_use]
+    pub fn unheard_seeds(&self) -> usize {
+        if self.known.len() > 1 {
+            0
+        } else {
+            self.seeds.len()
+        }
+    }
+
     /// Returns the known nodes, including this one.
     #[must_use]
     pub fn vms(&self) -> BTreeMap<VmId, Vm> {
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
-use fleet::{ENGINE, Fleet, NORTH, arrival, item, listed, settled_fleet};
+use fleet::{ENGINE, Fleet, NORTH, arrival, config, item, listed, settled_fleet};
 use seam_core::{AttemptKey, AttemptOutcome, Command, Event};
 use seam_protocol::{Entry, TargetId};
+use yare::parameterized;
 
 const TARGETS: [(&str, &str, &str); 2] = [("e1", ENGINE, NORTH), ("e2", ENGINE, NORTH)];
 /// Requests that all nodes together may send a cold target within a second.
@@ -229,3 +230,66 @@
         .sum();
     assert!(sent > LIMIT, "{sent}");
 }
+
+/// Counts the requests that all nodes send to a cold target within a second.
+fn count_all(fleet: &mut Fleet, target: TargetId, tickets: u64) -> usize {
+    let nodes = 0..fleet.nodes.len();
+    nodes
+        .map(|node| count_sends(fleet, node, target, tickets))
+        .sum()
+}
+
+/// Guards against nodes that each count themselves as alone, since they started while they were cut off
+/// from the others, and together send a cold target more than it takes.
+#[parameterized(
+    three = { 3 },
+    six = { 6 },
+)]
+fn started_apart(nodes: usize) {
+    let mut fleet = settled_fleet(&vec![NORTH; nodes], &TARGETS);
+    for (one, other) in (0..nodes).flat_map(|one| (0..one).map(move |other| (other, one))) {
+        fleet.partitions.insert((one, other));
+    }
+    for node in 0..nodes {
+        fleet.restart(node);
+        let entry = listed("e2", ENGINE, NORTH, false, 0);
+        let items = [
+            item("config", 1, Some(config(7))),
+            item("e2", 3, Some(entry)),
+        ];
+        fleet.publish(node, items.to_vec(), 50);
+    }
+    fleet.wait(Duration::from_secs(4));
+    become_cold(&mut fleet, "e1", 60);
+    let cold = id_of("e1");
+    let sent = count_all(&mut fleet, cold, 100);
+    assert!(sent <= LIMIT, "{sent} sent");
+    fleet.partitions.clear();
+    fleet.wait(Duration::from_millis(1200));
+    let sent = count_all(&mut fleet, cold, 200);
+    assert!(
+        (1..=LIMIT).contains(&sent),
+        "{sent} sent once they know each other"
+    );
+    fleet.wait(Duration::from_secs(4));
+    let sent = count_all(&mut fleet, cold, 300);
+    assert!(sent > LIMIT, "{sent} sent to the warm target");
+}
+
+/// Guards against a node that stood still while a target became cold, and takes it for warm.
+#[test]
+fn paused_node() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS);
+    let cold = id_of("e1");
+    fleet.pause(2, Duration::from_secs(5), |fleet| {
+        fleet.wait(Duration::from_millis(2400));
+        for node in [0, 1] {
+            let entry = listed("e1", ENGINE, NORTH, false, 3000);
+            fleet.publish(node, vec![item("e1", 60, Some(entry))], 60);
+        }
+    });
+    fleet.fetches_fail = true;
+    fleet.wait(Duration::from_millis(300));
+    let sent = count_sends(&mut fleet, 2, cold, 200);
+    assert!(sent <= LIMIT / 3, "{sent} sent");
+}
