Date a rate limit that is read after a pause by its request

Targets with a rate limit got more than they grant once a node that stood still went on: an answer from before counted as of when it was read, so an old limit, or its end, replaced what the others had read meanwhile, and was told to all. read_late failed before (no limit left at any node, 1 a second named) and passes.

--- a/crates/seam-core/src/freshness.rs
+++ b/crates/seam-core/src/freshness.rs
@@ -24,6 +24,8 @@
 pub struct Freshness {
     last: Time,
     phase: Phase,
+    /// When the last pause ended.
+    resumed: Option<Time>,
 }
 
 impl Freshness {
@@ -33,6 +35,7 @@
         Self {
             last: now,
             phase: Phase::Waiting(now),
+            resumed: None,
         }
     }
 
@@ -54,6 +57,7 @@
         self.last = self.last.max(now);
         if gap > PAUSE_THRESHOLD {
             self.phase = Phase::Waiting(now);
+            self.resumed = Some(now);
             return Some(gap);
         }
         if let Phase::Waiting(since) = self.phase
@@ -64,6 +68,22 @@
         None
     }
 
+    /// Returns whether the process was paused since a time, so that an answer to what it sent then may
+    /// be any age.
+    ///
+    /// ```
+    /// use seam_core::freshness::Freshness;
+    /// use seam_protocol::Time;
+    /// let mut freshness = Freshness::new(Time(0));
+    /// freshness.observe(Time(60_000_000));
+    /// assert!(freshness.paused_since(Time(50_000_000)));
+    /// assert!(!freshness.paused_since(Time(60_000_000)));
+    /// ```
+    #[must_use]
+    pub fn paused_since(&self, time: Time) -> bool {
+        self.resumed.is_some_and(|resumed| resumed > time)
+    }
+
     /// Records a reply to a message that this node sent at `sent`, on its own clock.
     pub fn confirm(&mut self, sent: Time) {
         if let Phase::Waiting(since) = self.phase
--- a/crates/seam-core/src/node/rate_limits.rs
+++ b/crates/seam-core/src/node/rate_limits.rs
@@ -56,10 +56,10 @@
                 return;
             }
         }
-        let advertised = AdvertisedLimit {
-            rate,
-            received: now,
-        };
+        // An answer that waited while this process was paused may be as old as its request.
+        let paused = self.freshness.paused_since(attempt.started);
+        let received = if paused { attempt.started } else { now };
+        let advertised = AdvertisedLimit { rate, received };
         if self.record_limit(now, target, advertised, "an answer", out) {
             self.changed_limits.insert(target);
             self.pending_update.mark_changed();
@@ -71,8 +71,14 @@
     /// Returns whether a target names a limit.
     #[must_use]
     pub fn is_rate_limited(&self, target: TargetId) -> bool {
-        let key = self.targets.key(target);
-        key.is_some_and(|key| self.targets.get(key).rate_limit.rate().is_some())
+        self.rate_limit(target).is_some()
+    }
+
+    /// Returns the limit that a target names, in requests per second from all nodes together.
+    #[must_use]
+    pub fn rate_limit(&self, target: TargetId) -> Option<f64> {
+        let key = self.targets.key(target)?;
+        self.targets.get(key).rate_limit.rate()
     }
 
     /// Merges the limits that another node reports.
--- a/crates/seam-core/tests/rate_limits.rs
+++ b/crates/seam-core/tests/rate_limits.rs
@@ -89,6 +89,12 @@
     nodes.map(|node| node.is_rate_limited(named)).collect()
 }
 
+/// Returns the limit of a target that each node knows.
+fn limits(fleet: &Fleet, named: TargetId) -> Vec<Option<f64>> {
+    let nodes = fleet.nodes.iter();
+    nodes.map(|node| node.rate_limit(named)).collect()
+}
+
 /// Guards against a limit that only the node knows to which it was named, against one that a
 /// restarted node doesn't receive, and against one that goes on at some node.
 #[test]
@@ -109,6 +115,38 @@
     assert_eq!(informed(&fleet, named), [false; 4]);
 }
 
+/// Guards against an answer that a node reads late, since it stood still, and whose limit or end of one
+/// counts as newer than what the other nodes read meanwhile.
+#[test]
+fn read_late() {
+    let targets = [("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)];
+    let mut fleet = settled_fleet(&[NORTH; 3], &targets);
+    let named = target("d1");
+    for rate in [None, Some(50.0)] {
+        play(&mut fleet, Duration::from_secs(1), named, |_| Some(20.0));
+        fleet.wait(Duration::from_millis(500));
+        fleet.commands.clear();
+        let late = (0..20).find_map(|number| {
+            let ticket = fleet.now.0 + number;
+            fleet.arrive(2, arrival(ticket, "view", PLAIN, 2));
+            let send = *fleet.sends().last()?;
+            (send.2 == named).then_some(send.1)
+        });
+        let late = late.expect("a request goes to the target");
+        fleet.commands.clear();
+        fleet.pause(2, Duration::from_secs(5), |fleet| {
+            play(fleet, Duration::from_secs(2), named, |_| Some(1.0));
+        });
+        fleet.handle(2, Event::LimitAdvertised(late, rate));
+        fleet.handle(2, Event::AttemptEnded(late, COMPLETE));
+        fleet.wait(Duration::from_millis(500));
+        for (node, limit) in limits(&fleet, named).into_iter().enumerate() {
+            assert_eq!(limit, Some(1.0), "node {node} after {rate:?}");
+        }
+        play(&mut fleet, Duration::from_secs(10), named, |_| None);
+    }
+}
+
 /// Guards against limits that never reach a node which restarted, since each heartbeat to it carries
 /// the same few of them.
 #[test]
