Audit when a node may not know the state of its targets

Without the line a request refused with the reason version did not show that its node was out of step.

--- a/crates/seam-core/src/audit.rs
+++ b/crates/seam-core/src/audit.rs
@@ -25,6 +25,8 @@
     Quarantine,
     /// The node detected that its process had been paused.
     Pause,
+    /// This node may not know the state of its targets, or knows it again.
+    OutOfStep,
     /// An item published by the platform changed the state of a target or cannot be used.
     Item,
     /// The platform became unreachable or reachable again.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -231,6 +231,8 @@
     pub(crate) platform_read: Option<Time>,
     /// Since when this node hears from no other one, although it knows some.
     pub(crate) alone_since: Option<Time>,
+    /// Whether the audit trail says that this node is out of step.
+    pub(crate) audited_step: bool,
     pub(crate) peers: Peers,
     pub(crate) gossip: Gossip,
     /// Sequence number of the last record of this node in a heartbeat.
@@ -314,6 +316,7 @@
             unread_items: None,
             platform_read: None,
             alone_since: None,
+            audited_step: false,
             peers: Peers::default(),
             gossip: Gossip::default(),
             record_sequence: 0,
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Notes since when this node hears from no other one.
-    pub(super) fn update_alone(&mut self, now: Time) {
+    /// Notes since when this node hears from no other one, and audits whether it is out of step.
+    pub(super) fn update_step(&mut self, now: Time, out: &mut Vec<Command>) {
         let vms = self.bundle.as_ref().map(|bundle| &bundle.deployment.vms);
         let others = vms.is_some_and(|vms| vms.len() > 1);
         if self.roster.is_some() && others && self.peers.none_alive(now) {
@@ -119,6 +119,18 @@
         } else {
             self.alone_since = None;
         }
+        let out_of_step = self.out_of_step();
+        if out_of_step != self.audited_step {
+            self.audited_step = out_of_step;
+            let state = |out_of_step: bool| if out_of_step { "old" } else { "current" };
+            let states = (state(!out_of_step), state(out_of_step));
+            let cause = match self.alone_since {
+                Some(since) => format!("no other node for {} ms", now.since(since).as_millis()),
+                None => format!("item revision {}", self.catalogue.revision()),
+            };
+            let entry = self.audit(now, Change::OutOfStep, "list of targets", states, cause);
+            out.push(entry);
+        }
     }
 
     /// Returns whether targets may have started again with another version without this node hearing of
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -82,7 +82,7 @@
         self.smooth_demand();
         self.decay_measurements();
         self.refresh_members(now);
-        self.update_alone(now);
+        self.update_step(now, out);
         if self.catalogue.expire(now) {
             self.rebuild_bundle(now, out);
         }
