--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -354,17 +354,17 @@
                 self.end_target_attempt(now, attempt, target, outcome, out);
             }
             Destination::Node { vm, region } => {
-                let node_alone = match outcome {
+                let node_unavailable = match outcome {
                     AttemptOutcome::NotSent => true,
                     AttemptOutcome::Refused(refusal) => refusal.reason == Reason::NotReady,
                     _ => false,
                 };
-                if node_alone {
+                if node_unavailable {
                     self.peers.mark_unreachable(vm);
                 }
                 // Another node of the same region may still be reachable and ready.
                 let other_nodes = region == self.id.region || self.roster.is_some();
-                let can_retry = other_nodes && node_alone;
+                let can_retry = other_nodes && node_unavailable;
                 let served = matches!(outcome, AttemptOutcome::Complete { .. });
                 // That no target there may go on with a stream says nothing of the load there.
                 let lacks_version = matches!(
