review: case of a server that reads a long body late

TCP_USER_TIMEOUT of 4.5 s also ends connections to a peer that is alive but has closed its window. A server that answers before it has read a long body and reads on after 6 s loses its connection, and the client its answer.

--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,62 @@
+//! Plays one case of the review: `review-case NAME FOLDER PROGRAM`.
+//!
+//! It ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod http;
+mod late_reader;
+mod store;
+mod world;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use world::Case;
+
+/// What a case found.
+pub enum Verdict {
+    /// The rule was broken.
+    Broken,
+    /// The rule held.
+    Held,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, folder, program] = arguments.as_slice() else {
+        eprintln!("review-case NAME FOLDER PROGRAM");
+        return ExitCode::from(2);
+    };
+    let case = match Case::open(Path::new(folder), Path::new(program)).map(Arc::new) {
+        Ok(case) => case,
+        Err(error) => {
+            eprintln!("cannot write to {folder}: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let play = match name.as_str() {
+        "late_reader" => late_reader::play,
+        _ => {
+            eprintln!("there is no case {name}");
+            return ExitCode::from(2);
+        }
+    };
+    world::limit_time(&case);
+    let code = match play(&case) {
+        Ok(Verdict::Broken) => {
+            case.record("the rule was broken");
+            1
+        }
+        Ok(Verdict::Held) => {
+            case.record("the rule held");
+            0
+        }
+        Err(reason) => {
+            case.record(format!("the case could not run: {reason}"));
+            eprintln!("{reason}");
+            2
+        }
+    };
+    case.end();
+    ExitCode::from(code)
+}
