review: case of a raised header limit on kept channels

The limit of a request's header block is read once for each connection. After the operator has raised maxHeaderBytes, requests on kept channels that the new limit allows get 431.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 //! It ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod http;
+mod kept_limits;
 mod late_reader;
 mod store;
 mod world;
@@ -34,7 +35,8 @@
             return ExitCode::from(2);
         }
     };
-    let play = match name.as_str() {
+    let play: fn(&Arc<Case>) -> Result<Verdict, String> = match name.as_str() {
+        "kept_limits" => |case| kept_limits::play(case),
         "late_reader" => late_reader::play,
         _ => {
             eprintln!("there is no case {name}");
