review: case of a watch whose answer is too large

A node drops an answer of the store above 8 MiB and asks for the same again. After its channels were silent during a storm of 12 configurations of 1 MB, it keeps the old configuration until the store forgets its history.

--- a/review/standins/src/kept_limits.rs
+++ b/review/standins/src/kept_limits.rs
@@ -62,7 +62,7 @@
     case.record(format!("operator: version 1, maxHeaderBytes {first}"));
     let server = serve(respond).map_err(text)?;
     store.put("servers/i-1", &server_item("booking-desk", server, 6));
-    let nodes = start_nodes(case, &store, 1)?;
+    let nodes = start_nodes(case, store.address, 1)?;
     let mut channels = Vec::new();
     let mut requests = 0;
     for client in 0..CLIENTS {
--- a/review/standins/src/late_reader.rs
+++ b/review/standins/src/late_reader.rs
@@ -143,7 +143,7 @@
     });
     let item = server_item("seam-stylist", server.map_err(text)?, 128);
     store.put("servers/i-1", &item);
-    let nodes = start_nodes(case, &store, 1)?;
+    let nodes = start_nodes(case, store.address, 1)?;
     let front = nodes[0].addresses.front;
     let lost = Arc::new(AtomicU32::new(0));
     let mut clients = Vec::new();
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,7 +5,9 @@
 mod http;
 mod kept_limits;
 mod late_reader;
+mod proxy;
 mod store;
+mod stuck_watch;
 mod world;
 
 use std::path::Path;
@@ -38,6 +40,7 @@
     let play: fn(&Arc<Case>) -> Result<Verdict, String> = match name.as_str() {
         "kept_limits" => |case| kept_limits::play(case),
         "late_reader" => late_reader::play,
+        "stuck_watch" => |case| stuck_watch::play(case),
         _ => {
             eprintln!("there is no case {name}");
             return ExitCode::from(2);
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Head};
-use crate::store::Store;
 
 /// Region and zone of all nodes and servers.
 pub const REGION: &str = "khomas";
@@ -256,14 +255,14 @@
 }
 
 /// Starts nodes that know each other, and waits until they are ready.
-pub fn start_nodes(case: &Case, store: &Store, count: usize) -> Result<Vec<Node>, String> {
+pub fn start_nodes(case: &Case, store: SocketAddr, count: usize) -> Result<Vec<Node>, String> {
     let addresses: Result<Vec<Addresses>, _> = (0..count).map(|_| Addresses::choose()).collect();
     let addresses = addresses.map_err(|error| error.to_string())?;
     let seeds: Vec<SocketAddr> = addresses.iter().map(|node| node.control).collect();
     let mut nodes = Vec::new();
     for (index, addresses) in addresses.into_iter().enumerate() {
         let name = format!("edge-khomas-a-{}", index + 1);
-        let node = Node::start(case, &name, addresses, &seeds, store.address);
+        let node = Node::start(case, &name, addresses, &seeds, store);
         nodes.push(node.map_err(|error| format!("{name}: {error}"))?);
     }
     for node in &mut nodes {
@@ -293,24 +292,58 @@
 
 /// Returns a configuration with one route of each kind, all with this timeout.
 pub fn config(version: u32, timeout_ms: u32, limits: Limits) -> String {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+    config_with(version, timeout_ms, limits, "booking-desk", 0)
+}
+
+/// Returns a configuration whose route `r-book` leads to a service, with routes of other hosts up to a
+/// size in bytes.
+pub fn config_with(
+    version: u32,
+    timeout_ms: u32,
+    limits: Limits,
+    desk: &str,
+    size: usize,
+) -> String {
+    let route = |name: &str, host: &str, kind: &str, service: &str, attempts: u32| {
+        let streams = kind == "streaming";
+        let resumable = streams && attempts > 1;
         format!(
-            r#"{{"name":"r-{name}","host":"{HOST}","pathPrefix":"/{name}/","routeType":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":800,"priority":1,"service":"{service}","maxAttempts":{attempts},"sticky":{},"resumable":{resumable},"gapTargetMs":400,"homeRegions":[]}}"#,
-            kind == "streaming"
+            r#"{{"name":"r-{name}","host":"{host}","pathPrefix":"/{name}/","routeType":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":800,"priority":1,"service":"{service}","maxAttempts":{attempts},"sticky":{streams},"resumable":{resumable},"gapTargetMs":400,"homeRegions":[]}}"#
         )
     };
-    let routes = [
-        route("view", "idempotent", "booking-desk", 2, false),
-        route("book", "non_idempotent", "booking-desk", 1, false),
-        route("review", "streaming", "seam-stylist", 1, false),
-        route("chat", "streaming", "seam-stylist", 2, true),
+    let mut routes = vec![
+        route("view", HOST, "idempotent", "booking-desk", 2),
+        route("book", HOST, "non_idempotent", desk, 1),
+        route("review", HOST, "streaming", "seam-stylist", 1),
+        route("chat", HOST, "streaming", "seam-stylist", 2),
     ];
+    let mut bytes: usize = routes.iter().map(String::len).sum();
+    while bytes < size {
+        let number = routes.len();
+        let host = format!("salon-{number}.example");
+        let other = route(
+            &format!("p{number}"),
+            &host,
+            "idempotent",
+            "booking-desk",
+            2,
+        );
+        bytes += other.len() + 1;
+        routes.push(other);
+    }
+    let service = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0}}"#
+        )
+    };
     let Limits {
         header_bytes,
         idle_ms,
     } = limits;
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"seam-stylist","healthPath":"/health","maxConnections":630,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.5,"engine":{{"slots":128,"kvCapacityTokens":472760}}}},{{"name":"booking-desk","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0}}],"limits":{{"maxHeaderBytes":{header_bytes},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_ms}}}}}"#,
-        routes.join(",")
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"seam-stylist","healthPath":"/health","maxConnections":630,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.5,"engine":{{"slots":128,"kvCapacityTokens":472760}}}},{},{}],"limits":{{"maxHeaderBytes":{header_bytes},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_ms}}}}}"#,
+        routes.join(","),
+        service("booking-desk"),
+        service("booking-desk-2")
     )
 }
