review: case of failures that promise "not run" after a run

A node passes a server's 503, 429 or 408 on to the client although it has no Not-Executed and the request has run. The client takes the status for a promise and sends the booking again.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! It ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod false_promise;
 mod http;
 mod kept_limits;
 mod late_reader;
@@ -38,8 +39,10 @@
         }
     };
     let play: fn(&Arc<Case>) -> Result<Verdict, String> = match name.as_str() {
+        "false_promise" => false_promise::play,
         "kept_limits" => |case| kept_limits::play(case),
         "late_reader" => late_reader::play,
+
         "stuck_watch" => |case| stuck_watch::play(case),
         _ => {
             eprintln!("there is no case {name}");
