review: case of streams that no client can take up

A client that goes on with a stream by Last-Event-Id, as the pages say, is refused by every node for good, since the version of its origin is looked up by a header that the pages don't name.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod kept_limits;
 mod late_reader;
 mod proxy;
+mod resumed_streams;
 mod store;
 mod stuck_watch;
 mod world;
@@ -43,6 +44,7 @@
         "kept_limits" => |case| kept_limits::play(case),
         "late_reader" => late_reader::play,
 
+        "resumed_streams" => resumed_streams::play,
         "stuck_watch" => |case| stuck_watch::play(case),
         _ => {
             eprintln!("there is no case {name}");
