review: configurations of the stated size in the case of the watch

The configurations have the 1,988 routes more that big_config has at most, instead of a size of our own.

--- a/review/standins/src/stuck_watch.rs
+++ b/review/standins/src/stuck_watch.rs
@@ -14,8 +14,8 @@
 /// Changes of the storm, and the time between them: 12 in 4 s.
 const CHANGES: u32 = 12;
 const GAP: Duration = Duration::from_millis(330);
-/// Size of a configuration, below `valueBytes` (1,048,576).
-const VALUE_BYTES: usize = 1_000_000;
+/// Routes that `big_config` adds.
+const ROUTES: u32 = 1988;
 /// Time after the channels fell silent when the machines are in touch again (`contactMs`), and two seconds more.
 const IN_TOUCH: Duration = Duration::from_secs(8);
 /// Time from the last confirmation to the judged requests: `configApplyMs` and two seconds more.
@@ -69,7 +69,7 @@
     };
     let store = Store::start().map_err(text)?;
     let proxy = Proxy::start(store.address).map_err(text)?;
-    let version = |version, desk| config_with(version, 2500, limits, desk, VALUE_BYTES);
+    let version = |version, desk| config_with(version, 2500, limits, desk, ROUTES);
     store.put("op/config", &version(1, "booking-desk"));
     let runs = Runs::default();
     for (id, service) in [("i-1", "booking-desk"), ("i-2", "booking-desk-2")] {
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -295,41 +295,38 @@
     config_with(version, timeout_ms, limits, "booking-desk", 0)
 }
 
-/// Returns a configuration whose route `r-book` leads to a service, with routes of other hosts up to a
-/// size in bytes.
+/// Returns a configuration whose route `r-book` leads to a service, with a number of routes of other hosts.
 pub fn config_with(
     version: u32,
     timeout_ms: u32,
     limits: Limits,
     desk: &str,
-    size: usize,
+    others: u32,
 ) -> String {
     let route = |name: &str, host: &str, kind: &str, service: &str, attempts: u32| {
         let streams = kind == "streaming";
         let resumable = streams && attempts > 1;
         format!(
-            r#"{{"name":"r-{name}","host":"{host}","pathPrefix":"/{name}/","routeType":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":800,"priority":1,"service":"{service}","maxAttempts":{attempts},"sticky":{streams},"resumable":{resumable},"gapTargetMs":400,"homeRegions":[]}}"#
+            r#"{{"name":"r-{name}","host":"{host}","pathPrefix":"/{name}/","routeType":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":800,"priority":1,{service},"maxAttempts":{attempts},"sticky":{streams},"resumable":{resumable},"gapTargetMs":400,"homeRegions":[]}}"#
         )
     };
+    let to = |service: &str| format!(r#""service":"{service}""#);
     let mut routes = vec![
-        route("view", HOST, "idempotent", "booking-desk", 2),
-        route("book", HOST, "non_idempotent", desk, 1),
-        route("review", HOST, "streaming", "seam-stylist", 1),
-        route("chat", HOST, "streaming", "seam-stylist", 2),
+        route("view", HOST, "idempotent", &to("booking-desk"), 2),
+        route("book", HOST, "non_idempotent", &to(desk), 1),
+        route("review", HOST, "streaming", &to("seam-stylist"), 1),
+        route("chat", HOST, "streaming", &to("seam-stylist"), 2),
     ];
-    let mut bytes: usize = routes.iter().map(String::len).sum();
-    while bytes < size {
-        let number = routes.len();
-        let host = format!("salon-{number}.example");
-        let other = route(
-            &format!("p{number}"),
+    let split = r#""trafficSplit":[{"service":"booking-desk","weight":90},{"service":"booking-desk-2","weight":10}]"#;
+    for number in 0..others {
+        let host = format!("salon-{number:04}.example");
+        routes.push(route(
+            &format!("x{number:04}"),
             &host,
             "idempotent",
-            "booking-desk",
+            split,
             2,
-        );
-        bytes += other.len() + 1;
-        routes.push(other);
+        ));
     }
     let service = |name: &str| {
         format!(
