--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -254,8 +254,21 @@
     }
 }
 
-/// Starts nodes that know each other, and waits until they are ready.
+/// Starts nodes that know each other, and waits until they are ready. Tries again with other ports if
+/// another process has taken one since it was chosen as free.
 pub fn start_nodes(case: &Case, store: SocketAddr, count: usize) -> Result<Vec<Node>, String> {
+    const TRIES: usize = 3;
+    let mut started = try_start(case, store, count);
+    for _ in 1..TRIES {
+        if started.is_ok() {
+            break;
+        }
+        started = try_start(case, store, count);
+    }
+    started
+}
+
+fn try_start(case: &Case, store: SocketAddr, count: usize) -> Result<Vec<Node>, String> {
     let addresses: Result<Vec<Addresses>, _> = (0..count).map(|_| Addresses::choose()).collect();
     let addresses = addresses.map_err(|error| error.to_string())?;
     let seeds: Vec<SocketAddr> = addresses.iter().map(|node| node.control).collect();
