client: keep the bytes of small body parts, not their buffers

Cause: hyper hands out each part of a body as a slice of the buffer that it was read into, 8 KiB and more. A node kept such slices where it buffers the first 64 KiB of an answer before its head, and where it reads a whole body (answers of the store, health answers, reports). A body of one-byte chunks that arrive one by one thus took some 7.6 KB of memory for each byte.

Change: both places copy the bytes into one buffer.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
@@ -266,11 +266,10 @@
     let exchange = async {
         let mut connection = Connection::open(address).await?;
         let (head, body) = connection.send(request).await?.into_parts();
-        let whole = Limited::new(body, max_bytes).collect().await;
-        let whole = whole.map_err(|error| ClientError::Body {
-            message: error.to_string(),
-        })?;
-        Ok(Response::from_parts(head, whole.to_bytes()))
+        Ok(Response::from_parts(
+            head,
+            read_body(body, max_bytes).await?,
+        ))
     };
     let timeout = async {
         Timer::after(limit).await;
@@ -279,6 +278,26 @@
     exchange.or(timeout).await
 }
 
+/// Reads a whole body of at most `max_bytes` into one buffer.
+///
+/// # Errors
+/// [`ClientError::Body`] if it is too large or truncated.
+pub async fn read_body(body: ResponseBody, max_bytes: usize) -> Result<Bytes, ClientError> {
+    let mut body = Limited::new(body, max_bytes);
+    // Kept frames would keep the buffers that they were read into, which are far larger than small
+    // frames.
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ClientError::Body {
+            message: error.to_string(),
+        })?;
+        if let Ok(bytes) = frame.into_data() {
+            whole.extend_from_slice(&bytes);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// Sends a GET request and parses the JSON response.
 ///
 /// # Panics
--- a/crates/seam-node/src/polls.rs
+++ b/crates/seam-node/src/polls.rs
@@ -8,10 +8,9 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use seam_core::Event;
 use seam_core::placement::Order;
-use seam_http::{ClientError, Connection, empty, fetch, full};
+use seam_http::{ClientError, Connection, empty, fetch, full, read_body};
 use seam_protocol::{CacheEvent, Kind, LoadReport, TargetId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -107,11 +106,8 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = Limited::new(response.into_body(), MAX_REPORT_BYTES)
-            .collect()
-            .await
-            .ok()?;
-        serde_json::from_slice(&body.to_bytes()).ok()
+        let body = read_body(response.into_body(), MAX_REPORT_BYTES).await;
+        serde_json::from_slice(&body.ok()?).ok()
     };
     let timeout = async {
         Timer::after(POLL_TIMEOUT).await;
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{Request, StatusCode, header, request, response};
 use http_body_util::BodyExt;
@@ -353,7 +353,7 @@
 struct BufferedResponse<'a> {
     writer: &'a ResponseWriter,
     head: Option<ResponseHead>,
-    bytes: Vec<Bytes>,
+    bytes: BytesMut,
     remaining: usize,
 }
 
@@ -368,7 +368,8 @@
     async fn add(&mut self, bytes: Bytes) -> Result<(), Discontinuity> {
         if self.head.is_some() && bytes.len() <= self.remaining {
             self.remaining -= bytes.len();
-            self.bytes.push(bytes);
+            // A kept frame would keep the buffer that it was read into, which may be far larger.
+            self.bytes.extend_from_slice(&bytes);
             return Ok(());
         }
         self.flush().await?;
@@ -379,10 +380,11 @@
         if let Some(head) = self.head.take() {
             self.writer.write_head(head).await;
         }
-        for bytes in std::mem::take(&mut self.bytes) {
-            self.writer.write_data(bytes).await?;
+        if self.bytes.is_empty() {
+            return Ok(());
         }
-        Ok(())
+        let bytes = std::mem::take(&mut self.bytes).freeze();
+        self.writer.write_data(bytes).await
     }
 }
 
@@ -410,7 +412,7 @@
     let mut response = BufferedResponse {
         writer,
         head: Some(head),
-        bytes: Vec::new(),
+        bytes: BytesMut::new(),
         remaining: max_buffered,
     };
     let mut awaiting_first = true;
--- /dev/null
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -0,0 +1,256 @@
+//! A node process whose targets answer many requests at once with bytes that do not end.
+
+#[allow(dead_code, reason = "the platform's own tests use the rest")]
+#[path = "../../../platform/tests/house"]
+mod house {
+    pub mod raw_servers;
+    pub mod servers;
+    pub mod setup;
+    pub mod store;
+}
+
+#[allow(dead_code, reason = "the soak test uses the rest")]
+mod soak {
+    pub mod node;
+    pub mod proxy;
+}
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use house::raw_servers::{EndlessAnswer, EndlessServer};
+use house::servers::Server;
+use house::setup::{CALL_TIMEOUT, get};
+use house::store::Store;
+use http::{Request, StatusCode};
+use seam_emulator::server::wait_until;
+use seam_http::{empty, fetch};
+use soak::node::Node;
+
+/// Memory of the smallest VM, as in its settings.
+const VM_MEMORY: usize = 160 << 20;
+/// Requests whose answers do not end.
+const ENDLESS_REQUESTS: usize = 200;
+const ENDLESS_SERVERS: usize = 4;
+/// Memory of a node that has read an answer of the store of the largest size, held twice.
+const MAX_STORE_PEAK: usize = 64 << 20;
+/// Time that the callers of endless answers state.
+const TIME_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two requests of other callers.
+const INTERVAL: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A node process with a store.
+struct World {
+    node: Node,
+    store: Store,
+    folder: std::path::PathBuf,
+}
+
+impl World {
+    async fn start(name: &str) -> Self {
+        let folder = format!("seam-endless-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).expect("the folder can be created");
+        let store = Store::start();
+        store.configure_timeout(1, TIME_LIMIT);
+        let mut node = Node::new(0, "north", &folder, store.address());
+        node.start(&[]);
+        let mut world = Self {
+            node,
+            store,
+            folder,
+        };
+        while !world.is_ready().await {
+            if !world.node.is_running() {
+                world.node.change_ports();
+                world.node.start(&[]);
+            }
+            Timer::after(POLL_INTERVAL).await;
+        }
+        world
+    }
+
+    async fn is_ready(&self) -> bool {
+        let request = Request::get("/readiness").body(empty());
+        let request = request.expect("the request is valid");
+        let response = fetch(self.node.ports.readiness, request, CALL_TIMEOUT, 1000).await;
+        response.is_ok_and(|response| response.status() == StatusCode::OK)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.node.kill();
+        if let Err(error) = std::fs::remove_dir_all(&self.folder) {
+            println!("{} not removed: {error}", self.folder.display());
+        }
+    }
+}
+
+/// Calls for an answer that does not end. Reads it, or leaves it in the connection, until the node
+/// closes that.
+fn call_endless(caller: SocketAddr, id: &str, reads: bool) {
+    let mut connection = TcpStream::connect(caller).expect("the node listens");
+    let time = TIME_LIMIT.as_millis();
+    let request = format!(
+        "GET /view/1 HTTP/1.1\r\nhost: salon.example\r\nattempt-id: {id}\r\ndeadline-ms: {time}\r\n\r\n"
+    );
+    connection
+        .write_all(request.as_bytes())
+        .expect("the node reads");
+    if !reads {
+        std::thread::sleep(2 * TIME_LIMIT);
+    }
+    let mut part = vec![0; 64 << 10];
+    while connection.read(&mut part).is_ok_and(|count| count > 0) {}
+}
+
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nresponse-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+const CHUNKED: &str =
+    "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nresponse-seal: s\r\n\r\n";
+
+fn start_workers() {
+    static START: std::sync::Once = std::sync::Once::new();
+    START.call_once(|| seam_http::start_workers(2));
+}
+
+/// Plays one kind of answer.
+fn play(name: &str, answer: EndlessAnswer) {
+    start_workers();
+    seam_http::block_on(async {
+        let world = World::start(name).await;
+        let endless: Vec<EndlessServer> = (0..ENDLESS_SERVERS)
+            .map(|_| EndlessServer::start(answer))
+            .collect();
+        for (index, server) in endless.iter().enumerate() {
+            let mut item = house::servers::server_item(server.address(), "desk", "north-a");
+            item["slots"] = ENDLESS_REQUESTS.into();
+            world.store.put_item(&format!("s-{index}"), &item);
+        }
+        let sound = Server::start("e-1", "north-a", "writer");
+        world.store.put_item(&sound.id, &sound.item());
+        let caller = world.node.ports.caller;
+        wait_until_served(caller).await;
+        let idle = world.node.peak_memory();
+        let calls: Vec<_> = (0..ENDLESS_REQUESTS)
+            .map(|index| {
+                let id = format!("endless-{index}");
+                std::thread::spawn(move || call_endless(caller, &id, index % 2 == 0))
+            })
+            .collect();
+        let start = Instant::now();
+        let mut beside = 0;
+        let mut slowest = Duration::ZERO;
+        while start.elapsed() < TIME_LIMIT {
+            let id = format!("beside-{beside}");
+            let sent = Instant::now();
+            let response = fetch(caller, get("/look/1", &id), CALL_TIMEOUT, 4096).await;
+            let response = response.expect("a sound server's answer arrives");
+            assert_eq!(response.status(), StatusCode::OK, "{id}");
+            slowest = slowest.max(sent.elapsed());
+            beside += 1;
+            Timer::after(INTERVAL).await;
+        }
+        for call in calls {
+            call.join().expect("the caller ends");
+        }
+        wait_until(|| endless.iter().all(|server| server.open() == 0)).await;
+        let peak = world.node.peak_memory();
+        let open: usize = endless.iter().map(EndlessServer::most_open).sum();
+        println!(
+            "{name}: {open} answers at once, {beside} requests beside them in at most {} ms; \
+             {} MB at the start, {} MB at most, {} bytes written",
+            slowest.as_millis(),
+            idle >> 20,
+            peak >> 20,
+            endless.iter().map(EndlessServer::taken).sum::<usize>()
+        );
+        assert!(open * 2 > ENDLESS_REQUESTS, "only {open} answers at once");
+        assert!(peak < VM_MEMORY, "{peak} bytes of memory");
+    });
+}
+
+async fn wait_until_served(caller: SocketAddr) {
+    for number in 0.. {
+        let request = get("/look/1", &format!("first-{number}"));
+        let response = fetch(caller, request, CALL_TIMEOUT, 4096).await;
+        if response.is_ok_and(|response| response.status() == StatusCode::OK) {
+            return;
+        }
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against answers without end that fill a node's memory.
+#[test]
+fn large_parts() {
+    play("until_close", EndlessAnswer::new(UNTIL_CLOSE, "aaaaaaaa"));
+    play("chunks", EndlessAnswer::new(CHUNKED, "8\r\naaaaaaaa\r\n"));
+}
+
+/// Guards against a small part of a body that keeps the whole buffer that it was read into.
+#[test]
+fn small_parts() {
+    const PAUSE: Duration = Duration::from_millis(15);
+    let answer = EndlessAnswer::paused(CHUNKED, "1\r\na\r\n", PAUSE);
+    play("small_parts", answer);
+}
+
+/// Guards against events without end that fill a node's memory while it waits for their ends.
+#[test]
+fn event_line() {
+    play("event_line", EndlessAnswer::new(EVENTS, "aaaaaaaa"));
+}
+
+/// Guards against a store that fills a node's memory by an answer that does not end.
+#[test]
+fn store_answers() {
+    const PAUSE: Duration = Duration::from_micros(30);
+    let answers = [
+        (
+            "store_head",
+            EndlessAnswer::new("HTTP/1.1 200 OK\r\n", "x: a\r\n"),
+        ),
+        (
+            "store_interim",
+            EndlessAnswer::new("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        ),
+        (
+            "store_space",
+            EndlessAnswer::new("HTTP/1.1 200 OK\r\n\r\n", "        "),
+        ),
+        (
+            "store_nested",
+            EndlessAnswer::new("HTTP/1.1 200 OK\r\n\r\n", "["),
+        ),
+        (
+            "store_parts",
+            EndlessAnswer::paused(CHUNKED, "1\r\n \r\n", PAUSE),
+        ),
+    ];
+    for (name, answer) in answers {
+        let server = EndlessServer::start(answer);
+        check_store(name, server.address());
+    }
+}
+
+/// Runs a node with such a store for some calls.
+fn check_store(name: &str, store: SocketAddr) {
+    const SPAN: Duration = Duration::from_secs(4);
+    let folder = std::env::temp_dir().join(format!("seam-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the folder can be created");
+    start_workers();
+    let mut node = Node::new(0, "north", &folder, store);
+    node.start(&[]);
+    std::thread::sleep(SPAN);
+    assert!(node.is_running(), "{name}: the process ended");
+    let peak = node.peak_memory();
+    println!("{name}: {} MB at most", peak >> 20);
+    assert!(peak < MAX_STORE_PEAK, "{name}: {peak} bytes of memory");
+    node.kill();
+    std::fs::remove_dir_all(&folder).expect("the folder can be removed");
+}
--- a/crates/toucanseam/tests/soak.rs
+++ b/crates/toucanseam/tests/soak.rs
@@ -13,6 +13,7 @@
 mod soak {
     pub mod callers;
     pub mod checks;
+    #[allow(dead_code, reason = "other tests use the rest")]
     pub mod node;
     pub mod proxy;
     pub mod script;
--- a/crates/toucanseam/tests/soak/node.rs
+++ b/crates/toucanseam/tests/soak/node.rs
@@ -129,6 +129,20 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Returns the most memory that the process has held at once, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let child = self.child.as_ref().expect("the process runs");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process runs");
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        let kilobytes: usize = peak
+            .and_then(|peak| peak.trim().parse().ok())
+            .expect("the system states the peak");
+        kilobytes << 10
+    }
+
     /// Sends a signal to the process that this test started.
     pub fn signal(&mut self, signal: Signal) {
         if !self.is_running() {
