--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -45,9 +45,16 @@
     open: Arc<AtomicUsize>,
 }
 
-/// An open connection of a server, counted until it is dropped.
+/// An open connection, counted until it is dropped.
 struct OpenConnection(Arc<AtomicUsize>);
 
+impl OpenConnection {
+    fn count(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -80,8 +87,7 @@
     }
 
     fn count_connection(&self) -> OpenConnection {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        OpenConnection(self.open.clone())
+        OpenConnection::count(&self.open)
     }
 
     /// Waits for [`Self::stop`].
@@ -165,15 +171,14 @@
             log::warn!("connection from {from} closed: the limit of {max_connections} is reached");
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (shared, stop, open) = (shared.clone(), stop.clone(), open.clone());
-        let counted = stop.count_connection();
+        let (shared, stop) = (shared.clone(), stop.clone());
+        let counted = (OpenConnection::count(&open), stop.count_connection());
         spawn(async move {
+            // A handler that panics also ends the connection.
             let _counted = counted;
             if let Err(error) = connection(stream, from, stop, shared).await {
                 log::debug!("connection from {from} failed: {error}");
             }
-            open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
     }
