client: read into buffers of at most 64 KiB

Cause: a connection to a target read into buffers of up to 408 KiB, and eight parts of that size can wait for a caller that doesn't read. A head without end was parsed up to the same size.

Change: buffers, and with them heads and parts of bodies, are 64 KiB at most.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -40,6 +40,9 @@
     USER_TIMEOUT.as_millis() > KEEPALIVE_IDLE.as_millis() + 2 * KEEPALIVE_INTERVAL.as_millis(),
     "the third keepalive probe must be due before the user timeout"
 );
+/// Maximum size of a head in bytes, and of the buffer that a connection reads into. Parts of a body are
+/// not larger.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
@@ -174,7 +177,9 @@
         let stream = connect_within(address, limit).await?;
         let meter = ProgressMeter::default();
         let stream = GuardedStream::new(stream, meter.clone());
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .context(ExchangeSnafu)?;
         spawn(async move {
--- a/crates/toucanseam/tests/endless_answers.rs
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -118,8 +118,14 @@
     START.call_once(|| seam_http::start_workers(2));
 }
 
-/// Plays one kind of answer.
-fn play(name: &str, answer: EndlessAnswer) {
+/// Plays answers that a node relays until the time of their requests is over.
+fn play_bodies(name: &str, answer: EndlessAnswer) {
+    let open = play(name, answer);
+    assert!(open * 2 > ENDLESS_REQUESTS, "only {open} answers at once");
+}
+
+/// Plays one kind of answer. Returns how many of them were written at once.
+fn play(name: &str, answer: EndlessAnswer) -> usize {
     start_workers();
     seam_http::block_on(async {
         let world = World::start(name).await;
@@ -169,9 +175,10 @@
             peak >> 20,
             endless.iter().map(EndlessServer::taken).sum::<usize>()
         );
-        assert!(open * 2 > ENDLESS_REQUESTS, "only {open} answers at once");
+        assert!(slowest < TIME_LIMIT, "a request took {slowest:?}");
         assert!(peak < VM_MEMORY, "{peak} bytes of memory");
-    });
+        open
+    })
 }
 
 async fn wait_until_served(caller: SocketAddr) {
@@ -188,8 +195,8 @@
 /// Guards against answers without end that fill a node's memory.
 #[test]
 fn large_parts() {
-    play("until_close", EndlessAnswer::new(UNTIL_CLOSE, "aaaaaaaa"));
-    play("chunks", EndlessAnswer::new(CHUNKED, "8\r\naaaaaaaa\r\n"));
+    play_bodies("until_close", EndlessAnswer::new(UNTIL_CLOSE, "aaaaaaaa"));
+    play_bodies("chunks", EndlessAnswer::new(CHUNKED, "8\r\naaaaaaaa\r\n"));
 }
 
 /// Guards against a small part of a body that keeps the whole buffer that it was read into.
@@ -197,13 +204,20 @@
 fn small_parts() {
     const PAUSE: Duration = Duration::from_millis(15);
     let answer = EndlessAnswer::paused(CHUNKED, "1\r\na\r\n", PAUSE);
-    play("small_parts", answer);
+    play_bodies("small_parts", answer);
 }
 
 /// Guards against events without end that fill a node's memory while it waits for their ends.
 #[test]
 fn event_line() {
-    play("event_line", EndlessAnswer::new(EVENTS, "aaaaaaaa"));
+    play_bodies("event_line", EndlessAnswer::new(EVENTS, "aaaaaaaa"));
+}
+
+/// Guards against heads without end that fill a node's memory or keep its processor.
+#[test]
+fn head_field() {
+    let head_field = EndlessAnswer::new("HTTP/1.1 200 OK\r\nx: ", "aaaaaaaa");
+    assert!(play("head_field", head_field) > 0);
 }
 
 /// Guards against a store that fills a node's memory by an answer that does not end.
