--- a/crates/toucanseam/tests/endless_answers.rs
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -220,6 +220,13 @@
     assert!(play("head_field", head_field) > 0);
 }
 
+/// Guards against interim heads without end that keep a node's processor.
+#[test]
+fn informational_flood() {
+    let answer = EndlessAnswer::new("", "HTTP/1.1 102 Processing\r\n\r\n");
+    assert!(play("informational_flood", answer) > 0);
+}
+
 /// Guards against a store that fills a node's memory by an answer that does not end.
 #[test]
 fn store_answers() {
