--- a/crates/toucanseam/tests/endless_answers.rs
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use house::raw_servers::{EndlessAnswer, EndlessServer};
+use house::raw_servers::{EndlessAnswer, EndlessServer, RawAnswer, RawServer};
 use house::servers::Server;
 use house::setup::{CALL_TIMEOUT, get};
 use house::store::Store;
@@ -259,6 +259,19 @@
     }
 }
 
+/// Guards against a store whose pages do not end, which a node reads and keeps for ever.
+#[test]
+fn store_pages() {
+    /// Pages that a node may ask for while it tries to read the items again and again.
+    const MAX_PAGES: usize = 100;
+    let pages = RawServer::start(&[RawAnswer::kept(PAGE)]);
+    check_store("store_pages", pages.address());
+    let read = pages.heads().len();
+    assert!(read < MAX_PAGES, "{read} pages read");
+}
+
+const PAGE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 159\r\n\r\n{\"items\": [{\"key\": \"servers/s-1\", \"revision\": 1, \"value\": \"e30=\"}, {\"key\": \"servers/s-2\", \"revision\": 1, \"value\": \"e30=\"}], \"truncated\": true, \"currentRev\": 1}";
+
 /// Runs a node with such a store for some calls.
 fn check_store(name: &str, store: SocketAddr) {
     const SPAN: Duration = Duration::from_secs(4);
