seam-http: limits on heads hold on open connections

Callers got 431 for a proper request on a kept connection after the limit on heads was raised, and larger heads than allowed were taken after it was lowered: the limit was given to hyper once, when a connection was accepted.

The connection's stream now bounds the head of each request by the limit in force when its bytes are read. hyper's one buffer limit also bounded what it holds of a response, so the tracked response body waits while 16 KiB are not written. On HTTP/2, hyper advertises one limit for a connection: it takes in 256 KiB (or the limit at its start, if higher) and a larger head than the limit in force gets 431. The timeouts were already read again for each phase, the limit on bodies for each request.

--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -14,7 +14,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, future};
-use http::{Request, Response, Version};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -22,7 +22,7 @@
 use crate::body::Body;
 use crate::exec::{Spawner, spawn};
 pub use pace::CallerLimits;
-use pace::{PhaseTracker, TimeoutKind, TrackedStream};
+use pace::{PhaseTracker, TrackedStream, Violation};
 
 /// First bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
@@ -31,8 +31,13 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
-/// Smallest limit on the header block that `hyper` accepts, in bytes.
+/// Smallest limit on the header block, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
+/// Header block that an HTTP/2 connection takes in, so that a limit raised up to it holds on open
+/// connections.
+const MAX_HTTP2_HEAD_BYTES: usize = 256 << 10;
+/// Size that HTTP/2 adds to each header field.
+const HTTP2_FIELD_BYTES: usize = 32;
 /// Maximum number of open connections of a listener started with [`serve`].
 const MAX_CONNECTIONS: usize = 10_000;
 
@@ -209,7 +214,7 @@
     let tracker = PhaseTracker::start(Instant::now());
     let limits = || shared.1();
     let timeout = async {
-        tracker.overdue(limits).await;
+        tracker.violation(limits).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     let idle_stop = async {
@@ -219,16 +224,23 @@
     let Ok(http2) = starts_http2(&stream).or(timeout).or(idle_stop).await else {
         return Ok(());
     };
-    let head_bytes = limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let max_head_bytes = || limits().max_head_bytes.max(MIN_HEAD_BYTES);
     if http2 {
         let service = service_fn(|request| {
-            let response = shared.0(request, from);
-            async move { Ok::<_, Infallible>(response.await) }
+            let accepted = http2_head_bytes(&request) <= max_head_bytes();
+            let response = accepted.then(|| shared.0(request, from));
+            async move {
+                Ok::<_, Infallible>(match response {
+                    Some(response) => response.await,
+                    None => large_head_response(),
+                })
+            }
         });
+        let accepted_bytes = max_head_bytes().max(MAX_HTTP2_HEAD_BYTES);
         let connection = hyper::server::conn::http2::Builder::new(Spawner)
             .timer(SmolTimer::new())
             .keep_alive_interval(PING_INTERVAL)
-            .max_header_list_size(head_bytes as u32)
+            .max_header_list_size(u32::try_from(accepted_bytes).unwrap_or(u32::MAX))
             .serve_connection(FuturesIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = until_stopped(connection.as_mut(), &stop).await;
@@ -238,7 +250,7 @@
         connection.as_mut().graceful_shutdown();
         return connection.await;
     }
-    let stream = TrackedStream::new(stream, tracker.clone());
+    let stream = TrackedStream::new(stream, tracker.clone(), max_head_bytes);
     let ends_with_connection = AtomicBool::new(false);
     let served = async {
         let service = service_fn(|request| {
@@ -250,7 +262,8 @@
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(None)
-            .max_buf_size(head_bytes)
+            // The stream bounds heads and the tracked response what is not written.
+            .max_buf_size(usize::MAX)
             .half_close(false)
             .serve_connection(FuturesIo::new(stream.clone()), service);
         let mut connection = pin!(connection);
@@ -261,7 +274,7 @@
         connection.as_mut().graceful_shutdown();
         Ok(connection.await)
     };
-    let overdue = async { Err(tracker.overdue(limits).await) };
+    let overdue = async { Err(tracker.violation(limits).await) };
     match served.or(overdue).await {
         Ok(ended) => {
             if ended.is_err() && ends_with_connection.into_inner() {
@@ -270,15 +283,44 @@
             }
             ended
         }
-        Err(TimeoutKind::Idle) => Ok(()),
-        Err(TimeoutKind::Head) => {
-            log::info!("request headers from {from} were not complete in time");
-            stream.send_timeout_response().await;
+        Err(violation) => {
+            if violation != Violation::Idle {
+                log::info!("request from {from} refused: {violation:?}");
+                stream.send_refusal(violation).await;
+            }
             Ok(())
         }
     }
 }
 
+/// Returns the size of a head by the rules of HTTP/2.
+fn http2_head_bytes<T>(request: &Request<T>) -> usize {
+    /// Names of the fields for method, scheme, authority and path.
+    const NAMES: [&str; 4] = [":method", ":scheme", ":authority", ":path"];
+    let uri = request.uri();
+    let values = [
+        Some(request.method().as_str()),
+        uri.scheme_str(),
+        uri.authority().map(http::uri::Authority::as_str),
+        uri.path_and_query().map(http::uri::PathAndQuery::as_str),
+    ];
+    let pseudo = NAMES.iter().zip(values);
+    let pseudo = pseudo.filter_map(|(name, value)| value.map(|value| (name.len(), value.len())));
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| (name.as_str().len(), value.len()));
+    let sizes = pseudo.chain(fields);
+    sizes
+        .map(|(name, value)| name + value + HTTP2_FIELD_BYTES)
+        .sum()
+}
+
+/// Refuses a request whose head is too large.
+fn large_head_response() -> Response<Body> {
+    let mut response = Response::new(crate::body::full(""));
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    response
+}
+
 /// Drives a connection until it ends. Returns `None` if the server is stopped first.
 async fn until_stopped<T>(connection: impl Future<Output = T>, stop: &Stop) -> Option<T> {
     let stopped = async {
--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -1,10 +1,11 @@
-//! Timeouts for the head of a request and for idle connections.
+//! Timeouts and sizes for the head of a request, and timeouts for idle connections.
 
 use std::io;
 use std::net::TcpStream;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -21,7 +22,12 @@
 /// The response to a caller whose request head was not complete in time.
 const TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-/// Timeout for writing that response.
+/// The response to a caller whose request head is too large.
+const LARGE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Response bytes that a connection holds before it waits until they are written.
+const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
+/// Timeout for writing the last response of a refused caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Limits on what a caller may send, and on how long it may take.
@@ -56,6 +62,8 @@
     Idle(Instant),
     /// The rest of a request head.
     Head(Instant),
+    /// Nothing: the request head is too large.
+    LargeHead,
     /// The end of a response.
     Responding,
 }
@@ -69,18 +77,37 @@
 #[derive(Debug)]
 struct Shared {
     phase: Mutex<Phase>,
-    /// The channel that wakes [`PhaseTracker::overdue`] when the phase changes.
+    /// The channel that wakes [`PhaseTracker::violation`] when the phase changes.
     sender: Sender<()>,
     receiver: Receiver<()>,
+    /// Bytes of the head that is being read.
+    head_bytes: AtomicUsize,
+    /// Response bytes that are passed on and may not be written yet.
+    unwritten: AtomicUsize,
+    /// Wakes a response body that waits until they are written.
+    writer: Mutex<Option<Waker>>,
 }
 
-/// Which timeout expired.
+/// Why a connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TimeoutKind {
+pub enum Violation {
     /// No request arrived.
     Idle,
-    /// A request head was not complete.
-    Head,
+    /// A request head was not complete in time.
+    SlowHead,
+    /// A request head was larger than the limit.
+    LargeHead,
+}
+
+impl Violation {
+    /// Returns the response that ends the connection.
+    fn response(self) -> &'static [u8] {
+        match self {
+            Self::Idle => &[],
+            Self::SlowHead => TIMEOUT_RESPONSE,
+            Self::LargeHead => LARGE_HEAD_RESPONSE,
+        }
+    }
 }
 
 impl PhaseTracker {
@@ -92,6 +119,9 @@
             phase: Mutex::new(Phase::Idle(now)),
             sender,
             receiver,
+            head_bytes: AtomicUsize::new(0),
+            unwritten: AtomicUsize::new(0),
+            writer: Mutex::default(),
         };
         Self {
             shared: Arc::new(shared),
@@ -104,12 +134,50 @@
         let _ = self.shared.sender.try_send(());
     }
 
-    fn bytes_received(&self, now: Instant) {
+    fn bytes_received(&self, now: Instant, count: usize) {
         let mut phase = lock(&self.shared.phase);
-        if matches!(*phase, Phase::Idle(_)) {
-            *phase = Phase::Head(now);
-            drop(phase);
-            let _ = self.shared.sender.try_send(());
+        match *phase {
+            Phase::Idle(_) => {
+                *phase = Phase::Head(now);
+                drop(phase);
+                // Before the response is written, hyper reads the rest of a request body once.
+                let written = self.shared.unwritten.load(Ordering::Relaxed) == 0;
+                let head_bytes = if written { count } else { 0 };
+                self.shared.head_bytes.store(head_bytes, Ordering::Relaxed);
+                let _ = self.shared.sender.try_send(());
+            }
+            Phase::Head(_) => {
+                self.shared.head_bytes.fetch_add(count, Ordering::Relaxed);
+            }
+            Phase::LargeHead | Phase::Responding => {}
+        }
+    }
+
+    /// Returns how many bytes may be read of the head that is awaited, and `None` while none is.
+    fn head_allowance(&self, max_head_bytes: impl Fn() -> usize) -> Option<usize> {
+        let phase = *lock(&self.shared.phase);
+        match phase {
+            Phase::Idle(_) => Some(max_head_bytes()),
+            Phase::Head(_) => {
+                let read = self.shared.head_bytes.load(Ordering::Relaxed);
+                Some(max_head_bytes().saturating_sub(read))
+            }
+            Phase::LargeHead => Some(0),
+            Phase::Responding => None,
+        }
+    }
+
+    /// Records response bytes that are passed on to be written.
+    fn add_unwritten(&self, count: usize) {
+        self.shared.unwritten.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Records that all response bytes passed on are written.
+    fn all_written(&self) {
+        if self.shared.unwritten.swap(0, Ordering::Relaxed) > 0
+            && let Some(writer) = lock(&self.shared.writer).take()
+        {
+            writer.wake();
         }
     }
 
@@ -122,17 +190,20 @@
     #[must_use]
     pub fn track_response(&self, response: Response<Body>) -> Response<Body> {
         let tracker = self.clone();
+        // The head counts as a byte, as hyper writes it with the body.
+        tracker.add_unwritten(1);
         response.map(|body| TrackedBody { body, tracker }.boxed_unsync())
     }
 
-    /// Waits until one of the timeouts expires.
-    pub async fn overdue(&self, limits: impl Fn() -> CallerLimits) -> TimeoutKind {
+    /// Waits until one of the timeouts expires or a head is too large.
+    pub async fn violation(&self, limits: impl Fn() -> CallerLimits) -> Violation {
         loop {
             let phase = *lock(&self.shared.phase);
             let limits = limits();
             let (since, limit, kind) = match phase {
-                Phase::Idle(since) => (since, limits.idle_timeout, TimeoutKind::Idle),
-                Phase::Head(since) => (since, limits.head_timeout, TimeoutKind::Head),
+                Phase::Idle(since) => (since, limits.idle_timeout, Violation::Idle),
+                Phase::Head(since) => (since, limits.head_timeout, Violation::SlowHead),
+                Phase::LargeHead => return Violation::LargeHead,
                 Phase::Responding => {
                     let _ = self.shared.receiver.recv().await;
                     continue;
@@ -167,7 +238,18 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let unwritten = &self.tracker.shared.unwritten;
+        if unwritten.load(Ordering::Relaxed) >= MAX_UNWRITTEN_BYTES {
+            *lock(&self.tracker.shared.writer) = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.tracker.add_unwritten(data.len());
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
@@ -181,27 +263,36 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
+        // The end of a chunked body counts as a byte.
+        self.tracker.add_unwritten(1);
         self.tracker.set(Phase::Idle(Instant::now()));
     }
 }
 
-/// A caller's connection that records when bytes arrive.
+/// A caller's connection that records when bytes arrive and bounds the head of a request.
 #[derive(Clone, Debug)]
-pub struct TrackedStream {
+pub struct TrackedStream<L> {
     stream: Arc<Async<TcpStream>>,
     tracker: PhaseTracker,
     turns: ReadTurns,
+    /// Returns the maximum size of a head in bytes.
+    max_head_bytes: L,
+    /// Maximum number of bytes of a read.
+    read_bytes: usize,
 }
 
-impl TrackedStream {
-    /// Tracks the reads of a connection.
+impl<L: Fn() -> usize> TrackedStream<L> {
+    /// Tracks the reads of a connection. `max_head_bytes` is called before each read of a head.
     #[must_use]
-    pub fn new(stream: Async<TcpStream>, tracker: PhaseTracker) -> Self {
+    pub fn new(stream: Async<TcpStream>, tracker: PhaseTracker, max_head_bytes: L) -> Self {
         let stream = Arc::new(stream);
+        let read_bytes = max_head_bytes();
         Self {
             stream,
             tracker,
             turns: ReadTurns::default(),
+            max_head_bytes,
+            read_bytes,
         }
     }
 
@@ -213,20 +304,20 @@
         }
     }
 
-    /// Sends status 408.
-    pub async fn send_timeout_response(self) {
-        let write = async { (&*self.stream).write_all(TIMEOUT_RESPONSE).await };
+    /// Sends the response to a violation.
+    pub async fn send_refusal(&self, violation: Violation) {
+        let write = async { (&*self.stream).write_all(violation.response()).await };
         let timeout = async {
             Timer::after(WRITE_TIMEOUT).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         if let Err(error) = write.or(timeout).await {
-            log::debug!("cannot send status 408: {error}");
+            log::debug!("cannot refuse a request head: {error}");
         }
     }
 }
 
-impl AsyncRead for TrackedStream {
+impl<L: Fn() -> usize + Unpin> AsyncRead for TrackedStream<L> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -235,16 +326,25 @@
         if self.turns.exhausted(context) {
             return Poll::Pending;
         }
-        let read = Pin::new(&mut &*self.stream).poll_read(context, bytes);
+        let allowance = self.tracker.head_allowance(&self.max_head_bytes);
+        if allowance == Some(0) {
+            self.tracker.set(Phase::LargeHead);
+            return Poll::Pending;
+        }
+        self.read_bytes = allowance.unwrap_or(self.read_bytes);
+        let length = bytes.len().min(self.read_bytes);
+        let read = Pin::new(&mut &*self.stream).poll_read(context, &mut bytes[..length]);
         self.turns.count(&read);
-        if matches!(read, Poll::Ready(Ok(count)) if count > 0) {
-            self.tracker.bytes_received(Instant::now());
+        if let Poll::Ready(Ok(count)) = read
+            && count > 0
+        {
+            self.tracker.bytes_received(Instant::now(), count);
         }
         read
     }
 }
 
-impl AsyncWrite for TrackedStream {
+impl<L: Unpin> AsyncWrite for TrackedStream<L> {
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -262,6 +362,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes after it has written all that it holds.
+        self.tracker.all_written();
         Pin::new(&mut &*self.stream).poll_flush(context)
     }
 
