front, link: refusals state the configuration that decided them

Cause: a refusal such as "no route of ... serves this path" named no version, so a proper 404 and one by an old configuration looked alike.

Change: every "request ended" line has `config` (version that decided), `config_item` (revision of its item), `config_age_ms` (time since this node took it) and, once matched, `config_read` (version by which the request was read). A node that forwards logs "refused by another node" with the same of that node, which the link's refusal carries in three fields; a node of an earlier version sends none, read as zero. A head too large or too slow names the limit and the version that states it.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -68,6 +68,8 @@
 pub struct MergeResult {
     /// A newly received configuration.
     pub config: Option<Arc<Bundle>>,
+    /// Revision of the item that contains it.
+    pub config_revision: u64,
     /// Whether targets or evacuated data centres changed.
     pub inventory_changed: bool,
     /// Keys of items that cannot be used, each with the reason.
@@ -254,7 +256,10 @@
             (entry, None)
         };
         match &entry {
-            Some(Entry::Config(bundle)) => merged.config = Some(bundle.clone()),
+            Some(Entry::Config(bundle)) => {
+                merged.config = Some(bundle.clone());
+                merged.config_revision = item.revision;
+            }
             Some(Entry::Unusable(reason)) => {
                 merged.unusable.push((item.key.clone(), reason.clone()));
                 merged.inventory_changed |= target;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -34,6 +34,7 @@
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
+use crate::config_version::ConfigVersion;
 use crate::event::Event;
 use crate::fair::FairQueue;
 use crate::freshness::Freshness;
@@ -206,6 +207,7 @@
     /// Configuration without VMs and targets, where the platform publishes targets item by item and
     /// nodes discover each other.
     pub(crate) base_config: Option<Arc<Bundle>>,
+    pub(crate) config_version: ConfigVersion,
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
@@ -302,6 +304,10 @@
             policy,
             bundle: None,
             base_config: None,
+            config_version: ConfigVersion {
+                taken: now,
+                ..ConfigVersion::default()
+            },
             catalogue: Catalogue::default(),
             roster: None,
             pending_items: None,
@@ -413,6 +419,12 @@
         self.bundle.as_ref()
     }
 
+    /// Returns which configuration is in force.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config_version
+    }
+
     /// Returns the counts since boot.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -11,6 +11,7 @@
 use super::admit::owner_region;
 use crate::audit::Change;
 use crate::command::Command;
+use crate::config_version::ConfigVersion;
 use crate::event::Drainable;
 use crate::handle::TargetKey;
 use crate::targets::Phase;
@@ -52,6 +53,11 @@
             (before, revision(bundle)),
             "newer revision read whole and checked",
         ));
+        self.config_version = ConfigVersion {
+            revision: bundle.revision,
+            item_revision: 0,
+            taken: now,
+        };
         self.update_key_ownership(now, old.as_deref(), bundle);
         let _ = self.install(now, old.is_none(), bundle);
         // The VM list may have named a target before this bundle configured it.
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -12,6 +12,7 @@
 use crate::audit::Change;
 use crate::catalogue::{ItemBatch, Source};
 use crate::command::Command;
+use crate::config_version::ConfigVersion;
 use crate::roster::Roster;
 
 /// Nodes of a region that watch the platform for the others.
@@ -99,6 +100,11 @@
                 (before.to_string(), config.revision.to_string()),
                 format!("newer revision by {source:?}"),
             ));
+            self.config_version = ConfigVersion {
+                revision: config.revision,
+                item_revision: merged.config_revision,
+                taken: now,
+            };
             self.base_config = Some(config);
         }
         if configured || merged.inventory_changed {
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -219,7 +219,8 @@
     let Ok(http2) = starts_http2(&stream).or(timeout).or(idle_stop).await else {
         return Ok(());
     };
-    let head_bytes = limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let opened = limits();
+    let head_bytes = opened.max_head_bytes.max(MIN_HEAD_BYTES);
     if http2 {
         let service = service_fn(|request| {
             let response = shared.0(request, from);
@@ -264,6 +265,13 @@
     let overdue = async { Err(tracker.overdue(limits).await) };
     match served.or(overdue).await {
         Ok(ended) => {
+            if ended.as_ref().is_err_and(hyper::Error::is_parse_too_large) {
+                log::info!(
+                    target: "request",
+                    caller:% = from, limit = head_bytes, config = opened.revision;
+                    "request headers too large"
+                );
+            }
             if ended.is_err() && ends_with_connection.into_inner() {
                 // The caller would take a normal end of the connection as the end of the body.
                 stream.reset_on_close();
@@ -272,7 +280,13 @@
         }
         Err(TimeoutKind::Idle) => Ok(()),
         Err(TimeoutKind::Head) => {
-            log::info!("request headers from {from} were not complete in time");
+            let limits = limits();
+            log::info!(
+                target: "request",
+                caller:% = from, limit_ms = limits.head_timeout.as_millis() as u64,
+                config = limits.revision;
+                "request headers not complete in time"
+            );
             stream.send_timeout_response().await;
             Ok(())
         }
--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -33,6 +33,8 @@
     pub head_timeout: Duration,
     /// Idle time after which a connection is closed.
     pub idle_timeout: Duration,
+    /// Revision of the configuration that states the limits, zero for none. Only for log lines.
+    pub revision: u64,
 }
 
 impl Default for CallerLimits {
@@ -45,6 +47,7 @@
             max_head_bytes: MAX_HEAD_BYTES,
             head_timeout: TIMEOUT,
             idle_timeout: TIMEOUT,
+            revision: 0,
         }
     }
 }
--- a/crates/seam-http/tests/caller_bounds.rs
+++ b/crates/seam-http/tests/caller_bounds.rs
@@ -27,6 +27,7 @@
         max_head_bytes: 16 << 10,
         head_timeout: Duration::from_millis(200),
         idle_timeout: Duration::from_millis(200),
+        revision: 0,
     }
 }
 
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -10,7 +10,7 @@
 use seam_core::arrival::Arrival;
 use seam_core::command::{OriginSource, Withheld};
 use seam_core::spill::{RegionChoice, RoutingDecision};
-use seam_core::{AttemptKey, AttemptOutcome, Event, Origin, Refusal};
+use seam_core::{AttemptKey, AttemptOutcome, ConfigStamp, Event, Origin, Refusal};
 use seam_http::spawn;
 use seam_protocol::{Outcome, Reason, Time, VersionId};
 
@@ -50,6 +50,8 @@
     arrived: Time,
     /// The refusal, and whether the caller received it as the response.
     refusal: Option<(Refusal, bool)>,
+    /// The configuration that decided the refusal, or else that by which the request was read.
+    config: ConfigStamp,
     /// Whether the caller disconnected before the end of its response.
     caller_left: bool,
 }
@@ -86,12 +88,14 @@
     let (sender, commands) = async_channel::unbounded();
     let resumable = inbound.rules.is_some_and(|rules| rules.resumable);
     let (writer, reader) = response_channel(resumable);
+    let arrived = runtime.now();
     let request_task = RequestTask {
+        config: inbound.config.stamp(arrived),
         runtime: runtime.clone(),
         inbound: Arc::new(inbound),
         writer,
         running: BTreeMap::new(),
-        arrived: runtime.now(),
+        arrived,
         refusal: None,
         caller_left: false,
     };
@@ -134,10 +138,14 @@
                 Some(TaskCommand::Send(to)) => self.send(to),
                 Some(TaskCommand::Forward(to)) => self.forward(to),
                 Some(TaskCommand::Cancel(attempt)) => self.cancel(attempt).await,
-                Some(TaskCommand::Refuse(refusal)) => {
+                Some(TaskCommand::Refuse(refusal, config)) => {
                     finished = true;
-                    let delivered = self.writer.send_final(ResponsePart::Refusal(refusal));
-                    self.refusal.get_or_insert((refusal, delivered));
+                    let response_part = ResponsePart::Refusal(refusal, config);
+                    let delivered = self.writer.send_final(response_part);
+                    if self.refusal.is_none() {
+                        self.refusal = Some((refusal, delivered));
+                        self.config = config;
+                    }
                 }
                 Some(TaskCommand::Replay(response)) => {
                     finished = true;
@@ -241,6 +249,8 @@
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
             parts = parts.unwrap_or_default().as_str(), resumes = self.inbound.resumes.as_deref().unwrap_or_default(),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
+            config = self.config.revision, config_item = self.config.item_revision,
+            config_age_ms = self.config.age_ms, config_read = self.inbound.config.revision,
             age_ms = age.as_millis() as u64;
             "request ended"
         );
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -43,12 +43,14 @@
 /// Returns the limits on callers from the configuration, or the defaults.
 fn caller_limits(runtime: &NodeRuntime) -> CallerLimits {
     let snapshot = runtime.snapshot();
-    let limits = snapshot.as_ref();
-    let limits = limits.and_then(|snapshot| snapshot.bundle.limits.as_ref());
-    limits.map_or_else(CallerLimits::default, |limits| CallerLimits {
+    let limits = snapshot
+        .as_ref()
+        .and_then(|snapshot| Some((snapshot, snapshot.bundle.limits.as_ref()?)));
+    limits.map_or_else(CallerLimits::default, |(snapshot, limits)| CallerLimits {
         max_head_bytes: limits.header_bytes,
         head_timeout: Duration::from_millis(limits.header_timeout),
         idle_timeout: Duration::from_millis(limits.idle_timeout),
+        revision: snapshot.config.revision,
     })
 }
 
@@ -115,7 +117,7 @@
             response::build(runtime, reader, id).await
         }
         Err(rejection) => {
-            log_rejection(id, &rejection);
+            log_rejection(runtime, id, &rejection);
             runtime
                 .dialect
                 .refusal_response(id, rejection.refusal, &rejection.detail)
@@ -124,11 +126,13 @@
 }
 
 /// Logs the end of a request that was rejected while it was read.
-fn log_rejection(id: &str, rejection: &Rejection) {
+fn log_rejection(runtime: &NodeRuntime, id: &str, rejection: &Rejection) {
+    let config = rejection.config.unwrap_or_default().stamp(runtime.now());
     log::info!(
         target: "request",
         request = id, end = "refused", outcome:% = rejection.refusal.outcome,
-        reason = rejection.refusal.reason.slug(), detail = rejection.detail.as_str();
+        reason = rejection.refusal.reason.slug(), detail = rejection.detail.as_str(),
+        config = config.revision, config_item = config.item_revision, config_age_ms = config.age_ms;
         "request ended"
     );
 }
--- a/crates/seam-node/src/front/api.rs
+++ b/crates/seam-node/src/front/api.rs
@@ -74,6 +74,7 @@
     Rejection {
         refusal,
         detail: detail.to_owned(),
+        config: None,
     }
 }
 
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Request, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use seam_core::Refusal;
+use seam_core::{ConfigVersion, Refusal};
 use seam_http::BodyError;
 use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
 
@@ -33,6 +33,8 @@
     pub refusal: Refusal,
     /// What is wrong, and with what.
     pub detail: String,
+    /// The configuration that decided it, if it was read.
+    pub config: Option<ConfigVersion>,
 }
 
 impl Rejection {
@@ -40,6 +42,15 @@
         Self {
             refusal: Refusal::not_run(reason),
             detail: detail.into(),
+            config: None,
+        }
+    }
+
+    /// Adds the configuration that decided it.
+    fn by(self, snapshot: &Snapshot) -> Self {
+        Self {
+            config: Some(snapshot.config),
+            ..self
         }
     }
 }
@@ -57,6 +68,7 @@
     snapshot.ok_or_else(|| Rejection {
         refusal: Refusal::not_run(Reason::NotReady).with_retry_after(RETRY_AFTER),
         detail: "no configuration is in force yet".to_owned(),
+        config: None,
     })
 }
 
@@ -121,6 +133,7 @@
         Rejection {
             refusal,
             detail: error.to_string(),
+            config: None,
         }
     })
 }
@@ -143,8 +156,20 @@
     id: &str,
     from: IpAddr,
 ) -> Result<InboundRequest, Rejection> {
-    let start = runtime.now();
     let snapshot = snapshot(runtime)?;
+    let read = read_matched(runtime, &snapshot, request, options, id, from).await;
+    read.map_err(|rejection| rejection.by(&snapshot))
+}
+
+async fn read_matched(
+    runtime: &NodeRuntime,
+    snapshot: &Snapshot,
+    request: Request<Incoming>,
+    options: Result<RequestOptions, String>,
+    id: &str,
+    from: IpAddr,
+) -> Result<InboundRequest, Rejection> {
+    let start = runtime.now();
     let (head, body) = request.into_parts();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Some(host) = request_host(&head) else {
@@ -196,6 +221,7 @@
         customer: CustomerId::of(&route.name),
         customer_name: route.name.clone(),
         service,
+        config: snapshot.config,
         key: None,
         key_text: String::new(),
         budget: budget.saturating_sub(runtime.now().since(start)),
@@ -210,8 +236,19 @@
     from: IpAddr,
 ) -> Result<InboundRequest, Rejection> {
     let snapshot = snapshot(runtime)?;
+    let read = read_named(runtime, &snapshot, request, id, from).await;
+    read.map_err(|rejection| rejection.by(&snapshot))
+}
+
+async fn read_named(
+    runtime: &NodeRuntime,
+    snapshot: &Snapshot,
+    request: Request<Incoming>,
+    id: &str,
+    from: IpAddr,
+) -> Result<InboundRequest, Rejection> {
     let (head, body) = request.into_parts();
-    let customer = customer(&snapshot, &head.headers)?;
+    let customer = customer(snapshot, &head.headers)?;
     let (name, rest) = split_service(head.uri.path());
     let service = ServiceId::of(name);
     let Some(service_config) = snapshot.bundle.services.get(&service) else {
@@ -255,6 +292,7 @@
         customer_name: snapshot.bundle.customers[&customer].name.clone(),
         customer,
         service,
+        config: snapshot.config,
         key,
         key_text,
         budget,
--- a/crates/seam-node/src/front/response.rs
+++ b/crates/seam-node/src/front/response.rs
@@ -19,7 +19,7 @@
     id: &str,
 ) -> Response<Body> {
     match reader.recv().await {
-        Ok(ResponsePart::Refusal(refusal)) => runtime.dialect.refusal_response(id, refusal, ""),
+        Ok(ResponsePart::Refusal(refusal, _)) => runtime.dialect.refusal_response(id, refusal, ""),
         Ok(ResponsePart::Replay(stored)) => replay(runtime, &stored, id),
         Ok(ResponsePart::Head(head)) => {
             let mut response = Response::new(body(reader));
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, Method, header};
 use seam_core::arrival::StreamPart;
 use seam_core::poison::part_fingerprints;
-use seam_core::{AttemptOutcome, IdempotencyKey, Prompt, Refusal, RouteRules};
+use seam_core::{AttemptOutcome, ConfigVersion, IdempotencyKey, Prompt, Refusal, RouteRules};
 use seam_http::Body;
 use seam_protocol::{
     CustomerId, Digest, Fingerprint, HostRoute, Kind, Reason, RetryPolicy, Service, ServiceId,
@@ -89,6 +89,8 @@
     pub fingerprint: Fingerprint,
     /// The same digest without the caller.
     pub content: Fingerprint,
+    /// The configuration by which it was read.
+    pub config: ConfigVersion,
 }
 
 /// Something that a request may share with others to the same service.
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -11,11 +11,11 @@
 use http_body_util::BodyExt;
 use seam_config::PartSet;
 use seam_config::bundle::parse_manifest;
-use seam_core::{AttemptKey, AttemptOutcome, Event, Refusal};
+use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::Body;
 use seam_protocol::peer::{
-    ItemsRequest, NewestRequest, PartRequest, ReplyFrame, RequestFrame, RequestHead, reply_frame,
-    request_frame,
+    ItemsRequest, NewestRequest, PartRequest, Refusal as WireRefusal, ReplyFrame, RequestFrame,
+    RequestHead, reply_frame, request_frame,
 };
 use seam_protocol::{Delta, Digest, Outcome, Reason, TargetId, VersionId};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -141,7 +141,7 @@
         return AttemptOutcome::NotSent;
     };
     progress.mark_sent();
-    let (head, attempt) = (head(&to, inbound, writer), to.attempt);
+    let head = head(&to, inbound, writer);
     let mut request = tonic::Request::new(frames(head, body));
     runtime.peers.authenticate(&mut request);
     let timeout = async {
@@ -150,8 +150,8 @@
     };
     match client.forward(request).or(timeout).await {
         Ok(response) => {
-            let reply =
-                relay_response(runtime, attempt, response.into_inner(), writer, progress).await;
+            let frames = response.into_inner();
+            let reply = relay_response(runtime, &to, inbound, frames, writer, progress).await;
             reply.unwrap_or_else(|error| {
                 log::info!(
                     "request {}: response from node {} broke off: {error}",
@@ -219,7 +219,8 @@
 
 async fn relay_response(
     runtime: &Arc<NodeRuntime>,
-    attempt: AttemptKey,
+    to: &NodeAttempt,
+    inbound: &InboundRequest,
     mut frames: Streaming<ReplyFrame>,
     writer: &ResponseWriter,
     progress: &Progress,
@@ -236,6 +237,7 @@
         match frame {
             Some(reply_frame::Frame::Head(head)) => {
                 if let Some(refusal) = &head.refusal {
+                    log_refusal(to, inbound, refusal);
                     return Ok(reply_to_refusal(wire::refusal(refusal)));
                 }
                 let status = StatusCode::from_u16(head.status as u16);
@@ -249,7 +251,7 @@
                 progress.mark_responded(runtime.now());
                 let version = head.version.map(VersionId);
                 if let Some(version) = version.filter(|_| success) {
-                    runtime.handle(Event::StreamBegan(attempt, version));
+                    runtime.handle(Event::StreamBegan(to.attempt, version));
                 }
                 let leaving = head.leaving.map(TargetId);
                 if let Some(target) = leaving {
@@ -283,6 +285,18 @@
     }
 }
 
+/// Logs a refusal by another node, with the configuration that decided it there.
+fn log_refusal(to: &NodeAttempt, inbound: &InboundRequest, refusal: &WireRefusal) {
+    let config = wire::config_stamp(refusal);
+    log::info!(
+        target: "request",
+        request = inbound.id.as_str(), attempt = to.attempt.0, node:% = to.address,
+        reason = refusal.reason.as_str(), revision = to.revision, config = config.revision,
+        config_item = config.item_revision, config_age_ms = config.age_ms;
+        "refused by another node"
+    );
+}
+
 fn reply_to_refusal(refusal: Refusal) -> AttemptOutcome {
     match refusal.outcome {
         Outcome::NotRun => AttemptOutcome::Refused(refusal),
--- a/crates/seam-node/src/link/wire.rs
+++ b/crates/seam-node/src/link/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
-use seam_core::{Hop, IdempotencyKey, Refusal};
+use seam_core::{ConfigStamp, Hop, IdempotencyKey, Refusal};
 use seam_protocol::peer::{Header, Hop as WireHop, Refusal as WireRefusal};
 use seam_protocol::{CustomerId, Digest, IssuedKey, Outcome, Reason, RegionId, VmId, key};
 
@@ -49,8 +49,8 @@
         .collect()
 }
 
-/// Converts a refusal to a message.
-pub fn wire_refusal(refusal: Refusal) -> WireRefusal {
+/// Converts a refusal to a message, with the configuration that decided it.
+pub fn wire_refusal(refusal: Refusal, config: ConfigStamp) -> WireRefusal {
     WireRefusal {
         outcome: match refusal.outcome {
             Outcome::Complete => 0,
@@ -61,6 +61,9 @@
         retry_micros: refusal
             .retry_after
             .map_or(0, |retry| retry.as_micros() as u64),
+        config_revision: config.revision,
+        config_item: config.item_revision,
+        config_age_ms: config.age_ms,
     }
 }
 
@@ -83,6 +86,15 @@
     }
 }
 
+/// Returns the configuration that decided a refusal, zero from a node of an earlier version.
+pub fn config_stamp(wire: &WireRefusal) -> ConfigStamp {
+    ConfigStamp {
+        revision: wire.config_revision,
+        item_revision: wire.config_item,
+        age_ms: wire.config_age_ms,
+    }
+}
+
 /// Parses an idempotency key as sent by a caller. Returns `None` for an empty text.
 ///
 /// # Errors
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -254,6 +254,7 @@
         version: head.version.map(VersionId),
         fingerprint: Fingerprint(head.fingerprint),
         host,
+        config: snapshot.config,
     })
 }
 
@@ -279,11 +280,11 @@
 /// Returns the frames of a response part and whether it is the last one.
 fn frames(response_part: ResponsePart) -> (Vec<reply_frame::Frame>, bool) {
     match response_part {
-        ResponsePart::Refusal(refusal) => {
+        ResponsePart::Refusal(refusal, config) => {
             let head = ReplyHead {
                 status: u32::from(refusal.reason.status()),
                 headers: Vec::new(),
-                refusal: Some(wire::wire_refusal(refusal)),
+                refusal: Some(wire::wire_refusal(refusal, config)),
                 version: None,
                 leaving: None,
             };
--- a/crates/seam-node/src/response_writer.rs
+++ b/crates/seam-node/src/response_writer.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
-use seam_core::Refusal;
+use seam_core::{ConfigStamp, Refusal};
 use seam_protocol::{StoredResponse, TargetId, VersionId};
 
 use crate::events::{Discontinuity, EventStreamCursor, is_event_stream};
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub enum ResponsePart {
     /// A refusal by this system. It is the whole response.
-    Refusal(Refusal),
+    Refusal(Refusal, ConfigStamp),
     /// A stored response. It is the whole response.
     Replay(Arc<StoredResponse>),
     /// The head of a target's response.
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -19,7 +19,7 @@
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
-use seam_core::{AttemptKey, Command, Event, Node, Refusal, Ticket};
+use seam_core::{AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Ticket};
 use seam_protocol::{
     Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredResponse, TargetId, Time, VersionId,
     VmId,
@@ -43,10 +43,12 @@
     pub bundle: Arc<Bundle>,
     /// Customers by the digest of their tokens.
     pub credentials: BTreeMap<Digest, CustomerId>,
+    /// The configuration from which the bundle was built.
+    pub config: ConfigVersion,
 }
 
 impl Snapshot {
-    fn new(bundle: Arc<Bundle>) -> Self {
+    fn new(bundle: Arc<Bundle>, config: ConfigVersion) -> Self {
         let credentials = bundle
             .customers
             .iter()
@@ -55,6 +57,7 @@
         Self {
             bundle,
             credentials,
+            config,
         }
     }
 }
@@ -74,8 +77,8 @@
     Forward(NodeAttempt),
     /// Cancel an attempt.
     Cancel(AttemptKey),
-    /// Respond with a refusal.
-    Refuse(Refusal),
+    /// Respond with a refusal, decided while this configuration was in force.
+    Refuse(Refusal, ConfigStamp),
     /// Respond with the stored response of an earlier request with the same key.
     Replay(Arc<StoredResponse>),
     /// No more commands follow.
@@ -284,7 +287,7 @@
         self.refresh_snapshot(&core);
         for command in commands {
             if filter(&command) {
-                self.execute(command);
+                self.execute(command, core.config_version().stamp(now));
             }
         }
     }
@@ -321,7 +324,7 @@
         let current = self.snapshot();
         let unchanged = current.is_some_and(|current| Arc::ptr_eq(&current.bundle, bundle));
         if !unchanged {
-            let snapshot = Arc::new(Snapshot::new(bundle.clone()));
+            let snapshot = Arc::new(Snapshot::new(bundle.clone(), core.config_version()));
             *seam_http::sync::write(&self.snapshot) = Some(snapshot);
         }
     }
@@ -339,7 +342,7 @@
         }
     }
 
-    fn execute(&self, command: Command) {
+    fn execute(&self, command: Command, config: ConfigStamp) {
         match command {
             Command::Send {
                 ticket,
@@ -409,7 +412,7 @@
             }
             Command::Refuse { ticket, refusal } => {
                 self.metrics.refused(refusal);
-                self.notify(ticket, TaskCommand::Refuse(refusal));
+                self.notify(ticket, TaskCommand::Refuse(refusal, config));
             }
             Command::Replay { ticket, response } => {
                 self.notify(ticket, TaskCommand::Replay(response));
