--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -285,7 +285,7 @@
         }
         Err(violation) => {
             if violation != Violation::Idle {
-                log::info!("request from {from} refused: {violation:?}");
+                log_violation(violation, from, limits());
                 stream.send_refusal(violation).await;
             }
             Ok(())
@@ -293,6 +293,23 @@
     }
 }
 
+/// Logs a head that is refused, with the configuration that states the limit.
+fn log_violation(violation: Violation, from: SocketAddr, limits: CallerLimits) {
+    let max_bytes = limits.max_head_bytes.max(MIN_HEAD_BYTES);
+    let (limit, message) = match violation {
+        Violation::LargeHead => (max_bytes as u64, "request headers too large"),
+        Violation::SlowHead | Violation::Idle => (
+            limits.head_timeout.as_millis() as u64,
+            "request headers not complete in time",
+        ),
+    };
+    log::info!(
+        target: "request",
+        caller:% = from, limit = limit, config = limits.revision;
+        "{message}"
+    );
+}
+
 /// Returns the size of a head by the rules of HTTP/2.
 fn http2_head_bytes<T>(request: &Request<T>) -> usize {
     /// Names of the fields for method, scheme, authority and path.
--- a/crates/seam-http/tests/caller_bounds.rs
+++ b/crates/seam-http/tests/caller_bounds.rs
@@ -34,6 +34,7 @@
         max_head_bytes: 16 << 10,
         head_timeout: Duration::from_millis(200),
         idle_timeout: Duration::from_millis(200),
+        revision: 0,
     }
 }
 
@@ -113,6 +114,7 @@
         max_head_bytes,
         head_timeout: TEST_TIMEOUT,
         idle_timeout: TEST_TIMEOUT,
+        revision: 0,
     }
 }
 
