core: another node's configuration refuses no request for good

Callers got 404 for a route that every version of the configuration serves: a node that had the newer version refused a forwarded request because the service, the route's customer or its home had changed, and the node that had received the request from its caller passed that on as final. On the platform a changed home was a 503 without a time to come back, and no other node was asked.

A request is admitted by the configuration of the node that received it. What another node's configuration lacks is now the refusal "revision" (503 with a time to come back), the request goes to a node that has not refused it, and its region doesn't count as full. A node that a forwarded request shows a newer revision fetches the items from its sender at once; before, it asked for a manifest, which such deployments don't have.

--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -74,19 +74,24 @@
             return Err(Refusal::not_run(Reason::Overload).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
         self.check_path(now, &arrival.origin, bundle.revision, out)?;
-        let not_found = || Refusal::not_run(Reason::Service);
-        let service = bundle
-            .services
-            .get(&arrival.service)
-            .ok_or_else(not_found)?;
-        let customer = bundle
-            .customers
-            .get(&arrival.customer)
-            .ok_or(Refusal::not_run(Reason::Credential))?;
+        let forwarded = matches!(arrival.origin, Origin::Peer { .. });
+        // The node that received a request from its caller has found all of this in its own
+        // configuration, so only the revisions differ.
+        let missing = |reason| {
+            if forwarded {
+                Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER)
+            } else {
+                Refusal::not_run(reason)
+            }
+        };
+        let service = bundle.services.get(&arrival.service);
+        let service = service.ok_or_else(|| missing(Reason::Service))?;
+        let customer = bundle.customers.get(&arrival.customer);
+        let customer = customer.ok_or_else(|| missing(Reason::Credential))?;
         let forbidden =
             !customer.services.is_empty() && !customer.services.contains(&arrival.service);
         if forbidden {
-            return Err(not_found());
+            return Err(missing(Reason::Service));
         }
         let request = self.requests.get(&arrival.ticket);
         if request.is_some_and(|request| self.outlasts_process(now, request)) {
@@ -98,9 +103,8 @@
             return Err(Refusal::not_run(Reason::Poison));
         }
         let allowed = bundle.allowed_regions(service, customer);
-        let forwarded = matches!(arrival.origin, Origin::Peer { .. });
         if allowed.is_empty() || (forwarded && !allowed.contains(&self.id.region)) {
-            return Err(Refusal::not_run(Reason::Residency));
+            return Err(missing(Reason::Residency));
         }
         Ok(())
     }
@@ -163,6 +167,7 @@
             return Err(Refusal::not_run(Reason::Loop));
         }
         if *revision > own_revision {
+            self.fetch_items_from(now, hops[0].vm, out);
             self.fetch_manifest(now, hops[0].vm, *revision, out);
             return Err(Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -4,12 +4,14 @@
 
 use seam_protocol::{Fingerprint, Kind, Reason, RegionId, ServiceId, TargetId, Time};
 
+use super::admit::TRANSIENT_RETRY_AFTER;
 use super::{CrashWatch, Node};
 use crate::audit::Change;
 use crate::command::{Command, Withheld};
 use crate::event::AttemptOutcome;
 use crate::handle::{AttemptKey, TargetKey};
 use crate::poison::QuarantineChange;
+use crate::refusal::Refusal;
 use crate::request::{Attempt, Destination, Request, Silence};
 use crate::targets::{Phase, PhaseChange};
 
@@ -354,6 +356,7 @@
                 self.end_target_attempt(now, attempt, target, outcome, out);
             }
             Destination::Node { vm, region } => {
+                let outcome = relayed_outcome(outcome);
                 let node_unavailable = match outcome {
                     AttemptOutcome::NotSent => true,
                     AttemptOutcome::Refused(refusal) => refusal.reason == Reason::NotReady,
@@ -366,10 +369,15 @@
                 let other_nodes = region == self.id.region || self.roster.is_some();
                 let can_retry = other_nodes && node_unavailable;
                 let served = matches!(outcome, AttemptOutcome::Complete { .. });
-                // That no target there may go on with a stream says nothing of the load there.
-                let lacks_version = matches!(
+                // These refusals say nothing of the load there.
+                let unrelated_to_load = matches!(
                     outcome,
-                    AttemptOutcome::Refused(refusal) if refusal.reason == Reason::Version
+                    AttemptOutcome::Refused(refusal)
+                        if matches!(refusal.reason, Reason::Version | Reason::Revision)
+                );
+                let other_revision = matches!(
+                    outcome,
+                    AttemptOutcome::Refused(refusal) if refusal.reason == Reason::Revision
                 );
                 let no_target = matches!(
                     outcome,
@@ -379,13 +387,19 @@
                 if no_target && region == self.id.region {
                     // Another node of this region may reach one.
                     self.record_unreached(attempt.ticket, vm);
+                } else if other_revision {
+                    // Another node of that region may have the revision.
+                    if let Some(request) = self.requests.get_mut(&attempt.ticket) {
+                        request.tried.insert(vm);
+                        request.other_revision = true;
+                    }
                 } else if !served
                     && !can_retry
                     && let Some(request) = self.requests.get_mut(&attempt.ticket)
                 {
                     request.refused.insert(region);
                     let service = request.service;
-                    if !lacks_version {
+                    if !unrelated_to_load {
                         self.region_sends.entry((region, service)).or_default().full = true;
                     }
                 }
@@ -617,3 +631,25 @@
     let listed: Vec<String> = listed.map(ToString::to_string).collect();
     listed.join(" ")
 }
+
+/// Returns the outcome of an attempt at another node as this node sees it.
+///
+/// This node has found the request's service and customer in its own configuration, so a node that
+/// lacks them has another revision.
+fn relayed_outcome(outcome: AttemptOutcome) -> AttemptOutcome {
+    match outcome {
+        AttemptOutcome::Refused(refusal)
+            if matches!(
+                refusal.reason,
+                Reason::Residency | Reason::Service | Reason::Credential
+            ) =>
+        {
+            AttemptOutcome::Refused(Refusal {
+                reason: Reason::Revision,
+                retry_after: refusal.retry_after.or(Some(TRANSIENT_RETRY_AFTER)),
+                ..refusal
+            })
+        }
+        outcome => outcome,
+    }
+}
--- a/crates/seam-core/src/node/outcome.rs
+++ b/crates/seam-core/src/node/outcome.rs
@@ -126,11 +126,11 @@
     }
 
     /// Returns whether every other node would refuse a request for the same reason.
+    ///
+    /// What another node's configuration lacks says nothing of this node's, which has admitted the
+    /// request.
     fn is_permanent(reason: Reason) -> bool {
-        matches!(
-            reason,
-            Reason::Poison | Reason::Residency | Reason::Service | Reason::Credential
-        )
+        reason == Reason::Poison
     }
 
     /// Retries a request, or refuses it if no retry is possible.
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -262,8 +262,15 @@
         heartbeat: &Heartbeat,
         out: &mut Vec<Command>,
     ) {
-        let own_revision = self.catalogue.revision();
-        if self.roster.is_none() || heartbeat.items_revision <= own_revision {
+        if heartbeat.items_revision > self.catalogue.revision() {
+            self.fetch_items_from(now, heartbeat.from, out);
+        }
+    }
+
+    /// Fetches the items that a peer has and this node lacks, unless a fetch is pending or has just
+    /// ended.
+    pub(super) fn fetch_items_from(&mut self, now: Time, from: VmId, out: &mut Vec<Command>) {
+        if self.roster.is_none() {
             return;
         }
         // Changes that follow each other closely are fetched together, at the next heartbeat.
@@ -274,14 +281,14 @@
             return;
         }
         let vms = self.bundle.as_ref().map(|bundle| &bundle.deployment.vms);
-        let address = vms.and_then(|vms| Some(vms.get(&heartbeat.from)?.peer));
+        let address = vms.and_then(|vms| Some(vms.get(&from)?.peer));
         if let Some(address) = address {
             self.pending_items = Some(now);
             self.items_fetched = Some(now);
             out.push(Command::FetchItems {
-                from: heartbeat.from,
+                from,
                 address,
-                since: own_revision,
+                since: self.catalogue.revision(),
             });
         }
     }
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -8,6 +8,7 @@
 use seam_protocol::{Reason, RegionId, ServiceId, Time, VersionId, VmId};
 
 use super::Node;
+use super::admit::TRANSIENT_RETRY_AFTER;
 use super::dispatch::{MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use super::summaries::{WAIT_NO_TARGET, ample_slots};
 use crate::command::Command;
@@ -26,6 +27,8 @@
 const MAX_SPILL_WAIT: Duration = Duration::from_millis(200);
 /// Number of regions that refused or failed a request after which it is sent to no other region.
 const MAX_REFUSALS: usize = 3;
+/// Time after which a caller may come back if no region has a target for its request.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(MAX_RETRY_AFTER.as_secs() / 10);
 
 impl Node {
     /// Routes an admitted request: queues it at this node, forwards it, or refuses it.
@@ -60,12 +63,13 @@
             }
             (RegionChoice::Refuse(wait), _) => {
                 out.push(log);
-                let reason = match wait {
-                    Some(_) => Reason::Overload,
-                    None if self.requests[&ticket].version().is_some() => Reason::Version,
-                    None => Reason::NoTarget,
+                let request = &self.requests[&ticket];
+                let (reason, retry) = match wait {
+                    Some(wait) => (Reason::Overload, wait),
+                    None if request.version().is_some() => (Reason::Version, NO_TARGET_RETRY),
+                    None if request.other_revision => (Reason::Revision, TRANSIENT_RETRY_AFTER),
+                    None => (Reason::NoTarget, NO_TARGET_RETRY),
                 };
-                let retry = wait.unwrap_or(MAX_RETRY_AFTER / 10);
                 let refusal = Refusal::not_run(reason)
                     .with_retry_after(retry.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
                 self.refuse(now, ticket, refusal, out);
@@ -487,9 +491,12 @@
     fn node_in(&self, now: Time, region: RegionId, ticket: Ticket) -> Option<VmId> {
         let nodes = &self.peers.region(now, region)?.nodes;
         let made = self.peers.summary_made(region)?;
+        let tried = &self.requests.get(&ticket)?.tried;
         let reachable = nodes.iter().copied().filter(|vm| {
             let refused = |peer: &Peer| peer.updated.0 == 0;
-            self.regions.get(vm) == Some(&region) && !self.peers.known(*vm).is_some_and(refused)
+            self.regions.get(vm) == Some(&region)
+                && !tried.contains(vm)
+                && !self.peers.known(*vm).is_some_and(refused)
         });
         let not_ready = |vm: &VmId| {
             let peer = self.peers.known(*vm);
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -72,8 +72,11 @@
     pub charged: bool,
     /// Regions that refused or failed it.
     pub refused: BTreeSet<RegionId>,
-    /// Nodes of this region that do not reach a target for it either.
+    /// Nodes that could not take it: they reach no target for it, or have another revision of the
+    /// configuration.
     pub tried: BTreeSet<VmId>,
+    /// Whether a node refused it because of another revision of the configuration.
+    pub other_revision: bool,
     /// Number of attempts so far.
     pub attempts: u32,
     /// Whether the caller disconnected or got its response while an attempt continues.
@@ -126,6 +129,7 @@
             charged: false,
             refused: BTreeSet::new(),
             tried: BTreeSet::new(),
+            other_revision: false,
             attempts: 0,
             orphaned: false,
             maybe_ran: false,
