core: a service without targets is no matter of residency

While no target of a service was listed in the regions that a request may use, it was refused as "residency": a final refusal, without a time to come back, and where another node refused it so, no other region was asked.

Only residencies decide "residency" now; a region without a target is "no target", 503 with a time to come back, and the request goes to another region that is permitted.

mixed_revisions::no_target_there: 2 of 2 fail before, pass now.

--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -102,9 +102,19 @@
         {
             return Err(Refusal::not_run(Reason::Poison));
         }
+        let regions = &bundle.deployment.regions;
+        let mut permitted = regions
+            .keys()
+            .filter(|region| bundle.permits_region(service, customer, **region));
+        if permitted.next().is_none() {
+            return Err(Refusal::not_run(Reason::Residency));
+        }
+        if forwarded && !bundle.permits_region(service, customer, self.id.region) {
+            return Err(missing(Reason::Residency));
+        }
         let allowed = bundle.allowed_regions(service, customer);
         if allowed.is_empty() || (forwarded && !allowed.contains(&self.id.region)) {
-            return Err(missing(Reason::Residency));
+            return Err(Refusal::not_run(Reason::NoTarget).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
         Ok(())
     }
--- a/crates/seam-core/tests/mixed_revisions.rs
+++ b/crates/seam-core/tests/mixed_revisions.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fleet::{Fleet, NORTH, PLAIN, SOUTH, address, arrival, config, item, settled_fleet};
 use seam_core::arrival::Hop;
@@ -139,3 +140,21 @@
         .retain(|(_, command)| !matches!(command, Command::Forward { .. }));
     forwards[0]
 }
+
+/// Guards against requests that are refused for good, or not sent to another region, while a region
+/// has no target of their service left.
+#[parameterized(bound = { BOUND }, free = { "book" })]
+fn no_target_there(customer: &str) {
+    let mut fleet = settled_fleet(&NODES, &TARGETS);
+    for node in 0..NODES.len() {
+        fleet.publish(node, vec![item("d2", 60, None)], 60);
+    }
+    fleet.wait(Duration::from_millis(500));
+    fleet.commands.clear();
+    let arrival = Arrival {
+        customer: CustomerId::of(customer),
+        ..forwarded(7)
+    };
+    fleet.arrive(SOUTH_NODE, arrival);
+    assert_refused(&fleet, Reason::NoTarget);
+}
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -356,24 +356,26 @@
     /// These are the regions with a target of the service that both residencies allow.
     #[must_use]
     pub fn allowed_regions(&self, service: &Service, customer: &Customer) -> BTreeSet<RegionId> {
-        fn within(set: Option<&BTreeSet<RegionId>>, region: RegionId) -> bool {
-            set.is_none_or(|regions| regions.contains(&region))
-        }
         service
             .targets
             .values()
             .map(|target| target.region)
-            .filter(|region| within(service.residency.as_ref(), *region))
-            .filter(|region| within(customer.residency.as_ref(), *region))
+            .filter(|region| self.permits_region(service, customer, *region))
             .collect()
     }
 
+    /// Returns whether the residencies of a service and a customer permit a region, whether or not
+    /// the service has a target there.
+    #[must_use]
+    pub fn permits_region(&self, service: &Service, customer: &Customer, region: RegionId) -> bool {
+        let within = |set: Option<&BTreeSet<RegionId>>| set.is_none_or(|set| set.contains(&region));
+        within(service.residency.as_ref()) && within(customer.residency.as_ref())
+    }
+
     /// Returns whether a region may process a request and has a target of the service.
     #[must_use]
     pub fn allows_region(&self, service: &Service, customer: &Customer, region: RegionId) -> bool {
-        let within = |set: Option<&BTreeSet<RegionId>>| set.is_none_or(|set| set.contains(&region));
-        within(service.residency.as_ref())
-            && within(customer.residency.as_ref())
+        self.permits_region(service, customer, region)
             && service
                 .targets
                 .values()
