node: one log line for each step of a configuration version

Cause: a version that was not taken was one line of the audit trail that named neither version nor counter; hearing and reading left no trace.

Change: lines of the module `config`: "later configuration heard of" (from a heartbeat), "configuration read" (platform or which peer, bytes, item revision), "configuration in force" (before and after, item revision, ms since it was read and heard of, routes and services added and removed) and "configuration not taken" (unusable, older, unchanged, conflict). An item is noted once, however often it is sent. What is taken is unchanged.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -72,12 +72,23 @@
     pub config_revision: u64,
     /// Whether targets or evacuated data centres changed.
     pub inventory_changed: bool,
-    /// Keys of items that cannot be used, each with the reason.
-    pub unusable: Vec<(String, String)>,
+    /// Items that cannot be used, each with the reason.
+    pub unusable: Vec<UnusableItem>,
     /// New state of each target in the batch.
     pub target_changes: Vec<TargetChange>,
 }
 
+/// An item that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnusableItem {
+    /// Its key.
+    pub key: String,
+    /// Its revision.
+    pub revision: u64,
+    /// Why it cannot be used.
+    pub reason: String,
+}
+
 /// The state of a target according to an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetChange {
@@ -241,7 +252,11 @@
                 // change.
                 current.raw.revision = item.revision;
                 let reason = "a newer entry of the same target is known".to_owned();
-                merged.unusable.push((item.key, reason));
+                merged.unusable.push(UnusableItem {
+                    key: item.key,
+                    revision: item.revision,
+                    reason,
+                });
                 return;
             }
         }
@@ -261,7 +276,11 @@
                 merged.config_revision = item.revision;
             }
             Some(Entry::Unusable(reason)) => {
-                merged.unusable.push((item.key.clone(), reason.clone()));
+                merged.unusable.push(UnusableItem {
+                    key: item.key.clone(),
+                    revision: item.revision,
+                    reason: reason.clone(),
+                });
                 merged.inventory_changed |= target;
             }
             _ => merged.inventory_changed |= keep_until.is_none(),
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -8,6 +8,7 @@
 
 use crate::arrival::Hop;
 use crate::audit::Audit;
+use crate::config_version::ConfigChange;
 use crate::handle::{AttemptKey, Ticket};
 use crate::placement::Order;
 use crate::refusal::Refusal;
@@ -220,6 +221,8 @@
         /// Fencing token of the order.
         fence: u64,
     },
+    /// Log what this node learned of a version of the configuration.
+    LogConfig(ConfigChange),
     /// Append an entry to the audit trail.
     Audit(Audit),
 }
--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -1,8 +1,13 @@
-//! Which configuration is in force.
+//! Which configuration is in force, and which other versions are known.
 
-use seam_protocol::Time;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use seam_protocol::{Bundle, Time, VmId};
 use serde::Serialize;
 
+use crate::catalogue::Source;
+
 /// A configuration in force, and since when.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ConfigVersion {
@@ -43,3 +48,216 @@
         }
     }
 }
+
+/// Why a version that was read is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NotTaken {
+    /// A field is missing or has a value that cannot be used.
+    Unusable,
+    /// A later version is in force.
+    Older,
+    /// The same version is in force.
+    Unchanged,
+    /// The same version is in force, with other contents.
+    Conflict,
+}
+
+impl NotTaken {
+    /// Returns why a configuration did not replace the one that was taken.
+    pub(crate) fn between(taken: &Bundle, read: &Bundle) -> Self {
+        if read.digest == taken.digest {
+            Self::Unchanged
+        } else if read.revision == taken.revision {
+            Self::Conflict
+        } else {
+            Self::Older
+        }
+    }
+
+    /// Returns the name for log lines and metrics.
+    ///
+    /// ```
+    /// assert_eq!(seam_core::config_version::NotTaken::Older.name(), "older");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unusable => "unusable",
+            Self::Older => "older",
+            Self::Unchanged => "unchanged",
+            Self::Conflict => "conflict",
+        }
+    }
+}
+
+/// Numbers of names that a version adds to those of the one before and removes from them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NameChanges {
+    /// Names that are new.
+    pub added: usize,
+    /// Names that are gone.
+    pub removed: usize,
+}
+
+impl NameChanges {
+    /// Compares the keys of two maps.
+    ///
+    /// ```
+    /// use seam_core::config_version::NameChanges;
+    /// let (old, new) = ([(1, ()), (2, ())].into(), [(2, ()), (3, ()), (4, ())].into());
+    /// assert_eq!(NameChanges::between(&old, &new), NameChanges { added: 2, removed: 1 });
+    /// ```
+    #[must_use]
+    pub fn between<K: Ord, V>(old: &BTreeMap<K, V>, new: &BTreeMap<K, V>) -> Self {
+        let lacking = |from: &BTreeMap<K, V>, other: &BTreeMap<K, V>| {
+            other.keys().filter(|key| !from.contains_key(key)).count()
+        };
+        Self {
+            added: lacking(old, new),
+            removed: lacking(new, old),
+        }
+    }
+}
+
+/// What a node learns of a version, for its log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigChange {
+    /// Another node has a later version in force than this one.
+    Heard {
+        /// The sender of the heartbeat.
+        from: VmId,
+        /// The version.
+        revision: u64,
+        /// The version in force here.
+        in_force: u64,
+    },
+    /// The version is in force from now on.
+    Taken {
+        /// The version.
+        version: ConfigVersion,
+        /// The version that was in force before, zero for none.
+        before: u64,
+        /// Where it was read.
+        source: Source,
+        /// Time since it was read, if that is known.
+        read: Option<Duration>,
+        /// Time since this node heard of it from another one, if it did.
+        heard: Option<Duration>,
+        /// Changed routes.
+        routes: NameChanges,
+        /// Changed services.
+        services: NameChanges,
+    },
+    /// The version was read and is not taken.
+    NotTaken {
+        /// The version, zero if it is unknown.
+        revision: u64,
+        /// Revision of the item that contains it.
+        item_revision: u64,
+        /// The version in force.
+        in_force: u64,
+        /// The reason.
+        reason: NotTaken,
+        /// What exactly cannot be used, empty for other reasons.
+        detail: String,
+    },
+}
+
+/// What a node knows about versions of the configuration.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConfigView {
+    pub(crate) version: ConfigVersion,
+    /// Latest version that another node has in force, and when this node heard of it first.
+    heard: Option<(u64, Time)>,
+    /// Key of the item that contains the configuration, once it was read.
+    key: String,
+    /// Revision of the item that was read last, and when.
+    read: Option<(u64, Time)>,
+    /// Numbers of versions that were read and not taken.
+    pub(crate) not_taken: BTreeMap<NotTaken, u64>,
+}
+
+impl ConfigView {
+    /// Returns a view without a configuration.
+    pub(crate) fn new(now: Time) -> Self {
+        Self {
+            version: ConfigVersion {
+                taken: now,
+                ..ConfigVersion::default()
+            },
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether a key is that of the configuration.
+    pub(crate) fn is_key(&self, key: &str) -> bool {
+        self.key == key
+    }
+
+    /// Records that the item of a configuration was read. Returns whether it is newer than those
+    /// that were read before.
+    pub(crate) fn note_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
+        let newer = self.read.is_none_or(|(last, _)| last < item_revision);
+        if newer {
+            key.clone_into(&mut self.key);
+            self.read = Some((item_revision, now));
+        }
+        newer
+    }
+
+    /// Records that another node has a version in force. Returns whether it is later than the one
+    /// here and those that were heard of before.
+    pub(crate) fn note_heard(&mut self, now: Time, revision: u64) -> bool {
+        let known = self.heard.map_or(0, |(revision, _)| revision);
+        let later = revision > known.max(self.version.revision);
+        if later {
+            self.heard = Some((revision, now));
+        }
+        later
+    }
+
+    /// Puts a version in force.
+    pub(crate) fn take(
+        &mut self,
+        now: Time,
+        (old, new): (&Bundle, &Bundle),
+        item_revision: u64,
+        source: Source,
+    ) -> ConfigChange {
+        let before = self.version.revision;
+        self.version = ConfigVersion {
+            revision: new.revision,
+            item_revision,
+            taken: now,
+        };
+        let read = self.read.filter(|(read, _)| *read == item_revision);
+        let heard = self.heard.filter(|(heard, _)| *heard == new.revision);
+        ConfigChange::Taken {
+            version: self.version,
+            before,
+            source,
+            read: read.map(|(_, read)| now.since(read)),
+            heard: heard.map(|(_, heard)| now.since(heard)),
+            routes: NameChanges::between(&old.customers, &new.customers),
+            services: NameChanges::between(&old.services, &new.services),
+        }
+    }
+
+    /// Counts a version that is not taken.
+    pub(crate) fn refuse(
+        &mut self,
+        (revision, item_revision): (u64, u64),
+        reason: NotTaken,
+        detail: &str,
+    ) -> ConfigChange {
+        *self.not_taken.entry(reason).or_default() += 1;
+        ConfigChange::NotTaken {
+            revision,
+            item_revision,
+            in_force: self.version.revision,
+            reason,
+            detail: detail.to_owned(),
+        }
+    }
+}
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -34,7 +34,7 @@
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
-use crate::config_version::ConfigVersion;
+use crate::config_version::{ConfigVersion, ConfigView};
 use crate::event::Event;
 use crate::fair::FairQueue;
 use crate::freshness::Freshness;
@@ -207,7 +207,7 @@
     /// Configuration without VMs and targets, where the platform publishes targets item by item and
     /// nodes discover each other.
     pub(crate) base_config: Option<Arc<Bundle>>,
-    pub(crate) config_version: ConfigVersion,
+    pub(crate) config_view: ConfigView,
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
@@ -304,10 +304,7 @@
             policy,
             bundle: None,
             base_config: None,
-            config_version: ConfigVersion {
-                taken: now,
-                ..ConfigVersion::default()
-            },
+            config_view: ConfigView::new(now),
             catalogue: Catalogue::default(),
             roster: None,
             pending_items: None,
@@ -422,7 +419,13 @@
     /// Returns which configuration is in force.
     #[must_use]
     pub fn config_version(&self) -> ConfigVersion {
-        self.config_version
+        self.config_view.version
+    }
+
+    /// Records that the item of a configuration was read, before it is merged. Returns whether it is
+    /// newer than those that were read before.
+    pub fn note_config_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
+        self.config_view.note_read(now, key, item_revision)
     }
 
     /// Returns the counts since boot.
--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -53,7 +53,7 @@
             (before, revision(bundle)),
             "newer revision read whole and checked",
         ));
-        self.config_version = ConfigVersion {
+        self.config_view.version = ConfigVersion {
             revision: bundle.revision,
             item_revision: 0,
             taken: now,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -12,6 +12,7 @@
 use super::Node;
 use super::rate_limits::LimitSelection;
 use crate::command::Command;
+use crate::config_version::ConfigChange;
 use crate::gossip::{MAX_LOADS, MAX_RECORDS, MAX_SUMMARIES, MAX_SUSPECTS, SUMMARY_TURNS};
 use crate::limits::LimitContext;
 use crate::peers::Peers;
@@ -58,6 +59,13 @@
             self.confirm_freshness();
         }
         if self.roster.is_some() {
+            if self.config_view.note_heard(now, newest) {
+                out.push(Command::LogConfig(ConfigChange::Heard {
+                    from: heartbeat.from,
+                    revision: newest,
+                    in_force: own_revision,
+                }));
+            }
             self.fetch_newer_items(now, heartbeat, out);
         } else {
             self.compare_revision(now, heartbeat, newest, out);
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -12,7 +12,7 @@
 use crate::audit::Change;
 use crate::catalogue::{ItemBatch, Source};
 use crate::command::Command;
-use crate::config_version::ConfigVersion;
+use crate::config_version::NotTaken;
 use crate::roster::Roster;
 
 /// Nodes of a region that watch the platform for the others.
@@ -78,18 +78,34 @@
         }
         let old_revision = self.catalogue.revision();
         let merged = self.catalogue.merge(now, items, source);
-        for (key, reason) in &merged.unusable {
-            let cause = format!("the item cannot be used: {reason}");
-            out.push(self.audit(now, Change::Item, key, ("", "ignored"), cause));
+        for item in &merged.unusable {
+            let cause = format!("the item cannot be used: {}", item.reason);
+            out.push(self.audit(now, Change::Item, &item.key, ("", "ignored"), cause));
+            if self.config_view.is_key(&item.key) {
+                let unknown = (0, item.revision);
+                let reason = NotTaken::Unusable;
+                let change = self.config_view.refuse(unknown, reason, &item.reason);
+                out.push(Command::LogConfig(change));
+            }
         }
         for change in &merged.target_changes {
             let cause = format!("revision {} by {source:?}", change.revision);
             out.push(self.audit(now, Change::Item, &change.key, ("", change.state), cause));
         }
+        let read = merged.config.clone();
+        let item_revision = merged.config_revision;
         let config = merged.config.filter(|config| {
             let own_revision = self.base_config.as_ref().map_or(0, |base| base.revision);
             config.revision > own_revision
         });
+        if let Some((read, taken)) = read.zip(self.base_config.as_ref())
+            && config.is_none()
+        {
+            let version = (read.revision, item_revision);
+            let reason = NotTaken::between(taken, &read);
+            let change = self.config_view.refuse(version, reason, "");
+            out.push(Command::LogConfig(change));
+        }
         let configured = config.is_some();
         if let Some(config) = config {
             let before = self.base_config.as_ref().map_or(0, |base| base.revision);
@@ -100,12 +116,12 @@
                 (before.to_string(), config.revision.to_string()),
                 format!("newer revision by {source:?}"),
             ));
-            self.config_version = ConfigVersion {
-                revision: config.revision,
-                item_revision: merged.config_revision,
-                taken: now,
-            };
-            self.base_config = Some(config);
+            let old = self.base_config.replace(config.clone());
+            let old = old.unwrap_or_else(|| config.clone());
+            let change = self
+                .config_view
+                .take(now, (&old, &config), item_revision, source);
+            out.push(Command::LogConfig(change));
         }
         if configured || merged.inventory_changed {
             self.rebuild_bundle(now, out);
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -106,6 +106,7 @@
             | Command::LogWithheld { .. }
             | Command::CheckHealth { .. }
             | Command::FetchItems { .. }
+            | Command::LogConfig(_)
             | Command::Discard(_) => {}
         }
     }
--- /dev/null
+++ b/crates/seam-node/src/config_log.rs
@@ -0,0 +1,76 @@
+//! Log lines about versions of the configuration, from the first that a node hears of each to the time
+//! when it is in force.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::kv::Value;
+use seam_core::config_version::ConfigChange;
+use seam_protocol::Delta;
+
+use crate::runtime::NodeRuntime;
+
+/// Logs the configuration of a delta if it was not read before, from the platform or from a peer.
+pub fn note_read(runtime: &NodeRuntime, key: &str, delta: &Delta, from: Option<SocketAddr>) {
+    let mut found = delta.items.iter().filter(|item| item.key == key);
+    let Some((item, value)) = found.find_map(|item| Some((item, item.value.as_ref()?))) else {
+        return;
+    };
+    if runtime.update(|node, now| node.note_config_read(now, key, item.revision)) {
+        let in_force = runtime.read(|node, _| node.config_version().revision);
+        log::info!(
+            target: "config",
+            config_item = item.revision, config = in_force, bytes = value.len(),
+            source = from.map_or_else(|| "platform".to_owned(), |peer| peer.to_string()).as_str();
+            "configuration read"
+        );
+    }
+}
+
+/// Returns the milliseconds of a time, empty if it is unknown.
+fn millis(time: Option<Duration>) -> Value<'static> {
+    time.map_or_else(|| "".into(), |time| (time.as_millis() as u64).into())
+}
+
+/// Logs what the decision core learned of a version.
+pub fn log_change(change: &ConfigChange) {
+    match change {
+        ConfigChange::Heard {
+            from,
+            revision,
+            in_force,
+        } => log::info!(
+            target: "config",
+            config = in_force, heard = revision, node:% = from;
+            "later configuration heard of"
+        ),
+        ConfigChange::Taken {
+            version,
+            before,
+            source,
+            read,
+            heard,
+            routes,
+            services,
+        } => log::info!(
+            target: "config",
+            config = version.revision, config_item = version.item_revision, before = before,
+            source:? = source, read_ms = millis(*read), heard_ms = millis(*heard),
+            routes_added = routes.added, routes_removed = routes.removed,
+            services_added = services.added, services_removed = services.removed;
+            "configuration in force"
+        ),
+        ConfigChange::NotTaken {
+            revision,
+            item_revision,
+            in_force,
+            reason,
+            detail,
+        } => log::warn!(
+            target: "config",
+            config = in_force, config_item = item_revision, read = revision,
+            reason = reason.name(), detail = detail.as_str();
+            "configuration not taken"
+        ),
+    }
+}
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -43,6 +43,9 @@
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> Boxed<Result<WatchOutcome, ItemError>>;
 
+    /// Returns the key of the item that contains the configuration.
+    fn config_key(&self) -> &str;
+
     /// Parses an item. Returns `None` if it is not used.
     fn parse_entry(&self, item: &RawItem) -> Option<Entry>;
 }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -10,6 +10,7 @@
 use seam_core::{Event, ItemBatch, Source};
 use seam_protocol::Delta;
 
+use crate::config_log;
 use crate::item_store::{ItemStore, WatchOutcome};
 use crate::link;
 use crate::runtime::NodeRuntime;
@@ -30,11 +31,12 @@
 /// an interrupted watch.
 const UNREACHABLE_FAILURES: u32 = 2;
 
-/// Passes changed items to the decision core.
-pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source) {
+/// Passes changed items to the decision core. `from` is the peer that sent them.
+pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
     let Some(store) = &runtime.items else {
         return;
     };
+    config_log::note_read(runtime, store.config_key(), &delta, from);
     let batch = ItemBatch::read(delta, |item| store.parse_entry(item));
     runtime.handle(Event::ItemsRead(batch, source));
 }
@@ -67,7 +69,7 @@
                 failures = 0;
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, delta, Source::Platform);
+                apply_delta(&runtime, delta, Source::Platform, None);
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!(
@@ -93,7 +95,7 @@
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
     match link::fetch_items(runtime, address, since).await {
-        Ok(delta) => apply_delta(runtime, delta, Source::Peer),
+        Ok(delta) => apply_delta(runtime, delta, Source::Peer, Some(address)),
         Err(error) => {
             log::debug!("no items since revision {since} from {address}: {error}");
             runtime.handle(Event::ItemsNotRead);
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod budget;
 pub mod clock;
+mod config_log;
 pub mod daemon;
 pub mod dialect;
 pub mod drive;
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -27,6 +27,7 @@
 
 use crate::budget::ByteBudget;
 use crate::clock::Clock;
+use crate::config_log;
 use crate::dialect::{DefaultDialect, Dialect};
 use crate::item_store::ItemStore;
 use crate::metrics::Metrics;
@@ -429,6 +430,7 @@
             | Command::FetchItems { .. }
             | Command::FetchManifest { .. }
             | Command::Order { .. } => self.enqueue(command),
+            Command::LogConfig(change) => config_log::log_change(&change),
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
