items: failed calls to the store and to peers are traceable

Cause: failed reads, watches and fetches were debug lines with an error only, and a reply that a peer put off was not seen at its receiver.

Change: each failed call is a debug line with call, address, start revision, ms so far, consecutive failures and the error, which names the bound. The second one in a row is "dependency lost" at INFO, and the next answer "dependency regained" with failures and ms. A put-off fetch counts as failed; the sender's line has revision and bytes. Retries are unchanged.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -8,9 +8,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
+use seam_http::lock;
 use seam_protocol::Delta;
 
 use crate::config_log;
+use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
 use crate::item_store::{ItemStore, WatchOutcome};
 use crate::link;
 use crate::runtime::NodeRuntime;
@@ -27,9 +29,6 @@
 /// Maximum delay after failed calls, well below the interval in which targets must renew their
 /// items.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// Consecutive failed calls after which the platform counts as unreachable. A single failure may be
-/// an interrupted watch.
-const UNREACHABLE_FAILURES: u32 = 2;
 
 /// Passes changed items to the decision core. `from` is the peer that sent them.
 pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
@@ -45,6 +44,7 @@
 pub async fn follow(runtime: Arc<NodeRuntime>, store: Arc<dyn ItemStore>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut failures = 0;
+    let mut health = Dependency::new("item store");
     let mut read_all = true;
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
@@ -53,6 +53,7 @@
         }
         let after = runtime.read(|node, _| node.items_revision());
         let call = if read_all { "read" } else { "watch" };
+        let start = runtime.now();
         let changes = if read_all {
             store.read().await.map(WatchOutcome::Changes)
         } else {
@@ -64,6 +65,9 @@
             store.watch(after, wait).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
+        if changes.is_ok() {
+            health.answered(runtime.now());
+        }
         match changes {
             Ok(WatchOutcome::Changes(delta)) => {
                 failures = 0;
@@ -79,10 +83,14 @@
             }
             Err(error) => {
                 failures += 1;
-                log::debug!(
-                    "item store: {call} after revision {after} failed, {failures} in a row: {error}"
-                );
-                if failures >= UNREACHABLE_FAILURES {
+                let failed = FailedCall {
+                    call,
+                    to: None,
+                    since: after,
+                    start,
+                };
+                health.failed(runtime.now(), &failed, &error);
+                if failures >= LOST_FAILURES {
                     runtime.handle(Event::PlatformUnreachable(true));
                 }
                 let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
@@ -94,11 +102,25 @@
 
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
-    match link::fetch_items(runtime, address, since).await {
-        Ok(delta) => apply_delta(runtime, delta, Source::Peer, Some(address)),
-        Err(error) => {
-            log::debug!("no items since revision {since} from {address}: {error}");
-            runtime.handle(Event::ItemsNotRead);
+    let start = runtime.now();
+    let failed = FailedCall {
+        call: "fetch",
+        to: Some(address),
+        since,
+        start,
+    };
+    let fetched = link::fetch_items(runtime, address, since).await;
+    let put_off = matches!(&fetched, Ok(delta) if delta.revision == 0);
+    {
+        let (mut peers, now) = (lock(&runtime.item_peers), runtime.now());
+        match &fetched {
+            Ok(_) if put_off => peers.failed(now, &failed, &"it sends to other nodes at present"),
+            Ok(_) => peers.answered(now),
+            Err(error) => peers.failed(now, &failed, error),
         }
     }
+    match fetched {
+        Ok(delta) => apply_delta(runtime, delta, Source::Peer, Some(address)),
+        Err(_) => runtime.handle(Event::ItemsNotRead),
+    }
 }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 mod config_log;
 pub mod daemon;
+mod dependency;
 pub mod dialect;
 pub mod drive;
 pub mod events;
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -108,7 +108,11 @@
         let delta = if lock(&self.runtime.transfers).admit(now, bytes, mbps) {
             delta
         } else {
-            log::debug!("items not sent: {bytes} bytes while another large reply is sent");
+            log::debug!(
+                target: "config",
+                since = since, bytes = bytes;
+                "items not sent while another large reply is sent"
+            );
             // Without items or a revision, so that the caller asks again, or another node.
             Delta::default()
         };
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -28,6 +28,7 @@
 use crate::budget::ByteBudget;
 use crate::clock::Clock;
 use crate::config_log;
+use crate::dependency::Dependency;
 use crate::dialect::{DefaultDialect, Dialect};
 use crate::item_store::ItemStore;
 use crate::metrics::Metrics;
@@ -175,6 +176,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The store of configuration items, if the platform has one.
     pub items: Option<Arc<dyn ItemStore>>,
+    /// The peers from which items are fetched.
+    pub(crate) item_peers: Mutex<Dependency>,
 }
 
 /// The parts of a node that depend on the platform.
@@ -226,6 +229,7 @@
             metrics: Metrics::new(),
             dialect: adapter.dialect,
             items: adapter.items,
+            item_peers: Mutex::new(Dependency::new("peers with items")),
         };
         (Arc::new(runtime), receiver)
     }
