platform: read a configuration field by field

Callers saw 404 for routes of a version that the store had confirmed, at all nodes and for good: op/config was decoded by strict types, so one field with a fraction, null, or a value outside its range refused the version as a whole, and each later one that had it. Nodes that started meanwhile had no configuration.

Fields are now read one by one. Regions that cannot be read are never widened. A version is refused only without routes or without a version. One warning line a version names the fields; seam_config_unread counts them. Routes of one name no longer share the regions of the last one: the name is the key of the route's regions.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -50,7 +50,7 @@
 impl ItemBatch {
     /// Decodes the items of a delta with `entry`.
     #[must_use]
-    pub fn read(delta: Delta, entry: impl Fn(&RawItem) -> Option<Entry>) -> Self {
+    pub fn read(delta: Delta, mut entry: impl FnMut(&RawItem) -> Option<Entry>) -> Self {
         let items = delta.items.into_iter().map(|item| PublishedItem {
             entry: entry(&item),
             item,
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::future::Boxed;
 use seam_http::ClientError;
-use seam_protocol::{Delta, Entry, RawItem};
+use seam_protocol::{Bundle, Delta, ParsedEntry, RawItem};
 use snafu::Snafu;
 
 /// An error of a call to the item store.
@@ -43,6 +43,7 @@
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> Boxed<Result<WatchOutcome, ItemError>>;
 
-    /// Parses an item. Returns `None` if it is not used.
-    fn parse_entry(&self, item: &RawItem) -> Option<Entry>;
+    /// Parses an item. Returns `None` if it is not used. What cannot be read of a configuration is as in
+    /// the bundle in force.
+    fn parse_entry(&self, item: &RawItem, in_force: Option<&Bundle>) -> Option<ParsedEntry>;
 }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
-use seam_protocol::Delta;
+use seam_protocol::{Delta, Entry};
 
 use crate::item_store::{ItemStore, WatchOutcome};
 use crate::link;
@@ -35,10 +35,34 @@
     let Some(store) = &runtime.items else {
         return;
     };
-    let batch = ItemBatch::read(delta, |item| store.parse_entry(item));
+    let mut in_force = runtime.read(|node, _| node.bundle().cloned());
+    let batch = ItemBatch::read(delta, |item| {
+        let parsed = store.parse_entry(item, in_force.as_deref())?;
+        if let Entry::Config(config) = &parsed.entry {
+            let known = in_force.as_ref().map(|bundle| bundle.digest);
+            if known != Some(config.digest) {
+                warn_unread(runtime, config.revision, &parsed.warnings);
+            }
+            in_force = Some(config.clone());
+        }
+        Some(parsed.entry)
+    });
     runtime.handle(Event::ItemsRead(batch, source));
 }
 
+/// Logs and counts the values of a configuration that are not used as written.
+fn warn_unread(runtime: &NodeRuntime, version: u64, warnings: &[String]) {
+    /// Values named in one line.
+    const MAX_NAMED: usize = 20;
+    if warnings.is_empty() {
+        return;
+    }
+    runtime.metrics.unread_values(warnings.len());
+    let named = warnings[..warnings.len().min(MAX_NAMED)].join("; ");
+    let count = warnings.len();
+    log::warn!("{count} values of configuration {version} are not used as written: {named}");
+}
+
 /// Reads and watches the store until cancelled.
 pub async fn follow(runtime: Arc<NodeRuntime>, store: Arc<dyn ItemStore>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -21,6 +21,7 @@
     refusals: Counter<u64>,
     withheld: Counter<u64>,
     platform: Counter<u64>,
+    unread: Counter<u64>,
     heartbeats: Counter<u64>,
     heartbeat_bytes: Counter<u64>,
     request_time: Histogram<f64>,
@@ -154,6 +155,10 @@
             refusals: counter("seam_refusals", "refusals by reason and outcome"),
             withheld: counter("seam_withheld", "attempts that were not sent, by reason"),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
+            unread: counter(
+                "seam_config_unread",
+                "values of configurations that were not used as written",
+            ),
             heartbeats: counter("seam_beats", "heartbeats by direction"),
             heartbeat_bytes: counter("seam_beat_bytes", "bytes of heartbeats by direction"),
             request_time: meter
@@ -200,6 +205,11 @@
         self.platform.add(1, &labels);
     }
 
+    /// Counts values of a configuration that are not used as written.
+    pub fn unread_values(&self, count: usize) {
+        self.unread.add(count as u64, &[]);
+    }
+
     /// Counts a sent heartbeat.
     pub fn heartbeat_sent(&self, bytes: usize) {
         self.count_heartbeat("sent", bytes);
--- a/crates/seam-protocol/src/inventory.rs
+++ b/crates/seam-protocol/src/inventory.rs
@@ -47,6 +47,22 @@
     Unusable(String),
 }
 
+/// A parsed item.
+#[derive(Clone, Debug)]
+pub struct ParsedEntry {
+    /// The contents.
+    pub entry: Entry,
+    /// Values in it that are not used as written, each with its place and what is used.
+    pub warnings: Vec<String>,
+}
+
+impl From<Entry> for ParsedEntry {
+    fn from(entry: Entry) -> Self {
+        let warnings = Vec::new();
+        Self { entry, warnings }
+    }
+}
+
 /// An item of the platform, as nodes send it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RawItem {
--- a/crates/seam-protocol/src/lib.rs
+++ b/crates/seam-protocol/src/lib.rs
@@ -33,7 +33,7 @@
     CentreId, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, ServiceTag, StreamId,
     TargetId, VersionId, VmId,
 };
-pub use inventory::{Delta, Entry, Inventory, ListedTarget, RawItem};
+pub use inventory::{Delta, Entry, Inventory, ListedTarget, ParsedEntry, RawItem};
 pub use key::{IssuedKey, KeyError};
 pub use outcome::{Outcome, Problem, Reason};
 pub use report::{CacheEvent, LoadReport, VmState};
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -49,7 +49,7 @@
         pub rank: u8,
         /// Maximum number of targets that may run the same request.
         pub attempts: u8,
-        /// Regions that may process its requests; all if `None`.
+        /// Regions that may process its requests; all if `None`, none if empty.
         pub home_regions: Option<BTreeSet<RegionId>>,
     }
 
@@ -106,10 +106,17 @@
         let routes = self.hosts.get(&host_name(host))?;
         let homes = routes
             .iter()
-            .filter_map(|route| route.home_regions.as_ref());
+            .filter_map(|route| route.home_regions.as_ref())
+            .filter(|homes| !homes.is_empty());
         homes.cloned().reduce(|one, other| &one & &other)
     }
 
+    /// Iterates over the routes of all hosts, with their hosts.
+    pub fn by_host(&self) -> impl Iterator<Item = (&str, &HostRoute)> + '_ {
+        let hosts = self.hosts.iter();
+        hosts.flat_map(|(host, routes)| routes.iter().map(|route| (host.as_str(), route)))
+    }
+
     /// Returns the route of a host whose prefix is the longest match for a path. Ignores the host's
     /// port and case.
     ///
