core: a later item counts if its version is equal

A version written again with another content, or one whose number cannot be read and is taken from the one in force, was ignored for good: only a higher version counted. And once the removal of the item was forgotten, after 120 s, an older item with a higher version was taken from a node that had been away.

The revision of the item decides among equal versions, as the store is linearizable, and no item older than the one in force is taken. A lower version is ignored as before (older_config_ignored).

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -66,8 +66,8 @@
 /// The result of a merge.
 #[derive(Clone, Debug, Default)]
 pub struct MergeResult {
-    /// A newly received configuration.
-    pub config: Option<Arc<Bundle>>,
+    /// A newly received configuration, with the revision of its item.
+    pub config: Option<(u64, Arc<Bundle>)>,
     /// Whether targets or evacuated data centres changed.
     pub inventory_changed: bool,
     /// Keys of items that cannot be used, each with the reason.
@@ -254,7 +254,7 @@
             (entry, None)
         };
         match &entry {
-            Some(Entry::Config(bundle)) => merged.config = Some(bundle.clone()),
+            Some(Entry::Config(bundle)) => merged.config = Some((item.revision, bundle.clone())),
             Some(Entry::Unusable(reason)) => {
                 merged.unusable.push((item.key.clone(), reason.clone()));
                 merged.inventory_changed |= target;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -206,6 +206,8 @@
     /// Configuration without VMs and targets, where the platform publishes targets item by item and
     /// nodes discover each other.
     pub(crate) base_config: Option<Arc<Bundle>>,
+    /// Revision of the item of the configuration.
+    pub(crate) config_revision: u64,
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
@@ -302,6 +304,7 @@
             policy,
             bundle: None,
             base_config: None,
+            config_revision: 0,
             catalogue: Catalogue::default(),
             roster: None,
             pending_items: None,
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -85,12 +85,18 @@
             let cause = format!("revision {} by {source:?}", change.revision);
             out.push(self.audit(now, Change::Item, &change.key, ("", change.state), cause));
         }
-        let config = merged.config.filter(|config| {
-            let own_revision = self.base_config.as_ref().map_or(0, |base| base.revision);
-            config.revision > own_revision
+        // Of equal versions, the revision of the item tells which is newer, also once the removal of an
+        // older item is forgotten.
+        let config = merged.config.filter(|(revision, config)| {
+            let base = self.base_config.as_ref();
+            let own_revision = base.map_or(0, |base| base.revision);
+            *revision > self.config_revision
+                && config.revision >= own_revision
+                && base != Some(config)
         });
         let configured = config.is_some();
-        if let Some(config) = config {
+        if let Some((revision, config)) = config {
+            self.config_revision = revision;
             let before = self.base_config.as_ref().map_or(0, |base| base.revision);
             out.push(self.audit(
                 now,
