--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -50,7 +50,7 @@
 impl ItemBatch {
     /// Decodes the items of a delta with `entry`.
     #[must_use]
-    pub fn read(delta: Delta, entry: impl Fn(&RawItem) -> Option<Entry>) -> Self {
+    pub fn read(delta: Delta, mut entry: impl FnMut(&RawItem) -> Option<Entry>) -> Self {
         let items = delta.items.into_iter().map(|item| PublishedItem {
             entry: entry(&item),
             item,
@@ -66,10 +66,8 @@
 /// The result of a merge.
 #[derive(Clone, Debug, Default)]
 pub struct MergeResult {
-    /// A newly received configuration.
-    pub config: Option<Arc<Bundle>>,
-    /// Revision of the item that contains it.
-    pub config_revision: u64,
+    /// A newly received configuration, with the revision of its item.
+    pub config: Option<(u64, Arc<Bundle>)>,
     /// Whether targets or evacuated data centres changed.
     pub inventory_changed: bool,
     /// Items that cannot be used, each with the reason.
@@ -271,10 +269,7 @@
             (entry, None)
         };
         match &entry {
-            Some(Entry::Config(bundle)) => {
-                merged.config = Some(bundle.clone());
-                merged.config_revision = item.revision;
-            }
+            Some(Entry::Config(bundle)) => merged.config = Some((item.revision, bundle.clone())),
             Some(Entry::Unusable(reason)) => {
                 merged.unusable.push(UnusableItem {
                     key: item.key.clone(),
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -93,12 +93,16 @@
             out.push(self.audit(now, Change::Item, &change.key, ("", change.state), cause));
         }
         let read = merged.config.clone();
-        let item_revision = merged.config_revision;
-        let config = merged.config.filter(|config| {
-            let own_revision = self.base_config.as_ref().map_or(0, |base| base.revision);
-            config.revision > own_revision
+        // Of equal versions, the revision of the item tells which is newer, also once the removal of an
+        // older item is forgotten.
+        let config = merged.config.filter(|(item_revision, config)| {
+            let base = self.base_config.as_ref();
+            let own_revision = base.map_or(0, |base| base.revision);
+            *item_revision > self.config_view.version.item_revision
+                && config.revision >= own_revision
+                && base != Some(config)
         });
-        if let Some((read, taken)) = read.zip(self.base_config.as_ref())
+        if let Some(((item_revision, read), taken)) = read.zip(self.base_config.as_ref())
             && config.is_none()
         {
             let version = (read.revision, item_revision);
@@ -107,7 +111,7 @@
             out.push(Command::LogConfig(change));
         }
         let configured = config.is_some();
-        if let Some(config) = config {
+        if let Some((item_revision, config)) = config {
             let before = self.base_config.as_ref().map_or(0, |base| base.revision);
             out.push(self.audit(
                 now,
