store: changes that cannot be read are no longer asked for again

Callers saw the old configuration for as long as the store kept its history: a watch returns every version of a key since the revision, and an answer above 8 MiB, or slower than the fixed time of a call, was thrown away and asked for again from the same revision.

A watch whose answer is too large (2 MiB, refused by its declared length before it is read), broken off, stalled or undecodable is followed by a read of the pages, which have one version of each item. Calls to the store are bounded by progress, 128 KiB each 1.5 s, instead of 1.5 s for the whole answer. A status other than 200 still repeats the watch.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body as _;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::client::conn::{http1, http2};
 use serde::de::DeserializeOwned;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -40,6 +41,8 @@
     USER_TIMEOUT.as_millis() > KEEPALIVE_IDLE.as_millis() + 2 * KEEPALIVE_INTERVAL.as_millis(),
     "the third keepalive probe must be due before the user timeout"
 );
+/// Bytes of a long response that must arrive within the time limit of the call.
+pub const MIN_PROGRESS: usize = 128 << 10;
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
@@ -71,12 +74,29 @@
         /// The timeout.
         limit: Duration,
     },
-    /// The response body is too large or truncated.
+    /// The response body is truncated.
     #[snafu(display("cannot read the response body: {message}"))]
     Body {
         /// What went wrong.
         message: String,
     },
+    /// The response body is too large.
+    #[snafu(display("the response body has more than {max_bytes} bytes"))]
+    TooLarge {
+        /// The limit.
+        max_bytes: usize,
+    },
+    /// The response body stopped arriving, or arrived too slowly.
+    #[snafu(display(
+        "the response body stalled after {received} bytes, with too few within {} ms",
+        limit.as_millis()
+    ))]
+    Stalled {
+        /// Bytes received until then.
+        received: usize,
+        /// The timeout.
+        limit: Duration,
+    },
     /// The response has an unexpected status.
     #[snafu(display("{address} returned the unexpected status {status}"))]
     Status {
@@ -110,6 +130,21 @@
     pub fn not_sent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::NotSent)
     }
+
+    /// Returns whether the response had begun, so that the same request may fail the same way again.
+    ///
+    /// ```
+    /// use seam_http::ClientError;
+    /// assert!(ClientError::TooLarge { max_bytes: 1 }.responded());
+    /// assert!(!ClientError::NotSent.responded());
+    /// ```
+    #[must_use]
+    pub fn responded(&self) -> bool {
+        matches!(
+            self,
+            Self::Body { .. } | Self::TooLarge { .. } | Self::Stalled { .. } | Self::Json { .. }
+        )
+    }
 }
 
 /// Opens a TCP connection that detects an unresponsive peer.
@@ -246,6 +281,19 @@
     Ok(sender)
 }
 
+/// Sends a request on a new connection.
+async fn send_once(
+    address: SocketAddr,
+    mut request: Request<Body>,
+) -> Result<Response<ResponseBody>, ClientError> {
+    if !request.headers().contains_key(header::HOST)
+        && let Ok(host) = address.to_string().parse()
+    {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    Connection::open(address).await?.send(request).await
+}
+
 /// Sends one request on a new connection and reads the whole response.
 ///
 /// `limit` bounds the whole call, `max_bytes` the response body.
@@ -254,29 +302,94 @@
 /// See [`ClientError`].
 pub async fn fetch(
     address: SocketAddr,
-    mut request: Request<Body>,
+    request: Request<Body>,
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, ClientError> {
-    if !request.headers().contains_key(header::HOST)
-        && let Ok(host) = address.to_string().parse()
-    {
-        request.headers_mut().insert(header::HOST, host);
-    }
     let exchange = async {
-        let mut connection = Connection::open(address).await?;
-        let (head, body) = connection.send(request).await?.into_parts();
+        let (head, body) = send_once(address, request).await?.into_parts();
         let whole = Limited::new(body, max_bytes).collect().await;
-        let whole = whole.map_err(|error| ClientError::Body {
-            message: error.to_string(),
+        let whole = whole.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return ClientError::TooLarge { max_bytes };
+            }
+            ClientError::Body {
+                message: error.to_string(),
+            }
         })?;
         Ok(Response::from_parts(head, whole.to_bytes()))
     };
-    let timeout = async {
-        Timer::after(limit).await;
-        Err(ClientError::Timeout { limit })
-    };
-    exchange.or(timeout).await
+    exchange
+        .or(expired(limit, ClientError::Timeout { limit }))
+        .await
+}
+
+async fn expired<T>(limit: Duration, error: ClientError) -> Result<T, ClientError> {
+    Timer::after(limit).await;
+    Err(error)
+}
+
+/// Sends one request on a new connection and reads the whole response, for as long as its body
+/// arrives.
+///
+/// `limit` bounds the time until the head, which may be longer by `wait`, and each span of the body in
+/// which less than [`MIN_PROGRESS`] arrives. `max_bytes` bounds the body; one whose declared length is
+/// larger is not read.
+///
+/// # Errors
+/// See [`ClientError`]. [`ClientError::Body`], [`ClientError::TooLarge`] and
+/// [`ClientError::Stalled`] mean that the response had begun.
+pub async fn fetch_long(
+    address: SocketAddr,
+    request: Request<Body>,
+    wait: Duration,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Response<Bytes>, ClientError> {
+    let head_limit = wait + limit;
+    let response = send_once(address, request).or(expired(
+        head_limit,
+        ClientError::Timeout { limit: head_limit },
+    ));
+    let (head, mut body) = response.await?.into_parts();
+    let too_large = ClientError::TooLarge { max_bytes };
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large);
+    }
+    let mut received = BytesMut::new();
+    loop {
+        let before = received.len();
+        let span = async {
+            while received.len() < before + MIN_PROGRESS {
+                let Some(frame) = body.frame().await else {
+                    return Ok(true);
+                };
+                let frame = frame.map_err(|error| ClientError::Body {
+                    message: describe(&error),
+                })?;
+                if let Ok(data) = frame.into_data() {
+                    received.extend_from_slice(&data);
+                }
+            }
+            Ok(false)
+        };
+        let timeout = async {
+            Timer::after(limit).await;
+            Ok(None)
+        };
+        let ended = async { span.await.map(Some) }.or(timeout).await?;
+        if received.len() > max_bytes {
+            return Err(too_large);
+        }
+        match ended {
+            Some(true) => return Ok(Response::from_parts(head, received.freeze())),
+            Some(false) => {}
+            None => {
+                let received = received.len();
+                return Err(ClientError::Stalled { received, limit });
+            }
+        }
+    }
 }
 
 /// Sends a GET request and parses the JSON response.
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod sync;
 
 pub use body::{Body, BodyError, empty, full, json};
-pub use client::{ClientError, Connection, fetch, get_json};
+pub use client::{ClientError, Connection, fetch, fetch_long, get_json};
 pub use exec::{Spawner, block_on, spawn, start_workers};
 pub use guard::ResponseBody;
 pub use serve::{CallerLimits, Listener, Stop, serve, serve_with_limits};
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -26,6 +26,24 @@
     },
 }
 
+impl ItemError {
+    /// Returns whether the store responded, but not in a way that could be read.
+    ///
+    /// ```
+    /// use seam_http::ClientError;
+    /// use seam_node::item_store::ItemError;
+    /// let source = ClientError::TooLarge { max_bytes: 1 };
+    /// assert!(ItemError::Call { source }.unreadable());
+    /// ```
+    #[must_use]
+    pub fn unreadable(&self) -> bool {
+        match self {
+            Self::Call { source } => source.responded(),
+            Self::InvalidResponse { .. } => true,
+        }
+    }
+}
+
 /// The result of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -80,6 +80,14 @@
                 log::debug!(
                     "item store: {call} after revision {after} failed, {failures} in a row: {error}"
                 );
+                if !read_all && error.unreadable() {
+                    // The same watch would get the same response, and with every further version a
+                    // larger one. Pages have only the last version of each item.
+                    log::info!(
+                        "the changes since revision {after} cannot be read; reading all items: {error}"
+                    );
+                    read_all = true;
+                }
                 if failures >= UNREACHABLE_FAILURES {
                     runtime.handle(Event::PlatformUnreachable(true));
                 }
