--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -114,6 +114,14 @@
                     start,
                 };
                 health.failed(runtime.now(), &failed, &error);
+                if !read_all && error.unreadable() {
+                    // The same watch would get the same response, and with every further version a
+                    // larger one. Pages have only the last version of each item.
+                    log::info!(
+                        "the changes since revision {after} cannot be read; reading all items: {error}"
+                    );
+                    read_all = true;
+                }
                 if failures >= LOST_FAILURES {
                     runtime.handle(Event::PlatformUnreachable(true));
                 }
