metrics, status: how current the configuration of a node is

Cause: no gauge said how old the last read was, nothing counted versions that were not taken, and refusals of a request's head were not counted.

Change: gauges seam_config_age_ms, seam_config_item, seam_config_heard, seam_items_heard, seam_platform_read_age_ms and seam_items_current_age_ms beside seam_revision and seam_items_revision; counters seam_config_not_taken and seam_config_refusals by reason. `seamctl status` and `explain` show the same (not the refusals). A peer counts as reading the store if it says that it reaches it, so a node that does not watch and has not noticed an outage passes for one that does.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -20,7 +20,7 @@
 }
 
 /// The configuration that decided a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ConfigStamp {
     /// Version that the configuration states, zero for none.
     pub revision: u64,
@@ -164,12 +164,35 @@
     },
 }
 
+/// What a node knows about versions of the configuration, for the administration API.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ConfigStatus {
+    /// The configuration in force.
+    #[serde(flatten)]
+    pub stamp: ConfigStamp,
+    /// Latest version that another node had in force before this one, zero for none.
+    pub heard: u64,
+    /// Newest item revision that another node knows.
+    pub heard_items: u64,
+    /// Milliseconds since this node last read the platform, if it did.
+    pub read_age_ms: Option<u64>,
+    /// Milliseconds since this node last knew all that the platform, or a node that reaches it, had.
+    pub current_age_ms: Option<u64>,
+    /// Versions that were read and not taken, by reason.
+    pub not_taken: BTreeMap<NotTaken, u64>,
+}
+
 /// What a node knows about versions of the configuration.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConfigView {
     pub(crate) version: ConfigVersion,
     /// Latest version that another node has in force, and when this node heard of it first.
     heard: Option<(u64, Time)>,
+    /// Newest item revision that another node knows.
+    heard_items: u64,
+    /// When this node last knew every item that it heard of from the platform itself or from a node
+    /// that reaches the platform.
+    current: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -217,6 +240,33 @@
         later
     }
 
+    /// Records that another node knows items up to a revision, and whether it `reaches` the platform,
+    /// beside the own revision.
+    pub(crate) fn note_items(&mut self, now: Time, (own, other): (u64, u64), reaches: bool) {
+        self.heard_items = self.heard_items.max(other);
+        if reaches && own > 0 && other <= own {
+            self.current = Some(now);
+        }
+    }
+
+    /// Records that the platform was read.
+    pub(crate) fn note_current(&mut self, now: Time) {
+        self.current = Some(now);
+    }
+
+    /// Returns a snapshot for the administration API; `read` is when the platform was last read.
+    pub(crate) fn status(&self, now: Time, read: Option<Time>) -> ConfigStatus {
+        let millis = |time: Time| now.since(time).as_millis() as u64;
+        ConfigStatus {
+            stamp: self.version.stamp(now),
+            heard: self.heard.map_or(0, |(revision, _)| revision),
+            heard_items: self.heard_items,
+            read_age_ms: read.map(millis),
+            current_age_ms: self.current.map(millis),
+            not_taken: self.not_taken.clone(),
+        }
+    }
+
     /// Puts a version in force.
     pub(crate) fn take(
         &mut self,
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::arrival::{Arrival, Origin};
+use crate::config_version::ConfigStamp;
 use crate::handle::Ticket;
 use crate::node::Node;
 use crate::request::Request;
@@ -33,6 +34,8 @@
     pub customer: String,
     /// Service name.
     pub service: String,
+    /// Configuration by which it is explained.
+    pub config: ConfigStamp,
     /// All regions in key order, including this one.
     pub regions: Vec<RegionView>,
     /// Targets of this region that accept the request, with their load in requests.
@@ -124,6 +127,7 @@
         Some(Explanation {
             customer: customer_spec.name.clone(),
             service: spec.name.clone(),
+            config: self.config_view.version.stamp(now),
             regions,
             targets: self
                 .targets
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -59,6 +59,9 @@
             self.confirm_freshness();
         }
         if self.roster.is_some() {
+            let items = (self.catalogue.revision(), heartbeat.items_revision);
+            let reaches = heartbeat.platform_reachable;
+            self.config_view.note_items(now, items, reaches);
             if self.config_view.note_heard(now, newest) {
                 out.push(Command::LogConfig(ConfigChange::Heard {
                     from: heartbeat.from,
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -75,6 +75,7 @@
         self.pending_items = None;
         if source == Source::Platform {
             self.platform_read = Some(now);
+            self.config_view.note_current(now);
         }
         let old_revision = self.catalogue.revision();
         let merged = self.catalogue.merge(now, items, source);
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -5,6 +5,7 @@
 use seam_protocol::{CustomerId, RegionId, ServiceId, TargetId, Time, VmId};
 use serde::Serialize;
 
+use crate::config_version::ConfigStatus;
 use crate::node::{Counters, Node};
 use crate::targets::{Phase, TargetState};
 
@@ -19,6 +20,8 @@
     pub draining: bool,
     /// Active configuration revision, zero for none.
     pub revision: u64,
+    /// What is known about versions of the configuration.
+    pub config: ConfigStatus,
     /// Digest of the active manifest.
     pub digest: String,
     /// Number of requests without a final response.
@@ -124,6 +127,7 @@
             fresh: self.freshness.fresh(),
             draining: self.drain_since.is_some(),
             revision: self.bundle.as_ref().map_or(0, |bundle| bundle.revision),
+            config: self.config_view.status(now, self.platform_read),
             digest: self
                 .bundle
                 .as_ref()
--- a/crates/seam-ctl/src/commands/explain.rs
+++ b/crates/seam-ctl/src/commands/explain.rs
@@ -50,6 +50,11 @@
             return Ok(ExitCode::SUCCESS);
         }
         print_line!("{}", cell(&explanation["decision"]));
+        print_line!(
+            "by configuration {}, in force for {} ms",
+            explanation["config"]["revision"],
+            explanation["config"]["age_ms"]
+        );
         print_line!();
         let fields = ["name", "allowed", "known", "wait_ms", "free"];
         print_list(&explanation["regions"], &fields);
--- a/crates/seam-ctl/src/commands/status.rs
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use http::Method;
+use serde_json::json;
 
 use super::{cell, print_json, print_list, print_table};
 use crate::error::CtlError;
@@ -43,6 +44,21 @@
         let row = fields.iter().map(|field| cell(&status[*field])).collect();
         print_table(&fields, &[row]);
         print_line!();
+        let config = &status["config"];
+        print_list(
+            &json!([config]),
+            &[
+                "revision",
+                "item_revision",
+                "age_ms",
+                "heard",
+                "heard_items",
+                "read_age_ms",
+                "current_age_ms",
+                "not_taken",
+            ],
+        );
+        print_line!();
         print_list(
             &status["peers"],
             &["name", "region", "alive", "ready", "revision", "age_ms"],
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use seam_core::Origin;
 use seam_http::{Body, CallerLimits, Listener, Stop, serve_with_limits};
+use seam_protocol::Reason;
 
 use crate::drive;
 use crate::inbound::InboundRequest;
@@ -128,6 +129,11 @@
 /// Logs the end of a request that was rejected while it was read.
 fn log_rejection(runtime: &NodeRuntime, id: &str, rejection: &Rejection) {
     let config = rejection.config.unwrap_or_default().stamp(runtime.now());
+    let reason = rejection.refusal.reason;
+    // While a request is read, only the configuration tells that a route has no target.
+    if reason.by_configuration() || reason == Reason::NoTarget {
+        runtime.metrics.refused_by_config(reason);
+    }
     log::info!(
         target: "request",
         request = id, end = "refused", outcome:% = rejection.refusal.outcome,
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -8,7 +8,9 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use seam_core::Refusal;
 use seam_core::command::Withheld;
+use seam_core::config_version::NotTaken;
 use seam_core::status::Status;
+use seam_protocol::Reason;
 
 /// Histogram bucket bounds of request times in seconds, around common latency objectives.
 const REQUEST_TIME_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
@@ -20,6 +22,8 @@
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
     withheld: Counter<u64>,
+    not_taken: Counter<u64>,
+    config_refusals: Counter<u64>,
     platform: Counter<u64>,
     heartbeats: Counter<u64>,
     heartbeat_bytes: Counter<u64>,
@@ -44,6 +48,12 @@
     suspects: Gauge<u64>,
     items: Gauge<u64>,
     platform: Gauge<u64>,
+    config_age: Gauge<u64>,
+    config_item: Gauge<u64>,
+    config_heard: Gauge<u64>,
+    items_heard: Gauge<u64>,
+    read_age: Gauge<u64>,
+    current_age: Gauge<u64>,
     events: Gauge<u64>,
 }
 
@@ -77,6 +87,27 @@
                 "seam_platform_answers",
                 "1 if the store of items answers this node",
             ),
+            config_age: gauge(
+                "seam_config_age_ms",
+                "time since the configuration was taken",
+            ),
+            config_item: gauge("seam_config_item", "item revision of the configuration"),
+            config_heard: gauge(
+                "seam_config_heard",
+                "latest version that another node had in force before this one",
+            ),
+            items_heard: gauge(
+                "seam_items_heard",
+                "newest revision of items that another node knows",
+            ),
+            read_age: gauge(
+                "seam_platform_read_age_ms",
+                "time since the last successful read of the store by this node",
+            ),
+            current_age: gauge(
+                "seam_items_current_age_ms",
+                "time since this node knew all that the store, or a node that reaches it, had",
+            ),
             events: gauge("seam_events", "events since boot, by kind"),
         }
     }
@@ -90,6 +121,20 @@
         self.peers.record(alive as u64, &[]);
         self.items.record(status.items, &[]);
         self.platform.record(u64::from(status.platform), &[]);
+        let config = &status.config;
+        self.config_age.record(config.stamp.age_ms, &[]);
+        self.config_item.record(config.stamp.item_revision, &[]);
+        self.config_heard.record(config.heard, &[]);
+        self.items_heard.record(config.heard_items, &[]);
+        let ages = [
+            (&self.read_age, config.read_age_ms),
+            (&self.current_age, config.current_age_ms),
+        ];
+        for (gauge, age) in ages {
+            if let Some(age) = age {
+                gauge.record(age, &[]);
+            }
+        }
         self.quarantine.record(status.quarantine.len() as u64, &[]);
         self.suspects.record(status.suspects as u64, &[]);
         for service in &status.services {
@@ -153,6 +198,14 @@
         Self {
             refusals: counter("seam_refusals", "refusals by reason and outcome"),
             withheld: counter("seam_withheld", "attempts that were not sent, by reason"),
+            not_taken: counter(
+                "seam_config_not_taken",
+                "versions of the configuration that were read and not taken, by reason",
+            ),
+            config_refusals: counter(
+                "seam_config_refusals",
+                "refusals that the configuration decided, by reason",
+            ),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
             heartbeats: counter("seam_beats", "heartbeats by direction"),
             heartbeat_bytes: counter("seam_beat_bytes", "bytes of heartbeats by direction"),
@@ -176,6 +229,18 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts a refusal that the configuration decided.
+    pub fn refused_by_config(&self, reason: Reason) {
+        let label = [KeyValue::new("reason", reason.slug())];
+        self.config_refusals.add(1, &label);
+    }
+
+    /// Counts a version of the configuration that is not taken.
+    pub fn config_not_taken(&self, reason: NotTaken) {
+        let label = [KeyValue::new("reason", reason.name())];
+        self.not_taken.add(1, &label);
+    }
+
     /// Counts an attempt that was not sent after all.
     pub fn withheld(&self, reason: Withheld) {
         let label = [KeyValue::new("reason", reason.name())];
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -16,6 +16,7 @@
 use seam_config::Settings;
 use seam_config::settings::Secrets;
 use seam_core::command::{OriginSource, Withheld};
+use seam_core::config_version::ConfigChange;
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
@@ -417,6 +418,9 @@
             }
             Command::Refuse { ticket, refusal } => {
                 self.metrics.refused(refusal);
+                if refusal.reason.by_configuration() {
+                    self.metrics.refused_by_config(refusal.reason);
+                }
                 self.notify(ticket, TaskCommand::Refuse(refusal, config));
             }
             Command::Replay { ticket, response } => {
@@ -434,7 +438,12 @@
             | Command::FetchItems { .. }
             | Command::FetchManifest { .. }
             | Command::Order { .. } => self.enqueue(command),
-            Command::LogConfig(change) => config_log::log_change(&change),
+            Command::LogConfig(change) => {
+                if let ConfigChange::NotTaken { reason, .. } = &change {
+                    self.metrics.config_not_taken(*reason);
+                }
+                config_log::log_change(&change);
+            }
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
--- a/crates/seam-protocol/src/outcome.rs
+++ b/crates/seam-protocol/src/outcome.rs
@@ -127,6 +127,23 @@
     Loop = "loop", 508, "a forwarded request is never forwarded again";
 }
 
+impl Reason {
+    /// Returns whether the configuration alone decides such a refusal.
+    ///
+    /// ```
+    /// use seam_protocol::Reason;
+    /// assert!(Reason::Service.by_configuration());
+    /// assert!(!Reason::Overload.by_configuration());
+    /// ```
+    #[must_use]
+    pub fn by_configuration(self) -> bool {
+        matches!(
+            self,
+            Self::Credential | Self::Service | Self::Oversize | Self::Residency | Self::Revision
+        )
+    }
+}
+
 crate::message! {
     /// Body of a response by the gateway itself, `application/problem+json` (RFC 9457).
     pub struct Problem {
