--- a/crates/seam-node/src/dependency.rs
+++ b/crates/seam-node/src/dependency.rs
@@ -27,7 +27,7 @@
 pub struct Dependency {
     name: &'static str,
     failures: u32,
-    /// When the first of the consecutive failed calls began.
+    /// When the first of the consecutive failed calls ended.
     failed_since: Time,
 }
 
@@ -45,7 +45,7 @@
     /// Logs a failed call.
     pub fn failed(&mut self, now: Time, call: &FailedCall, error: &dyn Display) {
         if self.failures == 0 {
-            self.failed_since = call.start;
+            self.failed_since = now;
         }
         self.failures += 1;
         let level = match self.failures {
