seam-core: requests of another revision's route are refused for a time only

A caller whose request was routed by one configuration and judged by the next got a refusal as wrong (404 for a service, 401 for a route's name): the check takes the service and customer that the route named from the configuration in force, and took a missing one for the caller's fault. Where a route named them the refusal is now temporary. Forwarded requests are unchanged.

--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -75,14 +75,23 @@
         }
         self.check_path(now, &arrival.origin, bundle.revision, out)?;
         let not_found = || Refusal::not_run(Reason::Service);
+        // A route named them, of another revision than the one now in force.
+        let routed = arrival.origin == Origin::Caller && arrival.route.is_some();
+        let unknown = |reason| {
+            if routed {
+                Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER)
+            } else {
+                Refusal::not_run(reason)
+            }
+        };
         let service = bundle
             .services
             .get(&arrival.service)
-            .ok_or_else(not_found)?;
+            .ok_or_else(|| unknown(Reason::Service))?;
         let customer = bundle
             .customers
             .get(&arrival.customer)
-            .ok_or(Refusal::not_run(Reason::Credential))?;
+            .ok_or_else(|| unknown(Reason::Credential))?;
         let forbidden =
             !customer.services.is_empty() && !customer.services.contains(&arrival.service);
         if forbidden {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -335,17 +335,22 @@
 
     /// Delivers items of the platform to a node, up to the platform's `revision`.
     pub fn publish(&mut self, index: usize, items: Vec<PublishedItem>, revision: u64) {
-        for PublishedItem { item, entry } in &items {
-            if let Some(entry) = entry {
-                let key = (item.key.clone(), item.revision);
-                self.published.insert(key, entry.clone());
-            }
-        }
         let batch = ItemBatch {
             items,
             revision,
             full: false,
         };
+        self.publish_batch(index, batch);
+    }
+
+    /// Delivers a batch of the platform's items to a node.
+    pub fn publish_batch(&mut self, index: usize, batch: ItemBatch) {
+        for PublishedItem { item, entry } in &batch.items {
+            if let Some(entry) = entry {
+                let key = (item.key.clone(), item.revision);
+                self.published.insert(key, entry.clone());
+            }
+        }
         self.handle(index, Event::ItemsRead(batch, Source::Platform));
     }
 
