seam-node: a request is routed again once its body is read

A request whose route moved while its body was read went to the service of the older configuration, or was refused where the newer one has no such service. A request without a body reads nothing in between.

--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use seam_core::Refusal;
 use seam_http::BodyError;
+use seam_protocol::route::HostRoute;
 use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
 
 use crate::dialect::RequestOptions;
@@ -133,6 +134,25 @@
     Some(host.trim_end_matches('.').to_owned())
 }
 
+/// Returns the route of a request, and the service that handles it.
+fn find_route<'a>(
+    snapshot: &'a Snapshot,
+    host: &str,
+    path: &str,
+    id: &str,
+) -> Result<(&'a HostRoute, ServiceId), Rejection> {
+    let Some(route) = snapshot.bundle.routes.find(host, path) else {
+        let detail = format!("no route of {host:?} serves this path");
+        return Err(Rejection::new(Reason::Service, detail));
+    };
+    let service = route.service(Digest::of(id.as_bytes()).leading_u64());
+    let Some(service) = service else {
+        let detail = format!("no service serves the route {:?}", route.name);
+        return Err(Rejection::new(Reason::NoTarget, detail));
+    };
+    Ok((route, service))
+}
+
 /// Reads a request and matches it against the published routes.
 ///
 /// The time spent on reading the body counts against the request's deadline.
@@ -153,15 +173,7 @@
             "the request names no host",
         ));
     };
-    let Some(route) = snapshot.bundle.routes.find(&host, head.uri.path()) else {
-        let detail = format!("no route of {host:?} serves this path");
-        return Err(Rejection::new(Reason::Service, detail));
-    };
-    let service = route.service(Digest::of(id.as_bytes()).leading_u64());
-    let Some(service) = service else {
-        let detail = format!("no service serves the route {:?}", route.name);
-        return Err(Rejection::new(Reason::NoTarget, detail));
-    };
+    let (route, _) = find_route(&snapshot, &host, head.uri.path(), id)?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let max_budget = Duration::from_millis(route.timeout);
     let budget = options
@@ -174,6 +186,9 @@
         Err(Rejection::new(Reason::SlowBody, "the body took too long"))
     };
     let body = read_body(runtime, body, limit).or(timeout).await?;
+    // Another configuration may be in force since the head was read.
+    let snapshot = self::snapshot(runtime)?;
+    let (route, service) = find_route(&snapshot, &host, head.uri.path(), id)?;
     let mut headers = head.headers;
     runtime.dialect.strip_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
