--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -75,10 +75,11 @@
         }
         self.check_path(now, &arrival.origin, bundle.revision, out)?;
         let forwarded = matches!(arrival.origin, Origin::Peer { .. });
-        // The node that received a request from its caller has found all of this in its own
-        // configuration, so only the revisions differ.
+        // A route named the service and the customer, here or at the node that received the request
+        // from its caller. So what is missing has another revision of the configuration.
+        let found_before = forwarded || arrival.route.is_some();
         let missing = |reason| {
-            if forwarded {
+            if found_before {
                 Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER)
             } else {
                 Refusal::not_run(reason)
