--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -47,10 +47,10 @@
         }
     }
 
-    /// Adds the configuration that decided it.
+    /// Adds the configuration that decided it, unless it states one.
     fn by(self, snapshot: &Snapshot) -> Self {
         Self {
-            config: Some(snapshot.config),
+            config: self.config.or(Some(snapshot.config)),
             ..self
         }
     }
@@ -213,7 +213,8 @@
     let body = read_body(runtime, body, limit).or(timeout).await?;
     // Another configuration may be in force since the head was read.
     let snapshot = self::snapshot(runtime)?;
-    let (route, service) = find_route(snapshot, &host, head.uri.path(), id)?;
+    let found = find_route(&snapshot, &host, head.uri.path(), id);
+    let (route, service) = found.map_err(|rejection| rejection.by(&snapshot))?;
     let mut headers = head.headers;
     runtime.dialect.strip_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
