nodes: one that lags reads the store itself, and asks another peer at once

Two nodes of a region watch the store. When their connections fell silent, or peers refused or could not be called, the other nodes waited: nobody noticed before 5.5 s, a source that refused was asked again with each heartbeat, and a failed fetch waited for the next heartbeat.

A node that has heard of a newer revision for a second without receiving it now watches the store itself, and a watcher asks a second time on a new connection beside its first watch. A fetch that fails, or that a busy peer answers without a revision, goes to the next live peer known to be ahead, of its own region first; a source that sent nothing is left out for a second. A watch waits for 2 s instead of 4, so that watches which all fall silent are given up after 3.5 s, before the nodes count as in touch again (6 s).

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod drain;
 mod finish;
+mod item_fetches;
 mod leaving;
 mod members;
 mod outcome;
@@ -51,6 +52,7 @@
 use crate::spill::Spill;
 use crate::streams::StreamOrigins;
 use crate::targets::Targets;
+use item_fetches::ItemFetches;
 
 /// Interval between two [`Event::Tick`]s.
 pub const TICK: Duration = Duration::from_millis(100);
@@ -209,10 +211,7 @@
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
-    /// Since when items are being fetched from a peer.
-    pub(crate) pending_items: Option<Time>,
-    /// When the last fetch of items from a peer began.
-    pub(crate) items_fetched: Option<Time>,
+    pub(crate) item_fetches: ItemFetches,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -304,8 +303,7 @@
             base_config: None,
             catalogue: Catalogue::default(),
             roster: None,
-            pending_items: None,
-            items_fetched: None,
+            item_fetches: ItemFetches::default(),
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
@@ -375,7 +373,7 @@
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
             Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
-            Event::ItemsNotRead => self.pending_items = None,
+            Event::ItemsNotRead => self.fetch_elsewhere(now, out),
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
             }
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
 use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, Time, Vm, VmId};
@@ -16,10 +15,6 @@
 
 /// Nodes of a region that watch the platform for the others.
 const WATCHER_COUNT: usize = 2;
-/// Time after which items are fetched from another peer, if the fetch has not ended.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Shortest time between two fetches of changed items from peers.
-const FETCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Hash seed of the ranking that selects the watchers.
 const WATCH_SEED: u64 = 0x7761_7463;
 
@@ -39,7 +34,8 @@
     /// Returns whether this node watches the platform; otherwise it learns of changes from peers.
     ///
     /// In each region, the first few nodes by rank among those that can reach the platform watch
-    /// it. A node that knows too few live ones, or has no configuration yet, watches it too.
+    /// it. A node that knows too few live ones, has no configuration yet, or does not receive what
+    /// others have, watches it too.
     #[must_use]
     pub fn watches_platform(&self, now: Time) -> bool {
         let rank_of = |vm: VmId| seam_protocol::id::rank(WATCH_SEED, u64::from(vm.0));
@@ -48,7 +44,14 @@
             .peers
             .live_in(now, self.id.region)
             .filter(|(vm, peer)| peer.platform_reachable && rank_of(*vm) > own_rank);
-        higher.count() < WATCHER_COUNT || !self.configured()
+        higher.count() < WATCHER_COUNT || !self.configured() || self.lags(now)
+    }
+
+    /// Returns whether this node has heard of changed items some time ago without receiving them. If it
+    /// watches the platform, its connection may have fallen silent.
+    #[must_use]
+    pub fn lags(&self, now: Time) -> bool {
+        self.item_fetches.lagging(now)
     }
 
     /// Returns the items that changed since a revision, for a peer that has that revision.
@@ -71,12 +74,12 @@
         source: Source,
         out: &mut Vec<Command>,
     ) {
-        self.pending_items = None;
         if source == Source::Platform {
             self.platform_read = Some(now);
         }
         let old_revision = self.catalogue.revision();
         let merged = self.catalogue.merge(now, items, source);
+        self.item_fetches.receive(self.catalogue.revision());
         for (key, reason) in &merged.unusable {
             let cause = format!("the item cannot be used: {reason}");
             out.push(self.audit(now, Change::Item, key, ("", "ignored"), cause));
@@ -262,26 +265,40 @@
         heartbeat: &Heartbeat,
         out: &mut Vec<Command>,
     ) {
-        let own_revision = self.catalogue.revision();
-        if self.roster.is_none() || heartbeat.items_revision <= own_revision {
+        if self.roster.is_none() || heartbeat.items_revision <= self.catalogue.revision() {
             return;
         }
-        // Changes that follow each other closely are fetched together, at the next heartbeat.
-        let within = |at: Option<Time>, span| at.is_some_and(|at| now.since(at) < span);
-        let recent = within(self.items_fetched, FETCH_INTERVAL) && self.configured();
-        // A second fetch beside a slow one would transfer the same items again.
-        if recent || within(self.pending_items, FETCH_TIMEOUT) {
-            return;
+        self.item_fetches.note_newer(now, heartbeat.items_revision);
+        let urgent = !self.configured();
+        if self.item_fetches.due(now, heartbeat.from, urgent) {
+            self.fetch_items(now, heartbeat.from, out);
         }
+    }
+
+    /// Fetches items from another peer after one has sent none.
+    pub(super) fn fetch_elsewhere(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.item_fetches.fail(now);
+        let revision = self.catalogue.revision();
+        let sources = self.peers.ahead(now, revision);
+        let own_region = self.id.region;
+        let source = sources
+            .filter(|(vm, _)| !self.item_fetches.failed(now, *vm))
+            .min_by_key(|(vm, peer)| (peer.region != own_region, *vm))
+            .map(|(vm, _)| vm);
+        if let Some(source) = source {
+            self.fetch_items(now, source, out);
+        }
+    }
+
+    fn fetch_items(&mut self, now: Time, from: VmId, out: &mut Vec<Command>) {
         let vms = self.bundle.as_ref().map(|bundle| &bundle.deployment.vms);
-        let address = vms.and_then(|vms| Some(vms.get(&heartbeat.from)?.peer));
+        let address = vms.and_then(|vms| Some(vms.get(&from)?.peer));
         if let Some(address) = address {
-            self.pending_items = Some(now);
-            self.items_fetched = Some(now);
+            self.item_fetches.begin(now, from);
             out.push(Command::FetchItems {
-                from: heartbeat.from,
+                from,
                 address,
-                since: own_revision,
+                since: self.catalogue.revision(),
             });
         }
     }
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -35,6 +35,8 @@
     pub direct_incarnation: Incarnation,
     /// Whether the node reports that the platform is reachable from it.
     pub platform_reachable: bool,
+    /// Item revision that the node reported last.
+    pub items_revision: u64,
 }
 
 /// The known state of another region.
@@ -125,6 +127,7 @@
             peer.sent = heartbeat.sent;
             peer.direct_incarnation = own.incarnation;
             peer.platform_reachable = heartbeat.platform_reachable;
+            peer.items_revision = heartbeat.items_revision;
         }
         if heartbeat.receiver_incarnation == me.1 {
             effect.echo = Some(Time(heartbeat.echo));
@@ -158,6 +161,7 @@
                     sent: 0,
                     direct_incarnation: Incarnation(0),
                     platform_reachable: false,
+                    items_revision: 0,
                 },
             );
             return true;
@@ -253,6 +257,16 @@
             .map(|(vm, peer)| (*vm, peer))
     }
 
+    /// Returns the live nodes that have a newer item revision.
+    pub fn ahead(&self, now: Time, revision: u64) -> impl Iterator<Item = (VmId, &Peer)> + '_ {
+        self.peers
+            .iter()
+            .filter(move |(vm, peer)| {
+                peer.items_revision > revision && self.alive(now, **vm).is_some()
+            })
+            .map(|(vm, peer)| (*vm, peer))
+    }
+
     /// Returns whether a node is alive and accepts new requests.
     #[must_use]
     pub fn ready(&self, now: Time, vm: VmId) -> bool {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -180,6 +180,8 @@
     pub answers_kept: bool,
     /// Whether fetches of items from other nodes never end.
     pub fetches_fail: bool,
+    /// Nodes that send no items to others, and say so at once.
+    pub refusing_sources: BTreeSet<usize>,
     /// Fetches of items begun so far, by node.
     pub fetches: BTreeMap<usize, usize>,
     /// Last heartbeat that each node sent to a reachable node.
@@ -209,6 +211,7 @@
             blocked_receiver: None,
             answers_kept: false,
             fetches_fail: false,
+            refusing_sources: BTreeSet::new(),
             fetches: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
             regions: regions.iter().map(|region| (*region).to_owned()).collect(),
@@ -295,6 +298,10 @@
                     let Some(from) = from.filter(reached) else {
                         continue;
                     };
+                    if self.refusing_sources.contains(&from) {
+                        self.handle(index, Event::ItemsNotRead);
+                        continue;
+                    }
                     let delta = self.nodes[from].items_since(since);
                     let batch = ItemBatch::read(delta, |item| self.entry(item));
                     self.handle(index, Event::ItemsRead(batch, Source::Peer));
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -5,17 +5,18 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
 use seam_protocol::Delta;
 
-use crate::item_store::{ItemStore, WatchOutcome};
+use crate::item_store::{ItemError, ItemStore, WatchOutcome};
 use crate::link;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Wait of a watch after a failed call. A store that does not answer may do so again at any time, but
 /// not to a watch that began before.
 const PROBE_WAIT: Duration = Duration::from_millis(100);
@@ -59,7 +60,8 @@
             } else {
                 PROBE_WAIT
             };
-            store.watch(after, wait).await
+            let second = watch_if_lagging(&runtime, store.as_ref(), after);
+            store.watch(after, wait).or(second).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
         match changes {
@@ -98,9 +100,38 @@
     }
 }
 
+/// Watches the store on a new connection once this node lags, as the first may have fallen silent.
+/// Returns only a response.
+async fn watch_if_lagging(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    after: u64,
+) -> Result<WatchOutcome, ItemError> {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if !runtime.read(seam_core::Node::lags) {
+            continue;
+        }
+        let changes = store.watch(after, PROBE_WAIT).await;
+        match changes {
+            Err(error) if !error.unreadable() => {
+                runtime.metrics.platform_call("watch", false);
+                log::debug!("item store: second watch after revision {after} failed: {error}");
+                Timer::after(MAX_RETRY_DELAY).await;
+            }
+            changes => return changes,
+        }
+    }
+}
+
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
     match link::fetch_items(runtime, address, since).await {
+        // A peer that sends to others answers without a revision.
+        Ok(delta) if delta.revision == 0 => {
+            log::debug!("no items since revision {since} from {address}: it is busy");
+            runtime.handle(Event::ItemsNotRead);
+        }
         Ok(delta) => apply_delta(runtime, delta, Source::Peer),
         Err(error) => {
             log::debug!("no items since revision {since} from {address}: {error}");
