nodes: items from a peer may be larger than 4 MiB

A reply with items above the gRPC library's bound of 4 MiB was dropped by the node that had asked, which then asked again, and now falls back to the store. It takes up to 32 MiB.

--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -32,6 +32,8 @@
 const MAX_FRAME_BYTES: usize = 64 << 10;
 /// Timeout of a call that fetches a manifest, a part or items.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest reply with items.
+const MAX_ITEMS_BYTES: usize = 32 << 20;
 /// Time added to the request's time limit so that the other node's refusal can still arrive.
 const REFUSAL_MARGIN: Duration = Duration::from_secs(1);
 
@@ -337,7 +339,8 @@
     address: SocketAddr,
     since: u64,
 ) -> Result<Delta, FetchError> {
-    let mut client = runtime.peers.client(address).await.context(ConnectSnafu)?;
+    let client = runtime.peers.client(address).await.context(ConnectSnafu)?;
+    let mut client = client.max_decoding_message_size(MAX_ITEMS_BYTES);
     let mut request = tonic::Request::new(ItemsRequest { since });
     runtime.peers.authenticate(&mut request);
     let response = with_timeout(client.items(request)).await;
