--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
@@ -13,12 +14,12 @@
 
 use crate::config_log;
 use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
-use crate::item_store::{ItemStore, WatchOutcome};
+use crate::item_store::{ItemError, ItemStore, WatchOutcome};
 use crate::link;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Wait of a watch after a failed call. A store that does not answer may do so again at any time, but
 /// not to a watch that began before.
 const PROBE_WAIT: Duration = Duration::from_millis(100);
@@ -86,7 +87,8 @@
             } else {
                 PROBE_WAIT
             };
-            store.watch(after, wait).await
+            let second = watch_if_lagging(&runtime, store.as_ref(), after);
+            store.watch(after, wait).or(second).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
@@ -132,6 +134,30 @@
     }
 }
 
+/// Watches the store on a new connection once this node lags, as the first may have fallen silent.
+/// Returns only a response.
+async fn watch_if_lagging(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    after: u64,
+) -> Result<WatchOutcome, ItemError> {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if !runtime.read(seam_core::Node::lags) {
+            continue;
+        }
+        let changes = store.watch(after, PROBE_WAIT).await;
+        match changes {
+            Err(error) if !error.unreadable() => {
+                runtime.metrics.platform_call("watch", false);
+                log::debug!("item store: second watch after revision {after} failed: {error}");
+                Timer::after(MAX_RETRY_DELAY).await;
+            }
+            changes => return changes,
+        }
+    }
+}
+
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
     let start = runtime.now();
@@ -152,7 +178,7 @@
         }
     }
     match fetched {
-        Ok(delta) => apply_delta(runtime, delta, Source::Peer, Some(address)),
-        Err(_) => runtime.handle(Event::ItemsNotRead),
+        Ok(delta) if !put_off => apply_delta(runtime, delta, Source::Peer, Some(address)),
+        _ => runtime.handle(Event::ItemsNotRead),
     }
 }
