--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -43,6 +43,9 @@
 );
 /// Bytes of a long response that must arrive within the time limit of the call.
 pub const MIN_PROGRESS: usize = 128 << 10;
+/// Maximum size of a head in bytes, and of the buffer that a connection reads into. Parts of a body are
+/// not larger.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
@@ -209,7 +212,9 @@
         let stream = connect_within(address, limit).await?;
         let meter = ProgressMeter::default();
         let stream = GuardedStream::new(stream, meter.clone());
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .context(ExchangeSnafu)?;
         spawn(async move {
@@ -308,16 +313,8 @@
 ) -> Result<Response<Bytes>, ClientError> {
     let exchange = async {
         let (head, body) = send_once(address, request).await?.into_parts();
-        let whole = Limited::new(body, max_bytes).collect().await;
-        let whole = whole.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return ClientError::TooLarge { max_bytes };
-            }
-            ClientError::Body {
-                message: error.to_string(),
-            }
-        })?;
-        Ok(Response::from_parts(head, whole.to_bytes()))
+        let body = read_body(body, max_bytes).await?;
+        Ok(Response::from_parts(head, body))
     };
     exchange
         .or(expired(limit, ClientError::Timeout { limit }))
@@ -392,6 +389,31 @@
     }
 }
 
+/// Reads a whole body of at most `max_bytes` into one buffer.
+///
+/// # Errors
+/// [`ClientError::TooLarge`], or [`ClientError::Body`] if it is truncated.
+pub async fn read_body(body: ResponseBody, max_bytes: usize) -> Result<Bytes, ClientError> {
+    let mut body = Limited::new(body, max_bytes);
+    // Kept frames would keep the buffers that they were read into, which are far larger than small
+    // frames.
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return ClientError::TooLarge { max_bytes };
+            }
+            ClientError::Body {
+                message: error.to_string(),
+            }
+        })?;
+        if let Ok(bytes) = frame.into_data() {
+            whole.extend_from_slice(&bytes);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// Sends a GET request and parses the JSON response.
 ///
 /// # Panics
