--- a/crates/seam-core/tests/live/configurations.rs
+++ b/crates/seam-core/tests/live/configurations.rs
@@ -545,34 +545,31 @@
 
     /// Completes runs, and judges how requests were handled.
     fn collect(&mut self) {
-        while !self.fleet.commands.is_empty() {
-            for (node, command) in std::mem::take(&mut self.fleet.commands) {
-                match command {
-                    Command::Send {
-                        ticket,
-                        attempt,
-                        service,
-                        ..
-                    } => {
-                        self.close(ticket, Some(Handling::Run(service)));
-                        self.runs += 1;
-                        self.fleet.complete(node, attempt);
-                    }
-                    Command::Refuse { ticket, refusal } => {
-                        let mut reason = refusal.reason;
-                        if self.fault == InjectedFault::RefuseForGood && reason == Reason::Revision
-                        {
-                            reason = Reason::Service;
-                        }
-                        let wrong = refusal.outcome == Outcome::NotRun
-                            && matches!(
-                                reason,
-                                Reason::Service | Reason::Credential | Reason::Residency
-                            );
-                        self.close(ticket, wrong.then_some(Handling::Wrong));
+        while let Some((node, command)) = self.fleet.commands.pop() {
+            match command {
+                Command::Send {
+                    ticket,
+                    attempt,
+                    service,
+                    ..
+                } => {
+                    self.close(ticket, Some(Handling::Run(service)));
+                    self.runs += 1;
+                    self.fleet.complete(node, attempt);
+                }
+                Command::Refuse { ticket, refusal } => {
+                    let mut reason = refusal.reason;
+                    if self.fault == InjectedFault::RefuseForGood && reason == Reason::Revision {
+                        reason = Reason::Service;
                     }
-                    _ => {}
+                    let wrong = refusal.outcome == Outcome::NotRun
+                        && matches!(
+                            reason,
+                            Reason::Service | Reason::Credential | Reason::Residency
+                        );
+                    self.close(ticket, wrong.then_some(Handling::Wrong));
                 }
+                _ => {}
             }
         }
     }
--- a/crates/seam-core/tests/published_configurations.rs
+++ b/crates/seam-core/tests/published_configurations.rs
@@ -2,6 +2,8 @@
 //! that no older or invalid one is, and that proper requests are not refused as wrong. Further tests
 //! inject a fault of each kind to show that the oracle detects it.
 
+#[path = "live/cases.rs"]
+mod cases;
 #[allow(dead_code, reason = "each test file uses a part")]
 #[path = "live/configurations.rs"]
 mod configurations;
@@ -44,21 +46,8 @@
     ]
 }
 
-/// Returns the settings for the fixed histories of CI, or those of `PROPTEST_CASES` and
-/// `PROPTEST_RNG_SEED` if the first one is set.
-fn proptest_config() -> ProptestConfig {
-    let env_config = ProptestConfig::default();
-    let from_env = std::env::var_os("PROPTEST_CASES").is_some();
-    ProptestConfig {
-        cases: if from_env { env_config.cases } else { CASES },
-        rng_seed: if from_env { env_config.rng_seed } else { SEED },
-        failure_persistence: None,
-        ..env_config
-    }
-}
-
 proptest! {
-    #![proptest_config(proptest_config())]
+    #![proptest_config(cases::proptest_config(CASES, SEED))]
 
     #[test]
     fn rules_hold(steps in prop::collection::vec(step(), 1..STEPS)) {
