--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -50,7 +50,7 @@
 impl ItemBatch {
     /// Decodes the items of a delta with `entry`.
     #[must_use]
-    pub fn read(delta: Delta, entry: impl Fn(&RawItem) -> Option<Entry>) -> Self {
+    pub fn read(delta: Delta, mut entry: impl FnMut(&RawItem) -> Option<Entry>) -> Self {
         let items = delta.items.into_iter().map(|item| PublishedItem {
             entry: entry(&item),
             item,
@@ -66,16 +66,27 @@
 /// The result of a merge.
 #[derive(Clone, Debug, Default)]
 pub struct MergeResult {
-    /// A newly received configuration.
-    pub config: Option<Arc<Bundle>>,
+    /// A newly received configuration, with the revision of its item.
+    pub config: Option<(u64, Arc<Bundle>)>,
     /// Whether targets or evacuated data centres changed.
     pub inventory_changed: bool,
-    /// Keys of items that cannot be used, each with the reason.
-    pub unusable: Vec<(String, String)>,
+    /// Items that cannot be used, each with the reason.
+    pub unusable: Vec<UnusableItem>,
     /// New state of each target in the batch.
     pub target_changes: Vec<TargetChange>,
 }
 
+/// An item that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnusableItem {
+    /// Its key.
+    pub key: String,
+    /// Its revision.
+    pub revision: u64,
+    /// Why it cannot be used.
+    pub reason: String,
+}
+
 /// The state of a target according to an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetChange {
@@ -239,7 +250,11 @@
                 // change.
                 current.raw.revision = item.revision;
                 let reason = "a newer entry of the same target is known".to_owned();
-                merged.unusable.push((item.key, reason));
+                merged.unusable.push(UnusableItem {
+                    key: item.key,
+                    revision: item.revision,
+                    reason,
+                });
                 return;
             }
         }
@@ -254,9 +269,13 @@
             (entry, None)
         };
         match &entry {
-            Some(Entry::Config(bundle)) => merged.config = Some(bundle.clone()),
+            Some(Entry::Config(bundle)) => merged.config = Some((item.revision, bundle.clone())),
             Some(Entry::Unusable(reason)) => {
-                merged.unusable.push((item.key.clone(), reason.clone()));
+                merged.unusable.push(UnusableItem {
+                    key: item.key.clone(),
+                    revision: item.revision,
+                    reason: reason.clone(),
+                });
                 merged.inventory_changed |= target;
             }
             _ => merged.inventory_changed |= keep_until.is_none(),
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod drain;
 mod finish;
+mod item_fetches;
 mod leaving;
 mod members;
 mod outcome;
@@ -34,6 +35,7 @@
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
+use crate::config_version::{ConfigVersion, ConfigView};
 use crate::event::Event;
 use crate::fair::FairQueue;
 use crate::freshness::Freshness;
@@ -51,6 +53,7 @@
 use crate::spill::Spill;
 use crate::streams::StreamOrigins;
 use crate::targets::Targets;
+use item_fetches::ItemFetches;
 
 /// Interval between two [`Event::Tick`]s.
 pub const TICK: Duration = Duration::from_millis(100);
@@ -206,13 +209,11 @@
     /// Configuration without VMs and targets, where the platform publishes targets item by item and
     /// nodes discover each other.
     pub(crate) base_config: Option<Arc<Bundle>>,
+    pub(crate) config_view: ConfigView,
     pub(crate) catalogue: Catalogue,
     /// Known nodes, where the member list is not published; `None` where the bundle contains it.
     pub(crate) roster: Option<Roster>,
-    /// Since when items are being fetched from a peer.
-    pub(crate) pending_items: Option<Time>,
-    /// When the last fetch of items from a peer began.
-    pub(crate) items_fetched: Option<Time>,
+    pub(crate) item_fetches: ItemFetches,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -302,10 +303,10 @@
             policy,
             bundle: None,
             base_config: None,
+            config_view: ConfigView::new(now),
             catalogue: Catalogue::default(),
             roster: None,
-            pending_items: None,
-            items_fetched: None,
+            item_fetches: ItemFetches::default(),
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
@@ -375,7 +376,7 @@
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
             Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
-            Event::ItemsNotRead => self.pending_items = None,
+            Event::ItemsNotRead => self.fetch_elsewhere(now, out),
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
             }
@@ -413,6 +414,18 @@
         self.bundle.as_ref()
     }
 
+    /// Returns which configuration is in force.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config_view.version
+    }
+
+    /// Records that the item of a configuration was read, before it is merged. Returns whether it is
+    /// newer than those that were read before.
+    pub fn note_config_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
+        self.config_view.note_read(now, key, item_revision)
+    }
+
     /// Returns the counts since boot.
     #[must_use]
     pub fn counters(&self) -> Counters {
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -74,19 +74,25 @@
             return Err(Refusal::not_run(Reason::Overload).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
         self.check_path(now, &arrival.origin, bundle.revision, out)?;
-        let not_found = || Refusal::not_run(Reason::Service);
-        let service = bundle
-            .services
-            .get(&arrival.service)
-            .ok_or_else(not_found)?;
-        let customer = bundle
-            .customers
-            .get(&arrival.customer)
-            .ok_or(Refusal::not_run(Reason::Credential))?;
+        let forwarded = matches!(arrival.origin, Origin::Peer { .. });
+        // A route named the service and the customer, here or at the node that received the request
+        // from its caller. So what is missing has another revision of the configuration.
+        let found_before = forwarded || arrival.route.is_some();
+        let missing = |reason| {
+            if found_before {
+                Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER)
+            } else {
+                Refusal::not_run(reason)
+            }
+        };
+        let service = bundle.services.get(&arrival.service);
+        let service = service.ok_or_else(|| missing(Reason::Service))?;
+        let customer = bundle.customers.get(&arrival.customer);
+        let customer = customer.ok_or_else(|| missing(Reason::Credential))?;
         let forbidden =
             !customer.services.is_empty() && !customer.services.contains(&arrival.service);
         if forbidden {
-            return Err(not_found());
+            return Err(missing(Reason::Service));
         }
         let request = self.requests.get(&arrival.ticket);
         if request.is_some_and(|request| self.outlasts_process(now, request)) {
@@ -97,10 +103,19 @@
         {
             return Err(Refusal::not_run(Reason::Poison));
         }
+        let regions = &bundle.deployment.regions;
+        let mut permitted = regions
+            .keys()
+            .filter(|region| bundle.permits_region(service, customer, **region));
+        if permitted.next().is_none() {
+            return Err(Refusal::not_run(Reason::Residency));
+        }
+        if forwarded && !bundle.permits_region(service, customer, self.id.region) {
+            return Err(missing(Reason::Residency));
+        }
         let allowed = bundle.allowed_regions(service, customer);
-        let forwarded = matches!(arrival.origin, Origin::Peer { .. });
         if allowed.is_empty() || (forwarded && !allowed.contains(&self.id.region)) {
-            return Err(Refusal::not_run(Reason::Residency));
+            return Err(Refusal::not_run(Reason::NoTarget).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
         Ok(())
     }
@@ -163,6 +178,7 @@
             return Err(Refusal::not_run(Reason::Loop));
         }
         if *revision > own_revision {
+            self.fetch_items_from(now, hops[0].vm, out);
             self.fetch_manifest(now, hops[0].vm, *revision, out);
             return Err(Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -9,8 +9,9 @@
 use http::{HeaderMap, Request, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use seam_core::Refusal;
+use seam_core::{ConfigVersion, Refusal};
 use seam_http::BodyError;
+use seam_protocol::route::HostRoute;
 use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
 
 use crate::dialect::RequestOptions;
@@ -33,6 +34,8 @@
     pub refusal: Refusal,
     /// What is wrong, and with what.
     pub detail: String,
+    /// The configuration that decided it, if it was read.
+    pub config: Option<ConfigVersion>,
 }
 
 impl Rejection {
@@ -40,6 +43,15 @@
         Self {
             refusal: Refusal::not_run(reason),
             detail: detail.into(),
+            config: None,
+        }
+    }
+
+    /// Adds the configuration that decided it, unless it states one.
+    fn by(self, snapshot: &Snapshot) -> Self {
+        Self {
+            config: self.config.or(Some(snapshot.config)),
+            ..self
         }
     }
 }
@@ -57,6 +69,7 @@
     snapshot.ok_or_else(|| Rejection {
         refusal: Refusal::not_run(Reason::NotReady).with_retry_after(RETRY_AFTER),
         detail: "no configuration is in force yet".to_owned(),
+        config: None,
     })
 }
 
@@ -121,6 +134,7 @@
         Rejection {
             refusal,
             detail: error.to_string(),
+            config: None,
         }
     })
 }
@@ -133,6 +147,25 @@
     Some(host.trim_end_matches('.').to_owned())
 }
 
+/// Returns the route of a request, and the service that handles it.
+fn find_route<'a>(
+    snapshot: &'a Snapshot,
+    host: &str,
+    path: &str,
+    id: &str,
+) -> Result<(&'a HostRoute, ServiceId), Rejection> {
+    let Some(route) = snapshot.bundle.routes.find(host, path) else {
+        let detail = format!("no route of {host:?} serves this path");
+        return Err(Rejection::new(Reason::Service, detail));
+    };
+    let service = route.service(Digest::of(id.as_bytes()).leading_u64());
+    let Some(service) = service else {
+        let detail = format!("no service serves the route {:?}", route.name);
+        return Err(Rejection::new(Reason::NoTarget, detail));
+    };
+    Ok((route, service))
+}
+
 /// Reads a request and matches it against the published routes.
 ///
 /// The time spent on reading the body counts against the request's deadline.
@@ -143,8 +176,20 @@
     id: &str,
     from: IpAddr,
 ) -> Result<InboundRequest, Rejection> {
-    let start = runtime.now();
     let snapshot = snapshot(runtime)?;
+    let read = read_matched(runtime, &snapshot, request, options, id, from).await;
+    read.map_err(|rejection| rejection.by(&snapshot))
+}
+
+async fn read_matched(
+    runtime: &NodeRuntime,
+    snapshot: &Snapshot,
+    request: Request<Incoming>,
+    options: Result<RequestOptions, String>,
+    id: &str,
+    from: IpAddr,
+) -> Result<InboundRequest, Rejection> {
+    let start = runtime.now();
     let (head, body) = request.into_parts();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Some(host) = request_host(&head) else {
@@ -153,15 +198,7 @@
             "the request names no host",
         ));
     };
-    let Some(route) = snapshot.bundle.routes.find(&host, head.uri.path()) else {
-        let detail = format!("no route of {host:?} serves this path");
-        return Err(Rejection::new(Reason::Service, detail));
-    };
-    let service = route.service(Digest::of(id.as_bytes()).leading_u64());
-    let Some(service) = service else {
-        let detail = format!("no service serves the route {:?}", route.name);
-        return Err(Rejection::new(Reason::NoTarget, detail));
-    };
+    let (route, _) = find_route(snapshot, &host, head.uri.path(), id)?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let max_budget = Duration::from_millis(route.timeout);
     let budget = options
@@ -174,6 +211,10 @@
         Err(Rejection::new(Reason::SlowBody, "the body took too long"))
     };
     let body = read_body(runtime, body, limit).or(timeout).await?;
+    // Another configuration may be in force since the head was read.
+    let snapshot = self::snapshot(runtime)?;
+    let found = find_route(&snapshot, &host, head.uri.path(), id);
+    let (route, service) = found.map_err(|rejection| rejection.by(&snapshot))?;
     let mut headers = head.headers;
     runtime.dialect.strip_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -196,6 +237,7 @@
         customer: CustomerId::of(&route.name),
         customer_name: route.name.clone(),
         service,
+        config: snapshot.config,
         key: None,
         key_text: String::new(),
         budget: budget.saturating_sub(runtime.now().since(start)),
@@ -210,8 +252,19 @@
     from: IpAddr,
 ) -> Result<InboundRequest, Rejection> {
     let snapshot = snapshot(runtime)?;
+    let read = read_named(runtime, &snapshot, request, id, from).await;
+    read.map_err(|rejection| rejection.by(&snapshot))
+}
+
+async fn read_named(
+    runtime: &NodeRuntime,
+    snapshot: &Snapshot,
+    request: Request<Incoming>,
+    id: &str,
+    from: IpAddr,
+) -> Result<InboundRequest, Rejection> {
     let (head, body) = request.into_parts();
-    let customer = customer(&snapshot, &head.headers)?;
+    let customer = customer(snapshot, &head.headers)?;
     let (name, rest) = split_service(head.uri.path());
     let service = ServiceId::of(name);
     let Some(service_config) = snapshot.bundle.services.get(&service) else {
@@ -255,6 +308,7 @@
         customer_name: snapshot.bundle.customers[&customer].name.clone(),
         customer,
         service,
+        config: snapshot.config,
         key,
         key_text,
         budget,
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::future::Boxed;
 use seam_http::ClientError;
-use seam_protocol::{Delta, Entry, RawItem};
+use seam_protocol::{Bundle, Delta, ParsedEntry, RawItem};
 use snafu::Snafu;
 
 /// An error of a call to the item store.
@@ -26,6 +26,24 @@
     },
 }
 
+impl ItemError {
+    /// Returns whether the store responded, but not in a way that could be read.
+    ///
+    /// ```
+    /// use seam_http::ClientError;
+    /// use seam_node::item_store::ItemError;
+    /// let source = ClientError::TooLarge { max_bytes: 1 };
+    /// assert!(ItemError::Call { source }.unreadable());
+    /// ```
+    #[must_use]
+    pub fn unreadable(&self) -> bool {
+        match self {
+            Self::Call { source } => source.responded(),
+            Self::InvalidResponse { .. } => true,
+        }
+    }
+}
+
 /// The result of a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -43,6 +61,10 @@
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> Boxed<Result<WatchOutcome, ItemError>>;
 
-    /// Parses an item. Returns `None` if it is not used.
-    fn parse_entry(&self, item: &RawItem) -> Option<Entry>;
+    /// Returns the key of the item that contains the configuration.
+    fn config_key(&self) -> &str;
+
+    /// Parses an item. Returns `None` if it is not used. What cannot be read of a configuration is as in
+    /// the bundle in force.
+    fn parse_entry(&self, item: &RawItem, in_force: Option<&Bundle>) -> Option<ParsedEntry>;
 }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -5,17 +5,21 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
-use seam_protocol::Delta;
+use seam_http::lock;
+use seam_protocol::{Delta, Entry};
 
-use crate::item_store::{ItemStore, WatchOutcome};
+use crate::config_log;
+use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
+use crate::item_store::{ItemError, ItemStore, WatchOutcome};
 use crate::link;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Wait of a watch after a failed call. A store that does not answer may do so again at any time, but
 /// not to a watch that began before.
 const PROBE_WAIT: Duration = Duration::from_millis(100);
@@ -26,23 +30,46 @@
 /// Maximum delay after failed calls, well below the interval in which targets must renew their
 /// items.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// Consecutive failed calls after which the platform counts as unreachable. A single failure may be
-/// an interrupted watch.
-const UNREACHABLE_FAILURES: u32 = 2;
 
-/// Passes changed items to the decision core.
-pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source) {
+/// Passes changed items to the decision core. `from` is the peer that sent them.
+pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
     let Some(store) = &runtime.items else {
         return;
     };
-    let batch = ItemBatch::read(delta, |item| store.parse_entry(item));
+    config_log::note_read(runtime, store.config_key(), &delta, from);
+    let mut in_force = runtime.read(|node, _| node.bundle().cloned());
+    let batch = ItemBatch::read(delta, |item| {
+        let parsed = store.parse_entry(item, in_force.as_deref())?;
+        if let Entry::Config(config) = &parsed.entry {
+            let known = in_force.as_ref().map(|bundle| bundle.digest);
+            if known != Some(config.digest) {
+                warn_unread(runtime, config.revision, &parsed.warnings);
+            }
+            in_force = Some(config.clone());
+        }
+        Some(parsed.entry)
+    });
     runtime.handle(Event::ItemsRead(batch, source));
 }
 
+/// Logs and counts the values of a configuration that are not used as written.
+fn warn_unread(runtime: &NodeRuntime, version: u64, warnings: &[String]) {
+    /// Values named in one line.
+    const MAX_NAMED: usize = 20;
+    if warnings.is_empty() {
+        return;
+    }
+    runtime.metrics.unread_values(warnings.len());
+    let named = warnings[..warnings.len().min(MAX_NAMED)].join("; ");
+    let count = warnings.len();
+    log::warn!("{count} values of configuration {version} are not used as written: {named}");
+}
+
 /// Reads and watches the store until cancelled.
 pub async fn follow(runtime: Arc<NodeRuntime>, store: Arc<dyn ItemStore>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut failures = 0;
+    let mut health = Dependency::new("item store");
     let mut read_all = true;
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
@@ -51,6 +78,7 @@
         }
         let after = runtime.read(|node, _| node.items_revision());
         let call = if read_all { "read" } else { "watch" };
+        let start = runtime.now();
         let changes = if read_all {
             store.read().await.map(WatchOutcome::Changes)
         } else {
@@ -59,15 +87,19 @@
             } else {
                 PROBE_WAIT
             };
-            store.watch(after, wait).await
+            let second = watch_if_lagging(&runtime, store.as_ref(), after);
+            store.watch(after, wait).or(second).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
+        if changes.is_ok() {
+            health.answered(runtime.now());
+        }
         match changes {
             Ok(WatchOutcome::Changes(delta)) => {
                 failures = 0;
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, delta, Source::Platform);
+                apply_delta(&runtime, delta, Source::Platform, None);
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!(
@@ -77,10 +109,22 @@
             }
             Err(error) => {
                 failures += 1;
-                log::debug!(
-                    "item store: {call} after revision {after} failed, {failures} in a row: {error}"
-                );
-                if failures >= UNREACHABLE_FAILURES {
+                let failed = FailedCall {
+                    call,
+                    to: None,
+                    since: after,
+                    start,
+                };
+                health.failed(runtime.now(), &failed, &error);
+                if !read_all && error.unreadable() {
+                    // The same watch would get the same response, and with every further version a
+                    // larger one. Pages have only the last version of each item.
+                    log::info!(
+                        "the changes since revision {after} cannot be read; reading all items: {error}"
+                    );
+                    read_all = true;
+                }
+                if failures >= LOST_FAILURES {
                     runtime.handle(Event::PlatformUnreachable(true));
                 }
                 let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
@@ -90,13 +134,51 @@
     }
 }
 
+/// Watches the store on a new connection once this node lags, as the first may have fallen silent.
+/// Returns only a response.
+async fn watch_if_lagging(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    after: u64,
+) -> Result<WatchOutcome, ItemError> {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if !runtime.read(seam_core::Node::lags) {
+            continue;
+        }
+        let changes = store.watch(after, PROBE_WAIT).await;
+        match changes {
+            Err(error) if !error.unreadable() => {
+                runtime.metrics.platform_call("watch", false);
+                log::debug!("item store: second watch after revision {after} failed: {error}");
+                Timer::after(MAX_RETRY_DELAY).await;
+            }
+            changes => return changes,
+        }
+    }
+}
+
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
-    match link::fetch_items(runtime, address, since).await {
-        Ok(delta) => apply_delta(runtime, delta, Source::Peer),
-        Err(error) => {
-            log::debug!("no items since revision {since} from {address}: {error}");
-            runtime.handle(Event::ItemsNotRead);
+    let start = runtime.now();
+    let failed = FailedCall {
+        call: "fetch",
+        to: Some(address),
+        since,
+        start,
+    };
+    let fetched = link::fetch_items(runtime, address, since).await;
+    let put_off = matches!(&fetched, Ok(delta) if delta.revision == 0);
+    {
+        let (mut peers, now) = (lock(&runtime.item_peers), runtime.now());
+        match &fetched {
+            Ok(_) if put_off => peers.failed(now, &failed, &"it sends to other nodes at present"),
+            Ok(_) => peers.answered(now),
+            Err(error) => peers.failed(now, &failed, error),
         }
     }
+    match fetched {
+        Ok(delta) if !put_off => apply_delta(runtime, delta, Source::Peer, Some(address)),
+        _ => runtime.handle(Event::ItemsNotRead),
+    }
 }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod admin;
 pub mod budget;
 pub mod clock;
+mod config_log;
 pub mod daemon;
+mod dependency;
 pub mod dialect;
 pub mod drive;
 pub mod events;
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -108,7 +108,11 @@
         let delta = if lock(&self.runtime.transfers).admit(now, bytes, mbps) {
             delta
         } else {
-            log::debug!("items not sent: {bytes} bytes while another large reply is sent");
+            log::debug!(
+                target: "config",
+                since = since, bytes = bytes;
+                "items not sent while another large reply is sent"
+            );
             // Without items or a revision, so that the caller asks again, or another node.
             Delta::default()
         };
@@ -254,6 +258,7 @@
         version: head.version.map(VersionId),
         fingerprint: Fingerprint(head.fingerprint),
         host,
+        config: snapshot.config,
     })
 }
 
@@ -279,11 +284,11 @@
 /// Returns the frames of a response part and whether it is the last one.
 fn frames(response_part: ResponsePart) -> (Vec<reply_frame::Frame>, bool) {
     match response_part {
-        ResponsePart::Refusal(refusal) => {
+        ResponsePart::Refusal(refusal, config) => {
             let head = ReplyHead {
                 status: u32::from(refusal.reason.status()),
                 headers: Vec::new(),
-                refusal: Some(wire::wire_refusal(refusal)),
+                refusal: Some(wire::wire_refusal(refusal, config)),
                 version: None,
                 leaving: None,
             };
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -16,10 +16,11 @@
 use seam_config::Settings;
 use seam_config::settings::Secrets;
 use seam_core::command::{OriginSource, Withheld};
+use seam_core::config_version::ConfigChange;
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
-use seam_core::{AttemptKey, Command, Event, Node, Refusal, Ticket};
+use seam_core::{AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Ticket};
 use seam_protocol::{
     Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredResponse, TargetId, Time, VersionId,
     VmId,
@@ -27,6 +28,8 @@
 
 use crate::budget::ByteBudget;
 use crate::clock::Clock;
+use crate::config_log;
+use crate::dependency::Dependency;
 use crate::dialect::{DefaultDialect, Dialect};
 use crate::item_store::ItemStore;
 use crate::metrics::Metrics;
@@ -43,10 +46,12 @@
     pub bundle: Arc<Bundle>,
     /// Customers by the digest of their tokens.
     pub credentials: BTreeMap<Digest, CustomerId>,
+    /// The configuration from which the bundle was built.
+    pub config: ConfigVersion,
 }
 
 impl Snapshot {
-    fn new(bundle: Arc<Bundle>) -> Self {
+    fn new(bundle: Arc<Bundle>, config: ConfigVersion) -> Self {
         let credentials = bundle
             .customers
             .iter()
@@ -55,6 +60,7 @@
         Self {
             bundle,
             credentials,
+            config,
         }
     }
 }
@@ -74,8 +80,8 @@
     Forward(NodeAttempt),
     /// Cancel an attempt.
     Cancel(AttemptKey),
-    /// Respond with a refusal.
-    Refuse(Refusal),
+    /// Respond with a refusal, decided while this configuration was in force.
+    Refuse(Refusal, ConfigStamp),
     /// Respond with the stored response of an earlier request with the same key.
     Replay(Arc<StoredResponse>),
     /// No more commands follow.
@@ -171,6 +177,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The store of configuration items, if the platform has one.
     pub items: Option<Arc<dyn ItemStore>>,
+    /// The peers from which items are fetched.
+    pub(crate) item_peers: Mutex<Dependency>,
 }
 
 /// The parts of a node that depend on the platform.
@@ -222,6 +230,7 @@
             metrics: Metrics::new(),
             dialect: adapter.dialect,
             items: adapter.items,
+            item_peers: Mutex::new(Dependency::new("peers with items")),
         };
         (Arc::new(runtime), receiver)
     }
@@ -284,7 +293,7 @@
         self.refresh_snapshot(&core);
         for command in commands {
             if filter(&command) {
-                self.execute(command);
+                self.execute(command, core.config_version().stamp(now));
             }
         }
     }
@@ -321,7 +330,7 @@
         let current = self.snapshot();
         let unchanged = current.is_some_and(|current| Arc::ptr_eq(&current.bundle, bundle));
         if !unchanged {
-            let snapshot = Arc::new(Snapshot::new(bundle.clone()));
+            let snapshot = Arc::new(Snapshot::new(bundle.clone(), core.config_version()));
             *seam_http::sync::write(&self.snapshot) = Some(snapshot);
         }
     }
@@ -339,7 +348,7 @@
         }
     }
 
-    fn execute(&self, command: Command) {
+    fn execute(&self, command: Command, config: ConfigStamp) {
         match command {
             Command::Send {
                 ticket,
@@ -409,7 +418,10 @@
             }
             Command::Refuse { ticket, refusal } => {
                 self.metrics.refused(refusal);
-                self.notify(ticket, TaskCommand::Refuse(refusal));
+                if refusal.reason.by_configuration() {
+                    self.metrics.refused_by_config(refusal.reason);
+                }
+                self.notify(ticket, TaskCommand::Refuse(refusal, config));
             }
             Command::Replay { ticket, response } => {
                 self.notify(ticket, TaskCommand::Replay(response));
@@ -426,6 +438,12 @@
             | Command::FetchItems { .. }
             | Command::FetchManifest { .. }
             | Command::Order { .. } => self.enqueue(command),
+            Command::LogConfig(change) => {
+                if let ConfigChange::NotTaken { reason, .. } = &change {
+                    self.metrics.config_not_taken(*reason);
+                }
+                config_log::log_change(&change);
+            }
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
