client: a connection is given up after 16 interim heads

With 200 targets that answer heads of status 1xx without end at once, a request beside them got no answer within 5 s. hyper discards interim heads and parses all that a read returned, up to 64 KiB, before it reads again; a connection was given up only after 1 MiB, some 40,000 heads.

Interim heads are counted, and until the head of a response is complete a connection reads 4 KiB at a time.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -12,6 +12,7 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::client::conn::{http1, http2};
+use hyper::ext::on_informational;
 use serde::de::DeserializeOwned;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use snafu::{ResultExt, Snafu};
@@ -245,12 +246,14 @@
     /// [`ClientError::Exchange`].
     pub async fn send(
         &mut self,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<ResponseBody>, ClientError> {
-        self.meter.mark_progress();
+        self.meter.mark_request();
+        let meter = self.meter.clone();
+        on_informational(&mut request, move |_| meter.count_interim());
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.meter.mark_progress();
+                self.meter.mark_head();
                 Ok(response.map(|body| ResponseBody::new(body, self.meter.clone())))
             }
             Err(mut error) => match error.take_message() {
--- a/crates/seam-http/src/guard.rs
+++ b/crates/seam-http/src/guard.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -14,6 +14,11 @@
 /// Maximum number of bytes that a connection reads until a head or a part of a body is complete.
 /// It exceeds the buffer that hyper fills at once.
 const MAX_UNPARSED_BYTES: usize = 1 << 20;
+/// Number of interim heads (status 1xx) that may precede a response.
+const MAX_INTERIM_HEADS: usize = 16;
+/// Maximum number of bytes of a read until the head of the response is complete. hyper parses all
+/// interim heads of a read before it reads again.
+const HEAD_READ_BYTES: usize = 4 << 10;
 /// Number of reads without a wait after which a connection lets other tasks run.
 const MAX_READS: u32 = 32;
 
@@ -44,20 +49,60 @@
 /// Counts the bytes that a connection has read since the last progress.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ProgressMeter {
-    unparsed: Arc<AtomicUsize>,
+    shared: Arc<Progress>,
+}
+
+#[derive(Debug, Default)]
+struct Progress {
+    unparsed: AtomicUsize,
+    /// Interim heads since the request was sent.
+    interim: AtomicUsize,
+    /// Whether the head of a response is awaited.
+    awaits_head: AtomicBool,
 }
 
 impl ProgressMeter {
-    /// Records that a head or a part of a body is complete, or that a request is sent.
+    /// Records that a request is sent.
+    pub(crate) fn mark_request(&self) {
+        self.mark_progress();
+        self.shared.interim.store(0, Ordering::Relaxed);
+        self.shared.awaits_head.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the head of a response is complete.
+    pub(crate) fn mark_head(&self) {
+        self.mark_progress();
+        self.shared.awaits_head.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that an interim head is complete.
+    pub(crate) fn count_interim(&self) {
+        self.shared.interim.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a part of a body is complete.
     pub(crate) fn mark_progress(&self) {
-        self.unparsed.store(0, Ordering::Relaxed);
+        self.shared.unparsed.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the maximum number of bytes of the next read.
+    fn read_bytes(&self) -> usize {
+        if self.shared.awaits_head.load(Ordering::Relaxed) {
+            HEAD_READ_BYTES
+        } else {
+            usize::MAX
+        }
     }
 
     fn add(&self, bytes: usize) -> io::Result<()> {
-        if self.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_UNPARSED_BYTES {
+        let unparsed = self.shared.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let message = if unparsed > MAX_UNPARSED_BYTES {
+            format!("more than {MAX_UNPARSED_BYTES} bytes that are no response")
+        } else if self.shared.interim.load(Ordering::Relaxed) > MAX_INTERIM_HEADS {
+            format!("more than {MAX_INTERIM_HEADS} interim responses")
+        } else {
             return Ok(());
-        }
-        let message = format!("more than {MAX_UNPARSED_BYTES} bytes that are no response");
+        };
         Err(io::Error::new(io::ErrorKind::InvalidData, message))
     }
 }
@@ -90,7 +135,8 @@
         if self.turns.exhausted(context) {
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.len().min(self.meter.read_bytes());
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
         self.turns.count(&read);
         match read {
             Poll::Ready(Ok(bytes)) => Poll::Ready(self.meter.add(bytes).map(|()| bytes)),
