--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -27,6 +27,8 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// Response bytes that a connection holds before it waits until they are written.
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
+/// Maximum number of bytes of a read of a body, as hyper's buffer grows with the reads.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Timeout for writing the last response of a refused caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -280,8 +282,6 @@
     turns: ReadTurns,
     /// Returns the maximum size of a head in bytes.
     max_head_bytes: L,
-    /// Maximum number of bytes of a read.
-    read_bytes: usize,
 }
 
 impl<L: Fn() -> usize> TrackedStream<L> {
@@ -289,13 +289,11 @@
     #[must_use]
     pub fn new(stream: Async<TcpStream>, tracker: PhaseTracker, max_head_bytes: L) -> Self {
         let stream = Arc::new(stream);
-        let read_bytes = max_head_bytes();
         Self {
             stream,
             tracker,
             turns: ReadTurns::default(),
             max_head_bytes,
-            read_bytes,
         }
     }
 
@@ -334,8 +332,7 @@
             self.tracker.set(Phase::LargeHead);
             return Poll::Pending;
         }
-        self.read_bytes = allowance.unwrap_or(self.read_bytes);
-        let length = bytes.len().min(self.read_bytes);
+        let length = bytes.len().min(allowance.unwrap_or(MAX_READ_BYTES));
         let read = Pin::new(&mut &*self.stream).poll_read(context, &mut bytes[..length]);
         self.turns.count(&read);
         if let Poll::Ready(Ok(count)) = read
--- a/crates/seam-http/tests/caller_bounds.rs
+++ b/crates/seam-http/tests/caller_bounds.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::Response;
+use http_body_util::BodyExt;
 use seam_http::{CallerLimits, Listener, Stop, full, serve_with_limits, spawn, start_workers};
 
 /// Longest time a test waits for the server, well above the limits under test.
@@ -192,3 +193,49 @@
         assert_eq!(read_status(&mut stream), 200);
     }
 }
+
+/// Guards against a body that is read in parts of what the limit on heads left over.
+#[test]
+fn body_after_full_head() {
+    for late in [1, 4096] {
+        let frames = frames_after_head(late);
+        assert!(frames < 1000, "{frames} frames");
+    }
+}
+
+/// Returns the number of parts in which a body of 1 MiB is read, after a head of the size of the limit
+/// whose last bytes arrive with it.
+fn frames_after_head(late: usize) -> usize {
+    static START: std::sync::Once = std::sync::Once::new();
+    START.call_once(|| start_workers(1));
+    let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.address;
+    let frames = Arc::new(Mutex::new(0));
+    let counter = frames.clone();
+    let handler = move |request: http::Request<hyper::body::Incoming>, _: SocketAddr| {
+        let counter = counter.clone();
+        async move {
+            let mut body = request.into_body();
+            while let Some(Ok(_)) = body.frame().await {
+                *counter.lock().unwrap() += 1;
+            }
+            Response::new(full("done"))
+        }
+    };
+    let limits = || patient_limits(8 << 10);
+    spawn(serve_with_limits(
+        10,
+        limits,
+        listener,
+        Stop::default(),
+        handler,
+    ))
+    .detach();
+    let mut stream = connect(address);
+    let text = request(8 << 10, &"x".repeat(1 << 20));
+    let (first, rest) = text.split_at((8 << 10) - late);
+    stream.write_all(first.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(exchange(&mut stream, rest), 200);
+    *frames.lock().unwrap()
+}
