--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -388,10 +388,14 @@
                     // Another node of this region may reach one.
                     self.record_unreached(attempt.ticket, vm);
                 } else if other_revision {
-                    // Another node of that region may have the revision.
+                    // Another node of that region may have the revision. Of this region, those that
+                    // use the same targets are few.
                     if let Some(request) = self.requests.get_mut(&attempt.ticket) {
                         request.tried.insert(vm);
                         request.other_revision = true;
+                        if region == self.id.region {
+                            request.refused.insert(region);
+                        }
                     }
                 } else if !served
                     && !can_retry
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -231,8 +231,8 @@
     /// Requests with the same prompt prefix go to the same node.
     pub(crate) fn node_with_targets(&self, now: Time, request: &Request) -> Option<VmId> {
         let region = self.id.region;
-        let tried = request.refused.contains(&region) || request.forwarded();
-        if tried
+        let refused = request.refused.contains(&region) || request.forwarded();
+        if refused
             || !self.allows(request, region)
             || !self
                 .targets
@@ -246,7 +246,7 @@
             &self.ready_nodes(now),
         )
         .into_iter()
-        .filter(|vm| *vm != self.id.vm)
+        .filter(|vm| *vm != self.id.vm && !request.tried.contains(vm))
         .max_by_key(|vm| rank(seed, u64::from(vm.0)))
     }
 
