front: 404 only by a configuration that isn't known to be outdated

A node that had heard of a later configuration, or had just been paused or cut off, answered 404 for a route that it lacked; callers don't come back after that. It now refuses for a time (503). This bounds what callers see of any cause that keeps a node behind, known or not.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -240,6 +240,12 @@
         later
     }
 
+    /// Returns whether another node has a later version in force than this one.
+    pub(crate) fn behind(&self) -> bool {
+        self.heard
+            .is_some_and(|(revision, _)| revision > self.version.revision)
+    }
+
     /// Records that another node knows items up to a revision, and whether it `reaches` the platform,
     /// beside the own revision.
     pub(crate) fn note_items(&mut self, now: Time, (own, other): (u64, u64), reaches: bool) {
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -414,6 +414,13 @@
         self.bundle.as_ref()
     }
 
+    /// Returns whether the configuration in force may be outdated, as another node has a later one or
+    /// this node was paused or cut off. Then what it lacks may exist.
+    #[must_use]
+    pub fn config_outdated(&self) -> bool {
+        self.config_view.behind() || !self.freshness.fresh()
+    }
+
     /// Returns which configuration is in force.
     #[must_use]
     pub fn config_version(&self) -> ConfigVersion {
--- a/crates/seam-core/tests/mixed_revisions.rs
+++ b/crates/seam-core/tests/mixed_revisions.rs
@@ -141,6 +141,65 @@
     forwards[0]
 }
 
+/// Guards against a node of the own region that is asked again after it refused, while the other region
+/// is not asked.
+#[parameterized(repeatable = { "view" }, once = { "book" })]
+fn other_region(route: &str) {
+    const REGIONS: [&str; 5] = [NORTH, NORTH, NORTH, SOUTH, SOUTH];
+    let mut fleet = settled_fleet(&REGIONS, &TARGETS);
+    fleet.wait(Duration::from_secs(2));
+    fleet.commands.clear();
+    fleet.arrive(0, arrival(1, route, PLAIN, 1));
+    let mut asked = Vec::new();
+    for _ in 0..10 {
+        let next = fleet
+            .commands
+            .iter()
+            .find_map(|(node, command)| match command {
+                Command::Send { attempt, .. } if *node == 0 => {
+                    Some((*attempt, None, Reason::Refused))
+                }
+                Command::Forward {
+                    attempt, address, ..
+                } if *node == 0 => Some((*attempt, Some(*address), Reason::Revision)),
+                _ => None,
+            });
+        fleet.commands.clear();
+        let Some((attempt, node, reason)) = next else {
+            break;
+        };
+        asked.extend(node);
+        let refusal = AttemptOutcome::Refused(Refusal::not_run(reason));
+        fleet.handle(0, Event::AttemptEnded(attempt, refusal));
+    }
+    let distinct: BTreeSet<_> = asked.iter().collect();
+    assert_eq!(distinct.len(), asked.len(), "{asked:?}");
+    assert!(
+        asked
+            .iter()
+            .any(|node| [address(3), address(4)].contains(node)),
+        "{asked:?}"
+    );
+}
+
+/// Guards against a node that trusts a configuration that it knows to be replaced.
+#[test]
+fn known_outdated() {
+    let mut fleet = settled_fleet(&NODES, &TARGETS);
+    assert!(!fleet.nodes[1].config_outdated());
+    fleet.fetches_fail = true;
+    fleet.publish(
+        0,
+        vec![item("config", 60, Some(changed_config(move_home)))],
+        60,
+    );
+    fleet.wait(Duration::from_millis(500));
+    assert!(fleet.nodes[1].config_outdated());
+    fleet.fetches_fail = false;
+    fleet.wait(Duration::from_secs(3));
+    assert!(!fleet.nodes[1].config_outdated());
+}
+
 /// Guards against requests that are refused for good, or not sent to another region, while a region
 /// has no target of their service left.
 #[parameterized(bound = { BOUND }, free = { "book" })]
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -148,7 +148,10 @@
 }
 
 /// Returns the route of a request, and the service that handles it.
+///
+/// A node whose configuration may be outdated refuses what it lacks for a time only.
 fn find_route<'a>(
+    runtime: &NodeRuntime,
     snapshot: &'a Snapshot,
     host: &str,
     path: &str,
@@ -156,6 +159,11 @@
 ) -> Result<(&'a HostRoute, ServiceId), Rejection> {
     let Some(route) = snapshot.bundle.routes.find(host, path) else {
         let detail = format!("no route of {host:?} serves this path");
+        if runtime.read(|node, _| node.config_outdated()) {
+            let mut rejection = Rejection::new(Reason::Revision, detail);
+            rejection.refusal.retry_after = Some(RETRY_AFTER);
+            return Err(rejection);
+        }
         return Err(Rejection::new(Reason::Service, detail));
     };
     let service = route.service(Digest::of(id.as_bytes()).leading_u64());
@@ -198,7 +206,7 @@
             "the request names no host",
         ));
     };
-    let (route, _) = find_route(snapshot, &host, head.uri.path(), id)?;
+    let (route, _) = find_route(runtime, snapshot, &host, head.uri.path(), id)?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let max_budget = Duration::from_millis(route.timeout);
     let budget = options
@@ -213,7 +221,7 @@
     let body = read_body(runtime, body, limit).or(timeout).await?;
     // Another configuration may be in force since the head was read.
     let snapshot = self::snapshot(runtime)?;
-    let found = find_route(&snapshot, &host, head.uri.path(), id);
+    let found = find_route(runtime, &snapshot, &host, head.uri.path(), id);
     let (route, service) = found.map_err(|rejection| rejection.by(&snapshot))?;
     let mut headers = head.headers;
     runtime.dialect.strip_headers(&mut headers);
