--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -27,8 +27,9 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// Response bytes that a connection holds before it waits until they are written.
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
-/// Maximum number of bytes of a read of a body, as hyper's buffer grows with the reads.
-const MAX_READ_BYTES: usize = 64 << 10;
+/// Maximum number of bytes of a read of a body. Larger reads would hold more of the memory for bodies at
+/// once.
+const MAX_READ_BYTES: usize = 16 << 10;
 /// Timeout for writing the last response of a refused caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
