http: a target that reads a long body late keeps its connection

Cause: TCP_USER_TIMEOUT of 4.5 s on connections to targets. Linux also counts it while the peer's window is closed and each probe of it is answered.

Change: the connection reads TCP_INFO 4.5 s after a write and while anything is outstanding, and fails after 4.5 s without an acknowledgement and three unanswered repetitions. Systems without it, and connections of callers and between nodes, keep TCP_USER_TIMEOUT. The unused `client::connect` is removed.

A dead peer is tested as a decision only: loopback always acknowledges.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -20,6 +20,7 @@
 use crate::body::Body;
 use crate::exec::{Spawner, spawn};
 use crate::guard::{GuardedStream, ProgressMeter, ResponseBody};
+use crate::liveness::{ACK_TIMEOUT, LiveStream};
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -28,10 +29,8 @@
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after which a connection with sent but unacknowledged bytes is closed
 /// (`TCP_USER_TIMEOUT`). It also ends connections whose keepalive probes are not answered.
-///
-/// A sound target may be silent for 1.5 s. The system sends lost bytes again after 0.2, 0.6, 1.4 and 3 s,
-/// and three probes must have been due before a connection is closed.
-const USER_TIMEOUT: Duration = Duration::from_millis(4500);
+/// Three probes must have been due before a connection is closed.
+const USER_TIMEOUT: Duration = ACK_TIMEOUT;
 /// Idle time after which TCP keepalive probes start.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Interval between TCP keepalive probes.
@@ -151,14 +150,7 @@
     }
 }
 
-/// Opens a TCP connection that detects an unresponsive peer.
-///
-/// # Errors
-/// The system's error, or a timeout after [`CONNECT_TIMEOUT`].
-pub async fn connect(address: SocketAddr) -> Result<Async<TcpStream>, ClientError> {
-    connect_within(address, CONNECT_TIMEOUT).await
-}
-
+/// Opens a TCP connection.
 async fn connect_within(
     address: SocketAddr,
     limit: Duration,
@@ -171,7 +163,7 @@
         .or(timeout)
         .await
         .context(ConnectSnafu { address })?;
-    enable_dead_peer_detection(stream.get_ref());
+    enable_keepalive(stream.get_ref());
     Ok(stream)
 }
 
@@ -179,9 +171,14 @@
 ///
 /// Options that the system does not support are ignored.
 pub(crate) fn enable_dead_peer_detection(stream: &TcpStream) {
+    enable_keepalive(stream);
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+/// Makes a connection detect an unresponsive peer while it is idle.
+fn enable_keepalive(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
     let socket = socket2::SockRef::from(stream);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
@@ -212,7 +209,7 @@
     pub async fn open_within(address: SocketAddr, limit: Duration) -> Result<Self, ClientError> {
         let stream = connect_within(address, limit).await?;
         let meter = ProgressMeter::default();
-        let stream = GuardedStream::new(stream, meter.clone());
+        let stream = GuardedStream::new(LiveStream::new(stream), meter.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -275,6 +272,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let stream = connect_within(address, PEER_CONNECT_TIMEOUT).await?;
+    enable_dead_peer_detection(stream.get_ref());
     let (sender, connection) = http2::Builder::new(Spawner)
         .timer(SmolTimer::new())
         .keep_alive_interval(PING_INTERVAL)
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod exec;
 pub mod guard;
+pub mod liveness;
 pub mod serve;
 pub mod sync;
 
