store: an answer that broke off is watched again

A watch whose answer was reset within its body counted as one that cannot be read, so the node read every item instead: at each reset one read of the whole inventory by each node that watched.

Only an answer that is too large, stalled or unreadable fails the same way again. `ClientError::repeats` replaces `responded` and leaves out `ClientError::Body`; such a watch is retried after the usual delay.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -134,18 +134,20 @@
         matches!(self, Self::Connect { .. } | Self::NotSent)
     }
 
-    /// Returns whether the response had begun, so that the same request may fail the same way again.
+    /// Returns whether the same request would fail the same way again, since its response is too large,
+    /// too slow or unreadable. A response that broke off may be complete the next time.
     ///
     /// ```
     /// use seam_http::ClientError;
-    /// assert!(ClientError::TooLarge { max_bytes: 1 }.responded());
-    /// assert!(!ClientError::NotSent.responded());
+    /// assert!(ClientError::TooLarge { max_bytes: 1 }.repeats());
+    /// let message = "connection reset".to_owned();
+    /// assert!(!ClientError::Body { message }.repeats());
     /// ```
     #[must_use]
-    pub fn responded(&self) -> bool {
+    pub fn repeats(&self) -> bool {
         matches!(
             self,
-            Self::Body { .. } | Self::TooLarge { .. } | Self::Stalled { .. } | Self::Json { .. }
+            Self::TooLarge { .. } | Self::Stalled { .. } | Self::Json { .. }
         )
     }
 }
--- a/crates/seam-http/tests/long_responses.rs
+++ b/crates/seam-http/tests/long_responses.rs
@@ -84,7 +84,7 @@
     let (result, took) = call(address);
     let error = result.unwrap_err();
     assert!(matches!(error, ClientError::Stalled { .. }), "{error}");
-    assert!(error.responded());
+    assert!(error.repeats());
     assert!(took < 3 * LIMIT, "took {took:?}");
 }
 
@@ -110,6 +110,19 @@
     assert!(took < LIMIT, "took {took:?}");
 }
 
+/// Guards against a response that breaks off and is taken for one that would break off again.
+#[test]
+fn broken_off() {
+    let address = serve(|stream| {
+        send(stream, MAX_BYTES, (1, 16, Duration::ZERO))?;
+        stream.shutdown(std::net::Shutdown::Both)
+    });
+    let (result, _) = call(address);
+    let error = result.unwrap_err();
+    assert!(matches!(error, ClientError::Body { .. }), "{error}");
+    assert!(!error.repeats());
+}
+
 /// Guards against a response without a head that is taken for one that had begun.
 #[test]
 fn no_head() {
@@ -117,5 +130,5 @@
     let (result, _) = call(address);
     let error = result.unwrap_err();
     assert!(matches!(error, ClientError::Timeout { .. }), "{error}");
-    assert!(!error.responded());
+    assert!(!error.repeats());
 }
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -27,7 +27,7 @@
 }
 
 impl ItemError {
-    /// Returns whether the store responded, but not in a way that could be read.
+    /// Returns whether the store responded with what cannot be read, and would do so again.
     ///
     /// ```
     /// use seam_http::ClientError;
@@ -38,7 +38,7 @@
     #[must_use]
     pub fn unreadable(&self) -> bool {
         match self {
-            Self::Call { source } => source.responded(),
+            Self::Call { source } => source.repeats(),
             Self::InvalidResponse { .. } => true,
         }
     }
