core: nodes that lag together read the platform in turns

Every node that had heard of changes for a second without receiving them read the platform at that moment: with 370 nodes as many calls at once, and the same items over the links as many times.

Of a region, two nodes at a time read, in the order in which they would watch the platform (by VM id, so without messages). The turns are spread over one second, so the last one begins two seconds after the news, half of the time within which a configuration must be in force. Nodes that receive the items from the first ones no longer lag and do not read.

--- a/crates/seam-core/src/node/item_fetches.rs
+++ b/crates/seam-core/src/node/item_fetches.rs
@@ -37,10 +37,11 @@
         self.missed.get_or_insert((revision, now));
     }
 
-    /// Returns whether a newer revision was heard of some time ago and not received.
-    pub(crate) fn lagging(&self, now: Time) -> bool {
-        self.missed
-            .is_some_and(|(_, since)| now.since(since) >= LAG_LIMIT)
+    /// Returns for how long this node has lagged: a newer revision was heard of some time before and not
+    /// received.
+    pub(crate) fn lag(&self, now: Time) -> Option<Duration> {
+        let (_, since) = self.missed?;
+        now.since(since).checked_sub(LAG_LIMIT)
     }
 
     /// Returns whether to fetch from a peer whose heartbeat arrived. Changes that follow each other
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use seam_protocol::id::weighted_rank;
 use seam_protocol::{Bundle, Delta, Heartbeat, RegionId, Time, Vm, VmId};
@@ -18,6 +19,11 @@
 const WATCHER_COUNT: usize = 2;
 /// Hash seed of the ranking that selects the watchers.
 const WATCH_SEED: u64 = 0x7761_7463;
+/// Time within which all nodes of a region that lag together have begun to read the platform. With the time
+/// until they lag it is half of that within which a configuration must be in force.
+const TURNS_SPAN: Duration = Duration::from_secs(1);
+/// Longest interval between two turns, in which items from those that read first arrive.
+const MAX_TURN: Duration = Duration::from_millis(250);
 
 impl Node {
     /// Joins a deployment that publishes no complete bundle.
@@ -39,20 +45,35 @@
     /// others have, watches it too.
     #[must_use]
     pub fn watches_platform(&self, now: Time) -> bool {
+        self.higher_ranked(now) < WATCHER_COUNT || !self.configured() || self.lags(now)
+    }
+
+    /// Returns the number of nodes of the region that go before this one in reading the platform.
+    fn higher_ranked(&self, now: Time) -> usize {
         let rank_of = |vm: VmId| seam_protocol::id::rank(WATCH_SEED, u64::from(vm.0));
         let own_rank = rank_of(self.id.vm);
-        let higher = self
-            .peers
-            .live_in(now, self.id.region)
-            .filter(|(vm, peer)| peer.platform_reachable && rank_of(*vm) > own_rank);
-        higher.count() < WATCHER_COUNT || !self.configured() || self.lags(now)
+        let live = self.peers.live_in(now, self.id.region);
+        live.filter(|(vm, peer)| peer.platform_reachable && rank_of(*vm) > own_rank)
+            .count()
     }
 
     /// Returns whether this node has heard of changed items some time ago without receiving them. If it
     /// watches the platform, its connection may have fallen silent.
+    ///
+    /// Of the nodes of a region that lag together, a few at a time read the platform, in the order in which
+    /// they would watch it. The others may receive the items from these.
     #[must_use]
     pub fn lags(&self, now: Time) -> bool {
-        self.item_fetches.lagging(now)
+        let lag = self.item_fetches.lag(now);
+        lag.is_some_and(|lag| lag >= self.turn_delay(now))
+    }
+
+    /// Returns the time for which nodes of the region that go before this one read the platform alone.
+    fn turn_delay(&self, now: Time) -> Duration {
+        let nodes = self.peers.live_in(now, self.id.region).count() + 1;
+        let turns = nodes.div_ceil(WATCHER_COUNT) as u32;
+        let turn = (self.higher_ranked(now) / WATCHER_COUNT) as u32;
+        (TURNS_SPAN / turns).min(MAX_TURN) * turn
     }
 
     /// Returns the items that changed since a revision, for a peer that has that revision.
