items: an unanswered watch is tried beside after half a second

After all connections to the store fell silent at once, a watch was given up 1.5 s after its wait of 2 s, of the 4 s within which a configuration must be in force. The rest was too short to read a large one, or one on a narrow link.

A watch that is not answered 0.5 s after its wait is tried beside on a new connection; the wait, and so the calls while the store answers, stay as they are. While calls fail nothing is tried beside, as such watches are short.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
@@ -20,6 +21,9 @@
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
 pub const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Time after the wait of a watch in which it must be answered, or another one is tried beside it. It exceeds
+/// what a new connection and a call to another region take.
+const OVERDUE_DELAY: Duration = Duration::from_millis(500);
 /// Wait of a watch after a failed call. A store that does not answer may do so again at any time, but
 /// not to a watch that began before.
 const PROBE_WAIT: Duration = Duration::from_millis(100);
@@ -87,8 +91,9 @@
             } else {
                 PROBE_WAIT
             };
-            let second = watch_if_lagging(&runtime, store.as_ref(), after);
-            store.watch(after, wait).or(second).await
+            // A store that does not answer is watched often enough as it is.
+            let overdue = (failures == 0).then(|| Instant::now() + wait + OVERDUE_DELAY);
+            watch(&runtime, store.as_ref(), after, wait, overdue).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
@@ -134,30 +139,73 @@
     }
 }
 
-/// Watches the store on a new connection once this node lags, as the first may have fallen silent.
-/// Returns only a response.
-async fn watch_if_lagging(
+/// The result of a call that watches the store.
+type Watched = Result<WatchOutcome, ItemError>;
+
+/// Returns the error of a call that got no response, or what the store responded.
+fn failure(watched: Watched) -> Result<ItemError, Watched> {
+    match watched {
+        Err(error) if !error.unreadable() => Ok(error),
+        response => Err(response),
+    }
+}
+
+/// Watches the store, and beside that on a new connection once the first watch is overdue or this node lags,
+/// as the first connection may have fallen silent. The first response counts.
+async fn watch(
     runtime: &NodeRuntime,
     store: &dyn ItemStore,
     after: u64,
-) -> Result<WatchOutcome, ItemError> {
-    loop {
-        Timer::after(WATCH_CHECK_INTERVAL).await;
-        if !runtime.read(seam_core::Node::lags) {
-            continue;
-        }
-        let changes = store.watch(after, PROBE_WAIT).await;
-        match changes {
-            Err(error) if !error.unreadable() => {
-                runtime.metrics.platform_call("watch", false);
-                log::debug!("item store: second watch after revision {after} failed: {error}");
-                Timer::after(MAX_RETRY_DELAY).await;
+    wait: Duration,
+    overdue: Option<Instant>,
+) -> Watched {
+    let mut first = store.watch(after, wait);
+    let late = async {
+        wait_until_late(runtime, overdue).await;
+        None
+    };
+    if let Some(watched) = async { Some((&mut first).await) }.or(late).await {
+        return watched;
+    }
+    let first_failed = AtomicBool::new(false);
+    let first = async {
+        let error = failure(first.await)?;
+        first_failed.store(true, Ordering::Relaxed);
+        Ok(error)
+    };
+    let second = async {
+        loop {
+            let error = failure(store.watch(after, PROBE_WAIT).await)?;
+            runtime.metrics.platform_call("watch", false);
+            log::debug!("item store: second watch after revision {after} failed: {error}");
+            if first_failed.load(Ordering::Relaxed) {
+                return Ok(error);
             }
-            changes => return changes,
+            Timer::after(MAX_RETRY_DELAY).await;
         }
+    };
+    match future::try_zip(first, second).await {
+        Ok((error, _)) => Err(error),
+        Err(response) => response,
     }
 }
 
+/// Waits until a watch is overdue or this node lags.
+async fn wait_until_late(runtime: &NodeRuntime, overdue: Option<Instant>) {
+    let lagging = async {
+        loop {
+            Timer::after(WATCH_CHECK_INTERVAL).await;
+            if runtime.read(seam_core::Node::lags) {
+                return;
+            }
+        }
+    };
+    let overdue = async {
+        overdue.map_or_else(Timer::never, Timer::at).await;
+    };
+    lagging.or(overdue).await;
+}
+
 /// Fetches the items that changed since a revision from a peer.
 pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
     let start = runtime.now();
