core: a failed fetch of items is charged to the peer that was asked

`ItemsNotRead` named no peer. A fetch that ended after it had been given up was charged to the peer that was asked since: that one was not asked again for a second, and a third was asked beside the fetch that was still pending.

The event carries the peer. The pending fetch ends only with its own peer, and no other begins beside it.

`silent_watchers::late_failure`, with the peer ignored as before: 3 fetches, 2 wanted. Now it passes; so do the other five tests of the file.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use seam_protocol::{
-    Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, Time, VersionId, VmState,
+    Bundle, CacheEvent, Heartbeat, LoadReport, StoredResponse, TargetId, Time, VersionId, VmId,
+    VmState,
 };
 
 use crate::arrival::Arrival;
@@ -80,8 +81,8 @@
     RevisionConfirmed(u64),
     /// Items were read from the platform or received from a peer.
     ItemsRead(ItemBatch, Source),
-    /// Items could not be fetched from a peer.
-    ItemsNotRead,
+    /// Items could not be fetched from this peer.
+    ItemsNotRead(VmId),
     /// The platform became unreachable (`true`) or reachable again (`false`).
     PlatformUnreachable(bool),
     /// The platform's list of VMs and targets was read.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -376,7 +376,7 @@
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
             Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
-            Event::ItemsNotRead => self.fetch_elsewhere(now, out),
+            Event::ItemsNotRead(from) => self.fetch_elsewhere(now, from, out),
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
             }
--- a/crates/seam-core/src/node/item_fetches.rs
+++ b/crates/seam-core/src/node/item_fetches.rs
@@ -48,10 +48,9 @@
     /// closely are fetched together unless this is `urgent`.
     pub(crate) fn due(&mut self, now: Time, from: VmId, urgent: bool) -> bool {
         // A second fetch beside a slow one would transfer the same items again.
-        if within(self.pending.map(|(_, at)| at), now, FETCH_TIMEOUT) {
+        if self.pending(now) {
             return false;
         }
-        self.fail(now);
         let recent = within(self.begun, now, FETCH_INTERVAL) && !urgent;
         !recent && !self.failed(now, from)
     }
@@ -67,12 +66,21 @@
         self.begun = Some(now);
     }
 
-    /// Notes that the pending fetch returned no items.
-    pub(crate) fn fail(&mut self, now: Time) {
-        self.failed.retain(|_, at| now.since(*at) < FETCH_TIMEOUT);
-        if let Some((peer, _)) = self.pending.take() {
-            self.failed.insert(peer, now);
+    /// Returns whether a fetch is pending. One that takes too long is given up.
+    pub(crate) fn pending(&mut self, now: Time) -> bool {
+        if let Some((peer, at)) = self.pending
+            && now.since(at) >= FETCH_TIMEOUT
+        {
+            self.fail(now, peer);
         }
+        self.pending.is_some()
+    }
+
+    /// Notes that a fetch from a peer returned no items. It may have been given up before.
+    pub(crate) fn fail(&mut self, now: Time, peer: VmId) {
+        self.failed.retain(|_, at| now.since(*at) < FETCH_TIMEOUT);
+        self.failed.insert(peer, now);
+        self.pending = self.pending.filter(|(pending, _)| *pending != peer);
     }
 
     /// Notes that items were received, after which every change up to `revision` is known.
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -329,9 +329,12 @@
         }
     }
 
-    /// Fetches items from another peer after one has sent none.
-    pub(super) fn fetch_elsewhere(&mut self, now: Time, out: &mut Vec<Command>) {
-        self.item_fetches.fail(now);
+    /// Fetches items from another peer after one has sent none, unless a fetch from another is pending.
+    pub(super) fn fetch_elsewhere(&mut self, now: Time, from: VmId, out: &mut Vec<Command>) {
+        self.item_fetches.fail(now, from);
+        if self.item_fetches.pending(now) {
+            return;
+        }
         let revision = self.catalogue.revision();
         let sources = self.peers.ahead(now, revision);
         let own_region = self.id.region;
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -299,7 +299,8 @@
                         continue;
                     };
                     if self.refusing_sources.contains(&from) {
-                        self.handle(index, Event::ItemsNotRead);
+                        let peer = VmId::of(&format!("vm-{from}"));
+                        self.handle(index, Event::ItemsNotRead(peer));
                         continue;
                     }
                     let delta = self.nodes[from].items_since(since);
--- a/crates/seam-core/tests/silent_watchers.rs
+++ b/crates/seam-core/tests/silent_watchers.rs
@@ -8,6 +8,7 @@
 
 use fleet::{Fleet, NORTH, SOUTH, config, item, settled_fleet};
 use seam_core::Event;
+use seam_protocol::VmId;
 use yare::parameterized;
 
 /// Regions of the nodes.
@@ -80,10 +81,34 @@
         fleet.publish(index, items(), REVISION);
     }
     fleet.fetches_fail = false;
-    fleet.handle(2, Event::ItemsNotRead);
+    fleet.handle(2, Event::ItemsNotRead(VmId::of("vm-0")));
     assert_eq!(fleet.nodes[2].items_revision(), REVISION);
 }
 
+/// Guards against a source that is blamed for the late end of a fetch from another one, which was given up.
+#[test]
+fn late_failure() {
+    let mut fleet = settled_fleet(&[NORTH; 4], &[]);
+    let items = || vec![item("config", REVISION, Some(config(8)))];
+    let fetches = |fleet: &Fleet| fleet.fetches.get(&3).copied().unwrap_or_default();
+    fleet.fetches_fail = true;
+    fleet.fetches.clear();
+    fleet.publish(0, items(), REVISION);
+    fleet.wait(Duration::from_secs(1));
+    for index in [1, 2] {
+        fleet.publish(index, items(), REVISION);
+    }
+    assert_eq!(fetches(&fleet), 2);
+    fleet.handle(3, Event::ItemsNotRead(VmId::of("vm-0")));
+    assert_eq!(
+        fetches(&fleet),
+        2,
+        "another one beside that from the second"
+    );
+    fleet.handle(3, Event::ItemsNotRead(VmId::of("vm-1")));
+    assert_eq!(fetches(&fleet), 3, "the third is asked after the second");
+}
+
 /// Guards against a source that is asked again with each heartbeat although it refuses.
 #[test]
 fn refusals_spaced() {
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -356,9 +356,9 @@
                 spawn(async move { health::check(&runtime, target, service, address).await })
                     .detach();
             }
-            Job::FetchItems(address, since) => {
+            Job::FetchItems(from, address, since) => {
                 let runtime = runtime.clone();
-                spawn(async move { items::fetch(&runtime, address, since).await }).detach();
+                spawn(async move { items::fetch(&runtime, from, address, since).await }).detach();
             }
             Job::FetchBundle(_, address) => {
                 let runtime = runtime.clone();
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source};
 use seam_http::lock;
-use seam_protocol::{Delta, Entry};
+use seam_protocol::{Delta, Entry, VmId};
 
 use crate::config_log;
 use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
@@ -207,7 +207,7 @@
 }
 
 /// Fetches the items that changed since a revision from a peer.
-pub async fn fetch(runtime: &NodeRuntime, address: SocketAddr, since: u64) {
+pub async fn fetch(runtime: &NodeRuntime, from: VmId, address: SocketAddr, since: u64) {
     let start = runtime.now();
     let failed = FailedCall {
         call: "fetch",
@@ -227,6 +227,6 @@
     }
     match fetched {
         Ok(delta) if !put_off => apply_delta(runtime, delta, Source::Peer, Some(address)),
-        _ => runtime.handle(Event::ItemsNotRead),
+        _ => runtime.handle(Event::ItemsNotRead(from)),
     }
 }
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -142,7 +142,7 @@
     /// Fetch the newest bundle from a peer.
     FetchBundle(VmId, SocketAddr),
     /// Fetch the items that changed since a revision from a peer.
-    FetchItems(SocketAddr, u64),
+    FetchItems(VmId, SocketAddr, u64),
     /// Send an order with its fencing number to an engine.
     Order(SocketAddr, Order, u64),
 }
@@ -473,7 +473,11 @@
             Command::Heartbeat {
                 address, heartbeat, ..
             } => Job::Heartbeat(address, heartbeat),
-            Command::FetchItems { address, since, .. } => Job::FetchItems(address, since),
+            Command::FetchItems {
+                from,
+                address,
+                since,
+            } => Job::FetchItems(from, address, since),
             Command::FetchManifest { from, address } => Job::FetchBundle(from, address),
             Command::Order {
                 address,
