items: delays between reads of a store that keeps no history

A watch that is answered 410 led to a read of all items at once, and that to the next watch: with a store that keeps no history, a loop without a pause.

The first such answer is followed by a read at once, as before. Further ones in a row wait 0.2 s, doubled up to 2 s with jitter, and then read by pages, which have every change; an answered watch ends the series.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -75,6 +75,8 @@
     let mut failures = 0;
     let mut health = Dependency::new("item store");
     let mut read_all = true;
+    // Consecutive watches whose history was dropped.
+    let mut compactions = 0;
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
             Timer::after(WATCH_CHECK_INTERVAL).await;
@@ -102,6 +104,9 @@
         match changes {
             Ok(WatchOutcome::Changes(delta)) => {
                 failures = 0;
+                if !read_all {
+                    compactions = 0;
+                }
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
                 apply_delta(&runtime, delta, Source::Platform, None);
@@ -111,6 +116,8 @@
                     "the item store no longer has the changes since revision {after}; reading all items"
                 );
                 read_all = true;
+                Timer::after(compaction_delay(compactions, &mut rng)).await;
+                compactions += 1;
             }
             Err(error) => {
                 failures += 1;
@@ -139,6 +146,16 @@
     }
 }
 
+/// Returns the delay before all items are read instead of a history that was dropped. A store that keeps
+/// none is read no more often than it is watched otherwise.
+fn compaction_delay(compactions: u32, rng: &mut Pcg64Mcg) -> Duration {
+    if compactions == 0 {
+        return Duration::ZERO;
+    }
+    let delay = (MIN_RETRY_DELAY * 2_u32.pow(compactions.min(8))).min(WATCH_WAIT);
+    delay.mul_f64(rng.random_range(0.5..1.0))
+}
+
 /// The result of a call that watches the store.
 type Watched = Result<WatchOutcome, ItemError>;
 
