watch, polls: what is too large or odd costs itself only

A value of the configuration service above 1 MiB was asked for again for ever, and each time read up to the bound. One odd element of the list of VMs, of a target's cache events or field of its load report dropped the whole answer.

Values are read up to 8 MiB for as long as they arrive. The version of a larger one, or of a manifest with such a part, is left out, and the watch waits for the next. Elements and fields are read one by one.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -346,12 +346,36 @@
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, ClientError> {
-    let head_limit = wait + limit;
-    let response = send_once(address, request).or(expired(
-        head_limit,
-        ClientError::Timeout { limit: head_limit },
-    ));
-    let (head, mut body) = response.await?.into_parts();
+    let (head, body) = send_within(address, request, wait + limit)
+        .await?
+        .into_parts();
+    let body = read_long(body, limit, max_bytes).await?;
+    Ok(Response::from_parts(head, body))
+}
+
+/// Sends one request on a new connection and waits for the head of the response.
+///
+/// # Errors
+/// See [`ClientError`].
+pub async fn send_within(
+    address: SocketAddr,
+    request: Request<Body>,
+    limit: Duration,
+) -> Result<Response<ResponseBody>, ClientError> {
+    send_once(address, request)
+        .or(expired(limit, ClientError::Timeout { limit }))
+        .await
+}
+
+/// Reads a whole body for as long as it arrives, with the bounds of [`fetch_long`].
+///
+/// # Errors
+/// [`ClientError::Body`], [`ClientError::TooLarge`] or [`ClientError::Stalled`].
+pub async fn read_long(
+    mut body: ResponseBody,
+    limit: Duration,
+    max_bytes: usize,
+) -> Result<Bytes, ClientError> {
     let too_large = ClientError::TooLarge { max_bytes };
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(too_large);
@@ -382,7 +406,7 @@
             return Err(too_large);
         }
         match ended {
-            Some(true) => return Ok(Response::from_parts(head, received.freeze())),
+            Some(true) => return Ok(received.freeze()),
             Some(false) => {}
             None => {
                 let received = received.len();
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod sync;
 
 pub use body::{Body, BodyError, empty, full, json};
-pub use client::{ClientError, Connection, fetch, fetch_long, get_json, read_body};
+pub use client::{
+    ClientError, Connection, fetch, fetch_long, get_json, read_body, read_long, send_within,
+};
 pub use exec::{Spawner, block_on, spawn, start_workers};
 pub use guard::ResponseBody;
 pub use serve::{CallerLimits, Listener, Stop, serve, serve_with_limits};
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod link;
 pub mod logs;
 pub mod metrics;
+pub mod odd_json;
 pub mod peer_connections;
 pub mod peer_server;
 pub mod polls;
--- a/crates/seam-node/src/polls.rs
+++ b/crates/seam-node/src/polls.rs
@@ -14,7 +14,9 @@
 use seam_protocol::{CacheEvent, Kind, LoadReport, TargetId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
 
+use crate::odd_json::{readable_elements, readable_field};
 use crate::runtime::NodeRuntime;
 
 /// Interval between two polls. The targets are polled in turn, so the cost does not depend on their
@@ -80,10 +82,13 @@
         Some(connection) => connection,
         None => Connection::open(address).await.ok()?,
     };
-    let report: LoadReport = read(&mut connection, address, "/load").await?;
-    runtime.handle(Event::Load(target, report));
+    let fields = read(&mut connection, address, "/load").await?;
+    if let Some(report) = load_report(&fields) {
+        runtime.handle(Event::Load(target, report));
+    }
     if poll_cache {
-        let events: Vec<CacheEvent> = read(&mut connection, address, "/cache").await?;
+        let events = read(&mut connection, address, "/cache").await?;
+        let events: Vec<CacheEvent> = readable_elements(events, "cache events");
         if !events.is_empty() {
             runtime.handle(Event::Cache(target, events));
         }
@@ -91,6 +96,17 @@
     Some(connection)
 }
 
+/// Reads a load report. Without a readable number of running requests it tells nothing.
+fn load_report(fields: &Map<String, Value>) -> Option<LoadReport> {
+    let models = readable_field(fields, "models").unwrap_or_default();
+    Some(LoadReport {
+        running: readable_field(fields, "running")?,
+        waiting: readable_field(fields, "waiting").unwrap_or_default(),
+        models: readable_elements(models, "models"),
+        fence: readable_field(fields, "fence").unwrap_or_default(),
+    })
+}
+
 /// Requests a JSON value on an open connection.
 async fn read<T: DeserializeOwned>(
     connection: &mut Connection,
--- a/crates/seam-node/src/watch.rs
+++ b/crates/seam-node/src/watch.rs
@@ -17,15 +17,16 @@
 use seam_config::assemble_incremental;
 use seam_config::bundle::parse_manifest;
 use seam_core::Event;
-use seam_http::{ClientError, empty, fetch, get_json};
+use seam_http::{ClientError, empty, get_json, read_long, send_within};
 use seam_protocol::{Digest, VmState};
 use snafu::{ResultExt, Snafu};
 
+use crate::odd_json::readable_elements;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// Timeout of a call that does not wait, and of a watch after its wait.
+/// Timeout of a call that does not wait, of a watch after its wait, and of the progress of a value.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Minimum delay after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
@@ -34,7 +35,7 @@
 /// Interval between reads of the list of VMs.
 const VM_LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of a value in bytes.
-const MAX_VALUE_BYTES: usize = 1 << 20;
+const MAX_VALUE_BYTES: usize = 8 << 20;
 
 /// An error while reading from the platform.
 #[derive(Debug, Snafu)]
@@ -45,6 +46,14 @@
         /// The client's error.
         source: ClientError,
     },
+    /// A version of a value is too large to be read.
+    #[snafu(display("version {version} of {key:?} has more than {MAX_VALUE_BYTES} bytes"))]
+    TooLarge {
+        /// The value's key.
+        key: String,
+        /// The version.
+        version: u64,
+    },
     /// The response has an unexpected status.
     #[snafu(display("the configuration service returned status {status} for {key:?}"))]
     Status {
@@ -110,29 +119,33 @@
         let request = Request::get(path)
             .body(empty())
             .expect("the key is valid in a path");
-        let response = fetch(self.config, request, wait + CALL_TIMEOUT, MAX_VALUE_BYTES)
-            .await
-            .context(CallSnafu)?;
-        match response.status() {
-            StatusCode::OK => {
-                let version = response
-                    .headers()
-                    .get(header::ETAG)
-                    .and_then(|tag| tag.to_str().ok()?.trim_matches('"').parse().ok());
-                Ok(Some(Value {
-                    version: version.unwrap_or(after + 1),
-                    bytes: response.into_body().to_vec(),
-                }))
-            }
-            StatusCode::NOT_MODIFIED => Ok(None),
-            status => StatusSnafu { key, status }.fail(),
+        let response = send_within(self.config, request, wait + CALL_TIMEOUT).await;
+        let (head, body) = response.context(CallSnafu)?.into_parts();
+        match head.status {
+            StatusCode::OK => {}
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            status => return StatusSnafu { key, status }.fail(),
+        }
+        let version = head
+            .headers
+            .get(header::ETAG)
+            .and_then(|tag| tag.to_str().ok()?.trim_matches('"').parse().ok())
+            .unwrap_or(after + 1);
+        match read_long(body, CALL_TIMEOUT, MAX_VALUE_BYTES).await {
+            Ok(bytes) => Ok(Some(Value {
+                version,
+                bytes: bytes.to_vec(),
+            })),
+            Err(ClientError::TooLarge { .. }) => TooLargeSnafu { key, version }.fail(),
+            Err(source) => Err(WatchError::Call { source }),
         }
     }
 
     async fn vms(&self) -> Result<Vec<VmState>, WatchError> {
-        get_json(self.vms, "/v1/vms", CALL_TIMEOUT)
+        let list: Vec<serde_json::Value> = get_json(self.vms, "/v1/vms", CALL_TIMEOUT)
             .await
-            .context(CallSnafu)
+            .context(CallSnafu)?;
+        Ok(readable_elements(list, "list of VMs"))
     }
 
     async fn directory(&self) -> Result<Vec<String>, WatchError> {
@@ -198,13 +211,19 @@
         let applied = match found {
             Ok(Some(value)) => {
                 let applied = apply_manifest(&runtime, &platform, &value.bytes).await;
-                if applied.is_ok() {
+                // A manifest with a part that is too large cannot be applied later either.
+                if matches!(applied, Ok(()) | Err(WatchError::TooLarge { .. })) {
                     version = value.version;
                 }
                 applied
             }
             Ok(None) => Ok(()),
-            Err(error) => Err(error),
+            Err(error) => {
+                if let WatchError::TooLarge { version: found, .. } = error {
+                    version = version.max(found);
+                }
+                Err(error)
+            }
         };
         match applied {
             Ok(()) => {
