health: a cold time that cannot be read costs only itself

An unreadable time in a health answer dropped the name that the answer states, and one that is no ASCII text was taken for 0: a target that is cold counted as warm.

The time is optional in `TargetHealth`; without it nothing is reported, and what was presumed of the target stays.

--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -60,8 +60,8 @@
 pub struct TargetHealth {
     /// Name of the target that answers.
     pub name: String,
-    /// Time for which it is still cold.
-    pub cold: Duration,
+    /// Time for which it is still cold, `None` if it cannot be read.
+    pub cold: Option<Duration>,
 }
 
 /// A request to the directory.
@@ -117,10 +117,7 @@
     fn is_brittle(&self, headers: &HeaderMap) -> bool;
 
     /// Reads a target's health from the headers of its answer to a health check, if they tell it.
-    ///
-    /// # Errors
-    /// A description of the malformed header.
-    fn target_health(&self, headers: &HeaderMap) -> Result<Option<TargetHealth>, String>;
+    fn target_health(&self, headers: &HeaderMap) -> Option<TargetHealth>;
 
     /// Builds the response to a refused request.
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body>;
@@ -210,8 +207,8 @@
         false
     }
 
-    fn target_health(&self, _headers: &HeaderMap) -> Result<Option<TargetHealth>, String> {
-        Ok(None)
+    fn target_health(&self, _headers: &HeaderMap) -> Option<TargetHealth> {
+        None
     }
 
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body> {
--- a/crates/seam-node/src/health.rs
+++ b/crates/seam-node/src/health.rs
@@ -30,15 +30,17 @@
     };
     let asked = runtime.now();
     match ask(runtime, address, &path).await {
-        Ok(Some(health)) if health.name == name => {
-            log::info!("health of {name}: cold for {} ms", health.cold.as_millis());
-            let cold = health.cold;
-            runtime.handle(Event::ColdReported {
-                target,
-                cold,
-                asked,
-            });
-        }
+        Ok(Some(health)) if health.name == name => match health.cold {
+            Some(cold) => {
+                log::info!("health of {name}: cold for {} ms", cold.as_millis());
+                runtime.handle(Event::ColdReported {
+                    target,
+                    cold,
+                    asked,
+                });
+            }
+            None => log::info!("health of {name}: it cannot be read how long it is cold"),
+        },
         Ok(Some(health)) => log::info!("{} answers at {address}, not {name}", health.name),
         Ok(None) => log::info!("health of {name}: its answer does not tell it"),
         Err(error) => log::info!("health of {name}: {error}"),
@@ -68,5 +70,5 @@
     let request = request.map_err(|error| error.to_string())?;
     let response = fetch(address, request, CHECK_TIMEOUT, MAX_ANSWER_BYTES).await;
     let response = response.map_err(|error| error.to_string())?;
-    runtime.dialect.target_health(response.headers())
+    Ok(runtime.dialect.target_health(response.headers()))
 }
