--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -223,7 +223,7 @@
             .map(|item| PublishedItem {
                 item: RawItem {
                     key: item.raw.key.clone(),
-                    revision: batch.revision.max(item.raw.revision + 1),
+                    revision: batch.revision.max(item.raw.revision.saturating_add(1)),
                     value: None,
                     lapsed: false,
                 },
--- a/crates/seam-core/tests/catalogue_merge.rs
+++ b/crates/seam-core/tests/catalogue_merge.rs
@@ -188,6 +188,18 @@
     assert_eq!(names(&catalogue), ["b@2", "c@8"]);
 }
 
+/// Guards against a node that fails, or drops what was read with it, since an item has the last revision of
+/// all.
+#[test]
+fn last_revision() {
+    let mut catalogue = Catalogue::default();
+    let items = vec![put("a", u64::MAX), put("b", 2)];
+    catalogue.merge(Time(0), batch(items, u64::MAX, false), Source::Platform);
+    let read = batch(vec![put("b", 3)], u64::MAX, true);
+    catalogue.merge(Time(1), read, Source::Platform);
+    assert!(names(&catalogue).contains(&"b@3".to_owned()));
+}
+
 #[test]
 fn unusable_entry() {
     let mut catalogue = Catalogue::default();
