core: queued requests follow a change of their route

Callers saw a final refusal ("residency", status 403 where refusals keep their own status, 503 without another attempt on the house platform) for a proper request that waited in a queue while its route was renamed or bound to another region.

Cause: a request is admitted by one version and taken from the queue by another. The check at the head of the queue asks whether the customer, which has the name of the route, may run here, and treats a customer that is gone, or one that belongs elsewhere by now, as a request that was wrong.

Change: a request whose region changed is routed again, so another region may still run it. One whose customer is gone is refused for a time, as its route has another version. The deadline is checked before.

--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use seam_protocol::heartbeat::PrefilledPart;
-use seam_protocol::{Reason, ServiceId, Time, VmId};
+use seam_protocol::{CustomerId, Reason, ServiceId, Time, VmId};
 
 use super::{Node, ServiceState};
 use crate::command::Command;
@@ -131,8 +131,8 @@
         self.service_states.entry(service).or_default()
     }
 
-    /// Refuses a dequeued request that cannot meet its deadline, is quarantined or is no longer
-    /// allowed. Returns whether it was refused.
+    /// Refuses a dequeued request that cannot meet its deadline or is quarantined, and routes one again
+    /// that is no longer allowed here. Returns whether it did either.
     fn shed(
         &mut self,
         now: Time,
@@ -161,17 +161,22 @@
         }
         let quarantined = self.is_quarantined(request);
         let in_time = request.budget(now) > min_time || !self.policy.shed;
-        // A new revision may have forbidden the request here while it waited.
+        // A new revision may have forbidden the request here while it waited, or removed its customer.
         let allowed = self.allows(request, self.id.region);
         if in_time && !quarantined && allowed {
             return false;
         }
         let reason = if quarantined {
             Reason::Poison
-        } else if !allowed {
-            Reason::Residency
-        } else {
+        } else if !in_time {
             Reason::Deadline
+        } else if self.has_customer(request.customer) {
+            self.service_state(service).queue.end(customer);
+            self.request_mut(ticket).stage = Stage::Routing;
+            self.route(now, ticket, out);
+            return true;
+        } else {
+            Reason::Revision
         };
         self.service_state(service).queue.end(customer);
         let refusal = Refusal::not_run(reason).with_retry_after(MIN_RETRY_AFTER);
@@ -179,6 +184,12 @@
         true
     }
 
+    /// Returns whether the bundle in force has a customer.
+    fn has_customer(&self, customer: CustomerId) -> bool {
+        let bundle = self.bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.customers.contains_key(&customer))
+    }
+
     /// Starts a request at the chosen target.
     fn send(&mut self, now: Time, ticket: Ticket, chosen: TargetChoice, out: &mut Vec<Command>) {
         let target = chosen.key;
