--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -180,6 +180,8 @@
     pub answers_kept: bool,
     /// Whether fetches of items from other nodes never end.
     pub fetches_fail: bool,
+    /// Whether fetches of items are left to the test, as commands.
+    pub fetches_held: bool,
     /// Nodes that send no items to others, and say so at once.
     pub refusing_sources: BTreeSet<usize>,
     /// Fetches of items begun so far, by node.
@@ -211,6 +213,7 @@
             blocked_receiver: None,
             answers_kept: false,
             fetches_fail: false,
+            fetches_held: false,
             refusing_sources: BTreeSet::new(),
             fetches: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
@@ -261,7 +264,7 @@
     }
 
     /// Returns whether two nodes can reach each other.
-    fn connected(&self, one: usize, other: usize) -> bool {
+    pub fn connected(&self, one: usize, other: usize) -> bool {
         let pair = (one.min(other), one.max(other));
         !self.down[one] && !self.down[other] && !self.partitions.contains(&pair)
     }
@@ -291,7 +294,7 @@
                     address: from,
                     since,
                     ..
-                } => {
+                } if !self.fetches_held => {
                     *self.fetches.entry(index).or_default() += 1;
                     let from = (0..self.nodes.len()).find(|other| address(*other) == from);
                     let reached = |from: &usize| !self.fetches_fail && self.connected(index, *from);
@@ -303,8 +306,7 @@
                         self.handle(index, Event::ItemsNotRead(peer));
                         continue;
                     }
-                    let delta = self.nodes[from].items_since(since);
-                    let batch = ItemBatch::read(delta, |item| self.entry(item));
+                    let batch = self.items_since(from, since);
                     self.handle(index, Event::ItemsRead(batch, Source::Peer));
                 }
                 command => self.commands.push((index, command)),
@@ -334,6 +336,12 @@
         self.down[index] = down;
     }
 
+    /// Returns the items that a node sends to one that has a revision.
+    pub fn items_since(&self, index: usize, revision: u64) -> ItemBatch {
+        let delta = self.nodes[index].items_since(revision);
+        ItemBatch::read(delta, |item| self.entry(item))
+    }
+
     /// Returns the published entry of an item.
     fn entry(&self, item: &RawItem) -> Option<Entry> {
         item.value.as_ref()?;
