core: a request keeps to the regions by which it was admitted

A request of a route that is bound to a region ran in another region, if another route took over the name of its route while it waited or was returned by the node that it was forwarded to.

Cause: a customer is known by the name of its route, so after such a change the request is judged by the regions of the other route.

Change: a request keeps the regions that its customer permitted when it arrived. It runs and is forwarded only where both these and the ones in force permit it; otherwise it is refused for a time.

Evidence: name_taken_over fails on the code before:

It passes now.

--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -37,7 +37,10 @@
             Origin::Caller => self.counters.arrived += 1,
             Origin::Peer { .. } => self.counters.relayed += 1,
         }
-        let request = Request::new(now, arrival);
+        let mut request = Request::new(now, arrival);
+        let customers = self.bundle.as_ref().map(|bundle| &bundle.customers);
+        let customer = customers.and_then(|customers| customers.get(&arrival.customer));
+        request.residency = customer.and_then(|customer| customer.residency.clone());
         self.deadlines.insert((request.deadline, arrival.ticket));
         self.requests.insert(arrival.ticket, request);
         if let Err(refusal) = self.check(now, arrival, out) {
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -287,7 +287,8 @@
             .mul_f64(ahead / f64::from(slots.max(1)))
     }
 
-    /// Returns whether the residency rules allow a request to run in a region.
+    /// Returns whether the residency rules allow a request to run in a region, both those in force and
+    /// those by which it was admitted.
     pub(crate) fn allows(&self, request: &Request, region: RegionId) -> bool {
         let Some(bundle) = &self.bundle else {
             return false;
@@ -296,7 +297,9 @@
             .services
             .get(&request.service)
             .zip(bundle.customers.get(&request.customer));
-        specs.is_some_and(|(service, customer)| bundle.allows_region(service, customer, region))
+        let allowed = specs
+            .is_some_and(|(service, customer)| bundle.allows_region(service, customer, region));
+        allowed && request.permits(region)
     }
 
     /// Predicts the wait for an engine and a slot in this region, or for a share of a granted rate.
@@ -406,6 +409,7 @@
             .allowed_regions(service, customer)
             .into_iter()
             .filter(|region| *region != self.id.region && !request.refused.contains(region))
+            .filter(|region| request.permits(*region))
             .filter(|region| {
                 let version = request.version();
                 version.is_none_or(|version| self.lists_version(request.service, *region, version))
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -38,6 +38,8 @@
     pub customer: CustomerId,
     /// The service.
     pub service: ServiceId,
+    /// Regions that its customer permitted when it arrived, all if `None`.
+    pub residency: Option<BTreeSet<RegionId>>,
     /// Whether running it more than once is safe.
     pub repeatable: bool,
     /// Whether its body is buffered, so that it can be sent more than once.
@@ -111,6 +113,7 @@
         Self {
             customer: arrival.customer,
             service: arrival.service,
+            residency: None,
             repeatable: arrival.repeatable,
             replayable: arrival.replayable,
             maybe_sent: false,
@@ -155,6 +158,14 @@
         self.stream.and_then(|stream| stream.version)
     }
 
+    /// Returns whether its customer permitted a region when it arrived. Another route may have taken over
+    /// the customer's name since.
+    #[must_use]
+    pub fn permits(&self, region: RegionId) -> bool {
+        let residency = self.residency.as_ref();
+        residency.is_none_or(|regions| regions.contains(&region))
+    }
+
     /// Returns whether another node forwarded it.
     #[must_use]
     pub fn forwarded(&self) -> bool {
--- a/crates/seam-core/tests/published_configurations.rs
+++ b/crates/seam-core/tests/published_configurations.rs
@@ -201,6 +201,34 @@
     assert_eq!(Simulation::play(InjectedFault::None, steps), None);
 }
 
+// Guards against a run outside the regions of a route whose name another route takes over while the
+// request is on its way.
+#[test]
+fn name_taken_over() {
+    let mut steps: Vec<Step> = [
+        Change::Move {
+            route: 4,
+            service: 0,
+        },
+        Change::Move {
+            route: 5,
+            service: 0,
+        },
+        Change::Home {
+            route: 4,
+            home: Some(0),
+        },
+        Change::ShareName { route: 5, other: 4 },
+    ]
+    .map(Step::Change)
+    .into();
+    steps.push(Step::Wait { tenths: 70 });
+    steps.push(Step::Change(Change::Rename { route: 4 }));
+    steps.push(Step::Burst { large: false });
+    steps.push(Step::Wait { tenths: 20 });
+    assert_eq!(Simulation::play(InjectedFault::None, steps), None);
+}
+
 fn assert_found(fault: InjectedFault, steps: &[Step], expected: &[Violation]) {
     let seen = |fault| Simulation::play(fault, steps.iter().copied());
     assert_eq!(seen(InjectedFault::None), None);
