http: HTTP/2 connections have the bounds of HTTP/1.1 ones

A peer that sent frames which carry no request (unknown ones, SETTINGS, PING) kept the only worker of a node for as long as it sent them: the parser reads on while bytes arrive, and only HTTP/1.1 connections gave way after some reads. Idle HTTP/2 connections had no timeout, and the fields of a head were not counted, though each takes over 70 bytes of memory.

Reads of HTTP/2 connections, of servers and of clients, give way after four in a row; more than 100 control frames in a second end the connection. Without requests it ends after the idle timeout; more than 100 fields are answered 431, as over HTTP/1.1. A client's window is 1 MiB (5 MB for a connection and 2 MB for a stream before), so that the bytes of a peer that nobody reads stay within the 2.08 MB that a connection may take: 125 MB of the 256 MB for control, less its tables, over 60 nodes. Limits of a listener are in ServerLimits. Bounds that are exceeded are counted and logged with the sender and the amount.

World moves from endless_answers.rs to endless/world.rs, as endless_peers.rs needs it too; its checks stay as they were.

--- /dev/null
+++ b/crates/seam-http/src/bounds.rs
@@ -0,0 +1,115 @@
+//! Bounds on what other machines may send, and how often they were exceeded in this process.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::sync::lock;
+
+/// Time in which at most [`MAX_LINES`] lines are logged. All cases are counted.
+const LOG_WINDOW: Duration = Duration::from_secs(1);
+/// Maximum number of lines, as a machine that exceeds a bound does so again and again.
+const MAX_LINES: u32 = 10;
+
+/// A bound on what another machine may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Bound {
+    /// Open connections of a listener.
+    Connections,
+    /// Control frames of an HTTP/2 connection in a second.
+    ControlFrames,
+    /// Bytes of heads and fields of a request.
+    RequestHead,
+    /// Bytes until a head or a part of a body of a response is complete.
+    Response,
+    /// Heads with status 1xx before a response.
+    InterimHeads,
+    /// Bytes of a response that is read as a whole.
+    ResponseBody,
+    /// Bytes of incomplete messages of other nodes.
+    Messages,
+    /// Calls of other nodes whose first message is awaited.
+    UnreadCalls,
+    /// Heartbeats of one sender in a tenth of a second.
+    Heartbeats,
+}
+
+impl Bound {
+    /// Returns the name for log lines and metrics.
+    ///
+    /// ```
+    /// assert_eq!(seam_http::bounds::Bound::InterimHeads.name(), "interim_heads");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Connections => "connections",
+            Self::ControlFrames => "control_frames",
+            Self::RequestHead => "request_head",
+            Self::Response => "response",
+            Self::InterimHeads => "interim_heads",
+            Self::ResponseBody => "response_body",
+            Self::Messages => "messages",
+            Self::UnreadCalls => "unread_calls",
+            Self::Heartbeats => "heartbeats",
+        }
+    }
+}
+
+/// How often each bound was exceeded, and the lines logged in the current window.
+#[derive(Debug)]
+struct Exceeded {
+    counts: BTreeMap<Bound, u64>,
+    window: Option<Instant>,
+    lines: u32,
+}
+
+impl Exceeded {
+    /// Counts a case. Returns whether to log it.
+    fn record(&mut self, now: Instant, bound: Bound) -> bool {
+        *self.counts.entry(bound).or_default() += 1;
+        let current = self.window.is_some_and(|since| now - since < LOG_WINDOW);
+        if !current {
+            self.window = Some(now);
+            self.lines = 0;
+        }
+        self.lines += 1;
+        self.lines <= MAX_LINES
+    }
+}
+
+static EXCEEDED: Mutex<Exceeded> = Mutex::new(Exceeded {
+    counts: BTreeMap::new(),
+    window: None,
+    lines: 0,
+});
+
+/// Counts and logs that a machine exceeded a bound, by what it sent.
+pub fn record_exceeded(bound: Bound, from: impl Display, amount: usize) {
+    let logged = lock(&EXCEEDED).record(Instant::now(), bound);
+    if logged {
+        log::warn!(
+            target: "bounds",
+            bound = bound.name(), from:% = from, amount = amount as u64;
+            "bound exceeded"
+        );
+    }
+}
+
+/// Returns how often each bound was exceeded since the start of the process.
+///
+/// ```
+/// use seam_http::bounds::{Bound, exceeded, record_exceeded};
+/// record_exceeded(Bound::Heartbeats, "127.0.0.1:9", 33);
+/// assert_eq!(exceeded(), vec![(Bound::Heartbeats, 1)]);
+/// ```
+#[must_use]
+pub fn exceeded() -> Vec<(Bound, u64)> {
+    let exceeded = lock(&EXCEEDED);
+    exceeded
+        .counts
+        .iter()
+        .map(|(bound, count)| (*bound, *count))
+        .collect()
+}
--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -18,7 +18,9 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
+use crate::bounds::{Bound, record_exceeded};
 use crate::exec::{Spawner, spawn};
+use crate::frames::FrameStream;
 use crate::guard::{GuardedStream, ProgressMeter, ResponseBody};
 use crate::liveness::{ACK_TIMEOUT, LiveStream};
 
@@ -46,6 +48,8 @@
 /// Maximum size of a head in bytes, and of the buffer that a connection reads into. Parts of a body are
 /// not larger.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes of all responses that an HTTP/2 connection holds before they are read.
+const WINDOW_BYTES: u32 = 1 << 20;
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
@@ -210,7 +214,7 @@
     /// [`ClientError::Connect`], since nothing was sent.
     pub async fn open_within(address: SocketAddr, limit: Duration) -> Result<Self, ClientError> {
         let stream = connect_within(address, limit).await?;
-        let meter = ProgressMeter::default();
+        let meter = ProgressMeter::new(address);
         let stream = GuardedStream::new(LiveStream::new(stream), meter.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -279,7 +283,9 @@
         .timer(SmolTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .handshake(FuturesIo::new(stream))
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake(FuturesIo::new(FrameStream::new(stream, address, 0)))
         .await
         .context(ExchangeSnafu)?;
     spawn(async move {
@@ -316,8 +322,11 @@
 ) -> Result<Response<Bytes>, ClientError> {
     let exchange = async {
         let (head, body) = send_once(address, request).await?.into_parts();
-        let body = read_body(body, max_bytes).await?;
-        Ok(Response::from_parts(head, body))
+        let body = read_body(body, max_bytes).await;
+        if let Err(ClientError::TooLarge { max_bytes }) = body {
+            record_exceeded(Bound::ResponseBody, address, max_bytes);
+        }
+        Ok(Response::from_parts(head, body?))
     };
     exchange
         .or(expired(limit, ClientError::Timeout { limit }))
@@ -349,7 +358,7 @@
     let (head, body) = send_within(address, request, wait + limit)
         .await?
         .into_parts();
-    let body = read_long(body, limit, max_bytes).await?;
+    let body = read_long(address, body, limit, max_bytes).await?;
     Ok(Response::from_parts(head, body))
 }
 
@@ -367,17 +376,20 @@
         .await
 }
 
-/// Reads a whole body for as long as it arrives, with the bounds of [`fetch_long`].
+/// Reads a whole body from `address` for as long as it arrives, with the bounds of [`fetch_long`].
 ///
 /// # Errors
 /// [`ClientError::Body`], [`ClientError::TooLarge`] or [`ClientError::Stalled`].
 pub async fn read_long(
+    address: SocketAddr,
     mut body: ResponseBody,
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Bytes, ClientError> {
     let too_large = ClientError::TooLarge { max_bytes };
-    if body.size_hint().lower() > max_bytes as u64 {
+    let declared = body.size_hint().lower() as usize;
+    if declared > max_bytes {
+        record_exceeded(Bound::ResponseBody, address, declared);
         return Err(too_large);
     }
     let mut received = BytesMut::new();
@@ -403,6 +415,7 @@
         };
         let ended = async { span.await.map(Some) }.or(timeout).await?;
         if received.len() > max_bytes {
+            record_exceeded(Bound::ResponseBody, address, received.len());
             return Err(too_large);
         }
         match ended {
--- a/crates/seam-http/src/guard.rs
+++ b/crates/seam-http/src/guard.rs
@@ -1,6 +1,7 @@
 //! Bounds what a connection can read without making progress.
 
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -11,6 +12,8 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use crate::bounds::{Bound, record_exceeded};
+
 /// Maximum number of bytes that a connection reads until a head or a part of a body is complete.
 /// It exceeds the buffer that hyper fills at once.
 const MAX_UNPARSED_BYTES: usize = 1 << 20;
@@ -24,15 +27,30 @@
 
 /// Lets other tasks run after a number of reads that each found bytes. A parser that discards what
 /// it reads would otherwise keep its thread for as long as bytes arrive.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadTurns {
     reads: u32,
+    max_reads: u32,
+}
+
+impl Default for ReadTurns {
+    fn default() -> Self {
+        Self::new(MAX_READS)
+    }
 }
 
 impl ReadTurns {
+    /// Starts with a number of reads for each turn.
+    pub(crate) fn new(max_reads: u32) -> Self {
+        Self {
+            reads: 0,
+            max_reads,
+        }
+    }
+
     /// Returns whether the task has to wait for its next turn. If so, it is woken at once.
     pub(crate) fn exhausted(&mut self, context: &Context<'_>) -> bool {
-        if self.reads < MAX_READS {
+        if self.reads < self.max_reads {
             return false;
         }
         self.reads = 0;
@@ -47,8 +65,9 @@
 }
 
 /// Counts the bytes that a connection has read since the last progress.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ProgressMeter {
+    peer: SocketAddr,
     shared: Arc<Progress>,
 }
 
@@ -62,6 +81,12 @@
 }
 
 impl ProgressMeter {
+    /// Starts to count the bytes of a server.
+    pub(crate) fn new(peer: SocketAddr) -> Self {
+        let shared = Arc::default();
+        Self { peer, shared }
+    }
+
     /// Records that a request is sent.
     pub(crate) fn mark_request(&self) {
         self.mark_progress();
@@ -96,13 +121,17 @@
 
     fn add(&self, bytes: usize) -> io::Result<()> {
         let unparsed = self.shared.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        let message = if unparsed > MAX_UNPARSED_BYTES {
-            format!("more than {MAX_UNPARSED_BYTES} bytes that are no response")
-        } else if self.shared.interim.load(Ordering::Relaxed) > MAX_INTERIM_HEADS {
-            format!("more than {MAX_INTERIM_HEADS} interim responses")
+        let interim = self.shared.interim.load(Ordering::Relaxed);
+        let (bound, amount, message) = if unparsed > MAX_UNPARSED_BYTES {
+            let message = format!("more than {MAX_UNPARSED_BYTES} bytes that are no response");
+            (Bound::Response, unparsed, message)
+        } else if interim > MAX_INTERIM_HEADS {
+            let message = format!("more than {MAX_INTERIM_HEADS} interim responses");
+            (Bound::InterimHeads, interim, message)
         } else {
             return Ok(());
         };
+        record_exceeded(bound, self.peer, amount);
         Err(io::Error::new(io::ErrorKind::InvalidData, message))
     }
 }
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -1,8 +1,10 @@
 //! HTTP clients and servers on the executor shared by all toucanseam programs.
 
 pub mod body;
+pub mod bounds;
 pub mod client;
 pub mod exec;
+mod frames;
 pub mod guard;
 pub mod liveness;
 pub mod serve;
@@ -14,5 +16,5 @@
 };
 pub use exec::{Spawner, block_on, spawn, start_workers};
 pub use guard::ResponseBody;
-pub use serve::{CallerLimits, Listener, Stop, serve, serve_with_limits};
+pub use serve::{CallerLimits, Listener, ServerLimits, Stop, serve, serve_with_limits};
 pub use sync::lock;
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -1,5 +1,6 @@
 //! An HTTP/1.1 and HTTP/2 server on one address.
 
+mod idle;
 mod pace;
 
 use std::convert::Infallible;
@@ -20,7 +21,10 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body::Body;
+use crate::bounds::{Bound, record_exceeded};
 use crate::exec::{Spawner, spawn};
+use crate::frames::{FrameStream, PREFACE_BYTES};
+use idle::OpenRequests;
 pub use pace::CallerLimits;
 use pace::{PhaseTracker, TrackedStream, Violation};
 
@@ -31,6 +35,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
+/// Time in which the peer of an idle HTTP/2 connection answers that it is closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest limit on the header block, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Header block that an HTTP/2 connection takes in, so that a limit raised up to it holds on open
@@ -38,8 +44,45 @@
 const MAX_HTTP2_HEAD_BYTES: usize = 256 << 10;
 /// Size that HTTP/2 adds to each header field.
 const HTTP2_FIELD_BYTES: usize = 32;
-/// Maximum number of open connections of a listener started with [`serve`].
-const MAX_CONNECTIONS: usize = 10_000;
+/// Maximum number of header fields, as hyper takes them over HTTP/1.1.
+const MAX_FIELDS: usize = 100;
+
+/// Limits on the connections of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Maximum number of open connections.
+    pub connections: usize,
+    /// Maximum number of requests at once on an HTTP/2 connection.
+    pub streams: u32,
+    /// Header block in bytes beyond which an HTTP/2 connection keeps no field. A larger limit on heads
+    /// counts instead.
+    pub head_bytes: usize,
+    /// Bytes of all request bodies that an HTTP/2 connection holds before they are read.
+    pub window: u32,
+    /// Whether HTTP/2 connections stay open without requests, as between nodes.
+    pub keeps_idle: bool,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            streams: 200,
+            head_bytes: MAX_HTTP2_HEAD_BYTES,
+            window: 1 << 20,
+            keeps_idle: false,
+        }
+    }
+}
+
+impl From<usize> for ServerLimits {
+    fn from(connections: usize) -> Self {
+        Self {
+            connections,
+            ..Self::default()
+        }
+    }
+}
 
 /// Stops servers gracefully: they accept no new connections and finish open requests.
 #[derive(Clone, Debug)]
@@ -133,14 +176,14 @@
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let limits = CallerLimits::default;
-    serve_with_limits(MAX_CONNECTIONS, limits, listener, stop, handler).await;
+    serve_with_limits(ServerLimits::default(), limits, listener, stop, handler).await;
 }
 
-/// Like [`serve`], with a limit on the number of open connections and limits on what callers send.
+/// Like [`serve`], with limits on the connections and on what callers send.
 ///
 /// `limits` is called again for each request, so changed limits apply to open connections.
 pub async fn serve_with_limits<F, R, B>(
-    max_connections: usize,
+    server_limits: impl Into<ServerLimits>,
     limits: B,
     listener: Listener,
     stop: Stop,
@@ -150,6 +193,7 @@
     R: Future<Output = Response<Body>> + Send + 'static,
     B: Fn() -> CallerLimits + Send + Sync + 'static,
 {
+    let server_limits = server_limits.into();
     let shared = Arc::new((handler, limits));
     let open = Arc::new(AtomicUsize::new(0));
     loop {
@@ -172,8 +216,9 @@
                 continue;
             }
         };
-        if open.load(Ordering::Relaxed) >= max_connections {
-            log::warn!("connection from {from} closed: the limit of {max_connections} is reached");
+        let connections = open.load(Ordering::Relaxed);
+        if connections >= server_limits.connections {
+            record_exceeded(Bound::Connections, from, connections);
             continue;
         }
         let (shared, stop) = (shared.clone(), stop.clone());
@@ -181,7 +226,7 @@
         spawn(async move {
             // A handler that panics also ends the connection.
             let _counted = counted;
-            if let Err(error) = connection(stream, from, stop, shared).await {
+            if let Err(error) = connection(stream, from, server_limits, stop, shared).await {
                 log::debug!("connection from {from} failed: {error}");
             }
         })
@@ -207,6 +252,7 @@
 async fn connection<F, R, B>(
     stream: Async<TcpStream>,
     from: SocketAddr,
+    server_limits: ServerLimits,
     stop: Stop,
     shared: Arc<(F, B)>,
 ) -> Result<(), hyper::Error>
@@ -231,29 +277,7 @@
     };
     let max_head_bytes = || limits().max_head_bytes.max(MIN_HEAD_BYTES);
     if http2 {
-        let service = service_fn(|request| {
-            let accepted = http2_head_bytes(&request) <= max_head_bytes();
-            let response = accepted.then(|| shared.0(request, from));
-            async move {
-                Ok::<_, Infallible>(match response {
-                    Some(response) => response.await,
-                    None => large_head_response(),
-                })
-            }
-        });
-        let accepted_bytes = max_head_bytes().max(MAX_HTTP2_HEAD_BYTES);
-        let connection = hyper::server::conn::http2::Builder::new(Spawner)
-            .timer(SmolTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .max_header_list_size(u32::try_from(accepted_bytes).unwrap_or(u32::MAX))
-            .serve_connection(FuturesIo::new(stream), service);
-        let mut connection = pin!(connection);
-        let ended = until_stopped(connection.as_mut(), &stop).await;
-        if let Some(ended) = ended {
-            return ended;
-        }
-        connection.as_mut().graceful_shutdown();
-        return connection.await;
+        return serve_http2(stream, from, server_limits, &stop, &shared).await;
     }
     let stream = TrackedStream::new(stream, tracker.clone(), max_head_bytes);
     let ends_with_connection = AtomicBool::new(false);
@@ -290,6 +314,9 @@
         }
         Err(violation) => {
             if violation != Violation::Idle {
+                if violation == Violation::LargeHead {
+                    record_exceeded(Bound::RequestHead, from, max_head_bytes());
+                }
                 log_violation(violation, from, limits());
                 stream.send_refusal(violation).await;
             }
@@ -298,6 +325,73 @@
     }
 }
 
+/// Serves an HTTP/2 connection until it ends, is idle for too long or the server is stopped.
+async fn serve_http2<F, R, B>(
+    stream: Async<TcpStream>,
+    from: SocketAddr,
+    server_limits: ServerLimits,
+    stop: &Stop,
+    shared: &(F, B),
+) -> Result<(), hyper::Error>
+where
+    F: Fn(Request<Incoming>, SocketAddr) -> R + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+    B: Fn() -> CallerLimits + Send + Sync + 'static,
+{
+    let limits = || shared.1();
+    let max_head_bytes = || limits().max_head_bytes.max(MIN_HEAD_BYTES);
+    let requests = OpenRequests::default();
+    let service = service_fn(|request| {
+        let head_bytes = http2_head_bytes(&request);
+        let accepted = head_bytes <= max_head_bytes() && request.headers().len() <= MAX_FIELDS;
+        let open = requests.open();
+        let response = accepted.then(|| shared.0(request, from));
+        async move {
+            let response = match response {
+                Some(response) => response.await,
+                None => {
+                    record_exceeded(Bound::RequestHead, from, head_bytes);
+                    large_head_response()
+                }
+            };
+            Ok::<_, Infallible>(open.until_end_of(response))
+        }
+    });
+    let accepted_bytes = max_head_bytes().max(server_limits.head_bytes);
+    let stream = FrameStream::new(stream, from, PREFACE_BYTES);
+    let connection = hyper::server::conn::http2::Builder::new(Spawner)
+        .timer(SmolTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .max_header_list_size(u32::try_from(accepted_bytes).unwrap_or(u32::MAX))
+        .max_concurrent_streams(server_limits.streams)
+        .initial_stream_window_size(server_limits.window)
+        .initial_connection_window_size(server_limits.window)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let idled = AtomicBool::new(false);
+    let idle = async {
+        if server_limits.keeps_idle {
+            future::pending::<()>().await;
+        }
+        requests.idle_for(|| limits().idle_timeout).await;
+        idled.store(true, Ordering::Relaxed);
+        None
+    };
+    let ended = until_stopped(connection.as_mut(), stop).or(idle).await;
+    if let Some(ended) = ended {
+        return ended;
+    }
+    connection.as_mut().graceful_shutdown();
+    let unanswered = async {
+        if !idled.load(Ordering::Relaxed) {
+            future::pending::<()>().await;
+        }
+        Timer::after(CLOSE_TIMEOUT).await;
+        Ok(())
+    };
+    connection.or(unanswered).await
+}
+
 /// Logs a head that is refused, with the configuration that states the limit.
 fn log_violation(violation: Violation, from: SocketAddr, limits: CallerLimits) {
     let max_bytes = limits.max_head_bytes.max(MIN_HEAD_BYTES);
--- a/crates/seam-node/src/watch.rs
+++ b/crates/seam-node/src/watch.rs
@@ -131,7 +131,7 @@
             .get(header::ETAG)
             .and_then(|tag| tag.to_str().ok()?.trim_matches('"').parse().ok())
             .unwrap_or(after + 1);
-        match read_long(body, CALL_TIMEOUT, MAX_VALUE_BYTES).await {
+        match read_long(self.config, body, CALL_TIMEOUT, MAX_VALUE_BYTES).await {
             Ok(bytes) => Ok(Some(Value {
                 version,
                 bytes: bytes.to_vec(),
--- a/crates/toucanseam/tests/endless_answers.rs
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -9,6 +9,11 @@
     pub mod store;
 }
 
+#[allow(dead_code, reason = "the tests of other nodes use the rest")]
+mod endless {
+    pub mod world;
+}
+
 #[allow(dead_code, reason = "the soak test uses the rest")]
 mod soak {
     pub mod node;
@@ -17,79 +22,19 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_io::Timer;
+use endless::world::{TIME_LIMIT, VM_MEMORY, World, call_beside, start_workers, wait_until_served};
 use house::raw_servers::{EndlessAnswer, EndlessServer, RawAnswer, RawServer};
 use house::servers::Server;
-use house::setup::{CALL_TIMEOUT, get};
-use house::store::Store;
-use http::{Request, StatusCode};
 use seam_emulator::server::wait_until;
-use seam_http::{empty, fetch};
 use soak::node::Node;
 
-/// Memory of the smallest VM, as in its settings.
-const VM_MEMORY: usize = 160 << 20;
 /// Requests whose answers do not end.
 const ENDLESS_REQUESTS: usize = 200;
 const ENDLESS_SERVERS: usize = 4;
 /// Memory of a node that has read an answer of the store of the largest size, held twice.
 const MAX_STORE_PEAK: usize = 64 << 20;
-/// Time that the callers of endless answers state.
-const TIME_LIMIT: Duration = Duration::from_secs(2);
-/// Time between two requests of other callers.
-const INTERVAL: Duration = Duration::from_millis(20);
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// A node process with a store.
-struct World {
-    node: Node,
-    store: Store,
-    folder: std::path::PathBuf,
-}
-
-impl World {
-    async fn start(name: &str) -> Self {
-        let folder = format!("seam-endless-{name}-{}", std::process::id());
-        let folder = std::env::temp_dir().join(folder);
-        std::fs::create_dir_all(&folder).expect("the folder can be created");
-        let store = Store::start();
-        store.configure_timeout(1, TIME_LIMIT);
-        let mut node = Node::new(0, "north", &folder, store.address());
-        node.start(&[]);
-        let mut world = Self {
-            node,
-            store,
-            folder,
-        };
-        while !world.is_ready().await {
-            if !world.node.is_running() {
-                world.node.change_ports();
-                world.node.start(&[]);
-            }
-            Timer::after(POLL_INTERVAL).await;
-        }
-        world
-    }
-
-    async fn is_ready(&self) -> bool {
-        let request = Request::get("/readiness").body(empty());
-        let request = request.expect("the request is valid");
-        let response = fetch(self.node.ports.readiness, request, CALL_TIMEOUT, 1000).await;
-        response.is_ok_and(|response| response.status() == StatusCode::OK)
-    }
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        self.node.kill();
-        if let Err(error) = std::fs::remove_dir_all(&self.folder) {
-            println!("{} not removed: {error}", self.folder.display());
-        }
-    }
-}
-
 /// Calls for an answer that does not end. Reads it, or leaves it in the connection, until the node
 /// closes that.
 fn call_endless(caller: SocketAddr, id: &str, reads: bool) {
@@ -113,11 +58,6 @@
     "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nresponse-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nresponse-seal: s\r\n\r\n";
 
-fn start_workers() {
-    static START: std::sync::Once = std::sync::Once::new();
-    START.call_once(|| seam_http::start_workers(2));
-}
-
 /// Plays answers that a node relays until the time of their requests is over.
 fn play_bodies(name: &str, answer: EndlessAnswer) {
     let open = play(name, answer);
@@ -148,19 +88,8 @@
                 std::thread::spawn(move || call_endless(caller, &id, index % 2 == 0))
             })
             .collect();
-        let start = Instant::now();
-        let mut beside = 0;
-        let mut slowest = Duration::ZERO;
-        while start.elapsed() < TIME_LIMIT {
-            let id = format!("beside-{beside}");
-            let sent = Instant::now();
-            let response = fetch(caller, get("/look/1", &id), CALL_TIMEOUT, 4096).await;
-            let response = response.expect("a sound server's answer arrives");
-            assert_eq!(response.status(), StatusCode::OK, "{id}");
-            slowest = slowest.max(sent.elapsed());
-            beside += 1;
-            Timer::after(INTERVAL).await;
-        }
+        let served = call_beside(caller, TIME_LIMIT).await;
+        let (beside, slowest) = served.expect("a sound server's answers arrive");
         for call in calls {
             call.join().expect("the caller ends");
         }
@@ -181,17 +110,6 @@
     })
 }
 
-async fn wait_until_served(caller: SocketAddr) {
-    for number in 0.. {
-        let request = get("/look/1", &format!("first-{number}"));
-        let response = fetch(caller, request, CALL_TIMEOUT, 4096).await;
-        if response.is_ok_and(|response| response.status() == StatusCode::OK) {
-            return;
-        }
-        Timer::after(POLL_INTERVAL).await;
-    }
-}
-
 /// Guards against answers without end that fill a node's memory.
 #[test]
 fn large_parts() {
--- /dev/null
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -0,0 +1,173 @@
+//! A node process to which other machines send without end what is no call of theirs: on the link between
+//! nodes, in heartbeats and items, and on the ports for readiness and the directory.
+
+#[allow(dead_code, reason = "the platform's own tests use the rest")]
+#[path = "../../../platform/tests/house"]
+mod house {
+    pub mod servers;
+    pub mod setup;
+    pub mod store;
+}
+
+#[allow(dead_code, reason = "the tests of answers use the rest")]
+mod endless {
+    pub mod world;
+}
+
+#[allow(dead_code, reason = "the soak test uses the rest")]
+mod soak {
+    pub mod node;
+    pub mod proxy;
+}
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_executor::Task;
+use bytes::Bytes;
+use endless::world::{TIME_LIMIT, World, call_beside, start_workers, wait_until_served};
+use futures_lite::{StreamExt, stream};
+use house::servers::Server;
+use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use seam_http::client::open_http2;
+use seam_http::{Body, Listener, Stop, full, serve, spawn};
+use seam_protocol::heartbeat::ServiceReach;
+use seam_protocol::key::append_mac;
+use seam_protocol::{
+    CentreId, Digest, Heartbeat, Incarnation, RegionId, RegionSummary, ServiceTag, StreamId, Vm,
+    VmId, VmRecord,
+};
+use soak::node::Ports;
+
+/// Memory that a node's control may use (256 MB), less what its tables take at their bounds (131 MB,
+/// docs/CAPACITY.md).
+const MAX_GAIN: usize = (256 - 131) * 1_000_000;
+/// Nodes of the largest region. Each has a connection to this one, which may take its part of
+/// [`MAX_GAIN`]: 2.08 MB.
+const FAULTY_NODES: usize = 60;
+/// Address space of the node, well above what a sound one uses.
+const MAX_ADDRESS_SPACE: u64 = 1 << 30;
+
+/// Held by the test that floods its node. The others start theirs meanwhile.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Senders of bytes without end. They end when the flag is cleared.
+struct Flood {
+    running: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    tasks: Vec<Task<()>>,
+}
+
+impl Flood {
+    fn run(&mut self, sender: impl FnOnce(&AtomicBool) + Send + 'static) {
+        let running = self.running.clone();
+        let thread = std::thread::spawn(move || sender(&running));
+        self.threads.push(thread);
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.running.store(false, Ordering::SeqCst);
+    }
+}
+
+/// Runs a node and another caller's requests beside a flood.
+fn play(name: &str, start: impl FnOnce(&mut Flood, Ports)) {
+    start_workers();
+    let mut world = seam_http::block_on(World::start(name));
+    world.node.limit_memory(MAX_ADDRESS_SPACE);
+    let sound = Server::start("e-1", "north-a", "writer");
+    world.store.put_item(&sound.id, &sound.item());
+    let caller = world.node.ports.caller;
+    seam_http::block_on(wait_until_served(caller));
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let idle = world.node.peak_memory();
+    let mut flood = Flood {
+        running: Arc::new(AtomicBool::new(true)),
+        threads: Vec::new(),
+        tasks: Vec::new(),
+    };
+    start(&mut flood, world.node.ports);
+    let calls = seam_http::block_on(call_beside(caller, TIME_LIMIT));
+    assert!(world.node.is_running(), "{name}: the process ended");
+    let gain = world.node.peak_memory() - idle;
+    println!(
+        "{name}: {} MB at the start, {} MB gained, calls beside: {calls:?}",
+        idle >> 20,
+        gain >> 20
+    );
+    let (_, slowest) = calls.expect("a sound server's answers arrive");
+    assert!(slowest < TIME_LIMIT, "a request took {slowest:?}");
+    assert!(gain < MAX_GAIN, "{gain} bytes of memory gained");
+    flood.running.store(false, Ordering::SeqCst);
+    flood.tasks.clear();
+    for thread in flood.threads.drain(..) {
+        thread.join().expect("the sender ends");
+    }
+}
+
+/// Bytes of an HTTP/2 frame before its payload.
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).expect("a short payload");
+    let mut frame = length.to_be_bytes()[1..].to_vec();
+    frame.extend([kind, flags]);
+    frame.extend(stream.to_be_bytes());
+    frame.extend(payload);
+    frame
+}
+
+const SETTINGS: u8 = 4;
+const PING: u8 = 6;
+const UNKNOWN: u8 = 0x42;
+
+/// Opens an HTTP/2 connection whose frames from the node are read and ignored.
+fn open_link(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut link = TcpStream::connect(address)?;
+    link.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")?;
+    link.write_all(&frame(SETTINGS, 0, 0, &[]))?;
+    let mut reader = link.try_clone()?;
+    std::thread::spawn(move || {
+        let mut part = [0; 4096];
+        while reader.read(&mut part).is_ok_and(|count| count > 0) {}
+    });
+    Ok(link)
+}
+
+/// Guards against a node that handles nothing but frames that carry no request, for as long as another
+/// one sends them.
+#[test]
+fn link_frames() {
+    const FRAMES: usize = 1000;
+    let closed = Arc::new(AtomicUsize::new(0));
+    let counter = closed.clone();
+    let kinds = [
+        frame(SETTINGS, 0, 0, &[]),
+        frame(PING, 0, 0, &[0; 8]),
+        frame(UNKNOWN, 0, 0, &[]),
+    ];
+    let count = kinds.len();
+    play("link_frames", |flood, ports| {
+        for kind in kinds {
+            let closed = counter.clone();
+            flood.run(move |running| {
+                let mut link = open_link(ports.peer).expect("the node listens");
+                let part = kind.repeat(FRAMES);
+                while running.load(Ordering::SeqCst) {
+                    if link.write_all(&part).is_err() {
+                        closed.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
+                }
+                let _ = link.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    assert_eq!(closed.load(Ordering::SeqCst), count, "connections closed");
+}
--- a/crates/toucanseam/tests/soak/node.rs
+++ b/crates/toucanseam/tests/soak/node.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use socket2::{Domain, Socket, Type};
 
 use super::proxy::Proxy;
@@ -143,6 +143,16 @@
         kilobytes << 10
     }
 
+    /// Limits the address space of the process. It ends when it needs more.
+    pub fn limit_memory(&self, bytes: u64) {
+        let id = self.child.as_ref().map(Pid::from_child);
+        let limit = Rlimit {
+            current: Some(bytes),
+            maximum: Some(bytes),
+        };
+        prlimit(id, Resource::As, limit).expect("the process is a child of this one");
+    }
+
     /// Sends a signal to the process that this test started.
     pub fn signal(&mut self, signal: Signal) {
         if !self.is_running() {
