--- a/crates/seam-core/src/node/reach.rs
+++ b/crates/seam-core/src/node/reach.rs
@@ -22,6 +22,9 @@
 /// Maximum number of services in one heartbeat.
 const MAX_REACHED: usize = 16;
 
+/// Maximum number of services that a node is known to reach or not.
+const MAX_KNOWN: usize = 256;
+
 /// Whether another node reaches targets of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Contact {
@@ -53,10 +56,10 @@
     /// Merges what a node reports of some services, or replaces what is known if it reports all.
     fn merge(&mut self, now: Time, from: VmId, reached: &[ServiceReach]) {
         let known = self.contacts.entry(from).or_default();
-        if reached.len() < MAX_REACHED {
+        if reached.len() < MAX_REACHED || known.len() > MAX_KNOWN {
             known.clear();
         }
-        known.extend(reached.iter().map(|reach| {
+        known.extend(reached.iter().take(MAX_REACHED).map(|reach| {
             let contact = reach.age.map_or(Contact::Lost, |age| {
                 Contact::Answered(now - Duration::from_millis(age.into()))
             });
@@ -139,7 +142,8 @@
 
     /// Merges what another node of this region reaches.
     pub(super) fn merge_reached(&mut self, now: Time, heartbeat: &Heartbeat) {
-        if heartbeat.region == self.id.region {
+        // Only a known node can be handed a request.
+        if self.regions.get(&heartbeat.from) == Some(&self.id.region) {
             self.reach.merge(now, heartbeat.from, &heartbeat.reached);
         }
     }
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -20,6 +20,9 @@
 /// Additional lease of a summary per region.
 const REGION_LEASE_STEP: Duration = Duration::from_millis(500);
 
+/// Maximum number of other regions with a known state, several times those of the largest deployment.
+const MAX_REGIONS: usize = 256;
+
 /// The known state of one other node.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -193,6 +196,9 @@
         {
             return false;
         }
+        if self.regions.len() >= MAX_REGIONS && !self.regions.contains_key(&summary.region) {
+            return false;
+        }
         self.regions.insert(
             summary.region,
             RegionState {
--- a/crates/seam-core/src/roster.rs
+++ b/crates/seam-core/src/roster.rs
@@ -24,6 +24,11 @@
 /// The same maximum in the reply to a node that does not know this process yet.
 const MAX_SHARED_TO_NEW: usize = 100;
 
+/// Maximum number of known nodes, several times that of the largest deployment.
+const MAX_MEMBERS: usize = 1024;
+/// Maximum length of a node's name in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 #[derive(Clone, Debug)]
 struct Member {
     vm: Vm,
@@ -74,12 +79,32 @@
         }
     }
 
+    /// Makes room for a node. One that nobody has heard itself gives way if `heard`.
+    fn has_room(&mut self, name: &str, heard: bool) -> bool {
+        if name.len() > MAX_NAME_BYTES {
+            return false;
+        }
+        if self.known.len() < MAX_MEMBERS {
+            return true;
+        }
+        let me = self.me;
+        let unheard = self
+            .known
+            .iter()
+            .find(|(id, known)| **id != me && known.last_heartbeat.is_none());
+        let unheard = unheard.map(|(id, _)| *id).filter(|_| heard);
+        unheard.is_some_and(|id| self.known.remove(&id).is_some())
+    }
+
     /// Records the address that a node reports for itself. Returns whether it was new or changed.
     pub fn record_direct(&mut self, now: Time, vm: &Vm) -> bool {
         let id = VmId::of(&vm.name);
         if id == self.me {
             return false;
         }
+        if !self.known.contains_key(&id) && !self.has_room(&vm.name, true) {
+            return false;
+        }
         let changed = self.known.get(&id).is_none_or(|known| known.vm != *vm);
         let known = Member {
             vm: vm.clone(),
@@ -94,7 +119,7 @@
     /// was new.
     pub fn record_indirect(&mut self, now: Time, vm: &Vm) -> bool {
         let id = VmId::of(&vm.name);
-        if self.known.contains_key(&id) {
+        if self.known.contains_key(&id) || !self.has_room(&vm.name, false) {
             return false;
         }
         let known = Member {
--- a/crates/seam-core/src/streams.rs
+++ b/crates/seam-core/src/streams.rs
@@ -23,6 +23,9 @@
 /// Maximum number of origins or queries in one report.
 const MAX_REPORTED: usize = 200;
 
+/// Maximum number of origins that wait to be reported to a node. It asks again for the rest.
+const MAX_PENDING: usize = 2 * MAX_REPORTED;
+
 /// A query about a stream that this node does not know.
 #[derive(Clone, Debug)]
 struct Inquiry {
@@ -178,7 +181,10 @@
 
     /// Adds an origin to the report to a node, which is sent at the latest when it is `due`.
     pub fn report(&mut self, to: VmId, origin: StreamOrigin, due: Time) {
-        self.report_to(to, due).origins.push(origin);
+        let origins = &mut self.report_to(to, due).origins;
+        if origins.len() < MAX_PENDING {
+            origins.push(origin);
+        }
     }
 
     fn report_to(&mut self, to: VmId, due: Time) -> &mut StreamReport {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -191,7 +191,7 @@
             }
         }
         for (key, work) in target_work {
-            self.get_mut(*key).others.insert(from, (now, *work));
+            self.get_mut(*key).record_other(now, from, *work);
         }
     }
 
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -16,6 +16,8 @@
 const INITIAL_FRACTION: f64 = 0.25;
 /// Age above which another node's reported work is ignored, several times the report interval.
 const STALE_WORK: Duration = Duration::from_millis(1500);
+/// Maximum number of nodes whose work at a target is known, several times those of the largest region.
+const MAX_REPORTERS: usize = 1024;
 /// Age up to which a target's load report is used along with the work reported by other nodes.
 const RECENT_REPORT: Duration = Duration::from_millis(300);
 /// Age above which a target's load report is ignored.
@@ -199,6 +201,17 @@
         (now.since(report.0) < STALE_REPORT).then_some(report)
     }
 
+    /// Records the work of another node, unless too many report some.
+    pub(super) fn record_other(&mut self, now: Time, from: VmId, work: TargetWork) {
+        if self.others.len() >= MAX_REPORTERS {
+            self.others
+                .retain(|_, (received, _)| now.since(*received) < STALE_WORK);
+        }
+        if self.others.len() < MAX_REPORTERS {
+            self.others.insert(from, (now, work));
+        }
+    }
+
     /// Returns the recently reported work of other nodes.
     fn others(&self, now: Time) -> impl Iterator<Item = &TargetWork> + '_ {
         let fresh = move |(received, _): &&(Time, TargetWork)| now.since(*received) < STALE_WORK;
--- a/crates/toucanseam/tests/endless_peers.rs
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -113,6 +113,104 @@
     }
 }
 
+const PEER_PORT: &str = "127.0.0.1:9";
+
+fn vm(name: &str, peer: SocketAddr) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        region: RegionId::of("north"),
+        centre: CentreId::of("north-a"),
+        caller: PEER_PORT.parse().expect("an address"),
+        peer,
+        weight: Vm::DEFAULT_WEIGHT,
+    }
+}
+
+/// Returns a heartbeat of a node that nobody knows yet.
+fn heartbeat_of(name: &str, peer: SocketAddr) -> Heartbeat {
+    let from = VmId::of(name);
+    let mut heartbeat = Heartbeat::empty(from, RegionId::of("north"));
+    heartbeat.sent = 1;
+    heartbeat.vms.push(vm(name, peer));
+    heartbeat.records.push(VmRecord {
+        vm: from,
+        incarnation: Incarnation(1),
+        sequence: 1,
+        revision: 0,
+        ready: false,
+        loads: Vec::new(),
+    });
+    heartbeat
+}
+
+/// Returns datagrams of many nodes, each with as many names as fit.
+fn heartbeats_of_ghosts(add: impl Fn(&mut Heartbeat, u32)) -> Vec<Vec<u8>> {
+    const DATAGRAMS: u32 = 1500;
+    let peer = PEER_PORT.parse().expect("an address");
+    let datagram = |number: u32| {
+        let mut heartbeat = heartbeat_of(&format!("ghost-{number}"), peer);
+        add(&mut heartbeat, number);
+        append_mac(b"", heartbeat.encode())
+    };
+    (0..DATAGRAMS).map(datagram).collect()
+}
+
+/// Sends datagrams again and again.
+fn flood_heartbeats(name: &str, add: impl Fn(&mut Heartbeat, u32)) {
+    let datagrams = heartbeats_of_ghosts(add);
+    play(name, |flood, ports| {
+        flood.run(move |running| {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+            while running.load(Ordering::SeqCst) {
+                for datagram in &datagrams {
+                    // The node may have ended.
+                    let _ = socket.send_to(datagram, ports.peer);
+                }
+            }
+        });
+    });
+}
+
+/// Guards against a node that handles nothing but the heartbeats of one that sends them without end, and
+/// keeps every node that they name.
+#[test]
+fn named_nodes() {
+    const NAMES: u32 = 150;
+    flood_heartbeats("named_nodes", |heartbeat, number| {
+        let peer = heartbeat.vms[0].peer;
+        let others = (0..NAMES).map(|other| vm(&format!("ghost-{number}-{other}"), peer));
+        heartbeat.vms.extend(others);
+    });
+}
+
+/// Guards against regions, services and streams that heartbeats name without end.
+#[test]
+fn named_regions() {
+    const SUMMARIES: u32 = 200;
+    const QUERIES: u64 = 600;
+    const SERVICES: u32 = 600;
+    flood_heartbeats("named_regions", |heartbeat, number| {
+        let summary = |other: u32| RegionSummary {
+            region: RegionId(number * SUMMARIES + other),
+            vm: heartbeat.from,
+            incarnation: Incarnation(1),
+            sequence: number,
+            age: 0,
+            revision: 0,
+            nodes: Vec::new(),
+            capacities: Vec::new(),
+        };
+        heartbeat.summaries = (0..SUMMARIES).map(summary).collect();
+        let query = |other| StreamId(u64::from(number) * QUERIES + other);
+        heartbeat.streams.queries = (0..QUERIES).map(query).collect();
+        let reach = |other: u32| ServiceReach {
+            service: ServiceTag((number * SERVICES + other) as u16),
+            age: None,
+        };
+        heartbeat.reached = (0..SERVICES).map(reach).collect();
+    });
+}
+
 /// Bytes of an HTTP/2 frame before its payload.
 fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).expect("a short payload");
