link: calls and replies that do not end take a bounded part of a node's memory

A message of up to 4 MiB was collected for each of 200 calls of each connection, counted nowhere; calls were read before their token was checked; heads of 64 KiB were kept while their first message was awaited.

The token is checked first. Bytes of incomplete messages take part in the memory for bodies, those of replies in 48 MiB. A call's message is bounded by 256 KiB and the configured head, a reply's frame by an event and a stored response.

--- a/crates/seam-node/src/budget.rs
+++ b/crates/seam-node/src/budget.rs
@@ -58,6 +58,28 @@
         self.bytes += bytes;
         reserved <= self.budget.max_bytes
     }
+
+    /// Changes the reservation to a number of bytes. Returns whether the budget still allows the total.
+    ///
+    /// ```
+    /// use seam_node::budget::ByteBudget;
+    /// let budget = ByteBudget::new(10);
+    /// let mut reservation = budget.reservation();
+    /// assert!(!reservation.set(11));
+    /// assert!(reservation.set(10));
+    /// assert!(!budget.reservation().reserve(1));
+    /// ```
+    #[must_use]
+    pub fn set(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes {
+            let released = self.bytes - bytes;
+            let reserved = &self.budget.reserved;
+            let reserved = reserved.fetch_sub(released, Ordering::Relaxed) - released;
+            self.bytes = bytes;
+            return reserved <= self.budget.max_bytes;
+        }
+        self.reserve(bytes - self.bytes)
+    }
 }
 
 impl Drop for ByteReservation {
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod items;
 pub mod link;
 pub mod logs;
+pub mod messages;
 pub mod metrics;
 pub mod odd_json;
 pub mod peer_connections;
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -32,6 +32,9 @@
 const MAX_FRAME_BYTES: usize = 64 << 10;
 /// Timeout of a call that fetches a manifest, a part or items.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest frame of a response: an event, or a head with a stored response, of a node of an earlier
+/// version.
+const MAX_REPLY_BYTES: usize = (1 << 20) + (256 << 10);
 /// Largest reply with items.
 const MAX_ITEMS_BYTES: usize = 32 << 20;
 /// Time added to the request's time limit so that the other node's refusal can still arrive.
@@ -127,7 +130,7 @@
     progress: &Progress,
 ) -> AttemptOutcome {
     let mut client = match runtime.peers.client(to.address).await {
-        Ok(client) => client,
+        Ok(client) => client.max_decoding_message_size(MAX_REPLY_BYTES),
         Err(error) => {
             log::info!(
                 "request {}: no connection to the other node: {error}",
--- a/crates/seam-node/src/peer_connections.rs
+++ b/crates/seam-node/src/peer_connections.rs
@@ -8,7 +8,6 @@
 use std::task::{Context, Poll};
 
 use http::{Request, Response, Uri};
-use hyper::body::Incoming;
 use hyper::client::conn::http2::SendRequest;
 use seam_http::client::open_http2;
 use seam_http::{ClientError, lock};
@@ -16,17 +15,25 @@
 use tonic::metadata::MetadataValue;
 use tower_service::Service;
 
+use crate::budget::ByteBudget;
+use crate::messages::MessageBody;
+
 /// Metadata key of the token that authenticates a node.
 pub const AUTH_METADATA: &str = "seam-fleet";
 
+/// Memory for incomplete messages in replies of other nodes, more than the largest reply.
+const MAX_REPLY_BYTES: usize = 48 << 20;
+
 /// One connection as a service for `tonic` clients.
 #[derive(Clone, Debug)]
 pub struct Channel {
     sender: SendRequest<tonic::body::Body>,
+    address: SocketAddr,
+    replies: ByteBudget,
 }
 
 impl Service<Request<tonic::body::Body>> for Channel {
-    type Response = Response<Incoming>;
+    type Response = Response<MessageBody>;
     type Error = hyper::Error;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
 
@@ -35,7 +42,12 @@
     }
 
     fn call(&mut self, request: Request<tonic::body::Body>) -> Self::Future {
-        Box::pin(self.sender.send_request(request))
+        let (address, reservation) = (self.address, self.replies.reservation());
+        let response = self.sender.send_request(request);
+        Box::pin(async move {
+            let response = response.await?;
+            Ok(response.map(|body| MessageBody::new(body, address, reservation, None)))
+        })
     }
 }
 
@@ -44,6 +56,7 @@
 pub struct PeerConnections {
     open: Mutex<BTreeMap<SocketAddr, Channel>>,
     auth_token: String,
+    replies: ByteBudget,
 }
 
 impl PeerConnections {
@@ -53,6 +66,7 @@
         Self {
             open: Mutex::default(),
             auth_token: auth_token(secret),
+            replies: ByteBudget::new(MAX_REPLY_BYTES),
         }
     }
 
@@ -88,7 +102,12 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Channel, ClientError> {
         let sender = open_http2(address).await?;
-        let channel = Channel { sender };
+        let replies = self.replies.clone();
+        let channel = Channel {
+            sender,
+            address,
+            replies,
+        };
         let mut open = lock(&self.open);
         open.insert(address, channel.clone());
         Ok(channel)
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -1,5 +1,6 @@
 //! The server side of the protocol between nodes.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,11 +8,11 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::{Stream, StreamExt, stream};
-use http::Method;
+use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use hyper::body::{Frame, Incoming};
 use seam_core::Origin;
-use seam_http::{BodyError, Listener, Stop, lock, serve};
+use seam_http::{BodyError, CallerLimits, Listener, ServerLimits, Stop, lock, serve_with_limits};
 use seam_protocol::peer::peer_server::{Peer, PeerServer};
 use seam_protocol::peer::{
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
@@ -24,6 +25,7 @@
 use crate::drive;
 use crate::inbound::{InboundRequest, route_rules};
 use crate::link::{FrameNumbers, wire};
+use crate::messages::{MessageBody, UnreadCalls};
 use crate::peer_connections::AUTH_METADATA;
 use crate::request_body::{ReadError, RequestBody};
 use crate::response_writer::ResponsePart;
@@ -33,6 +35,19 @@
 /// has checked the configured limit.
 const MAX_BODY_BYTES: usize = 1 << 30;
 
+/// Limits on the connections of other nodes.
+const SERVER_LIMITS: ServerLimits = ServerLimits {
+    connections: 1024,
+    streams: 200,
+    head_bytes: MAX_HEAD_BYTES,
+    window: 1 << 20,
+    keeps_idle: true,
+};
+/// Maximum size of the head of a call in bytes. Heads of forwarded requests are in messages.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Maximum size of a message in bytes without the head of a forwarded request.
+const MAX_MESSAGE_BYTES: usize = 256 << 10;
+
 /// The implementation of the gRPC service.
 #[derive(Clone)]
 struct PeerService {
@@ -43,10 +58,9 @@
 
 impl PeerService {
     /// Refuses a call without the authentication token of this deployment.
-    fn check<T>(&self, request: &Request<T>) -> Result<(), Status> {
-        let presented = request.metadata().get(AUTH_METADATA);
-        let presented = presented.map(tonic::metadata::MetadataValue::as_bytes);
-        let expected = self.runtime.peers.auth_token().as_bytes();
+    fn check(runtime: &NodeRuntime, headers: &HeaderMap) -> Result<(), Status> {
+        let presented = headers.get(AUTH_METADATA).map(HeaderValue::as_bytes);
+        let expected = runtime.peers.auth_token().as_bytes();
         let valid = presented.is_some_and(|presented| {
             let differ = presented
                 .iter()
@@ -70,7 +84,6 @@
         &self,
         request: Request<Streaming<RequestFrame>>,
     ) -> Result<Response<Frames>, Status> {
-        self.check(&request)?;
         let (head, body) = read(&self.runtime, request.into_inner()).await?;
         let origin = Origin::Peer {
             hops: wire::hops(&head.hops),
@@ -83,9 +96,8 @@
 
     async fn newest(
         &self,
-        request: Request<NewestRequest>,
+        _request: Request<NewestRequest>,
     ) -> Result<Response<ManifestReply>, Status> {
-        self.check(&request)?;
         let (revision, manifest) = self.runtime.store.manifest();
         if revision == 0 {
             return Err(Status::not_found("no configuration in force"));
@@ -94,7 +106,6 @@
     }
 
     async fn items(&self, request: Request<ItemsRequest>) -> Result<Response<ItemsReply>, Status> {
-        self.check(&request)?;
         let since = request.into_inner().since;
         let (delta, now) = self
             .runtime
@@ -122,7 +133,6 @@
     }
 
     async fn part(&self, request: Request<PartRequest>) -> Result<Response<PartReply>, Status> {
-        self.check(&request)?;
         let text = request.into_inner().digest;
         let digest = text
             .parse()
@@ -331,15 +341,54 @@
     }
 }
 
+/// Returns the maximum size of a message. The heads of callers' requests are bounded by the configuration.
+fn max_message_bytes(runtime: &NodeRuntime) -> usize {
+    let snapshot = runtime.snapshot();
+    let limits = snapshot
+        .as_ref()
+        .and_then(|snapshot| snapshot.bundle.limits.as_ref());
+    MAX_MESSAGE_BYTES + limits.map_or(0, |limits| limits.header_bytes)
+}
+
+/// Checks the head of a call before its messages are read, and bounds these.
+fn admit(
+    runtime: &NodeRuntime,
+    unread: &UnreadCalls,
+    request: http::Request<Incoming>,
+    from: SocketAddr,
+) -> Result<http::Request<MessageBody>, Status> {
+    PeerService::check(runtime, request.headers())?;
+    let call = unread
+        .begin(from)
+        .ok_or_else(|| Status::resource_exhausted("too many calls that are not read"))?;
+    let reservation = runtime.body_memory.reservation();
+    Ok(request.map(|body| MessageBody::new(body, from, reservation, Some(call))))
+}
+
 /// Serves other nodes until stopped.
 pub async fn serve_peers(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
-    let server = PeerServer::new(PeerService { runtime });
-    serve(listener, stop, move |request, _| {
-        let mut server = server.clone();
+    let server = PeerServer::new(PeerService {
+        runtime: runtime.clone(),
+    });
+    let unread = UnreadCalls::default();
+    let handler = move |request: http::Request<Incoming>, from| {
+        let max_bytes = max_message_bytes(&runtime);
+        let mut server = server.clone().max_decoding_message_size(max_bytes);
+        let request = admit(&runtime, &unread, request, from);
         async move {
-            let Ok(response) = server.call(request).await;
+            let response = match request {
+                Ok(request) => {
+                    let Ok(response) = server.call(request).await;
+                    response
+                }
+                Err(status) => status.into_http(),
+            };
             response.map(|body| body.map_err(|_| BodyError::Truncated).boxed_unsync())
         }
-    })
-    .await;
+    };
+    let limits = || CallerLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
+        ..CallerLimits::default()
+    };
+    serve_with_limits(SERVER_LIMITS, limits, listener, stop, handler).await;
 }
--- a/crates/toucanseam/tests/endless_peers.rs
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -269,3 +269,110 @@
     });
     assert_eq!(closed.load(Ordering::SeqCst), count, "connections closed");
 }
+
+/// Returns the bytes of a header block field that is not indexed.
+fn literal_field(name_index: u8, name: &str, value: &str) -> Vec<u8> {
+    let length = |text: &str| u8::try_from(text.len()).expect("a short text");
+    let mut field = vec![name_index];
+    if name_index == 0 {
+        field.push(length(name));
+        field.extend(name.bytes());
+    }
+    field.push(length(value));
+    field.extend(value.bytes());
+    field
+}
+
+/// Returns the header block of a call between nodes with more fields than any has.
+fn header_block(call: &str, fields: usize) -> Vec<u8> {
+    const METHOD_POST: u8 = 0x83;
+    const SCHEME_HTTP: u8 = 0x86;
+    const AUTHORITY: u8 = 1;
+    const PATH: u8 = 4;
+    let mut block = vec![METHOD_POST, SCHEME_HTTP];
+    block.extend(literal_field(AUTHORITY, "", "node"));
+    block.extend(literal_field(PATH, "", &format!("/seam.peer.Peer/{call}")));
+    block.extend(literal_field(0, "a", "").repeat(fields));
+    block
+}
+
+/// Guards against heads of calls that other nodes do not go on with, which fill a node's memory.
+#[test]
+fn link_heads() {
+    const STREAMS: u32 = 20;
+    /// Fields of 33 bytes each, by the rules of HTTP/2, in 64 KiB.
+    const FIELDS: usize = 1900;
+    const HEADERS: u8 = 1;
+    const END_HEADERS: u8 = 4;
+    let block = header_block("Items", FIELDS);
+    play("link_heads", |flood, ports| {
+        flood.run(move |running| {
+            let mut links = Vec::new();
+            for _ in 0..FAULTY_NODES {
+                let mut link = open_link(ports.peer).expect("the node listens");
+                for stream in 0..STREAMS {
+                    let head = frame(HEADERS, END_HEADERS, 2 * stream + 1, &block);
+                    if link.write_all(&head).is_err() {
+                        break;
+                    }
+                }
+                links.push(link);
+            }
+            while running.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            for link in links {
+                let _ = link.shutdown(Shutdown::Both);
+            }
+        });
+    });
+}
+
+/// Returns a message of the largest size that a node takes, without its last byte.
+fn endless_message() -> Body {
+    const MESSAGE_BYTES: u32 = 4 << 20;
+    const PART: &[u8] = &[0; 16 << 10];
+    let mut prefix = vec![0];
+    prefix.extend(MESSAGE_BYTES.to_be_bytes());
+    let parts = MESSAGE_BYTES as usize / PART.len();
+    let last = Bytes::from_static(&PART[1..]);
+    let parts = stream::once(Bytes::from(prefix))
+        .chain(stream::repeat(Bytes::from_static(PART)).take(parts - 1))
+        .chain(stream::once(last))
+        .chain(stream::pending());
+    StreamBody::new(parts.map(|part| Ok(Frame::data(part)))).boxed_unsync()
+}
+
+/// Sends calls with messages that have no end on one connection.
+async fn call_endlessly(node: SocketAddr, calls: usize) {
+    let token = Digest::of(&append_mac(b"", b"peer link 1".to_vec())).to_string();
+    let sender = open_http2::<Body>(node).await.expect("the node listens");
+    let mut responses = Vec::new();
+    for _ in 0..calls {
+        let request = Request::post(format!("http://{node}/seam.peer.Peer/Forward"))
+            .header("content-type", "application/grpc")
+            .header("te", "trailers")
+            .header("seam-fleet", &token)
+            .body(endless_message())
+            .expect("the request is valid");
+        let mut sender = sender.clone();
+        responses.push(spawn(async move {
+            // The node refuses the call or closes the connection.
+            let _ = sender.send_request(request).await;
+        }));
+    }
+    for response in responses {
+        response.await;
+    }
+}
+
+/// Guards against messages without an end that fill a node's memory.
+#[test]
+fn link_messages() {
+    const CALLS: usize = 2;
+    play("link_messages", |flood, ports| {
+        for _ in 0..FAULTY_NODES {
+            flood.tasks.push(spawn(call_endlessly(ports.peer, CALLS)));
+        }
+    });
+}
