ports: readiness, directory and administration take short heads and fewer connections

Each of these ports took 10,000 connections with heads of 64 KiB, 640 MB. They take 1,024 with 8 KiB, and eight requests at once on an HTTP/2 connection. A caller's HTTP/2 connection holds 256 KiB of bodies that are not read, not 1 MiB, and 100 requests.

--- a/crates/seam-node/src/admin.rs
+++ b/crates/seam-node/src/admin.rs
@@ -7,10 +7,11 @@
 use percent_encoding::percent_decode_str;
 use seam_core::Event;
 use seam_core::event::Drainable;
-use seam_http::{Body, Listener, Stop, full, json, serve};
+use seam_http::{Body, Listener, Stop, full, json};
 use seam_protocol::{CustomerId, Digest, ServiceId, TargetId};
 use serde::Serialize;
 
+use crate::control_port::serve_control;
 use crate::readiness::readiness;
 use crate::runtime::NodeRuntime;
 
@@ -29,7 +30,7 @@
 
 /// Serves the administration API until stopped.
 pub async fn serve_admin(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
-    serve(listener, stop, move |request, _| {
+    serve_control(listener, stop, move |request, _| {
         let runtime = runtime.clone();
         async move { handle(&runtime, &request) }
     })
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -12,7 +12,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use seam_core::Origin;
-use seam_http::{Body, CallerLimits, Listener, Stop, serve_with_limits};
+use seam_http::{Body, CallerLimits, Listener, ServerLimits, Stop, serve_with_limits};
 use seam_protocol::Reason;
 
 use crate::drive;
@@ -23,13 +23,23 @@
 pub use api::{EntriesResponse, Entry, KeyResponse};
 pub use discovery::{serve_directory, serve_readiness};
 
+/// Maximum number of requests at once on a caller's HTTP/2 connection.
+const MAX_STREAMS: u32 = 100;
+/// Bytes of all bodies that a caller's HTTP/2 connection holds before they are read.
+const WINDOW_BYTES: u32 = 256 << 10;
+
 /// Serves callers' requests until stopped.
 pub async fn serve_callers(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
-    let max_connections = runtime.settings().connections;
+    let server_limits = ServerLimits {
+        connections: runtime.settings().connections,
+        streams: MAX_STREAMS,
+        window: WINDOW_BYTES,
+        ..ServerLimits::default()
+    };
     let limits_runtime = runtime.clone();
     let caller_limits = move || caller_limits(&limits_runtime);
     serve_with_limits(
-        max_connections,
+        server_limits,
         caller_limits,
         listener,
         stop,
--- a/crates/seam-node/src/front/discovery.rs
+++ b/crates/seam-node/src/front/discovery.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use seam_http::{Body, Listener, Stop, empty, serve};
+use seam_http::{Body, Listener, Stop, empty};
 use seam_protocol::{Digest, RegionId};
 
+use crate::control_port::serve_control;
 use crate::readiness::readiness;
 use crate::runtime::NodeRuntime;
 
@@ -17,7 +18,7 @@
 
 /// Serves the readiness check until stopped.
 pub async fn serve_readiness(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
-    serve(listener, stop, move |_, _| {
+    serve_control(listener, stop, move |_, _| {
         let response = readiness(&runtime);
         async move { response }
     })
@@ -26,7 +27,7 @@
 
 /// Serves the directory, which lists the nodes that callers should use, until stopped.
 pub async fn serve_directory(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
-    serve(listener, stop, move |request, from| {
+    serve_control(listener, stop, move |request, from| {
         let response = match runtime.dialect.directory_query(&request) {
             Some(query) => {
                 let region = query.region.as_deref().map(RegionId::of);
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod clock;
 mod config_log;
+mod control_port;
 pub mod daemon;
 mod dependency;
 pub mod dialect;
--- a/crates/toucanseam/tests/endless_peers.rs
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -376,3 +376,35 @@
         }
     });
 }
+
+/// Guards against heads without end on the ports for readiness, the directory and administration, which
+/// fill a node's memory.
+#[test]
+fn control_ports() {
+    const CONNECTIONS: usize = 1000;
+    /// Heads below the default limit of 64 KiB, and below the smallest of 8 KiB.
+    const HEAD_BYTES: [usize; 2] = [60 << 10, 7 << 10];
+    play("control_ports", |flood, ports| {
+        for address in [ports.readiness, ports.directory, ports.admin] {
+            flood.run(move |running| {
+                let head = |bytes| format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}", "a".repeat(bytes));
+                let heads = HEAD_BYTES.map(head);
+                let mut open = Vec::new();
+                for number in 0..CONNECTIONS {
+                    if !running.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let Ok(mut connection) = TcpStream::connect(address) else {
+                        break;
+                    };
+                    // The node may have refused the head already.
+                    let _ = connection.write_all(heads[number % 2].as_bytes());
+                    open.push(connection);
+                }
+                while running.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+}
