items: a reply of many small items is refused before it is decoded

An item is at least four bytes in a reply and takes 64 in memory before it is merged, so a reply within 32 MiB could take more than half a gigabyte. A delta has at most 65,536 items, many times those of the largest deployment (1,400 targets).

--- a/crates/seam-protocol/src/inventory.rs
+++ b/crates/seam-protocol/src/inventory.rs
@@ -78,6 +78,10 @@
     pub lapsed: bool,
 }
 
+/// Maximum number of items in a [`Delta`]. Each takes far more memory than the four bytes of its
+/// shortest encoding.
+pub const MAX_ITEMS: usize = 1 << 16;
+
 /// Items that update the receiver to a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -105,9 +109,15 @@
         postcard::to_allocvec(self).expect("a delta always serializes")
     }
 
-    /// Decodes the output of [`Self::encode`]. Returns `None` for other bytes.
+    /// Decodes the output of [`Self::encode`]. Returns `None` for other bytes, and for more than
+    /// [`MAX_ITEMS`].
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
+        // The delta begins with the number of its items.
+        let (count, _) = postcard::take_from_bytes::<u64>(bytes).ok()?;
+        if count > MAX_ITEMS as u64 {
+            return None;
+        }
         postcard::from_bytes(bytes).ok()
     }
 }
--- a/crates/toucanseam/tests/endless_peers.rs
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -377,6 +377,75 @@
     });
 }
 
+/// Returns a reply with as many items as fit, each of four bytes.
+fn reply_of_small_items() -> Bytes {
+    const ITEMS: usize = 7_000_000;
+    const DELTA_FIELD: u8 = 0x0a;
+    let varint = |mut value: usize| {
+        let mut bytes = Vec::new();
+        while value >= 0x80 {
+            bytes.push((value & 0x7f) as u8 | 0x80);
+            value >>= 7;
+        }
+        bytes.push(value as u8);
+        bytes
+    };
+    let mut delta = varint(ITEMS);
+    for _ in 0..ITEMS {
+        // An empty key, the revision, no value, not lapsed.
+        delta.extend([0, 1, 0, 0]);
+    }
+    delta.extend([1, 0]);
+    let mut message = vec![DELTA_FIELD];
+    message.extend(varint(delta.len()));
+    message.extend(delta);
+    let length = u32::try_from(message.len()).expect("the message is short enough");
+    let mut reply = vec![0];
+    reply.extend(length.to_be_bytes());
+    reply.extend(message);
+    reply.into()
+}
+
+/// Guards against items of few bytes each that take far more memory than the reply that lists them.
+#[test]
+fn small_items() {
+    let reply = reply_of_small_items();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counter = calls.clone();
+    play("small_items", |flood, ports| {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = Listener::bind(any).expect("a port is free");
+        let peer = listener.address;
+        let handler = move |_, _| {
+            counter.fetch_add(1, Ordering::SeqCst);
+            let trailers = HeaderMap::from_iter([(
+                http::HeaderName::from_static("grpc-status"),
+                HeaderValue::from_static("0"),
+            )]);
+            let body = full(reply.clone()).with_trailers(async move { Some(Ok(trailers)) });
+            let mut response = Response::new(body.boxed_unsync());
+            let content_type = HeaderValue::from_static("application/grpc");
+            response.headers_mut().insert("content-type", content_type);
+            async move { response }
+        };
+        flood
+            .tasks
+            .push(spawn(serve(listener, Stop::default(), handler)));
+        flood.run(move |running| {
+            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+            let mut heartbeat = heartbeat_of("ghost", peer);
+            heartbeat.items_revision = 1 << 40;
+            while running.load(Ordering::SeqCst) {
+                heartbeat.sent += 1;
+                let datagram = append_mac(b"", heartbeat.encode());
+                let _ = socket.send_to(&datagram, ports.peer);
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+    });
+    assert!(calls.load(Ordering::SeqCst) > 0, "no items were fetched");
+}
+
 /// Guards against heads without end on the ports for readiness, the directory and administration, which
 /// fill a node's memory.
 #[test]
