--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -10,6 +10,7 @@
 use seam_core::command::Withheld;
 use seam_core::config_version::NotTaken;
 use seam_core::status::Status;
+use seam_http::bounds::exceeded;
 use seam_protocol::Reason;
 
 /// Histogram bucket bounds of request times in seconds, around common latency objectives.
@@ -56,6 +57,7 @@
     read_age: Gauge<u64>,
     current_age: Gauge<u64>,
     events: Gauge<u64>,
+    bounds: Gauge<u64>,
 }
 
 impl Gauges {
@@ -110,6 +112,10 @@
                 "time since this node knew all that the store, or a node that reaches it, had",
             ),
             events: gauge("seam_events", "events since boot, by kind"),
+            bounds: gauge(
+                "seam_bounds_exceeded",
+                "times that a machine sent more than a bound, by bound",
+            ),
         }
     }
 
@@ -169,6 +175,10 @@
         ] {
             self.events.record(count, &[KeyValue::new("kind", kind)]);
         }
+        for (bound, count) in exceeded() {
+            let label = [KeyValue::new("bound", bound.name())];
+            self.bounds.record(count, &label);
+        }
     }
 }
 
