link: messages that state too many bytes are counted, and tests read the counters

A message beyond the largest size was refused without a line or a count. link_messages had only such messages; it now has messages within the size too, which reach the memory for bodies. short_datagrams sends datagrams that are no heartbeats.

Tests look for seam_bounds_exceeded.

--- a/crates/seam-http/src/bounds.rs
+++ b/crates/seam-http/src/bounds.rs
@@ -29,6 +29,8 @@
     ResponseBody,
     /// Bytes of incomplete messages of other nodes.
     Messages,
+    /// Bytes of a message of another node.
+    MessageSize,
     /// Calls of other nodes whose first message is awaited.
     UnreadCalls,
     /// Heartbeats of one sender in a tenth of a second.
@@ -51,6 +53,7 @@
             Self::InterimHeads => "interim_heads",
             Self::ResponseBody => "response_body",
             Self::Messages => "messages",
+            Self::MessageSize => "message_size",
             Self::UnreadCalls => "unread_calls",
             Self::Heartbeats => "heartbeats",
         }
--- a/crates/seam-node/src/messages.rs
+++ b/crates/seam-node/src/messages.rs
@@ -41,9 +41,10 @@
                 self.prefix[self.filled..self.filled + count].copy_from_slice(&bytes[..count]);
                 self.filled += count;
                 bytes = &bytes[count..];
-                let [_, length @ ..] = self.prefix;
-                self.remaining = u32::from_be_bytes(length) as usize;
-                self.read = 0;
+                if self.filled == PREFIX_BYTES {
+                    let [_, length @ ..] = self.prefix;
+                    self.remaining = u32::from_be_bytes(length) as usize;
+                }
             } else {
                 let count = self.remaining.min(bytes.len());
                 self.remaining -= count;
@@ -97,6 +98,8 @@
     from: SocketAddr,
     framing: MessageFraming,
     reservation: ByteReservation,
+    /// Maximum size of a message in bytes.
+    max_message: usize,
     /// The call until its first message is complete.
     unread: Option<UnreadCall>,
 }
@@ -108,6 +111,7 @@
         body: Incoming,
         from: SocketAddr,
         reservation: ByteReservation,
+        max_message: usize,
         unread: Option<UnreadCall>,
     ) -> Self {
         Self {
@@ -115,6 +119,7 @@
             from,
             framing: MessageFraming::default(),
             reservation,
+            max_message,
             unread,
         }
     }
@@ -125,6 +130,12 @@
         if self.framing.complete {
             self.unread = None;
         }
+        let length = self.framing.read + self.framing.remaining;
+        if length > self.max_message {
+            record_exceeded(Bound::MessageSize, self.from, length);
+            let message = format!("a message of {length} bytes");
+            return Err(Status::out_of_range(message));
+        }
         if self.reservation.set(held) {
             return Ok(());
         }
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -362,7 +362,8 @@
         .begin(from)
         .ok_or_else(|| Status::resource_exhausted("too many calls that are not read"))?;
     let reservation = runtime.body_memory.reservation();
-    Ok(request.map(|body| MessageBody::new(body, from, reservation, Some(call))))
+    let max_message = max_message_bytes(runtime);
+    Ok(request.map(|body| MessageBody::new(body, from, reservation, max_message, Some(call))))
 }
 
 /// Serves other nodes until stopped.
--- a/crates/toucanseam/tests/endless_peers.rs
+++ b/crates/toucanseam/tests/endless_peers.rs
@@ -36,7 +36,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use seam_http::client::open_http2;
-use seam_http::{Body, Listener, Stop, full, serve, spawn};
+use seam_http::{Body, Listener, Stop, empty, fetch, full, serve, spawn};
 use seam_protocol::heartbeat::ServiceReach;
 use seam_protocol::key::append_mac;
 use seam_protocol::{
@@ -78,8 +78,8 @@
     }
 }
 
-/// Runs a node and another caller's requests beside a flood.
-fn play(name: &str, start: impl FnOnce(&mut Flood, Ports)) {
+/// Runs a node and another caller's requests beside a flood. Returns the metrics afterwards.
+fn play(name: &str, start: impl FnOnce(&mut Flood, Ports)) -> String {
     start_workers();
     let mut world = seam_http::block_on(World::start(name));
     world.node.limit_memory(MAX_ADDRESS_SPACE);
@@ -111,6 +111,18 @@
     for thread in flood.threads.drain(..) {
         thread.join().expect("the sender ends");
     }
+    let metrics = Request::get("/metrics").body(empty());
+    let metrics = metrics.expect("the request is valid");
+    let metrics = fetch(world.node.ports.admin, metrics, TIME_LIMIT, 1 << 20);
+    let metrics = seam_http::block_on(metrics).expect("the node responds");
+    String::from_utf8_lossy(metrics.body()).into_owned()
+}
+
+/// Returns whether the metrics count that a bound was exceeded.
+fn counts_exceeded(metrics: &str, bound: &str) -> bool {
+    let label = format!("bound=\"{bound}\"");
+    let mut lines = metrics.lines();
+    lines.any(|line| line.starts_with("seam_bounds_exceeded{") && line.contains(&label))
 }
 
 const PEER_PORT: &str = "127.0.0.1:9";
@@ -155,22 +167,37 @@
     (0..DATAGRAMS).map(datagram).collect()
 }
 
-/// Sends datagrams again and again.
+/// Sends the datagrams of many nodes again and again.
 fn flood_heartbeats(name: &str, add: impl Fn(&mut Heartbeat, u32)) {
     let datagrams = heartbeats_of_ghosts(add);
     play(name, |flood, ports| {
-        flood.run(move |running| {
-            let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
-            while running.load(Ordering::SeqCst) {
-                for datagram in &datagrams {
-                    // The node may have ended.
-                    let _ = socket.send_to(datagram, ports.peer);
-                }
+        send_datagrams(flood, ports.peer, datagrams);
+    });
+}
+
+/// Sends datagrams again and again.
+fn send_datagrams(flood: &mut Flood, node: SocketAddr, datagrams: Vec<Vec<u8>>) {
+    flood.run(move |running| {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        while running.load(Ordering::SeqCst) {
+            for datagram in &datagrams {
+                // The node may have ended.
+                let _ = socket.send_to(datagram, node);
             }
-        });
+        }
     });
 }
 
+/// Guards against a node that handles nothing but datagrams that are no heartbeats.
+#[test]
+fn short_datagrams() {
+    let datagrams = vec![vec![0]; 100];
+    let metrics = play("short_datagrams", |flood, ports| {
+        send_datagrams(flood, ports.peer, datagrams);
+    });
+    assert!(counts_exceeded(&metrics, "heartbeats"), "{metrics}");
+}
+
 /// Guards against a node that handles nothing but the heartbeats of one that sends them without end, and
 /// keeps every node that they name.
 #[test]
@@ -251,7 +278,7 @@
         frame(UNKNOWN, 0, 0, &[]),
     ];
     let count = kinds.len();
-    play("link_frames", |flood, ports| {
+    let metrics = play("link_frames", |flood, ports| {
         for kind in kinds {
             let closed = counter.clone();
             flood.run(move |running| {
@@ -268,6 +295,7 @@
         }
     });
     assert_eq!(closed.load(Ordering::SeqCst), count, "connections closed");
+    assert!(counts_exceeded(&metrics, "control_frames"), "{metrics}");
 }
 
 /// Returns the bytes of a header block field that is not indexed.
@@ -328,13 +356,12 @@
     });
 }
 
-/// Returns a message of the largest size that a node takes, without its last byte.
-fn endless_message() -> Body {
-    const MESSAGE_BYTES: u32 = 4 << 20;
+/// Returns a message without its last byte.
+fn endless_message(message_bytes: u32) -> Body {
     const PART: &[u8] = &[0; 16 << 10];
     let mut prefix = vec![0];
-    prefix.extend(MESSAGE_BYTES.to_be_bytes());
-    let parts = MESSAGE_BYTES as usize / PART.len();
+    prefix.extend(message_bytes.to_be_bytes());
+    let parts = message_bytes as usize / PART.len();
     let last = Bytes::from_static(&PART[1..]);
     let parts = stream::once(Bytes::from(prefix))
         .chain(stream::repeat(Bytes::from_static(PART)).take(parts - 1))
@@ -344,16 +371,16 @@
 }
 
 /// Sends calls with messages that have no end on one connection.
-async fn call_endlessly(node: SocketAddr, calls: usize) {
+async fn call_endlessly(node: SocketAddr, messages: Vec<u32>) {
     let token = Digest::of(&append_mac(b"", b"peer link 1".to_vec())).to_string();
     let sender = open_http2::<Body>(node).await.expect("the node listens");
     let mut responses = Vec::new();
-    for _ in 0..calls {
+    for message_bytes in messages {
         let request = Request::post(format!("http://{node}/seam.peer.Peer/Forward"))
             .header("content-type", "application/grpc")
             .header("te", "trailers")
             .header("seam-fleet", &token)
-            .body(endless_message())
+            .body(endless_message(message_bytes))
             .expect("the request is valid");
         let mut sender = sender.clone();
         responses.push(spawn(async move {
@@ -369,12 +396,21 @@
 /// Guards against messages without an end that fill a node's memory.
 #[test]
 fn link_messages() {
-    const CALLS: usize = 2;
-    play("link_messages", |flood, ports| {
+    /// The default of `tonic`, and less than the longest that a node sends.
+    const MESSAGE_BYTES: [u32; 2] = [4 << 20, 256 << 10];
+    const CALLS: [usize; 2] = [2, 8];
+    let metrics = play("link_messages", |flood, ports| {
         for _ in 0..FAULTY_NODES {
-            flood.tasks.push(spawn(call_endlessly(ports.peer, CALLS)));
+            let large = vec![MESSAGE_BYTES[0]; CALLS[0]];
+            let messages = [large, vec![MESSAGE_BYTES[1]; CALLS[1]]].concat();
+            flood
+                .tasks
+                .push(spawn(call_endlessly(ports.peer, messages)));
         }
     });
+    for bound in ["messages", "message_size"] {
+        assert!(counts_exceeded(&metrics, bound), "{bound}: {metrics}");
+    }
 }
 
 /// Returns a reply with as many items as fit, each of four bytes.
@@ -453,7 +489,7 @@
     const CONNECTIONS: usize = 1000;
     /// Heads below the default limit of 64 KiB, and below the smallest of 8 KiB.
     const HEAD_BYTES: [usize; 2] = [60 << 10, 7 << 10];
-    play("control_ports", |flood, ports| {
+    let metrics = play("control_ports", |flood, ports| {
         for address in [ports.readiness, ports.directory, ports.admin] {
             flood.run(move |running| {
                 let head = |bytes| format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}", "a".repeat(bytes));
@@ -476,4 +512,5 @@
             });
         }
     });
+    assert!(counts_exceeded(&metrics, "request_head"), "{metrics}");
 }
