platform: a target's status promises "not run" only with its statement

Cause: between caller and node 408, 421, 429 and 503 say that a request was not run; between node and target only Not-Executed, or 421, does.

Change: Dialect::relayed_status replaces such a status by 502 and removes the seal, which belongs to the target's own status; headers and body stay. It is used where a target's answer is read and where another node's is, which may be of an earlier version. The built-in dialect tells the outcome in a header and keeps statuses.

--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -100,6 +100,13 @@
         headers: &HeaderMap,
     ) -> ResponseClass;
 
+    /// Returns the status with which to relay a response in which the target does not state that it did
+    /// not run the request.
+    ///
+    /// A status by which callers would take the request as not run is replaced, and headers that vouch
+    /// for it are removed.
+    fn relayed_status(&self, status: StatusCode, headers: &mut HeaderMap) -> StatusCode;
+
     /// Reads a target's load from the headers of a response.
     fn load_report(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
@@ -191,6 +198,11 @@
         ResponseClass::Valid
     }
 
+    // Callers read in a header whether a request ran, whatever the status.
+    fn relayed_status(&self, status: StatusCode, _headers: &mut HeaderMap) -> StatusCode {
+        status
+    }
+
     fn load_report(&self, _headers: &HeaderMap) -> Option<LoadReport> {
         None
     }
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -26,7 +26,7 @@
 use crate::progress::{Framing, Progress};
 use crate::response_writer::{ResponseHead, ResponseWriter};
 use crate::runtime::{NodeAttempt, NodeRuntime};
-use crate::targets::{ResponseRecorder, set_last_event_id};
+use crate::targets::{ResponseRecorder, relayed_status, set_last_event_id};
 
 /// Maximum number of body bytes in one frame.
 const MAX_FRAME_BYTES: usize = 64 << 10;
@@ -247,7 +247,9 @@
                 }
                 let status = StatusCode::from_u16(head.status as u16);
                 let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-                let headers = wire::headers(&head.headers);
+                let mut headers = wire::headers(&head.headers);
+                // A node of an earlier version passes on its target's own status.
+                let status = relayed_status(runtime, inbound, to.attempt, status, &mut headers);
                 if writer.has_started() && !writer.is_continued_by(status, &headers) {
                     return DiscontinuedSnafu.fail();
                 }
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode, header, request, response};
 use http_body_util::BodyExt;
 use seam_core::keys::MAX_RESPONSE_BYTES;
-use seam_core::{AttemptOutcome, Event, Refusal};
+use seam_core::{AttemptKey, AttemptOutcome, Event, Refusal};
 use seam_http::client::describe;
 use seam_http::{ClientError, Connection, ResponseBody};
 use seam_protocol::{HeaderField, Reason, StoredResponse};
@@ -76,7 +76,7 @@
             };
         }
     };
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
     let dialect = &runtime.dialect;
     if let Some(load) = dialect.load_report(&head.headers) {
         runtime.handle(Event::Load(to.target, load));
@@ -84,6 +84,7 @@
     if let Some(reply) = unusable_head(runtime, to, inbound, &head) {
         return reply;
     }
+    head.status = relayed_status(runtime, inbound, to.attempt, head.status, &mut head.headers);
     if writer.has_started() && !writer.is_continued_by(head.status, &head.headers) {
         log::info!(
             "request {}: target {} answers with status {}, which does not go on with the response",
@@ -114,6 +115,26 @@
     reply
 }
 
+/// Returns the status with which to relay a response, and logs if it is another one than the target's.
+pub fn relayed_status(
+    runtime: &NodeRuntime,
+    inbound: &InboundRequest,
+    attempt: AttemptKey,
+    status: StatusCode,
+    headers: &mut http::HeaderMap,
+) -> StatusCode {
+    let relayed = runtime.dialect.relayed_status(status, headers);
+    if relayed != status {
+        log::info!(
+            target: "request",
+            request = inbound.id.as_str(), attempt = attempt.0, status = status.as_u16(),
+            relayed = relayed.as_u16();
+            "status replaced, as the target may have run the request"
+        );
+    }
+    relayed
+}
+
 /// Judges the head of a target's response. Returns the result of the attempt if the response is a
 /// refusal or does not belong to the request, `None` if it can be relayed.
 fn unusable_head(
