harness: targets that fail after a run with a status that says otherwise

Cause: targets of the random histories answered in full or broke off, and the oracle looked at refusals only. A relayed failure counted as complete, whatever a caller reads in its status, so no history could show that one was taken as "not run".

Change: a fault Fail; in histories one in four runs of each target fails. A response that claims that the request was not run is the outcome "not run" for the oracle. Seven mutants: the status is kept on the direct path, inside a region, across regions and after a retry; a refusal after a retry, a response that has begun and a cancelled attempt are reported as not run.

--- a/crates/seam-harness/src/fault.rs
+++ b/crates/seam-harness/src/fault.rs
@@ -76,6 +76,14 @@
         /// Service time as a percentage of the normal one.
         percent: u32,
     },
+    /// A target fails one in so many requests after it has run them, with a status by which callers know
+    /// that a request was not run.
+    Fail {
+        /// Target name.
+        target: String,
+        /// Runs for each failure.
+        runs: u64,
+    },
     /// A target names a rate limit in its answers, or none any more.
     AdvertiseLimit {
         /// Target name.
--- a/crates/seam-harness/src/history.rs
+++ b/crates/seam-harness/src/history.rs
@@ -25,6 +25,8 @@
 const MAX_RESEND_AGE: Duration = Duration::from_secs(15);
 /// Concurrency of each customer: one unit per VM.
 const CONCURRENCY: u32 = 9;
+/// Runs of a target for each that fails.
+const FAILURE_INTERVAL: u64 = 4;
 /// Number of recent operations that later steps may refer to.
 const RECENT_OPS: usize = 12;
 
@@ -246,6 +248,12 @@
     }
     let mut world = World::new(bundle, seed);
     world.mutation = mutation;
+    for target in world.target_names() {
+        world.inject_fault(&Fault::Fail {
+            target,
+            runs: FAILURE_INTERVAL,
+        });
+    }
     // Key owners are settled one repeat window after boot.
     world.run_for(BOOT_TIME + REPEAT_WINDOW);
     let mut ops: Vec<OpId> = Vec::new();
--- a/crates/seam-harness/src/mutation.rs
+++ b/crates/seam-harness/src/mutation.rs
@@ -2,9 +2,22 @@
 
 use std::sync::Arc;
 
-use seam_core::{Arrival, AttemptOutcome, Command, Event, Origin};
+use seam_core::{Arrival, AttemptOutcome, Command, Event, Origin, Refusal};
 use seam_protocol::{Outcome, Reason, TargetId};
 
+/// The way of a target's response to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponsePath {
+    /// From a target of the caller's node.
+    Direct,
+    /// Through another node of the same region.
+    SameRegion,
+    /// Through a node of another region.
+    OtherRegion,
+    /// After another run of the same request.
+    Retried,
+}
+
 /// One way to make a node's decisions wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mutation {
@@ -19,6 +32,14 @@
     BrokenAsNotSent,
     /// An unknown outcome is returned as not run.
     UnknownAsNotRun,
+    /// A failure after a run keeps the status by which callers know that a request was not run.
+    KeepStatus(ResponsePath),
+    /// A refusal of a request that an earlier attempt may have run is returned as not run.
+    RetriedAsNotRun,
+    /// The end of a response that has started is reported as a refusal.
+    StartedAsRefused,
+    /// A cancelled attempt is reported as not sent.
+    CancelledAsNotSent,
     /// A truncated response is delivered as complete.
     CutAsWhole,
     /// A caller receives the response to another request.
@@ -56,6 +77,9 @@
     pub fn reply(self, reply: AttemptOutcome) -> AttemptOutcome {
         match (self, reply) {
             (Self::BrokenAsNotSent, AttemptOutcome::Broken { .. }) => AttemptOutcome::NotSent,
+            (Self::StartedAsRefused, AttemptOutcome::Broken { started: true }) => {
+                AttemptOutcome::Refused(Refusal::not_run(Reason::Refused))
+            }
             (Self::CutAsWhole, AttemptOutcome::Broken { .. }) => AttemptOutcome::Complete {
                 response: None,
                 success: true,
@@ -99,6 +123,15 @@
             (Self::UnknownAsNotRun, Command::Refuse { refusal, .. }) => {
                 refusal.outcome = Outcome::NotRun;
             }
+            (Self::RetriedAsNotRun, Command::Refuse { refusal, .. }) => {
+                let own_failure = matches!(
+                    refusal.reason,
+                    Reason::Broken | Reason::Silent | Reason::Deadline | Reason::KeyOwner
+                );
+                if !own_failure {
+                    refusal.outcome = Outcome::NotRun;
+                }
+            }
             (Self::NoDeadline, Command::Refuse { refusal, .. }) => {
                 return refusal.reason != Reason::Deadline;
             }
--- a/crates/seam-harness/src/target.rs
+++ b/crates/seam-harness/src/target.rs
@@ -86,6 +86,10 @@
     pub silent: bool,
     /// Whether the platform lists it as leaving.
     pub leaving: bool,
+    /// One in so many runs fails, with a status by which callers know that a request was not run.
+    pub failure_interval: Option<u64>,
+    /// Completed runs so far.
+    pub completed: u64,
     /// Limit that it names in its answers.
     pub limit: Option<FakeLimit>,
     /// Running requests with their start times.
@@ -120,6 +124,8 @@
             down_until: None,
             silent: false,
             leaving: false,
+            failure_interval: None,
+            completed: 0,
             limit: None,
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -135,6 +141,13 @@
         self.down_until.is_none_or(|until| until <= now)
     }
 
+    /// Counts a completed run. Returns whether it fails.
+    pub fn complete_run(&mut self) -> bool {
+        self.completed += 1;
+        self.failure_interval
+            .is_some_and(|runs| self.completed.is_multiple_of(runs))
+    }
+
     /// Returns the service time of a request, and adds its prefix to the cache.
     ///
     /// The time is at least half the mean, has an exponential tail, and grows with the number of
--- a/crates/seam-harness/src/world.rs
+++ b/crates/seam-harness/src/world.rs
@@ -179,6 +179,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) attempt: AttemptKey,
     pub(crate) finished: bool,
+    /// Whether the target answers with a failure.
+    pub(crate) failed: bool,
     pub(crate) arrived_at: Time,
     pub(crate) started_at: Time,
     pub(crate) cache_hit: bool,
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -10,7 +10,7 @@
 
 use super::{Destination, Exchange, Requester, RunId, SimEvent, World};
 use crate::link::{REGION_DELAY, with_jitter};
-use crate::mutation::Mutation;
+use crate::mutation::{Mutation, ResponsePath};
 use crate::oracle::Breach;
 
 /// Timeout for connecting to another node.
@@ -100,7 +100,7 @@
                 }
             }
             // A world keeps no other logs, publishes complete bundles instead of items, and its
-            // targets return no error responses and are never cold.
+            // targets are never cold. `should_discard` handles failures that are dropped.
             Command::LogRouting { .. }
             | Command::LogOrigin { .. }
             | Command::LogWithheld { .. }
@@ -316,7 +316,7 @@
             }
             Destination::Node { .. } => {}
         }
-        let reply = if exchange.sent {
+        let reply = if exchange.sent && self.mutation != Mutation::CancelledAsNotSent {
             AttemptOutcome::Broken { started: false }
         } else {
             AttemptOutcome::NotSent
@@ -391,7 +391,11 @@
         };
         match requester {
             Requester::Caller(request) => {
-                self.finish_request(request, Outcome::Complete, Some(run), None);
+                if self.claims_no_run(vm, request, run) {
+                    self.finish_request(request, Outcome::NotRun, None, None);
+                } else {
+                    self.finish_request(request, Outcome::Complete, Some(run), None);
+                }
             }
             Requester::Peer { .. } => {
                 let reply = AttemptOutcome::Complete {
@@ -403,6 +407,30 @@
         }
     }
 
+    /// Returns whether a response says by its status that the request was not run. Nodes replace the
+    /// status of such a failure, unless a mutation prevents it.
+    fn claims_no_run(&self, vm: VmId, request: crate::SendingId, run: RunId) -> bool {
+        let Mutation::KeepStatus(kept) = self.mutation else {
+            return false;
+        };
+        let Some(run_state) = self.run_states.get(&run).filter(|state| state.failed) else {
+            return false;
+        };
+        let op = self.oracle.requests[&request].op;
+        let mut runs = self.oracle.ops[&op].runs.iter();
+        let retried = runs.any(|id| *id != run && self.oracle.runs[id].request == request);
+        let path = if retried {
+            ResponsePath::Retried
+        } else if run_state.vm == vm {
+            ResponsePath::Direct
+        } else if self.oracle.runs[&run].region == self.processes[&vm].region {
+            ResponsePath::SameRegion
+        } else {
+            ResponsePath::OtherRegion
+        };
+        path == kept
+    }
+
     fn respond_to_peer(
         &mut self,
         from: VmId,
@@ -514,9 +542,10 @@
                 }
                 if let Some(exchange) = self.remove_exchange(vm, attempt) {
                     self.deliver_response(vm, exchange.ticket, run);
+                    let failed = self.run_states.get(&run).is_some_and(|state| state.failed);
                     let reply = AttemptOutcome::Complete {
                         response: None,
-                        success: true,
+                        success: !failed,
                     };
                     self.handle(vm, Event::AttemptEnded(attempt, reply));
                 }
--- a/crates/seam-harness/src/world/callers.rs
+++ b/crates/seam-harness/src/world/callers.rs
@@ -163,6 +163,7 @@
             .map(|run| run.region);
         let remote = ran_in.is_some_and(|ran| ran != region);
         let run_state = run.and_then(|run| self.run_states.get(&run));
+        let failed = run_state.is_some_and(|run_state| run_state.failed);
         let cache_hit = run_state.is_some_and(|run_state| run_state.cache_hit);
         let called_at = deadline - call.budget;
         let wait = run_state.map_or(Duration::ZERO, |run_state| {
@@ -174,7 +175,7 @@
         let latency = call.budget.saturating_sub(deadline.since(now)) + CALLER_DELAY;
         self.stats
             .record(call.customer, region, |tally| match outcome {
-                Outcome::Complete if run.is_some() => {
+                Outcome::Complete if run.is_some() && !failed => {
                     let in_time = now + CALLER_DELAY <= deadline;
                     tally.good += u64::from(in_time);
                     tally.late += u64::from(!in_time);
--- a/crates/seam-harness/src/world/faults.rs
+++ b/crates/seam-harness/src/world/faults.rs
@@ -83,6 +83,11 @@
                     fake.slowdown = f64::from(*percent) / 100.0;
                 }
             }
+            Fault::Fail { target, runs } => {
+                if let Some(fake) = self.targets.get_mut(&TargetId::of(target)) {
+                    fake.failure_interval = Some(*runs);
+                }
+            }
             Fault::AdvertiseLimit { target, millis } => {
                 let limit = millis.map(|millis| FakeLimit::new(self.now, millis as f64 / 1000.0));
                 if let Some(fake) = self.targets.get_mut(&TargetId::of(target)) {
--- a/crates/seam-harness/src/world/targets.rs
+++ b/crates/seam-harness/src/world/targets.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use seam_core::{AttemptKey, AttemptOutcome, Command, Event};
-use seam_protocol::{Bundle, Incarnation, StoredResponse, TargetId, VmId};
+use seam_core::{AttemptKey, AttemptOutcome, Command, Event, Refusal};
+use seam_protocol::{Bundle, Incarnation, Reason, StoredResponse, TargetId, VmId};
 
 use super::{Destination, OpId, RunId, RunState, SimEvent, World};
 use crate::link::REGION_DELAY;
@@ -88,6 +88,7 @@
             incarnation,
             attempt,
             finished: false,
+            failed: false,
             arrived_at: now,
             started_at: now,
             cache_hit: false,
@@ -220,11 +221,13 @@
         if fake.running.remove(&run).is_none() {
             return;
         }
+        let failed = fake.complete_run();
         self.start_waiting(target);
         let Some(run_state) = self.run_states.get_mut(&run) else {
             return;
         };
         run_state.finished = true;
+        run_state.failed = failed;
         let run_state = *run_state;
         let silent = self
             .exchange(run_state.vm, run_state.attempt)
@@ -236,22 +239,30 @@
         }
     }
 
-    /// Handles a complete response of a target.
+    /// Handles a complete response of a target, which a node drops if it fails and is retried.
     pub(super) fn target_replies(&mut self, vm: VmId, attempt: AttemptKey, run: RunId) {
         let exchange = self.exchange(vm, attempt);
         let to = exchange.map(|exchange| exchange.to.clone());
         if let Some(Destination::Target(target)) = to {
             self.tell_limit(vm, attempt, target);
         }
+        let failed = self.run_states[&run].failed;
+        let discarded = failed && self.should_discard(vm, attempt);
         let Some(process) = self.processes.get_mut(&vm) else {
             return;
         };
         let Some(exchange) = process.exchanges.remove(&attempt) else {
             return;
         };
+        if discarded {
+            let unknown = Refusal::unknown(Reason::Broken);
+            let reply = AttemptOutcome::OutcomeUnknown(unknown);
+            self.handle(vm, Event::AttemptEnded(attempt, reply));
+            return;
+        }
         let response = exchange.keep_response.then(|| {
             Arc::new(StoredResponse {
-                status: 200,
+                status: if failed { 502 } else { 200 },
                 headers: Vec::new(),
                 body: run.0.to_be_bytes().to_vec(),
             })
@@ -264,12 +275,35 @@
                 attempt,
                 AttemptOutcome::Complete {
                     response,
-                    success: true,
+                    success: !failed,
                 },
             ),
         );
     }
 
+    /// Returns whether a node drops the failure of an attempt to retry its request.
+    fn should_discard(&mut self, vm: VmId, attempt: AttemptKey) -> bool {
+        let now = self.now;
+        let Some(process) = self.processes.get_mut(&vm) else {
+            return false;
+        };
+        let local = process.local_time(now);
+        let Some(node) = &mut process.node else {
+            return false;
+        };
+        let mut commands = Vec::new();
+        node.handle(local, Event::ErrorResponse(attempt), &mut commands);
+        let mut discarded = false;
+        for command in commands {
+            if matches!(command, Command::Discard(key) if key == attempt) {
+                discarded = true;
+            } else {
+                self.perform(vm, command);
+            }
+        }
+        discarded
+    }
+
     /// Returns the run whose response is delivered, which a mutation swaps for another run.
     fn swapped_run(&self, run: RunId) -> RunId {
         if self.mutation != crate::mutation::Mutation::SwapResponses {
--- a/crates/seam-harness/tests/oracle_mutations.rs
+++ b/crates/seam-harness/tests/oracle_mutations.rs
@@ -2,7 +2,7 @@
 
 use seam_harness::Breach;
 use seam_harness::history::Campaign;
-use seam_harness::mutation::Mutation;
+use seam_harness::mutation::{Mutation, ResponsePath};
 use yare::parameterized;
 
 #[parameterized(
@@ -10,6 +10,13 @@
     loops = { Mutation::DropHops, |breach| matches!(breach, Breach::Loop(_)) },
     repeats = { Mutation::BrokenAsNotSent, |breach| matches!(breach, Breach::Twice(_) | Breach::NotRunRan(_)) },
     outcomes = { Mutation::UnknownAsNotRun, |breach| matches!(breach, Breach::NotRunRan(_)) },
+    kept_statuses = { Mutation::KeepStatus(ResponsePath::Direct), |breach| matches!(breach, Breach::NotRunRan(_)) },
+    kept_in_region = { Mutation::KeepStatus(ResponsePath::SameRegion), |breach| matches!(breach, Breach::NotRunRan(_)) },
+    kept_across_regions = { Mutation::KeepStatus(ResponsePath::OtherRegion), |breach| matches!(breach, Breach::NotRunRan(_)) },
+    kept_after_retry = { Mutation::KeepStatus(ResponsePath::Retried), |breach| matches!(breach, Breach::NotRunRan(_)) },
+    refused_after_retry = { Mutation::RetriedAsNotRun, |breach| matches!(breach, Breach::NotRunRan(_)) },
+    started_responses = { Mutation::StartedAsRefused, |breach| matches!(breach, Breach::Twice(_) | Breach::NotRunRan(_)) },
+    cancelled_attempts = { Mutation::CancelledAsNotSent, |breach| matches!(breach, Breach::Twice(_) | Breach::NotRunRan(_)) },
     truncated_responses = { Mutation::CutAsWhole, |breach| matches!(breach, Breach::CutAsWhole(_)) },
     swapped_responses = { Mutation::SwapResponses, |breach| matches!(breach, Breach::Mixed(_)) },
     leaving = { Mutation::IgnoreVmList, |breach| matches!(breach, Breach::LeavingGotWork(..)) },
