core: counts that no target or node reaches are limited where they arrive

A load of a target, the work and loads that another node reports, and the number of a cache event were added as stated. Two large ones overflow: a debug build panics in the decision core, a release build wraps, by which a target that counts too much looks idle.

Loads of targets are limited where they are recorded, counts of heartbeats where these are decoded, to 2^18 requests or units and 2^40 tokens, so that their sums over all nodes fit. Weights and wanted slots are used as floats and stay as they are. The number after the last one of a cache is the last.

--- a/crates/seam-core/src/prefix.rs
+++ b/crates/seam-core/src/prefix.rs
@@ -157,7 +157,9 @@
     pub fn apply_events(&mut self, now: Time, target: TargetKey, events: &[CacheEvent]) {
         let cache = self.targets.entry(target).or_default();
         for event in events {
-            let expected = cache.last_event.map_or(event.sequence, |number| number + 1);
+            let expected = cache
+                .last_event
+                .map_or(event.sequence, |number| number.saturating_add(1));
             if event.sequence < expected {
                 continue;
             }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use seam_protocol::bundle::Capacity;
-use seam_protocol::heartbeat::TargetWork;
+use seam_protocol::heartbeat::{MAX_COUNT, TargetWork};
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use crate::handle::TargetKey;
@@ -691,6 +691,11 @@
 
     /// Records a target's load report.
     pub fn record_report(&mut self, now: Time, key: TargetKey, report: LoadReport) {
+        let report = LoadReport {
+            running: report.running.min(MAX_COUNT),
+            waiting: report.waiting.min(MAX_COUNT),
+            ..report
+        };
         let state = self.get_mut(key);
         let own = state.running;
         state.report = Some((now, report, own));
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -10,6 +10,11 @@
     CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, StreamId, TargetId, VersionId, VmId,
 };
 
+/// Largest count of requests or units in a heartbeat, beyond what a node can hold at once.
+pub const MAX_COUNT: u32 = 1 << 18;
+/// Largest number of tokens in a heartbeat, beyond the memory of any engine.
+const MAX_TOKENS: u64 = 1 << 40;
+
 /// Load of a service at a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceLoad {
@@ -334,9 +339,47 @@
         postcard::to_extend(&section, bytes).expect("targets always serialize")
     }
 
-    /// Decodes a datagram. Returns `None` if it is not a heartbeat.
+    /// Decodes a datagram. Returns `None` if it is not a heartbeat. Counts that no node reaches are
+    /// limited, so that their sums over all nodes fit.
+    ///
+    /// ```
+    /// use seam_protocol::heartbeat::{MAX_COUNT, TargetWork};
+    /// use seam_protocol::{Heartbeat, RegionId, TargetId, VmId};
+    /// let mut heartbeat = Heartbeat::empty(VmId(1), RegionId(2));
+    /// let work = TargetWork {
+    ///     target: TargetId(3), running: u32::MAX, prefill_tokens: 0, kv_tokens: 0,
+    /// };
+    /// heartbeat.target_work = Some(vec![work]);
+    /// let decoded = Heartbeat::decode(&heartbeat.encode()).unwrap();
+    /// assert_eq!(decoded.target_work.unwrap()[0].running, MAX_COUNT);
+    /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let mut heartbeat = Self::decode_sections(bytes)?;
+        heartbeat.limit_figures();
+        Some(heartbeat)
+    }
+
+    fn limit_figures(&mut self) {
+        let limit = |count: &mut u32| *count = (*count).min(MAX_COUNT);
+        for load in self.records.iter_mut().flat_map(|record| &mut record.loads) {
+            limit(&mut load.running);
+            limit(&mut load.queued);
+        }
+        for work in self.target_work.iter_mut().flatten() {
+            limit(&mut work.running);
+            work.kv_tokens = work.kv_tokens.min(MAX_TOKENS);
+        }
+        for shortage in &mut self.shortages {
+            limit(&mut shortage.held);
+            limit(&mut shortage.more);
+        }
+        for grant in &mut self.grants {
+            limit(&mut grant.units);
+        }
+    }
+
+    fn decode_sections(bytes: &[u8]) -> Option<Self> {
         let (mut heartbeat, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
         if rest.is_empty() {
             return Some(heartbeat);
