--- a/crates/seam-core/tests/published/readers.rs
+++ b/crates/seam-core/tests/published/readers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use seam_core::{Event, ItemBatch, PublishedItem, Source};
-use seam_protocol::Time;
+use seam_protocol::{Time, VmId};
 
 use crate::mutants::InjectedFault;
 use crate::store::Watched;
@@ -321,14 +321,15 @@
                 let batch = self.fleet.items_since(from, fetch.since);
                 fetch.batch = Some((now + self.latency(node, from), batch));
             }
+            let not_read = || Event::ItemsNotRead(VmId::of(&format!("vm-{from}")));
             match fetch.batch.take_if(|(at, _)| connected && *at <= now) {
                 Some((_, batch)) if batch.revision > 0 => {
                     let read = Event::ItemsRead(batch, Source::Peer);
                     self.fleet.handle(node, read);
                 }
-                Some(_) => self.fleet.handle(node, Event::ItemsNotRead),
+                Some(_) => self.fleet.handle(node, not_read()),
                 None if now.since(fetch.begun) >= FETCH_TIMEOUT && !self.fleet.down[node] => {
-                    self.fleet.handle(node, Event::ItemsNotRead);
+                    self.fleet.handle(node, not_read());
                 }
                 None => self.fetches.push(fetch),
             }
