node: an attempt that panics gives back its place at the target

Callers waited until their deadlines (504), and later ones got 503 for good: after 10 requests whose attempts panicked, 8 places of a target with 8 slots stayed taken.

Cause: a task reported the end of its attempt as its last step, so a panic passed over it, and the decisions counted the attempt as running.

Change: the panic of an attempt is caught in its task, logged, and reported as an outcome that is not known, or as a response that broke off. Neither promises anything, and the target is not suspected.

Left out: a panic of the request's own task and of the long-lived tasks.

--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -1,12 +1,13 @@
 //! The task of one request, from its arrival to its final response.
 
 use std::collections::BTreeMap;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_executor::Task;
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
 use seam_core::arrival::Arrival;
 use seam_core::command::{OriginSource, Withheld};
 use seam_core::spill::{RegionChoice, RoutingDecision};
@@ -302,14 +303,19 @@
                 progress,
                 ..
             } = &running;
-            let reply = match destination {
-                Destination::Target(to) => {
-                    targets::exchange(runtime, to, inbound, &writer, progress).await
-                }
-                Destination::Node(to) => {
-                    link::forward(runtime, to, inbound, &writer, progress).await
+            let exchange = async {
+                match destination {
+                    Destination::Target(to) => {
+                        targets::exchange(runtime, to, inbound, &writer, progress).await
+                    }
+                    Destination::Node(to) => {
+                        link::forward(runtime, to, inbound, &writer, progress).await
+                    }
                 }
             };
+            // An attempt that is never reported would hold its place at the target for good.
+            let reply = AssertUnwindSafe(exchange).catch_unwind().await;
+            let reply = reply.unwrap_or_else(|_| panicked(&running, &writer));
             report(&running, reply, &writer);
         });
         self.running
@@ -345,6 +351,20 @@
     }
 }
 
+/// Returns the outcome of an attempt that panicked. Nothing is promised of the request, and the target is
+/// not at fault.
+fn panicked(context: &AttemptContext, writer: &ResponseWriter) -> AttemptOutcome {
+    log::error!(
+        target: "request",
+        request = context.inbound.id.as_str(), attempt = context.attempt.0;
+        "attempt panicked"
+    );
+    if writer.has_started() {
+        return AttemptOutcome::Broken { started: true };
+    }
+    AttemptOutcome::OutcomeUnknown(Refusal::unknown(Reason::Broken))
+}
+
 /// Reports the end of an attempt. A response that broke off after its start is aborted unless
 /// another target can resume it; it is never completed.
 fn report(context: &AttemptContext, reply: AttemptOutcome, writer: &ResponseWriter) {
