http: an answer that nobody reads no longer stops all others of its connection

Answers of other nodes would have waited while one caller reads a large answer slowly: since the windows of HTTP/2 connections have a bound of 1 MiB, one response could take the whole of it. For bodies of requests it was so before.

Change: a stream has a quarter of the window of its connection. With a round trip of 160 ms that is 1.6 MB/s for each answer (on paper).

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -50,6 +50,8 @@
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes of all responses that an HTTP/2 connection holds before they are read.
 const WINDOW_BYTES: u32 = 1 << 20;
+/// The same for one response. Others must go on beside some that are not read.
+const STREAM_WINDOW_BYTES: u32 = WINDOW_BYTES / 4;
 /// Interval between HTTP/2 pings.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
@@ -283,7 +285,7 @@
         .timer(SmolTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .handshake(FuturesIo::new(FrameStream::new(stream, address, 0)))
         .await
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -57,7 +57,8 @@
     /// Header block in bytes beyond which an HTTP/2 connection keeps no field. A larger limit on heads
     /// counts instead.
     pub head_bytes: usize,
-    /// Bytes of all request bodies that an HTTP/2 connection holds before they are read.
+    /// Bytes of all request bodies that an HTTP/2 connection holds before they are read, of which one
+    /// body may take a quarter.
     pub window: u32,
     /// Whether HTTP/2 connections stay open without requests, as between nodes.
     pub keeps_idle: bool,
@@ -364,7 +365,7 @@
         .keep_alive_interval(PING_INTERVAL)
         .max_header_list_size(u32::try_from(accepted_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(server_limits.streams)
-        .initial_stream_window_size(server_limits.window)
+        .initial_stream_window_size(server_limits.window / 4)
         .initial_connection_window_size(server_limits.window)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/crates/seam-http/tests/http2_bounds.rs
+++ b/crates/seam-http/tests/http2_bounds.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http::{Request, Response};
+use http_body_util::BodyExt;
 use seam_http::client::open_http2;
 use seam_http::{
     Body, CallerLimits, Listener, Stop, block_on, empty, full, serve_with_limits, spawn,
@@ -17,6 +18,9 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Size of a response that exceeds all windows.
+const LARGE_BYTES: usize = 8 << 20;
+
 fn start_once() {
     static START: std::sync::Once = std::sync::Once::new();
     START.call_once(|| start_workers(1));
@@ -31,7 +35,12 @@
         if wait {
             Timer::after(2 * IDLE_TIMEOUT).await;
         }
-        Response::new(full("done"))
+        let large = request.uri().path() == "/large";
+        Response::new(full(if large {
+            vec![0; LARGE_BYTES]
+        } else {
+            b"done".to_vec()
+        }))
     };
     let limits = || CallerLimits {
         idle_timeout: IDLE_TIMEOUT,
@@ -88,6 +97,34 @@
     });
 }
 
+/// Guards against one response that nobody reads and that stops all others of its connection.
+#[test]
+fn unread_response() {
+    let address = start();
+    block_on(async {
+        let mut sender = open_http2::<Body>(address).await.unwrap();
+        let get = |path: &str| {
+            let request = Request::get(format!("http://{address}{path}"));
+            request.body(empty()).unwrap()
+        };
+        sender.ready().await.unwrap();
+        let unread = sender.send_request(get("/large")).await.unwrap();
+        // The bytes of the first response fill the window before the second is asked for.
+        Timer::after(IDLE_TIMEOUT / 3).await;
+        let read = async {
+            sender.ready().await.unwrap();
+            let response = sender.send_request(get("/")).await.unwrap();
+            Some(response.into_body().collect().await.unwrap().to_bytes())
+        };
+        let timeout = async {
+            Timer::after(TEST_TIMEOUT).await;
+            None
+        };
+        assert_eq!(read.or(timeout).await.as_deref(), Some(&b"done"[..]));
+        drop(unread);
+    });
+}
+
 /// Guards against requests with more fields than over HTTP/1.1, of which each takes far more memory than
 /// its bytes.
 #[test]
