seam-http: discard what handlers leave unread of a body

Callers that a node answered before it had read their whole body lost the answer to a reset, or got 431 for the rest of the body.

Cause: hyper reads once for the rest of a body that its handler dropped and then closes the connection. The system resets a connection that is closed with unread bytes, and the caller loses an answer that it has not read yet. The phase of a connection also returned to idle at the end of the response, so the rest of a body counted as the next head.

Change: servers hand out a body that returns to its connection when it is dropped unread. Otherwise the response states 'Connection: close', the body is discarded until the response is written, then the write side is closed and the rest discarded until the caller closes (RFC 9112, 9.6). 400, 408 and 431 end in the same way. A body that the caller expects to be asked for is not asked for. The phase is idle once both the response and the body have ended.

How each unread body ended is a log line and 'seam_unread_bodies{end}'.

Evidence: early_answers, 20 callers a case. A body without end, one that arrives slowly and one beside a stop end within their bounds.

--- a/crates/seam-emulator/src/engine.rs
+++ b/crates/seam-emulator/src/engine.rs
@@ -10,8 +10,8 @@
 use futures_lite::stream;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use seam_http::{Body, json, lock};
+use hyper::body::Frame;
+use seam_http::{Body, Incoming, json, lock};
 use seam_protocol::LoadReport;
 use serde::{Deserialize, Serialize};
 
--- a/crates/seam-emulator/src/plain.rs
+++ b/crates/seam-emulator/src/plain.rs
@@ -10,8 +10,7 @@
 use async_io::Timer;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use seam_http::{Body, json, lock};
+use seam_http::{Body, Incoming, json, lock};
 use seam_protocol::LoadReport;
 use serde::{Deserialize, Serialize};
 
--- a/crates/seam-emulator/src/platform.rs
+++ b/crates/seam-emulator/src/platform.rs
@@ -9,9 +9,8 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http::{Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use seam_config::PartSet;
-use seam_http::{Body, empty, full, json, lock};
+use seam_http::{Body, Incoming, empty, full, json, lock};
 use seam_protocol::VmState;
 
 use crate::server::Server;
--- a/crates/seam-emulator/src/server.rs
+++ b/crates/seam-emulator/src/server.rs
@@ -8,8 +8,7 @@
 use async_executor::Task;
 use async_io::Timer;
 use http::{Request, Response};
-use hyper::body::Incoming;
-use seam_http::{Body, Listener, Stop, lock, serve, spawn};
+use seam_http::{Body, Incoming, Listener, Stop, lock, serve, spawn};
 
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/seam-http/src/bounds.rs
+++ b/crates/seam-http/src/bounds.rs
@@ -60,18 +60,59 @@
     }
 }
 
-/// How often each bound was exceeded, and the lines logged in the current window.
+/// How a connection ended the rest of a request body that was left unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DiscardEnd {
+    /// The rest was read, and the connection serves another request.
+    Kept,
+    /// The caller closed the connection after the response.
+    Closed,
+    /// The caller reset the connection.
+    Reset,
+    /// The bound on discarded bytes was exceeded.
+    Bytes,
+    /// The caller neither ended the body nor closed the connection in time.
+    Time,
+}
+
+impl DiscardEnd {
+    /// Returns the name for log lines and metrics.
+    ///
+    /// ```
+    /// assert_eq!(seam_http::bounds::DiscardEnd::Kept.name(), "kept");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::Closed => "closed",
+            Self::Reset => "reset",
+            Self::Bytes => "bytes",
+            Self::Time => "time",
+        }
+    }
+}
+
+/// How often each case occurred, and the lines logged in the current window.
 #[derive(Debug)]
-struct Exceeded {
-    counts: BTreeMap<Bound, u64>,
+struct Cases<K> {
+    counts: BTreeMap<K, u64>,
     window: Option<Instant>,
     lines: u32,
 }
 
-impl Exceeded {
+impl<K: Ord + Copy> Cases<K> {
+    const fn new() -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            window: None,
+            lines: 0,
+        }
+    }
+
     /// Counts a case. Returns whether to log it.
-    fn record(&mut self, now: Instant, bound: Bound) -> bool {
-        *self.counts.entry(bound).or_default() += 1;
+    fn record(&mut self, now: Instant, case: K) -> bool {
+        *self.counts.entry(case).or_default() += 1;
         let current = self.window.is_some_and(|since| now - since < LOG_WINDOW);
         if !current {
             self.window = Some(now);
@@ -80,13 +121,15 @@
         self.lines += 1;
         self.lines <= MAX_LINES
     }
+
+    fn counts(&self) -> Vec<(K, u64)> {
+        let counts = self.counts.iter();
+        counts.map(|(case, count)| (*case, *count)).collect()
+    }
 }
 
-static EXCEEDED: Mutex<Exceeded> = Mutex::new(Exceeded {
-    counts: BTreeMap::new(),
-    window: None,
-    lines: 0,
-});
+static EXCEEDED: Mutex<Cases<Bound>> = Mutex::new(Cases::new());
+static DISCARDED: Mutex<Cases<DiscardEnd>> = Mutex::new(Cases::new());
 
 /// Counts and logs that a machine exceeded a bound, by what it sent.
 pub fn record_exceeded(bound: Bound, from: impl Display, amount: usize) {
@@ -109,10 +152,29 @@
 /// ```
 #[must_use]
 pub fn exceeded() -> Vec<(Bound, u64)> {
-    let exceeded = lock(&EXCEEDED);
-    exceeded
-        .counts
-        .iter()
-        .map(|(bound, count)| (*bound, *count))
-        .collect()
+    lock(&EXCEEDED).counts()
+}
+
+/// Counts and logs that a body was left unread, and how the connection went on.
+pub fn record_discarded(end: DiscardEnd, from: impl Display, bytes: usize) {
+    let logged = lock(&DISCARDED).record(Instant::now(), end);
+    if logged {
+        log::info!(
+            target: "request",
+            caller:% = from, end = end.name(), bytes = bytes as u64;
+            "unread request body discarded"
+        );
+    }
+}
+
+/// Returns how often bodies were left unread since the start of the process, by their ends.
+///
+/// ```
+/// use seam_http::bounds::{DiscardEnd, discarded, record_discarded};
+/// record_discarded(DiscardEnd::Closed, "127.0.0.1:9", 400);
+/// assert_eq!(discarded(), vec![(DiscardEnd::Closed, 1)]);
+/// ```
+#[must_use]
+pub fn discarded() -> Vec<(DiscardEnd, u64)> {
+    lock(&DISCARDED).counts()
 }
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -16,5 +16,5 @@
 };
 pub use exec::{Spawner, block_on, spawn, start_workers};
 pub use guard::ResponseBody;
-pub use serve::{CallerLimits, Listener, ServerLimits, Stop, serve, serve_with_limits};
+pub use serve::{CallerLimits, Incoming, Listener, ServerLimits, Stop, serve, serve_with_limits};
 pub use sync::lock;
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -2,6 +2,7 @@
 
 mod idle;
 mod pace;
+mod unread;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -16,17 +17,18 @@
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, future};
 use http::{Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::body::Body;
-use crate::bounds::{Bound, record_exceeded};
+use crate::bounds::{Bound, DiscardEnd, record_discarded, record_exceeded};
 use crate::exec::{Spawner, spawn};
 use crate::frames::{FrameStream, PREFACE_BYTES};
 use idle::OpenRequests;
 pub use pace::CallerLimits;
 use pace::{PhaseTracker, TrackedStream, Violation};
+pub use unread::Incoming;
+use unread::{close_gently, discard_bodies};
 
 /// First bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
@@ -282,10 +284,11 @@
     }
     let stream = TrackedStream::new(stream, tracker.clone(), max_head_bytes);
     let ends_with_connection = AtomicBool::new(false);
+    let (leave_unread, leftovers) = async_channel::unbounded();
     let served = async {
         let service = service_fn(|request| {
-            tracker.head_complete();
             ends_with_connection.store(request.version() <= Version::HTTP_10, Ordering::Relaxed);
+            let request = Incoming::track(request, &tracker, &leave_unread, limits());
             let (response, tracker) = (shared.0(request, from), tracker.clone());
             async move { Ok::<_, Infallible>(tracker.track_response(response.await)) }
         });
@@ -301,26 +304,42 @@
         if let Some(ended) = ended {
             return Ok(ended);
         }
+        tracker.stop(Instant::now());
         connection.as_mut().graceful_shutdown();
         Ok(connection.await)
     };
     let overdue = async { Err(tracker.violation(limits).await) };
-    match served.or(overdue).await {
+    let discard = async {
+        discard_bodies(leftovers, from).await;
+        Err(Violation::Idle)
+    };
+    let served = served.or(overdue).or(discard).await;
+    let unread = tracker.unread();
+    let discarded = unread.unwrap_or_default();
+    let close = || close_gently(stream.get_ref(), from, limits(), &stop, discarded);
+    match served {
         Ok(ended) => {
-            if ended.is_err() && ends_with_connection.into_inner() {
+            let malformed = ended.as_ref().is_err_and(hyper::Error::is_parse);
+            if ended.is_err() && !malformed && ends_with_connection.into_inner() {
                 // The caller would take a normal end of the connection as the end of the body.
                 stream.reset_on_close();
+            } else if malformed || unread.is_some() {
+                close().await;
             }
             ended
         }
+        Err(Violation::Idle) => Ok(()),
+        Err(Violation::SlowBody) => {
+            record_discarded(DiscardEnd::Time, from, discarded);
+            Ok(())
+        }
         Err(violation) => {
-            if violation != Violation::Idle {
-                if violation == Violation::LargeHead {
-                    record_exceeded(Bound::RequestHead, from, max_head_bytes());
-                }
-                log_violation(violation, from, limits());
-                stream.send_refusal(violation).await;
+            if violation == Violation::LargeHead {
+                record_exceeded(Bound::RequestHead, from, max_head_bytes());
             }
+            log_violation(violation, from, limits());
+            stream.send_refusal(violation).await;
+            close().await;
             Ok(())
         }
     }
@@ -346,7 +365,7 @@
         let head_bytes = http2_head_bytes(&request);
         let accepted = head_bytes <= max_head_bytes() && request.headers().len() <= MAX_FIELDS;
         let open = requests.open();
-        let response = accepted.then(|| shared.0(request, from));
+        let response = accepted.then(|| shared.0(request.map(Incoming::from), from));
         async move {
             let response = match response {
                 Some(response) => response.await,
@@ -398,7 +417,7 @@
     let max_bytes = limits.max_head_bytes.max(MIN_HEAD_BYTES);
     let (limit, message) = match violation {
         Violation::LargeHead => (max_bytes as u64, "request headers too large"),
-        Violation::SlowHead | Violation::Idle => (
+        Violation::SlowHead | Violation::SlowBody | Violation::Idle => (
             limits.head_timeout.as_millis() as u64,
             "request headers not complete in time",
         ),
--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -11,9 +11,10 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, FutureExt};
-use http::Response;
+use http::{HeaderValue, Response, header};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 
+use super::CLOSE_TIMEOUT;
 use crate::body::{Body, BodyError};
 use crate::guard::ReadTurns;
 use crate::sync::lock;
@@ -29,7 +30,7 @@
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// Maximum number of bytes of a read of a body. Larger reads would hold more of the memory for bodies at
 /// once.
-const MAX_READ_BYTES: usize = 16 << 10;
+pub(super) const MAX_READ_BYTES: usize = 16 << 10;
 /// Timeout for writing the last response of a refused caller.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -38,6 +39,9 @@
 pub struct CallerLimits {
     /// Maximum size of the header block in bytes.
     pub max_head_bytes: usize,
+    /// Size of a body in bytes up to which the rest of an unread one is discarded. Handlers bound bodies
+    /// themselves.
+    pub max_body_bytes: usize,
     /// Time to send the whole head of a request.
     pub head_timeout: Duration,
     /// Idle time after which a connection is closed.
@@ -54,6 +58,7 @@
         const TIMEOUT: Duration = Duration::from_secs(30);
         Self {
             max_head_bytes: MAX_HEAD_BYTES,
+            max_body_bytes: 0,
             head_timeout: TIMEOUT,
             idle_timeout: TIMEOUT,
             revision: 0,
@@ -72,6 +77,8 @@
     LargeHead,
     /// The end of a response.
     Responding,
+    /// The end of a request body whose response has ended.
+    Body(Instant),
 }
 
 /// Tracks the phase of one connection.
@@ -83,6 +90,7 @@
 #[derive(Debug)]
 struct Shared {
     phase: Mutex<Phase>,
+    request: Mutex<RequestState>,
     /// The channel that wakes [`PhaseTracker::violation`] when the phase changes.
     sender: Sender<()>,
     receiver: Receiver<()>,
@@ -90,10 +98,85 @@
     head_bytes: AtomicUsize,
     /// Response bytes that are passed on and may not be written yet.
     unwritten: AtomicUsize,
+    /// Notifies of written responses.
+    written: (Sender<()>, Receiver<()>),
     /// Wakes a response body that waits until they are written.
     writer: Mutex<Option<Waker>>,
 }
 
+/// The last request of a connection and what is unread of it.
+#[derive(Debug, Default)]
+struct RequestState {
+    /// Number of requests so far.
+    number: u64,
+    /// Whether its body has not ended.
+    body_open: bool,
+    /// Whether a body is left unread.
+    unread: bool,
+    /// Whether the connection ends after the response.
+    closes: bool,
+    /// Bytes received since a body was left unread, and their maximum.
+    discarded: usize,
+    max_discarded: usize,
+    /// When the server was stopped.
+    stopped: Option<Instant>,
+}
+
+/// One request of a connection.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    tracker: PhaseTracker,
+    number: u64,
+}
+
+impl Exchange {
+    /// Changes the state of the request unless the connection serves another by now.
+    fn change(&self, change: impl FnOnce(&mut RequestState)) {
+        let mut request = lock(&self.tracker.shared.request);
+        if request.number == self.number {
+            change(&mut request);
+        }
+    }
+
+    /// Records that the request's body was read to its end, or that no more of it is read.
+    pub(super) fn body_ended(&self) {
+        self.change(|request| {
+            request.body_open = false;
+            if let Phase::Body(_) = self.tracker.phase() {
+                self.tracker.set(Phase::Idle(Instant::now()));
+            }
+        });
+    }
+
+    /// Records that the handler left a rest of the body. The connection is kept if the rest is short.
+    pub(super) fn leave_unread(&self, kept: bool) {
+        self.change(|request| {
+            request.unread = true;
+            request.closes |= !kept;
+            request.discarded = 0;
+        });
+    }
+
+    /// Records that the rest of the body was discarded, and returns how many bytes were.
+    pub(super) fn nothing_unread(&self) -> usize {
+        let mut request = lock(&self.tracker.shared.request);
+        request.unread = request.closes;
+        request.discarded
+    }
+
+    /// Waits until all of the response is written.
+    pub(super) async fn response_written(&self) {
+        let shared = &self.tracker.shared;
+        loop {
+            let responding = self.tracker.phase() == Phase::Responding;
+            if !responding && shared.unwritten.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            let _ = shared.written.1.recv().await;
+        }
+    }
+}
+
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -103,13 +186,15 @@
     SlowHead,
     /// A request head was larger than the limit.
     LargeHead,
+    /// The rest of a body did not arrive in time.
+    SlowBody,
 }
 
 impl Violation {
     /// Returns the response that ends the connection.
     fn response(self) -> &'static [u8] {
         match self {
-            Self::Idle => &[],
+            Self::Idle | Self::SlowBody => &[],
             Self::SlowHead => TIMEOUT_RESPONSE,
             Self::LargeHead => LARGE_HEAD_RESPONSE,
         }
@@ -123,10 +208,12 @@
         let (sender, receiver) = async_channel::bounded(1);
         let shared = Shared {
             phase: Mutex::new(Phase::Idle(now)),
+            request: Mutex::default(),
             sender,
             receiver,
             head_bytes: AtomicUsize::new(0),
             unwritten: AtomicUsize::new(0),
+            written: async_channel::bounded(1),
             writer: Mutex::default(),
         };
         Self {
@@ -155,7 +242,7 @@
             Phase::Head(_) => {
                 self.shared.head_bytes.fetch_add(count, Ordering::Relaxed);
             }
-            Phase::LargeHead | Phase::Responding => {}
+            Phase::LargeHead | Phase::Responding | Phase::Body(_) => {}
         }
     }
 
@@ -169,7 +256,7 @@
                 Some(max_head_bytes().saturating_sub(read))
             }
             Phase::LargeHead => Some(0),
-            Phase::Responding => None,
+            Phase::Responding | Phase::Body(_) => None,
         }
     }
 
@@ -180,16 +267,64 @@
 
     /// Records that all response bytes passed on are written.
     fn all_written(&self) {
-        if self.shared.unwritten.swap(0, Ordering::Relaxed) > 0
-            && let Some(writer) = lock(&self.shared.writer).take()
-        {
+        if self.shared.unwritten.swap(0, Ordering::Relaxed) == 0 {
+            return;
+        }
+        let _ = self.shared.written.0.try_send(());
+        if let Some(writer) = lock(&self.shared.writer).take() {
             writer.wake();
         }
     }
 
-    /// Records that a request head is complete.
-    pub fn head_complete(&self) {
+    fn phase(&self) -> Phase {
+        *lock(&self.shared.phase)
+    }
+
+    /// Records that a request head is complete, whether a body follows, and how much of it may be
+    /// discarded.
+    pub fn head_complete(&self, body: bool, max_discarded: usize) -> Exchange {
+        let mut request = lock(&self.shared.request);
+        request.number += 1;
+        request.max_discarded = max_discarded;
+        request.body_open = body;
+        let number = request.number;
         self.set(Phase::Responding);
+        drop(request);
+        let tracker = self.clone();
+        Exchange { tracker, number }
+    }
+
+    /// Returns how many bytes were received since a body was left unread, `None` if none was.
+    pub(super) fn unread(&self) -> Option<usize> {
+        let request = lock(&self.shared.request);
+        request.unread.then_some(request.discarded)
+    }
+
+    /// Counts bytes of a body that was left unread.
+    fn count_discarded(&self, count: usize) {
+        let mut request = lock(&self.shared.request);
+        if request.unread {
+            request.discarded += count;
+        }
+    }
+
+    /// Returns whether no more of a body is discarded.
+    fn discarded_enough(&self) -> bool {
+        let request = lock(&self.shared.request);
+        request.unread && request.discarded > request.max_discarded
+    }
+
+    /// Records that the server was stopped.
+    pub(super) fn stop(&self, now: Instant) {
+        lock(&self.shared.request).stopped = Some(now);
+        let _ = self.shared.sender.try_send(());
+    }
+
+    /// Returns until when the rest of a body is read after the end of its response.
+    fn body_end(&self, since: Instant, timeout: Duration) -> Instant {
+        let stopped = lock(&self.shared.request).stopped;
+        let stopped = stopped.map(|stopped| stopped.max(since) + CLOSE_TIMEOUT);
+        stopped.map_or(since + timeout, |end| end.min(since + timeout))
     }
 
     /// Wraps a response so that the connection becomes idle at its end.
@@ -198,6 +333,11 @@
         let tracker = self.clone();
         // The head counts as a byte, as hyper writes it with the body.
         tracker.add_unwritten(1);
+        let mut response = response;
+        if lock(&self.shared.request).closes {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         response.map(|body| TrackedBody { body, tracker }.boxed_unsync())
     }
 
@@ -206,9 +346,13 @@
         loop {
             let phase = *lock(&self.shared.phase);
             let limits = limits();
-            let (since, limit, kind) = match phase {
-                Phase::Idle(since) => (since, limits.idle_timeout, Violation::Idle),
-                Phase::Head(since) => (since, limits.head_timeout, Violation::SlowHead),
+            let (end, kind) = match phase {
+                Phase::Idle(since) => (since + limits.idle_timeout, Violation::Idle),
+                Phase::Head(since) => (since + limits.head_timeout, Violation::SlowHead),
+                Phase::Body(since) => {
+                    let end = self.body_end(since, limits.idle_timeout);
+                    (end, Violation::SlowBody)
+                }
                 Phase::LargeHead => return Violation::LargeHead,
                 Phase::Responding => {
                     let _ = self.shared.receiver.recv().await;
@@ -216,7 +360,7 @@
                 }
             };
             let timeout = async {
-                Timer::at(since + limit).await;
+                Timer::at(end).await;
                 true
             };
             let changed = async {
@@ -271,7 +415,14 @@
     fn drop(&mut self) {
         // The end of a chunked body counts as a byte.
         self.tracker.add_unwritten(1);
-        self.tracker.set(Phase::Idle(Instant::now()));
+        let now = Instant::now();
+        let request = lock(&self.tracker.shared.request);
+        let phase = if request.body_open {
+            Phase::Body(now)
+        } else {
+            Phase::Idle(now)
+        };
+        self.tracker.set(phase);
     }
 }
 
@@ -298,6 +449,11 @@
         }
     }
 
+    /// Returns the connection.
+    pub(super) fn get_ref(&self) -> &Async<TcpStream> {
+        &self.stream
+    }
+
     /// Makes the system reset the connection when it is closed.
     pub fn reset_on_close(&self) {
         let socket = socket2::SockRef::from(self.stream.get_ref());
@@ -333,6 +489,9 @@
             self.tracker.set(Phase::LargeHead);
             return Poll::Pending;
         }
+        if self.tracker.discarded_enough() {
+            return Poll::Pending;
+        }
         let length = bytes.len().min(allowance.unwrap_or(MAX_READ_BYTES));
         let read = Pin::new(&mut &*self.stream).poll_read(context, &mut bytes[..length]);
         self.turns.count(&read);
@@ -340,6 +499,7 @@
             && count > 0
         {
             self.tracker.bytes_received(Instant::now(), count);
+            self.tracker.count_discarded(count);
         }
         read
     }
--- a/crates/seam-http/tests/caller_bounds.rs
+++ b/crates/seam-http/tests/caller_bounds.rs
@@ -35,7 +35,7 @@
         max_head_bytes: 16 << 10,
         head_timeout: Duration::from_millis(200),
         idle_timeout: Duration::from_millis(200),
-        revision: 0,
+        ..CallerLimits::default()
     }
 }
 
@@ -115,7 +115,7 @@
         max_head_bytes,
         head_timeout: TEST_TIMEOUT,
         idle_timeout: TEST_TIMEOUT,
-        revision: 0,
+        ..CallerLimits::default()
     }
 }
 
@@ -212,7 +212,7 @@
     let address = listener.address;
     let frames = Arc::new(Mutex::new(0));
     let counter = frames.clone();
-    let handler = move |request: http::Request<hyper::body::Incoming>, _: SocketAddr| {
+    let handler = move |request: http::Request<seam_http::Incoming>, _: SocketAddr| {
         let counter = counter.clone();
         async move {
             let mut body = request.into_body();
--- a/crates/seam-http/tests/early_answers.rs
+++ b/crates/seam-http/tests/early_answers.rs
@@ -4,11 +4,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Once;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Response;
 use http_body_util::BodyExt;
-use seam_http::{CallerLimits, Listener, Stop, full, serve_with_limits, spawn, start_workers};
+use seam_http::{
+    CallerLimits, Listener, Stop, block_on, full, serve_with_limits, spawn, start_workers,
+};
 use yare::parameterized;
 
 /// Longest time a test waits for the server, well above the limits under test.
@@ -16,6 +18,13 @@
 /// Number of parts in which a body is sent, and the time between two of them.
 const PARTS: usize = 10;
 const PART_GAP: Duration = Duration::from_millis(2);
+/// Time in which a stopped server ends connections that owe no response, with a margin.
+const STOP_TIME: Duration = Duration::from_secs(4);
+/// Bytes that a server may take of a body that it does not read, most of the second half in the system's
+/// socket buffers.
+const MAX_TAKEN: usize = 32 << 20;
+/// Size of a response that exceeds the system's socket buffers.
+const LARGE_RESPONSE: usize = 16 << 20;
 /// Callers of each case.
 const CALLERS: usize = 20;
 
@@ -47,7 +56,12 @@
         for _ in 0..frames {
             BodyExt::frame(&mut body).await;
         }
-        Response::new(full("done"))
+        let large = head.uri.query() == Some("large");
+        Response::new(if large {
+            full(vec![b'x'; LARGE_RESPONSE])
+        } else {
+            full("done")
+        })
     };
     let server = serve_with_limits(1_000, move || limits, listener, stop.clone(), handler);
     spawn(server).detach();
@@ -211,3 +225,118 @@
         assert!(response.contains("connection: close"), "{response}");
     }
 }
+
+/// Guards against `100 Continue` for a body that the handler does not read.
+#[test]
+fn body_not_asked_for() {
+    let (address, _) = start(limits());
+    let mut stream = connect(address);
+    let head = "POST /0 HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 400\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut response = String::new();
+    stream
+        .read_to_string(&mut response)
+        .expect("the server closes");
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+}
+
+/// Sends chunks without end. Returns how many bytes were sent before the connection failed.
+fn send_chunks(stream: &mut TcpStream, bytes: usize, gap: Duration) -> usize {
+    let size = format!("{bytes:x}\r\n");
+    let chunk = [size.as_bytes(), &vec![b'x'; bytes], b"\r\n"].concat();
+    let (start, mut sent) = (Instant::now(), 0);
+    while stream.write_all(&chunk).is_ok() {
+        sent += bytes;
+        assert!(start.elapsed() < TEST_TIMEOUT, "{sent} bytes are read");
+        thread::sleep(gap);
+    }
+    sent
+}
+
+/// Guards against a body without end that is read for as long as it arrives.
+#[test]
+fn endless_body() {
+    let (address, _) = start(limits());
+    let mut stream = connect(address);
+    stream
+        .write_all(head("/0", 0, Sent::Chunks).as_bytes())
+        .unwrap();
+    let response = read_response(&mut stream).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    let sent = send_chunks(&mut stream, 64 << 10, Duration::ZERO);
+    assert!(sent < MAX_TAKEN, "{sent} bytes were read");
+}
+
+/// Guards against a body that arrives slowly and holds its connection for longer than an idle one may.
+#[parameterized(
+    chunks = { Sent::Chunks, 0 },
+    short_rest = { Sent::Length, 40_000 },
+)]
+fn slow_body(sent: Sent, length: usize) {
+    let idle_timeout = Duration::from_millis(500);
+    let limits = CallerLimits {
+        idle_timeout,
+        ..limits()
+    };
+    let (address, _) = start(limits);
+    let mut stream = connect(address);
+    stream
+        .write_all(head("/0", length, sent).as_bytes())
+        .unwrap();
+    let response = read_response(&mut stream).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    let start = Instant::now();
+    send_chunks(&mut stream, 1, Duration::from_millis(20));
+    assert!(start.elapsed() < 4 * idle_timeout, "{:?}", start.elapsed());
+}
+
+/// Guards against unread bodies that delay the stop of a server.
+#[test]
+fn stop_beside_body() {
+    let (address, stop) = start(limits());
+    let mut slow = connect(address);
+    slow.write_all(head("/0", 0, Sent::Chunks).as_bytes())
+        .unwrap();
+    read_response(&mut slow).unwrap();
+    let sender = thread::spawn(move || send_chunks(&mut slow, 1, Duration::from_millis(20)));
+    thread::sleep(Duration::from_millis(100));
+    let start = Instant::now();
+    stop.stop();
+    block_on(stop.closed());
+    assert!(start.elapsed() < STOP_TIME, "{:?}", start.elapsed());
+    sender.join().unwrap();
+}
+
+/// Guards against a caller that sends all of its body first, and a server that waits until its response is
+/// read.
+#[test]
+fn large_response() {
+    let (address, _) = start(limits());
+    let length = 8 << 20;
+    let mut stream = connect(address);
+    stream.set_write_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let head = head("/0?large", length, Sent::Whole);
+    send(&mut stream, &head, length, Sent::Whole).expect("the body is read");
+    let response = read_response(&mut stream).expect("the server answers");
+    assert!(response.len() > LARGE_RESPONSE);
+}
+
+/// Guards against framing without content that is read beside a response that goes on.
+#[test]
+fn endless_chunk_size() {
+    let (address, _) = start(limits());
+    let mut stream = connect(address);
+    stream
+        .set_write_timeout(Some(Duration::from_secs(1)))
+        .unwrap();
+    stream
+        .write_all(head("/0?large", 0, Sent::Chunks).as_bytes())
+        .unwrap();
+    let zeros = vec![b'0'; 64 << 10];
+    let mut sent = 0;
+    while let Ok(count) = stream.write(&zeros) {
+        sent += count;
+        assert!(sent < MAX_TAKEN, "{sent} bytes were read");
+    }
+}
--- a/crates/seam-node/src/admin.rs
+++ b/crates/seam-node/src/admin.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use seam_core::Event;
 use seam_core::event::Drainable;
-use seam_http::{Body, Listener, Stop, full, json};
+use seam_http::{Body, Incoming, Listener, Stop, full, json};
 use seam_protocol::{CustomerId, Digest, ServiceId, TargetId};
 use serde::Serialize;
 
--- a/crates/seam-node/src/control_port.rs
+++ b/crates/seam-node/src/control_port.rs
@@ -4,8 +4,7 @@
 use std::net::SocketAddr;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
-use seam_http::{Body, CallerLimits, Listener, ServerLimits, Stop, serve_with_limits};
+use seam_http::{Body, CallerLimits, Incoming, Listener, ServerLimits, Stop, serve_with_limits};
 
 /// Limits on the connections of a port.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use seam_core::{Prompt, Refusal};
-use seam_http::{Body, json};
+use seam_http::{Body, Incoming, json};
 use seam_protocol::{LoadReport, Outcome};
 
 use crate::inbound::{
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -10,9 +10,8 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
 use seam_core::Origin;
-use seam_http::{Body, CallerLimits, Listener, ServerLimits, Stop, serve_with_limits};
+use seam_http::{Body, CallerLimits, Incoming, Listener, ServerLimits, Stop, serve_with_limits};
 use seam_protocol::Reason;
 
 use crate::drive;
@@ -59,6 +58,7 @@
         .and_then(|snapshot| Some((snapshot, snapshot.bundle.limits.as_ref()?)));
     limits.map_or_else(CallerLimits::default, |(snapshot, limits)| CallerLimits {
         max_head_bytes: limits.header_bytes,
+        max_body_bytes: limits.body_bytes,
         head_timeout: Duration::from_millis(limits.header_timeout),
         idle_timeout: Duration::from_millis(limits.idle_timeout),
         revision: snapshot.config.revision,
--- a/crates/seam-node/src/front/api.rs
+++ b/crates/seam-node/src/front/api.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use seam_core::Refusal;
-use seam_http::{Body, json};
+use seam_http::{Body, Incoming, json};
 use seam_protocol::key::KEY_LIFETIME;
 use seam_protocol::{Reason, ServiceId};
 use serde::{Deserialize, Serialize};
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -8,9 +8,8 @@
 use futures_lite::FutureExt;
 use http::{HeaderMap, Request, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use seam_core::{ConfigVersion, Refusal};
-use seam_http::BodyError;
+use seam_http::{BodyError, Incoming};
 use seam_protocol::route::HostRoute;
 use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
 
--- a/crates/seam-node/src/messages.rs
+++ b/crates/seam-node/src/messages.rs
@@ -8,7 +8,8 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use seam_http::Incoming;
 use seam_http::bounds::{Bound, record_exceeded};
 use tonic::Status;
 
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -10,7 +10,7 @@
 use seam_core::command::Withheld;
 use seam_core::config_version::NotTaken;
 use seam_core::status::Status;
-use seam_http::bounds::exceeded;
+use seam_http::bounds::{discarded, exceeded};
 use seam_protocol::Reason;
 
 /// Histogram bucket bounds of request times in seconds, around common latency objectives.
@@ -58,6 +58,7 @@
     current_age: Gauge<u64>,
     events: Gauge<u64>,
     bounds: Gauge<u64>,
+    unread: Gauge<u64>,
 }
 
 impl Gauges {
@@ -116,6 +117,10 @@
                 "seam_bounds_exceeded",
                 "times that a machine sent more than a bound, by bound",
             ),
+            unread: gauge(
+                "seam_unread_bodies",
+                "request bodies that were not read before the response, by end",
+            ),
         }
     }
 
@@ -179,6 +184,10 @@
             let label = [KeyValue::new("bound", bound.name())];
             self.bounds.record(count, &label);
         }
+        for (end, count) in discarded() {
+            let label = [KeyValue::new("end", end.name())];
+            self.unread.record(count, &label);
+        }
     }
 }
 
--- a/crates/seam-node/src/peer_connections.rs
+++ b/crates/seam-node/src/peer_connections.rs
@@ -46,8 +46,9 @@
         let response = self.sender.send_request(request);
         Box::pin(async move {
             let response = response.await?;
-            Ok(response
-                .map(|body| MessageBody::new(body, address, reservation, MAX_REPLY_BYTES, None)))
+            Ok(response.map(|body| {
+                MessageBody::new(body.into(), address, reservation, MAX_REPLY_BYTES, None)
+            }))
         })
     }
 }
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -10,9 +10,11 @@
 use futures_lite::{Stream, StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use seam_core::Origin;
-use seam_http::{BodyError, CallerLimits, Listener, ServerLimits, Stop, lock, serve_with_limits};
+use seam_http::{
+    BodyError, CallerLimits, Incoming, Listener, ServerLimits, Stop, lock, serve_with_limits,
+};
 use seam_protocol::peer::peer_server::{Peer, PeerServer};
 use seam_protocol::peer::{
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
--- a/crates/toucanseam/tests/soak/target.rs
+++ b/crates/toucanseam/tests/soak/target.rs
@@ -9,9 +9,9 @@
 use futures_lite::stream;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use seam_emulator::server::Server as HttpServer;
-use seam_http::{Body, BodyError, full, lock};
+use seam_http::{Body, BodyError, Incoming, full, lock};
 use serde_json::{Value, json};
 
 use super::proxy::Proxy;
