--- a/crates/seam-core/tests/queued_changes.rs
+++ b/crates/seam-core/tests/queued_changes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fleet::{Fleet, NORTH, PLAIN, SOUTH, arrival, config, item, settled_fleet};
-use seam_protocol::{Bundle, CustomerId, Entry, Outcome, RegionId};
+use seam_protocol::{Bundle, CustomerId, Entry, Outcome, RegionId, ServiceId};
 use yare::parameterized;
 
 /// Route of the requests, and the customer that has its name.
@@ -26,6 +26,10 @@
     customer.residency = Some(BTreeSet::from([RegionId::of(SOUTH)]));
 }
 
+fn remove_service(bundle: &mut Bundle) {
+    bundle.services.remove(&ServiceId::of(PLAIN));
+}
+
 /// Publishes the next version of the configuration, changed, to every node.
 fn publish(fleet: &mut Fleet, change: fn(&mut Bundle)) {
     let Entry::Config(bundle) = config(8) else {
@@ -54,6 +58,25 @@
         fleet.complete(node, attempt);
     }
     fleet.wait(Duration::from_millis(500));
+    assert_refused(&fleet);
+}
+
+/// Guards against a request that waits in a queue until its deadline though its service is gone.
+#[test]
+fn service_gone() {
+    let mut fleet = settled_fleet(&[NORTH; 2], &[("d1", PLAIN, NORTH)]);
+    for ticket in 1..=REQUESTS {
+        fleet.arrive(0, arrival(ticket, ROUTE, PLAIN, 1));
+    }
+    let running = fleet.sends().len();
+    assert!(running > 0 && running < REQUESTS as usize);
+    publish(&mut fleet, remove_service);
+    assert_eq!(fleet.refusals().len(), REQUESTS as usize - running);
+    assert_refused(&fleet);
+}
+
+/// Asserts that requests were refused, and each for a time.
+fn assert_refused(fleet: &Fleet) {
     let refusals = fleet.refusals();
     assert!(!refusals.is_empty());
     for refusal in refusals {
