seam-core: refuse queued requests whose service is gone at once

Callers whose request waited in a queue got a 504 at its deadline, of seconds, although the route was served by another service by then. Cause: slots of a service without targets are none, so nothing took its queue up again; only the deadline did. Change: as a configuration comes into force, the queued requests of services that it lacks are refused for a time (503, not run), as those are that arrive late.

--- a/crates/seam-core/src/node/config.rs
+++ b/crates/seam-core/src/node/config.rs
@@ -62,6 +62,7 @@
         let _ = self.install(now, old.is_none(), bundle);
         // The VM list may have named a target before this bundle configured it.
         let _ = self.apply_vm_list(now, out);
+        self.refuse_unserved(now, out);
         self.send_urgent_heartbeats(now, out);
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -5,6 +5,7 @@
 use seam_protocol::heartbeat::PrefilledPart;
 use seam_protocol::{CustomerId, Reason, ServiceId, Time, VmId};
 
+use super::admit::TRANSIENT_RETRY_AFTER;
 use super::{Node, ServiceState};
 use crate::command::Command;
 use crate::handle::{AttemptKey, Ticket};
@@ -184,6 +185,27 @@
         true
     }
 
+    /// Refuses, for a time, the queued requests of services that the bundle in force does not have.
+    pub(super) fn refuse_unserved(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
+        };
+        let unserved = |service: &ServiceId| !bundle.services.contains_key(service);
+        if !self.service_states.keys().any(unserved) {
+            return;
+        }
+        let queued = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.stage == Stage::Queued && unserved(&request.service));
+        let tickets: Vec<Ticket> = queued.map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            let refusal =
+                Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER);
+            self.refuse(now, ticket, refusal, out);
+        }
+    }
+
     /// Returns whether the bundle in force has a customer.
     fn has_customer(&self, customer: CustomerId) -> bool {
         let bundle = self.bundle.as_ref();
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -256,6 +256,7 @@
         for (id, until, rate) in cold {
             self.limit_cold_target(now, id, until, rate, "its own entry", out);
         }
+        self.refuse_unserved(now, out);
         let services: Vec<_> = bundle.services.keys().copied().collect();
         for service in services {
             self.dispatch(now, service, out);
