seam-protocol: key the customers of routes by host and path

Callers of a route that is bound to regions could be run by the home regions of another one: routes have a customer each, known by the route's name, and a version that gives the name to another route gives it the requests on their way. A route that was renamed refused what was on its way (503). Cause: one decision by two states. The name that one version looked up is resolved by the next one, here or at the node that the request is forwarded to. Change: the customer's identifier is made of the route's host and path prefix, which tell the same route in each version. A node that receives a forwarded request finds its customer by its own routes. On the wire stays the name's identifier, which nodes of an earlier version know.

--- a/crates/seam-node/src/admin.rs
+++ b/crates/seam-node/src/admin.rs
@@ -8,7 +8,7 @@
 use seam_core::Event;
 use seam_core::event::Drainable;
 use seam_http::{Body, Listener, Stop, full, json};
-use seam_protocol::{CustomerId, Digest, ServiceId, TargetId};
+use seam_protocol::{Digest, ServiceId, TargetId};
 use serde::Serialize;
 
 use crate::control_port::serve_control;
@@ -144,8 +144,14 @@
         let help = "add ?customer=NAME&service=NAME";
         return error_response(StatusCode::BAD_REQUEST, "a parameter is missing", help);
     };
-    let (customer, service) = (CustomerId::of(&customer), ServiceId::of(&service));
-    match runtime.read(|node, now| node.explain(now, customer, service)) {
+    let service = ServiceId::of(&service);
+    let customer = runtime.snapshot().and_then(|snapshot| {
+        let mut customers = snapshot.bundle.customers.iter();
+        customers.find_map(|(id, spec)| (spec.name == customer).then_some(*id))
+    });
+    let explained = customer
+        .and_then(|customer| runtime.read(|node, now| node.explain(now, customer, service)));
+    match explained {
         Some(explanation) => json(StatusCode::OK, &explanation),
         None => {
             let help = "both must be in the configuration in force";
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use seam_core::{ConfigVersion, Refusal};
 use seam_http::BodyError;
-use seam_protocol::route::HostRoute;
+use seam_protocol::route::{HostRoute, host_name};
 use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
 
 use crate::dialect::RequestOptions;
@@ -237,12 +237,12 @@
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
         version: None,
+        customer: route.customer_id(&host_name(&host)),
         host: Some(host),
         method: head.method,
         path,
         headers,
         body,
-        customer: CustomerId::of(&route.name),
         customer_name: route.name.clone(),
         service,
         config: snapshot.config,
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -17,7 +17,7 @@
     ItemsRequest, NewestRequest, PartRequest, Refusal as WireRefusal, ReplyFrame, RequestFrame,
     RequestHead, reply_frame, request_frame,
 };
-use seam_protocol::{Delta, Digest, Outcome, Reason, TargetId, VersionId};
+use seam_protocol::{CustomerId, Delta, Digest, Outcome, Reason, TargetId, VersionId};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tonic::Streaming;
 
@@ -69,12 +69,21 @@
     },
 }
 
+/// Returns the identifier by which another node knows the customer. It finds that of a route itself; nodes
+/// of an earlier version know it by the route's name.
+fn wire_customer(inbound: &InboundRequest) -> CustomerId {
+    match inbound.host {
+        Some(_) => CustomerId::of(&inbound.customer_name),
+        None => inbound.customer,
+    }
+}
+
 fn head(to: &NodeAttempt, inbound: &InboundRequest, writer: &ResponseWriter) -> RequestHead {
     let mut headers = inbound.headers.clone();
     set_last_event_id(&mut headers, writer);
     RequestHead {
         id: inbound.id.clone(),
-        customer: inbound.customer.0,
+        customer: wire_customer(inbound).0,
         service: inbound.service.0,
         method: inbound.method.as_str().to_owned(),
         path: inbound.path.clone(),
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -18,6 +18,7 @@
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
+use seam_protocol::route::host_name;
 use seam_protocol::{CustomerId, Delta, Fingerprint, RetryPolicy, ServiceId, VersionId};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
@@ -210,9 +211,14 @@
     let snapshot = runtime
         .snapshot()
         .ok_or_else(|| Status::unavailable("not ready"))?;
-    let customer = CustomerId(head.customer);
-    let service = ServiceId(head.service);
     let bundle = &snapshot.bundle;
+    let host = (!head.host.is_empty()).then_some(head.host);
+    let route = host
+        .as_deref()
+        .and_then(|host| Some((bundle.routes.find(host, &head.path)?, host_name(host))));
+    let customer = route.as_ref().map(|(route, host)| route.customer_id(host));
+    let customer = customer.unwrap_or(CustomerId(head.customer));
+    let service = ServiceId(head.service);
     let name = bundle
         .customers
         .get(&customer)
@@ -230,10 +236,7 @@
         .dialect
         .request_options(&headers)
         .map_err(|what| malformed(&what))?;
-    let host = (!head.host.is_empty()).then_some(head.host);
-    let route = host
-        .as_deref()
-        .and_then(|host| bundle.routes.find(host, &head.path));
+    let route = route.map(|(route, _)| route);
     // The request is repeatable only if the rules of both nodes allow it.
     let repeatable = match (&host, route) {
         (None, _) => {
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bundle::{Capacity, Customer, Kind, Service};
-use crate::id::{RegionId, ServiceId};
+use crate::id::{CustomerId, RegionId, ServiceId};
 use crate::shared::Shared;
 
 /// Whether and how requests of a route may be retried.
@@ -154,7 +154,8 @@
 }
 
 /// Returns a host's name in lower case, without a port.
-fn host_name(host: &str) -> String {
+#[must_use]
+pub fn host_name(host: &str) -> String {
     let name = match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
@@ -168,6 +169,25 @@
 const ENGINE_EXPECTED_MS: u64 = 150;
 
 impl HostRoute {
+    /// Returns the identifier of the route's customer at a host. The route's name has no part in it, as
+    /// another version of the configuration may give the name to another route.
+    ///
+    /// ```
+    /// use seam_protocol::route::{HostRoute, RetryPolicy};
+    /// let route = |name: &str, prefix: &str| HostRoute {
+    ///     name: name.into(), prefix: prefix.into(), shares: vec![],
+    ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
+    ///     attempts: 1, home_regions: None,
+    /// };
+    /// let book = route("book", "/book/").customer_id("salon.example");
+    /// assert_eq!(route("renamed", "/book/").customer_id("Salon.example"), book);
+    /// assert_ne!(route("book", "/looks/").customer_id("salon.example"), book);
+    /// ```
+    #[must_use]
+    pub fn customer_id(&self, host: &str) -> CustomerId {
+        CustomerId::of(&format!("{}{}", host.to_ascii_lowercase(), self.prefix))
+    }
+
     /// Returns the customer that the route's requests belong to. It has the route's residency and
     /// no rate or concurrency limit.
     #[must_use]
