seam-node: let the version of the node that runs a request name its service

Callers of a route that moved to another service were run by the old one as long as any node that they reached had the older version, also at nodes that had the newer one, while the old service was in force there for another route. Cause: one decision by two states. The node that runs a forwarded request took the service from the sender; a newer version of the sender is refused, an older one was not looked at. Change: a node that receives a forwarded request finds its service as it finds its customer, by its own routes.

--- a/crates/seam-core/tests/published/attempts.rs
+++ b/crates/seam-core/tests/published/attempts.rs
@@ -245,15 +245,17 @@
             let request = self.traffic.open.get(&root);
             let path = request.map(|request| prefix(request.route));
             let bundle = self.fleet.nodes[to].bundle();
-            let matched = path.zip(bundle).and_then(|(path, bundle)| {
-                let route = bundle.routes.find(HOST, &path)?;
-                Some((rules(route), route_customer(route, self.fault)))
-            });
+            let found = path.zip(bundle);
+            let matched = found.and_then(|(path, bundle)| bundle.routes.find(HOST, &path));
             debug_assert_eq!(arrival.ticket, Ticket(ticket));
-            let arrival = Arrival {
-                route: matched.map(|(rules, _)| rules),
-                customer: matched.map_or(arrival.customer, |(_, customer)| customer),
-                ..arrival
+            let arrival = match matched {
+                Some(route) => Arrival {
+                    route: Some(rules(route)),
+                    customer: route_customer(route, self.fault),
+                    service: route.service(0).unwrap_or(arrival.service),
+                    ..arrival
+                },
+                None => arrival,
             };
             self.fleet.arrive(to, arrival);
         }
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -19,7 +19,7 @@
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
 use seam_protocol::route::host_name;
-use seam_protocol::{CustomerId, Delta, Fingerprint, RetryPolicy, ServiceId, VersionId};
+use seam_protocol::{CustomerId, Delta, Digest, Fingerprint, RetryPolicy, ServiceId, VersionId};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
 
@@ -218,7 +218,12 @@
         .and_then(|host| Some((bundle.routes.find(host, &head.path)?, host_name(host))));
     let customer = route.as_ref().map(|(route, host)| route.customer_id(host));
     let customer = customer.unwrap_or(CustomerId(head.customer));
-    let service = ServiceId(head.service);
+    // The sender may have an older configuration than this node; a newer one is refused later.
+    let service = route.as_ref().and_then(|(route, _)| {
+        let number = Digest::of(head.id.as_bytes()).leading_u64();
+        route.service(number)
+    });
+    let service = service.unwrap_or(ServiceId(head.service));
     let name = bundle
         .customers
         .get(&customer)
