--- a/crates/seam-core/tests/published/attempts.rs
+++ b/crates/seam-core/tests/published/attempts.rs
@@ -10,7 +10,7 @@
 use crate::mutants::InjectedFault;
 use crate::oracle::{APPLY_TIME, Handling};
 use crate::readers::Fetch;
-use crate::versions::{HOST, prefix};
+use crate::versions::{HOST, prefix, route_customer};
 use crate::world::Simulation;
 
 /// Usual time of a run.
@@ -224,7 +224,7 @@
         });
     }
 
-    /// Delivers forwarded requests. The other node finds the rules of the route itself.
+    /// Delivers forwarded requests. The other node finds the route itself.
     fn deliver_transfers(&mut self) {
         let now = self.fleet.now;
         for index in 0..self.traffic.transfers.len() {
@@ -245,14 +245,17 @@
             let request = self.traffic.open.get(&root);
             let path = request.map(|request| prefix(request.route));
             let bundle = self.fleet.nodes[to].bundle();
-            let matched = path.zip(bundle).and_then(|(path, bundle)| {
-                let route = bundle.routes.find(HOST, &path)?;
-                Some(rules(route))
-            });
+            let found = path.zip(bundle);
+            let matched = found.and_then(|(path, bundle)| bundle.routes.find(HOST, &path));
             debug_assert_eq!(arrival.ticket, Ticket(ticket));
-            let arrival = Arrival {
-                route: matched,
-                ..arrival
+            let arrival = match matched {
+                Some(route) => Arrival {
+                    route: Some(rules(route)),
+                    customer: route_customer(route, self.fault),
+                    service: route.service(0).unwrap_or(arrival.service),
+                    ..arrival
+                },
+                None => arrival,
             };
             self.fleet.arrive(to, arrival);
         }
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -20,7 +20,8 @@
     ItemsReply, ItemsRequest, ManifestReply, NewestRequest, PartReply, PartRequest, ReplyFrame,
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
-use seam_protocol::{CustomerId, Delta, Fingerprint, RetryPolicy, ServiceId, VersionId};
+use seam_protocol::route::host_name;
+use seam_protocol::{CustomerId, Delta, Digest, Fingerprint, RetryPolicy, ServiceId, VersionId};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
 
@@ -212,9 +213,19 @@
     let snapshot = runtime
         .snapshot()
         .ok_or_else(|| Status::unavailable("not ready"))?;
-    let customer = CustomerId(head.customer);
-    let service = ServiceId(head.service);
     let bundle = &snapshot.bundle;
+    let host = (!head.host.is_empty()).then_some(head.host);
+    let route = host
+        .as_deref()
+        .and_then(|host| Some((bundle.routes.find(host, &head.path)?, host_name(host))));
+    let customer = route.as_ref().map(|(route, host)| route.customer_id(host));
+    let customer = customer.unwrap_or(CustomerId(head.customer));
+    // The sender may have an older configuration than this node; a newer one is refused later.
+    let service = route.as_ref().and_then(|(route, _)| {
+        let number = Digest::of(head.id.as_bytes()).leading_u64();
+        route.service(number)
+    });
+    let service = service.unwrap_or(ServiceId(head.service));
     let name = bundle
         .customers
         .get(&customer)
@@ -232,10 +243,7 @@
         .dialect
         .request_options(&headers)
         .map_err(|what| malformed(&what))?;
-    let host = (!head.host.is_empty()).then_some(head.host);
-    let route = host
-        .as_deref()
-        .and_then(|host| bundle.routes.find(host, &head.path));
+    let route = route.map(|(route, _)| route);
     // The request is repeatable only if the rules of both nodes allow it.
     let repeatable = match (&host, route) {
         (None, _) => {
