node: report the end of a silence

What callers saw: an answer of a sound server that broke off in the middle, or a stream that ended early, with no trouble but short silences.

Cause: an attempt's silence was reported when it began and each limit later, but not when it ended, except by the first bytes. Two silences with a part of the answer between them counted as one if the reports lay less than 1.5 limits apart, so silences of 0.95 s and 1 s added up to more than the 1.8 s after which the connection is at fault. The attempt was then cancelled, also if the answer had begun and no other target could go on with it. Class of fault: the core inferred a state from the rhythm of reports instead of being told of it.

Change: the node reports progress after a reported silence, and logs how long it lasted. It ends the silence, and shows a probe that the target answers, as the first bytes did. An answer that has begun and cannot be resumed is not cancelled any more while its target accepts connections; it ends by itself or at its deadline.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -56,6 +56,8 @@
     Sending(AttemptKey),
     /// An attempt made no progress within the service's silence limit.
     Silent(AttemptKey),
+    /// An attempt that was reported as silent made progress.
+    Progress(AttemptKey),
     /// The first bytes of the response to an attempt arrived.
     FirstBytes(AttemptKey),
     /// Another node passes on the beginning of an answer by a version of the targets' software.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -366,6 +366,7 @@
             Event::Arrive(arrival) => self.arrive(now, &arrival, out),
             Event::Sending(attempt) => self.authorize_send(now, attempt, out),
             Event::Silent(attempt) => self.handle_silence(now, attempt, out),
+            Event::Progress(attempt) => self.end_silence(now, attempt),
             Event::FirstBytes(attempt) => self.handle_first_bytes(now, attempt),
             Event::StreamBegan(attempt, version) => self.begin_stream(now, attempt, version),
             Event::ErrorResponse(attempt) => self.handle_target_error(now, attempt, out),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -12,7 +12,7 @@
 use crate::handle::{AttemptKey, TargetKey};
 use crate::poison::QuarantineChange;
 use crate::refusal::Refusal;
-use crate::request::{Attempt, Destination, Request, Silence};
+use crate::request::{Attempt, Destination, Request};
 use crate::targets::{Phase, PhaseChange};
 
 /// Maximum number of fingerprints in the audit entry of a crash.
@@ -115,12 +115,7 @@
         let limit = request.map_or(MAX_SILENCE, |request| self.silence(request.service));
         if let Some(attempt) = self.attempts.get_mut(&key) {
             // A silence that goes on is reported again after each limit.
-            let goes_on = |silence: &Silence| now.since(silence.reported) < limit + limit / 2;
-            let before = attempt.silent.filter(goes_on);
-            attempt.silent = Some(Silence {
-                since: before.map_or(now - limit, |silence| silence.since),
-                reported: now,
-            });
+            attempt.silent.get_or_insert(now - limit);
         }
         match destination {
             Destination::Target(target) => {
@@ -130,6 +125,17 @@
         }
     }
 
+    /// Handles progress of an attempt that was silent.
+    pub(super) fn end_silence(&mut self, now: Time, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        attempt.silent = None;
+        if let Destination::Target(target) = attempt.destination {
+            self.targets.record_answer(now, target);
+        }
+    }
+
     /// Probes a target, for at least `patience` while connections to it hang.
     fn probe(&mut self, now: Time, target: TargetKey, patience: Duration, out: &mut Vec<Command>) {
         self.targets.begin_probe(now, target);
@@ -184,8 +190,8 @@
     /// Cancels silent attempts at a target after a probe.
     ///
     /// If the probe succeeded and the silence is too long for a sound target, the old connection is at
-    /// fault: a repeatable request is cancelled there to be retried, and any other one waits for its
-    /// deadline.
+    /// fault: an attempt is cancelled there if another one can still give the whole answer, and any
+    /// other one waits for its deadline.
     fn cancel_silent(
         &mut self,
         now: Time,
@@ -195,11 +201,16 @@
     ) {
         let engine = self.is_engine(self.targets.get(target).service);
         for (key, attempt) in &mut self.attempts {
-            let too_long = |silence: Silence| !accepted || now.since(silence.since) >= MAX_SILENCE;
+            let too_long = |since: Time| !accepted || now.since(since) >= MAX_SILENCE;
             let affected = attempt.destination == Destination::Target(target)
                 && attempt.silent.is_some_and(too_long);
             let can_retry = self.requests.get(&attempt.ticket).is_some_and(|request| {
-                request.repeatable && request.sendable() && Self::runs_left(request) > 1
+                let resumable = request.route.is_some_and(|class| class.resumable);
+                let replaceable = attempt.responded.is_none() || resumable;
+                request.repeatable
+                    && replaceable
+                    && request.sendable()
+                    && Self::runs_left(request) > 1
             });
             // A prompt that waits in the queue of a live engine would only wait again at another
             // one.
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -199,15 +199,6 @@
     },
 }
 
-/// A time without progress of an attempt.
-#[derive(Clone, Copy, Debug)]
-pub struct Silence {
-    /// When the attempt last made progress.
-    pub since: Time,
-    /// When the silence was last reported.
-    pub reported: Time,
-}
-
 /// An attempt in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
@@ -219,8 +210,8 @@
     pub started: Time,
     /// Whether the first byte may have been sent.
     pub sent: bool,
-    /// Its last silence beyond the limit, if it did not respond since.
-    pub silent: Option<Silence>,
+    /// Since when it makes no progress, if that was reported.
+    pub silent: Option<Time>,
     /// Whether it was cancelled.
     pub cancelled: bool,
     /// Whether the request was suspected of crashing targets when the attempt started.
--- a/crates/seam-core/tests/silent_targets.rs
+++ b/crates/seam-core/tests/silent_targets.rs
@@ -170,3 +170,47 @@
         assert_ne!(send(&mut fleet, ticket).1, target, "it is down");
     }
 }
+
+/// Lets a target be silent on an attempt for a time, with a report and a probe that succeeds after each
+/// limit.
+fn fall_silent(fleet: &mut Fleet, attempt: AttemptKey, target: TargetId, span: Duration) {
+    const LIMIT: Duration = Duration::from_millis(400);
+    let mut rest = span;
+    while rest >= LIMIT {
+        fleet.wait(LIMIT);
+        rest -= LIMIT;
+        fleet.handle(0, Event::Silent(attempt));
+        let accepted = true;
+        fleet.handle(0, Event::Probed { target, accepted });
+    }
+    fleet.wait(rest);
+}
+
+/// Guards against an attempt that is cancelled since several silences of its target, with parts of the
+/// answer in between, count as one.
+#[test]
+fn several_silences() {
+    for gap in [Duration::ZERO, Duration::from_millis(150)] {
+        let mut fleet = settled(&[("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)]);
+        let (attempt, target) = send(&mut fleet, 1);
+        fleet.handle(0, Event::Sending(attempt));
+        for _ in 0..3 {
+            fall_silent(&mut fleet, attempt, target, Duration::from_millis(950));
+            fleet.handle(0, Event::Progress(attempt));
+            fleet.wait(gap);
+        }
+        assert_eq!((ejections(&fleet), cancels(&fleet)), (0, 0));
+    }
+}
+
+/// Guards against an answer that has begun, and that no other target can go on with, being cut since its
+/// target is silent.
+#[test]
+fn begun_answer() {
+    let mut fleet = settled(&[("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)]);
+    let (attempt, target) = send(&mut fleet, 1);
+    fleet.handle(0, Event::Sending(attempt));
+    fleet.handle(0, Event::FirstBytes(attempt));
+    fall_silent(&mut fleet, attempt, target, Duration::from_millis(2400));
+    assert_eq!((ejections(&fleet), cancels(&fleet)), (0, 0));
+}
--- a/crates/seam-node/src/targets.rs
+++ b/crates/seam-node/src/targets.rs
@@ -59,7 +59,7 @@
         request: &inbound.id,
     };
     let request = Request::from_parts(head, body);
-    let response = match monitor.watch(connection.send(request)).await {
+    let response = match monitor.watch(connection.send(request), Result::is_ok).await {
         Ok(response) => response,
         Err(ClientError::NotSent) => return AttemptOutcome::NotSent,
         Err(error) => {
@@ -338,16 +338,30 @@
 }
 
 impl SilenceMonitor<'_> {
-    /// Runs a step and reports silence whenever the limit passes, without cancelling the step.
-    async fn watch<T>(&self, step: impl Future<Output = T>) -> T {
+    /// Runs a step and reports silence whenever the limit passes, without cancelling the step. Reports
+    /// the end of the silence if the output of the step is progress.
+    async fn watch<T>(&self, step: impl Future<Output = T>, is_progress: impl Fn(&T) -> bool) -> T {
+        let start = self.runtime.now();
+        let mut silent = false;
         let report = async {
             loop {
                 Timer::after(self.to.silence).await;
+                silent = true;
                 self.runtime.pool.forget(self.to.address);
                 self.runtime.handle(Event::Silent(self.to.attempt));
             }
         };
-        step.or(report).await
+        let output = step.or(report).await;
+        if silent && is_progress(&output) {
+            log::info!(
+                target: "request",
+                request = self.request, attempt = self.to.attempt.0,
+                silent_ms = self.runtime.now().since(start).as_millis() as u64;
+                "silence ended"
+            );
+            self.runtime.handle(Event::Progress(self.to.attempt));
+        }
+        output
     }
 }
 
@@ -438,8 +452,9 @@
     };
     let mut awaiting_first = true;
     loop {
-        let frame = monitor.watch(body.frame()).await;
-        let broken = matches!(frame, Some(Err(_)));
+        let sound = |frame: &Option<Result<_, _>>| !matches!(frame, Some(Err(_)));
+        let frame = monitor.watch(body.frame(), sound).await;
+        let broken = !sound(&frame);
         if !broken && std::mem::take(&mut awaiting_first) {
             progress.mark_responded(monitor.runtime.now());
             monitor
