node: tell a target that hangs from one that is gone

What callers saw: a request that runs once ends as 504 although its server is sound and would have answered 0.3 s later.

Cause: a probe that failed meant that the target is gone, also if connections to it only hung, and ended every silent attempt there. The probe's patience was counted from the attempt's last progress. A target that works on a request for longer than the silence limit, and falls silent just before a probe, was judged after 1.4 s of silence instead of 1.8 s.

Change: a probe that hangs is reported as such. It ejects the target, but cancels only attempts that another one can replace and that are silent for longer than a sound target may be. A refused probe still ends all silent attempts: no process listens there. The patience counts from the probe.

A host that vanishes is noticed by its silence 0.4 s later than before; its connections still end by the system's own keepalive.

--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -72,9 +72,11 @@
     Probed {
         /// The target.
         target: TargetId,
-        /// Whether the target accepted the connection.
+        /// Whether the target accepted the connection, or refused it.
         accepted: bool,
     },
+    /// A probe ended, as connections to the target hang. It may be gone or only silent.
+    ProbeHung(TargetId),
     /// A heartbeat of a peer with a valid message authentication code arrived.
     Heartbeat(Box<Heartbeat>),
     /// A complete and verified bundle was read.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -53,6 +53,7 @@
 use crate::spill::Spill;
 use crate::streams::StreamOrigins;
 use crate::targets::Targets;
+use attempts::ProbeResult;
 use item_fetches::ItemFetches;
 
 /// Interval between two [`Event::Tick`]s.
@@ -372,7 +373,15 @@
             Event::ErrorResponse(attempt) => self.handle_target_error(now, attempt, out),
             Event::AttemptEnded(attempt, outcome) => self.end_attempt(now, attempt, outcome, out),
             Event::CallerGone(ticket) => self.handle_disconnect(now, ticket, out),
-            Event::Probed { target, accepted } => self.handle_probe(now, target, accepted, out),
+            Event::Probed { target, accepted } => {
+                let result = if accepted {
+                    ProbeResult::Accepted
+                } else {
+                    ProbeResult::Refused
+                };
+                self.handle_probe(now, target, result, out);
+            }
+            Event::ProbeHung(target) => self.handle_probe(now, target, ProbeResult::Hung, out),
             Event::Heartbeat(heartbeat) => self.receive_heartbeat(now, &heartbeat, out),
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -27,6 +27,16 @@
 /// Weight of a new sample in the mean service and slot times.
 const SMOOTHING: f64 = 0.05;
 
+/// What a probe of a target found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProbeResult {
+    Accepted,
+    /// No process listens, so that the requests there have ended.
+    Refused,
+    /// The target is gone or silent, which cannot be told apart.
+    Hung,
+}
+
 impl Node {
     /// Decides just before the first byte whether an attempt may still be sent.
     ///
@@ -119,7 +129,8 @@
         }
         match destination {
             Destination::Target(target) => {
-                self.probe(now, target, MAX_SILENCE.saturating_sub(limit), out);
+                // A target that is slow can fall silent as the probe begins.
+                self.probe(now, target, MAX_SILENCE, out);
             }
             Destination::Node { .. } => self.cancel(key, out),
         }
@@ -152,7 +163,7 @@
         &mut self,
         now: Time,
         target: TargetId,
-        accepted: bool,
+        result: ProbeResult,
         out: &mut Vec<Command>,
     ) {
         let Some(key) = self.targets.key(target) else {
@@ -160,7 +171,12 @@
         };
         // A target that answered meanwhile was only silent.
         let answered = self.targets.end_probe(key);
-        let accepted = answered || accepted;
+        let result = if answered {
+            ProbeResult::Accepted
+        } else {
+            result
+        };
+        let accepted = result == ProbeResult::Accepted;
         let suspended = self.targets.is_suspended(key);
         let change = self.targets.record_probe(now, key, accepted);
         let found = accepted && !answered && (change.is_some() || suspended);
@@ -182,26 +198,28 @@
             }
             self.check_restart(now, key, out);
         }
-        self.cancel_silent(now, key, accepted, out);
+        self.cancel_silent(now, key, result, out);
         let service = self.targets.get(key).service;
         self.dispatch(now, service, out);
     }
 
     /// Cancels silent attempts at a target after a probe.
     ///
-    /// If the probe succeeded and the silence is too long for a sound target, the old connection is at
-    /// fault: an attempt is cancelled there if another one can still give the whole answer, and any
-    /// other one waits for its deadline.
+    /// If the target refused the probe, all of them have ended. Otherwise, one that is silent for longer
+    /// than a sound target is cancelled if another one can still give the whole answer, and any other
+    /// one waits for its deadline.
     fn cancel_silent(
         &mut self,
         now: Time,
         target: TargetKey,
-        accepted: bool,
+        result: ProbeResult,
         out: &mut Vec<Command>,
     ) {
+        let gone = result == ProbeResult::Refused;
+        let accepted = result == ProbeResult::Accepted;
         let engine = self.is_engine(self.targets.get(target).service);
         for (key, attempt) in &mut self.attempts {
-            let too_long = |since: Time| !accepted || now.since(since) >= MAX_SILENCE;
+            let too_long = |since: Time| gone || now.since(since) >= MAX_SILENCE;
             let affected = attempt.destination == Destination::Target(target)
                 && attempt.silent.is_some_and(too_long);
             let can_retry = self.requests.get(&attempt.ticket).is_some_and(|request| {
@@ -215,7 +233,7 @@
             // A prompt that waits in the queue of a live engine would only wait again at another
             // one.
             let queued = accepted && engine && attempt.responded.is_none();
-            if affected && !attempt.cancelled && (can_retry || !accepted) && !queued {
+            if affected && !attempt.cancelled && (can_retry || gone) && !queued {
                 attempt.cancelled = true;
                 out.push(Command::Cancel(*key));
             }
--- a/crates/seam-core/tests/silent_targets.rs
+++ b/crates/seam-core/tests/silent_targets.rs
@@ -214,3 +214,35 @@
     fall_silent(&mut fleet, attempt, target, Duration::from_millis(2400));
     assert_eq!((ejections(&fleet), cancels(&fleet)), (0, 0));
 }
+
+/// Guards against a request, which can't be repeated, that is cancelled since connections to its target
+/// hang for a while.
+#[test]
+fn hanging_target() {
+    for (route, attempts, cancelled) in [("book", 1, 0), ("view", 2, 1)] {
+        let mut fleet = settled(&[("d1", PLAIN, NORTH), ("d2", PLAIN, NORTH)]);
+        fleet.arrive(0, arrival(1, route, PLAIN, attempts));
+        let (_, attempt, target) = fleet.sends()[0];
+        fleet.handle(0, Event::Sending(attempt));
+        fleet.wait(Duration::from_millis(400));
+        fleet.handle(0, Event::Silent(attempt));
+        fleet.wait(Duration::from_millis(2100));
+        fleet.handle(0, Event::ProbeHung(target));
+        assert_eq!(cancels(&fleet), cancelled, "{route}");
+        assert_eq!(ejections(&fleet), 1, "others are preferred");
+    }
+}
+
+/// Guards against a request that waits for its deadline although no process listens at its target.
+#[test]
+fn gone_target() {
+    let mut fleet = settled(&[("d1", PLAIN, NORTH)]);
+    fleet.arrive(0, arrival(1, "book", PLAIN, 1));
+    let (_, attempt, target) = fleet.sends()[0];
+    fleet.handle(0, Event::Sending(attempt));
+    fleet.wait(Duration::from_millis(400));
+    fleet.handle(0, Event::Silent(attempt));
+    let accepted = false;
+    fleet.handle(0, Event::Probed { target, accepted });
+    assert_eq!((cancels(&fleet), ejections(&fleet)), (1, 1));
+}
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -346,8 +346,7 @@
             Job::Probe(target, address, patience) => {
                 let runtime = runtime.clone();
                 spawn(async move {
-                    let accepted = pool::accepts(address, patience).await;
-                    runtime.handle(Event::Probed { target, accepted });
+                    runtime.handle(pool::probe(target, address, patience).await);
                 })
                 .detach();
             }
--- a/crates/seam-node/src/pool.rs
+++ b/crates/seam-node/src/pool.rs
@@ -5,7 +5,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use seam_core::Event;
 use seam_http::{ClientError, Connection, lock};
+use seam_protocol::TargetId;
 
 /// Maximum idle time of a connection that is reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
@@ -78,21 +80,27 @@
     }
 }
 
-/// Returns whether a target accepts a new connection. Connections that hang are tried again for at
-/// least `patience`, since the system repeats its first packet late.
-pub async fn accepts(address: SocketAddr, patience: Duration) -> bool {
+/// Opens a new connection to a target and returns what came of it. Connections that hang are tried again
+/// for at least `patience`, since the system repeats its first packet late.
+pub async fn probe(target: TargetId, address: SocketAddr, patience: Duration) -> Event {
     let start = Instant::now();
     loop {
         let opened = Connection::open_within(address, CONNECT_TIMEOUT).await;
         let Err(error) = opened else {
-            return true;
+            let accepted = true;
+            return Event::Probed { target, accepted };
         };
         let hung = matches!(&error, ClientError::Connect { source, .. }
             if source.kind() == std::io::ErrorKind::TimedOut);
-        if !hung || start.elapsed() >= patience {
-            log::info!("probe of {address} failed: {error}");
-            return false;
+        if hung && start.elapsed() < patience {
+            continue;
         }
+        log::info!("probe of {address} failed: {error}");
+        if hung {
+            return Event::ProbeHung(target);
+        }
+        let accepted = false;
+        return Event::Probed { target, accepted };
     }
 }
 
