soak: silences of sound targets around planned work

A second script of seeds plays planned work only (versions in force, SIGTERM, SIGHUP, targets that leave) while every target is silent for 1 to 1.5 s again and again, with bodies that arrive in parts. None of it excuses anything, so check_lost finds whole requests whose connection ends without an answer. checks_find_violations covers it. The other script plays the same faults as before with every seed; its calls and checks are unchanged.

--- a/crates/toucanseam/tests/soak.rs
+++ b/crates/toucanseam/tests/soak.rs
@@ -27,7 +27,8 @@
 
 use http::StatusCode;
 use soak::callers::CallRecord;
-use soak::checks::{Leaving, check};
+use soak::checks::{Leaving, check, check_lost};
+use soak::script::Script;
 use soak::target::Run;
 use soak::world::{Size, run_seed};
 
@@ -73,7 +74,20 @@
 fn fixed_seeds() {
     start();
     for seed in SEEDS {
-        let violations = seam_http::block_on(run_seed(seed, ci_size(SHORT)));
+        let run = run_seed(seed, ci_size(SHORT), Script::Trouble);
+        let violations = seam_http::block_on(run);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// Guards against whole requests that end without an answer around planned work, beside sound targets
+/// that are silent for a while.
+#[test]
+fn silent_targets() {
+    start();
+    for seed in SEEDS {
+        let run = run_seed(seed, ci_size(SHORT), Script::Planned);
+        let violations = seam_http::block_on(run);
         assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     }
 }
@@ -84,7 +98,8 @@
     std::thread::scope(|scope| {
         for (seed, cause) in REGRESSIONS {
             scope.spawn(move || {
-                let violations = seam_http::block_on(run_seed(seed, ci_size(LONG)));
+                let violations =
+                    seam_http::block_on(run_seed(seed, ci_size(LONG), Script::Trouble));
                 assert!(
                     violations.is_empty(),
                     "seed {seed} ({cause}): {violations:#?}"
@@ -113,6 +128,8 @@
         complete: true,
         matches,
         start,
+        sent: Some(start),
+        end: start + Duration::from_millis(100),
     };
     let leaving = |undisturbed| Leaving {
         target: "t1".to_owned(),
@@ -141,10 +158,25 @@
     assert_eq!(first(&late, &[], &[leaving(false)]), "none");
     let again = vec![run("a", "view", "north", 0); 60];
     assert_eq!(first(&again, &[], &[]), "BUDGET");
+    let lost = |runs: &[Run], change: fn(&mut CallRecord)| {
+        let mut unanswered = call("a", "book", 200, true);
+        unanswered.complete = false;
+        change(&mut unanswered);
+        !check_lost(runs, &[unanswered]).is_empty()
+    };
+    let late = |call: &mut CallRecord| call.end = call.start + Duration::from_millis(201);
+    let too_late = |call: &mut CallRecord| call.end = call.start + Duration::from_millis(2100);
+    assert!(lost(&good, |_| {}));
+    assert!(lost(&good, |call| call.status = None));
+    assert!(!lost(&good, |call| call.complete = true));
+    assert!(!lost(&good, |call| call.sent = None));
+    assert!(!lost(&good, too_late));
+    assert!(!lost(&[], |_| {}));
+    assert!(lost(&[], late));
 }
 
 /// Runs the seeds of `SOAK_SEEDS`, such as `1-50`, with `SOAK_NODES` nodes each and `SOAK_JOBS`
-/// seeds at a time.
+/// seeds at a time, by the script `SOAK_SCRIPT`, `trouble` or `planned`.
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn many_seeds() {
@@ -158,6 +190,11 @@
         callers: env_number("SOAK_CALLERS", 8) as usize,
         length: LONG,
     };
+    let script = match std::env::var("SOAK_SCRIPT").as_deref() {
+        Ok("planned") => Script::Planned,
+        Ok("trouble") | Err(_) => Script::Trouble,
+        Ok(other) => panic!("SOAK_SCRIPT is trouble or planned, not {other}"),
+    };
     let next = AtomicU64::new(first);
     let failed = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -168,7 +205,7 @@
                     if seed > last {
                         break;
                     }
-                    let violations = seam_http::block_on(run_seed(seed, size));
+                    let violations = seam_http::block_on(run_seed(seed, size, script));
                     println!(
                         "seed {seed}: {}",
                         if violations.is_empty() {
--- a/crates/toucanseam/tests/soak/callers.rs
+++ b/crates/toucanseam/tests/soak/callers.rs
@@ -1,19 +1,20 @@
 //! Callers that keep connections open and record the outcome of each call.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, stream};
 use http::{Request, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_http::{Connection, full, lock};
+use seam_http::{Body, Connection, full, lock};
 
 use super::target::{EVENTS, event, expected};
 
@@ -23,6 +24,10 @@
 /// Base pause between two calls of one caller, varied at random.
 const PAUSE: Duration = Duration::from_millis(15);
 
+/// Largest number of parts of a body, and the size of each.
+const MAX_PARTS: usize = 6;
+const PART_BYTES: usize = 8 << 10;
+
 /// Kinds of request by the first part of their path.
 pub const KINDS: [&str; 5] = ["view", "book", "look", "hint", "home"];
 
@@ -37,6 +42,9 @@
     /// Whether the body is the expected one, or a prefix of it if the response is incomplete.
     pub matches: bool,
     pub start: Instant,
+    /// When the last byte of the request was sent, if it was.
+    pub sent: Option<Instant>,
+    pub end: Instant,
 }
 
 /// State that all callers share: their records, the nodes to call, and commands to the callers.
@@ -47,28 +55,72 @@
     pub stop: AtomicBool,
     /// Incremented to make all callers drop their connections.
     pub resets: AtomicU64,
+    /// Whether bodies arrive in parts.
+    pub slow_bodies: AtomicBool,
+}
+
+/// Returns the body of a request. In parts, it is longer.
+fn request_body(kind: &str, attempt: &str, parts: &[Duration]) -> String {
+    if kind == "view" {
+        return String::new();
+    }
+    attempt.to_owned() + &"-".repeat(PART_BYTES * parts.len())
+}
+
+/// Returns a body of which a part is sent after each pause. `sent` receives the time of the last part.
+fn body_in_parts(text: &str, pauses: &[Duration], sent: &Arc<OnceLock<Instant>>) -> Body {
+    let size = text.len().div_ceil(pauses.len().max(1)).max(1);
+    let pauses = pauses
+        .iter()
+        .copied()
+        .chain(std::iter::repeat(Duration::ZERO));
+    let parts: Vec<(Bytes, Duration)> = text
+        .as_bytes()
+        .chunks(size)
+        .map(Bytes::copy_from_slice)
+        .zip(pauses)
+        .collect();
+    let (mut parts, sent) = (VecDeque::from(parts), sent.clone());
+    if parts.is_empty() {
+        sent.get_or_init(Instant::now);
+        return full("");
+    }
+    let stream = stream::unfold((), move |()| {
+        let next = parts.pop_front();
+        let (last, sent) = (parts.is_empty(), sent.clone());
+        async move {
+            let (part, pause) = next?;
+            Timer::after(pause).await;
+            if last {
+                sent.get_or_init(Instant::now);
+            }
+            Some((Ok(Frame::data(part)), ()))
+        }
+    });
+    StreamBody::new(stream).boxed_unsync()
 }
 
 /// Builds a request of a kind.
-fn request(kind: &str, attempt: &str) -> Request<seam_http::Body> {
-    let body = if kind == "view" { "" } else { attempt };
-    let method = if kind == "view" { "GET" } else { "POST" };
-    Request::builder()
-        .method(method)
+fn request(kind: &str, attempt: &str, text: &str, body: Body) -> Request<Body> {
+    let mut request = Request::builder();
+    if !text.is_empty() {
+        request = request.header("content-length", text.len());
+    }
+    request
+        .method(if kind == "view" { "GET" } else { "POST" })
         .uri(format!("/{kind}/7"))
         .header("host", "salon.example")
         .header("attempt-id", attempt)
         .header("deadline-ms", "3000")
-        .body(full(body.to_owned()))
+        .body(body)
         .expect("the request is valid")
 }
 
 /// Returns whether bytes are a prefix of the expected response, and whether they are all of it.
-fn compare_body(kind: &str, attempt: &str, bytes: &Bytes) -> (bool, bool) {
+fn compare_body(kind: &str, attempt: &str, body: &str, bytes: &Bytes) -> (bool, bool) {
     let expected_body = match kind {
         "look" | "hint" => (1..=EVENTS).map(|number| event(attempt, number)).collect(),
-        "view" => expected(attempt, "/view/7", ""),
-        _ => expected(attempt, &format!("/{kind}/7"), attempt),
+        _ => expected(attempt, &format!("/{kind}/7"), body),
     };
     (
         expected_body.as_bytes().starts_with(bytes),
@@ -76,12 +128,17 @@
     )
 }
 
-/// Makes one call on a connection. Returns its record and whether the connection can be reused.
+/// Makes one call on a connection, with the body in a part after each pause. Returns its record and
+/// whether the connection can be reused.
 async fn call(
     connection: &mut Connection,
     kind: &'static str,
     attempt: String,
+    pauses: &[Duration],
 ) -> (CallRecord, bool) {
+    let text = request_body(kind, &attempt, pauses);
+    let sent: Arc<OnceLock<Instant>> = Arc::default();
+    let body = body_in_parts(&text, pauses, &sent);
     let mut record = CallRecord {
         attempt: attempt.clone(),
         kind,
@@ -89,9 +146,14 @@
         complete: false,
         matches: true,
         start: Instant::now(),
+        sent: None,
+        end: Instant::now(),
     };
     let response = async {
-        let response = connection.send(request(kind, &attempt)).await.ok()?;
+        let response = connection
+            .send(request(kind, &attempt, &text, body))
+            .await
+            .ok()?;
         let (head, mut body) = response.into_parts();
         record.status = Some(head.status);
         let mut bytes = Vec::new();
@@ -103,7 +165,7 @@
             }
         };
         if head.status.is_success() {
-            let (prefix, all) = compare_body(kind, &attempt, &bytes.into());
+            let (prefix, all) = compare_body(kind, &attempt, &text, &bytes.into());
             record.matches = prefix && (all || !complete);
         }
         record.complete = complete;
@@ -118,6 +180,8 @@
         None
     };
     let reusable = response.or(timeout).await.unwrap_or(false);
+    record.sent = sent.get().copied();
+    record.end = Instant::now();
     (record, reusable)
 }
 
@@ -150,7 +214,15 @@
         number += 1;
         let kind = KINDS[rng.random_range(0..KINDS.len())];
         let attempt = format!("{name}-{number}");
-        let (record, reusable) = call(&mut connection, kind, attempt).await;
+        let pauses = if shared.slow_bodies.load(Ordering::Relaxed) {
+            let count = rng.random_range(0..MAX_PARTS);
+            (0..count)
+                .map(|_| PAUSE.mul_f64(rng.random_range(0.0..4.0)))
+                .collect()
+        } else {
+            Vec::new()
+        };
+        let (record, reusable) = call(&mut connection, kind, attempt, &pauses).await;
         lock(&shared.calls).push(record);
         if reusable && connection.ready().await.is_ok() {
             open.insert(node, connection);
@@ -166,7 +238,7 @@
             failed.push(kind);
             continue;
         };
-        let (record, _) = call(&mut connection, kind, format!("{name}-{kind}")).await;
+        let (record, _) = call(&mut connection, kind, format!("{name}-{kind}"), &[]).await;
         let served = record.status == Some(StatusCode::OK) && record.complete && record.matches;
         if !served {
             failed.push(kind);
--- a/crates/toucanseam/tests/soak/checks.rs
+++ b/crates/toucanseam/tests/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::callers::CallRecord;
+use super::script::PLANNED_TIMEOUT;
 use super::target::{Run, first_runs};
 
 /// Time after which a leaving target receives no requests, as the platform's documentation states.
@@ -15,6 +16,9 @@
 /// Share of a window's requests that may be retried.
 const RETRY_SHARE: f64 = 0.2;
 
+/// Time from the last byte of a request after which its connection may not end without an answer, also
+/// if the request was not passed on.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// When a target announced that it leaves, and whether no other fault was active in its drain time.
 #[derive(Clone, Debug)]
 pub struct Leaving {
@@ -71,6 +75,22 @@
     violations
 }
 
+/// Checks that whole requests have ended with an answer or a refusal. Holds around planned work only.
+pub fn check_lost(runs: &[Run], calls: &[CallRecord]) -> Vec<String> {
+    let counts = first_runs(runs);
+    // What has used seven tenths of its time doesn't count.
+    let counted = PLANNED_TIMEOUT * 7 / 10;
+    let lost = calls.iter().filter(|call| {
+        let answered = call.status.is_some() && call.complete;
+        let ran = counts.contains_key(call.attempt.as_str());
+        call.sent.is_some_and(|sent| {
+            !answered && call.end < call.start + counted && (ran || call.end > sent + LOSS_SLACK)
+        })
+    });
+    lost.map(|call| format!("LOST: {call:?}, {} ms", (call.end - call.start).as_millis()))
+        .collect()
+}
+
 /// Checks the number of retries in each window: the runs of a request after its first.
 fn check_retries(runs: &[Run], calls: &[CallRecord]) -> Option<String> {
     let mut seen: BTreeSet<&str> = BTreeSet::new();
--- a/crates/toucanseam/tests/soak/script.rs
+++ b/crates/toucanseam/tests/soak/script.rs
@@ -8,6 +8,9 @@
 use super::proxy::Mode;
 use super::target::TargetFault;
 
+/// Timeout of every route around planned work.
+pub const PLANNED_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A fault, with the indexes of the nodes and targets that it affects.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -36,6 +39,17 @@
     Compact,
     ResetCallers,
     Reload(usize),
+    /// A sound target says nothing for a while.
+    Silence(usize),
+}
+
+/// The kind of a seed's faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Script {
+    /// Trouble of every kind.
+    Trouble,
+    /// Planned work and short silences of sound targets, neither of which excuses anything.
+    Planned,
 }
 
 /// A fault, with its start relative to the start of the script, and its duration.
@@ -88,6 +102,45 @@
     }
 }
 
+fn planned_fault(rng: &mut Pcg64Mcg, nodes: usize, targets: usize) -> Fault {
+    match rng.random_range(0..8) {
+        0 => Fault::Roll(rng.random_range(0..nodes)),
+        1 => Fault::Reload(rng.random_range(0..nodes)),
+        2 => Fault::Leave(rng.random_range(0..targets)),
+        _ => Fault::Configure,
+    }
+}
+
+/// Generates planned work of a seed, and silences of all targets that overlap with it, in the order of
+/// their starts.
+pub fn generate_planned(seed: u64, nodes: usize, targets: usize, length: Duration) -> Vec<Entry> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut entries = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < length {
+        entries.push(Entry {
+            at,
+            lasts: Duration::ZERO,
+            fault: planned_fault(&mut rng, nodes, targets),
+        });
+        at += Duration::from_millis(rng.random_range(50..1200));
+    }
+    for target in 0..targets {
+        let mut at = Duration::from_millis(rng.random_range(200..3000));
+        while at < length {
+            for _ in 0..rng.random_range(1..4) {
+                let lasts = Duration::from_millis(rng.random_range(1000..1500));
+                let fault = Fault::Silence(target);
+                entries.push(Entry { at, lasts, fault });
+                at += lasts + Duration::from_millis(rng.random_range(100..500));
+            }
+            at += Duration::from_millis(rng.random_range(500..4000));
+        }
+    }
+    entries.sort_by_key(|entry| entry.at);
+    entries
+}
+
 /// Generates the faults of a seed, in the order of their starts.
 pub fn generate_faults(seed: u64, nodes: usize, targets: usize, length: Duration) -> Vec<Entry> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/toucanseam/tests/soak/world.rs
+++ b/crates/toucanseam/tests/soak/world.rs
@@ -12,12 +12,12 @@
 use seam_http::{empty, fetch, lock, spawn};
 
 use super::callers::{CallerState, call_each_kind, run_caller};
-use super::checks::{Leaving, check};
+use super::checks::{Leaving, check, check_lost};
 use super::node::Node;
 use super::proxy::Mode;
-use super::script::{Entry, Fault, generate_faults};
+use super::script::{Entry, Fault, PLANNED_TIMEOUT, Script, generate_faults, generate_planned};
 use super::target::{Runs, Target};
-use crate::store::Store;
+use crate::store::{Store, configuration};
 
 /// Interval at which faults and processes are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -46,6 +46,7 @@
     Store(usize),
     StoreUp,
     Target(usize),
+    Speak(usize),
     /// Removes the item of a target that has left, and starts another target.
     Replace(usize),
 }
@@ -64,11 +65,12 @@
     version: u64,
     started_targets: usize,
     folder: PathBuf,
+    script: Script,
 }
 
 /// Runs a seed and returns the violations. The nodes' logs are kept if there are any.
-pub async fn run_seed(seed: u64, size: Size) -> Vec<String> {
-    let mut world = World::start(seed, size).await;
+pub async fn run_seed(seed: u64, size: Size, script: Script) -> Vec<String> {
+    let mut world = World::start(seed, size, script).await;
     let callers: Vec<Task<()>> = (0..size.callers as u64)
         .map(|index| {
             let name = format!("s{seed}-{index}");
@@ -79,7 +81,11 @@
             ))
         })
         .collect();
-    let entries = generate_faults(seed, size.nodes, world.targets.len(), size.length);
+    let generate = match script {
+        Script::Trouble => generate_faults,
+        Script::Planned => generate_planned,
+    };
+    let entries = generate(seed, size.nodes, world.targets.len(), size.length);
     world.apply_faults(&entries).await;
     world.check_recovery(seed).await;
     world.callers.stop.store(true, Ordering::Relaxed);
@@ -90,8 +96,8 @@
 }
 
 impl World {
-    async fn start(seed: u64, size: Size) -> Self {
-        let name = format!("seam-soak-{}-{seed}", std::process::id());
+    async fn start(seed: u64, size: Size, script: Script) -> Self {
+        let name = format!("seam-soak-{}-{script:?}-{seed}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("the folder can be created");
         let store = Store::start();
@@ -112,8 +118,14 @@
             version: 1,
             started_targets: 0,
             folder,
+            script,
         };
-        world.store.configure(1);
+        let slow_bodies = script == Script::Planned;
+        world
+            .callers
+            .slow_bodies
+            .store(slow_bodies, Ordering::Relaxed);
+        world.configure();
         for service in ["desk", "writer"] {
             for region in regions {
                 for _ in 0..2 {
@@ -131,6 +143,21 @@
         world
     }
 
+    /// Publishes the current version. Around planned work, versions differ in what is in force.
+    fn configure(&self) {
+        if self.script == Script::Trouble {
+            self.store.configure(self.version);
+            return;
+        }
+        let mut config = configuration(self.version, PLANNED_TIMEOUT);
+        if self.version.is_multiple_of(2) {
+            config["routes"][0]["name"] = "view-renamed".into();
+            config["routes"][1]["maxAttempts"] = 2.into();
+            config["limits"]["maxBodyBytes"] = 1_000_000.into();
+        }
+        self.store.put_config(&config);
+    }
+
     /// Starts a target and publishes its item.
     fn start_target(&mut self, region: &str, service: &str) -> Target {
         self.started_targets += 1;
@@ -201,7 +228,11 @@
     fn start_fault(&mut self, entry: &Entry) {
         let harmless = matches!(
             entry.fault,
-            Fault::Turns { .. } | Fault::Leave(_) | Fault::Configure | Fault::Reload(_)
+            Fault::Turns { .. }
+                | Fault::Leave(_)
+                | Fault::Configure
+                | Fault::Reload(_)
+                | Fault::Silence(_)
         );
         if !harmless {
             self.disturb_leaving();
@@ -240,6 +271,10 @@
                 self.targets[target].proxy.set(mode);
                 self.schedule(entry, Recovery::Target(target));
             }
+            Fault::Silence(target) => {
+                self.targets[target].proxy.set(Mode::Silent);
+                self.schedule(entry, Recovery::Speak(target));
+            }
             Fault::Turns {
                 target,
                 turn,
@@ -252,7 +287,7 @@
             Fault::Leave(target) => self.leave(target),
             Fault::Configure => {
                 self.version += 3;
-                self.store.configure(self.version);
+                self.configure();
             }
             Fault::Compact => self.store.compact(),
             Fault::ResetCallers => {
@@ -273,10 +308,12 @@
         }
         self.store
             .put_item(&leaving_target.id, &leaving_target.item(true));
+        let mut recoveries = self.recoveries.iter();
+        let undisturbed = recoveries.all(|(_, recovery)| matches!(recovery, Recovery::Speak(_)));
         self.leaving.push(Leaving {
             target: leaving_target.id.clone(),
             at: Instant::now(),
-            undisturbed: self.recoveries.is_empty() && self.ending.is_empty(),
+            undisturbed: undisturbed && self.ending.is_empty(),
         });
         let removal = Instant::now() + LEAVE_TIME;
         self.recoveries.push((removal, Recovery::Replace(target)));
@@ -292,7 +329,9 @@
                 Recovery::Resume(node) => self.nodes[node].signal(Signal::CONT),
                 Recovery::Store(node) => self.nodes[node].store.set(Mode::Pass),
                 Recovery::StoreUp => self.store.set_down(false),
-                Recovery::Target(target) => self.targets[target].proxy.set(Mode::Pass),
+                Recovery::Target(target) | Recovery::Speak(target) => {
+                    self.targets[target].proxy.set(Mode::Pass);
+                }
                 Recovery::Replace(target) => self.replace(target),
             }
         }
@@ -302,6 +341,8 @@
         let region = self.targets[target].region.clone();
         let service = self.targets[target].service.clone();
         self.store.remove_item(&self.targets[target].id);
+        // What the old target holds back goes on.
+        self.targets[target].proxy.set(Mode::Pass);
         let replacement = self.start_target(&region, &service);
         self.targets[target] = replacement;
     }
@@ -379,6 +420,9 @@
             ));
         }
         self.violations.extend(check(&runs, &calls, &self.leaving));
+        if self.script == Script::Planned {
+            self.violations.extend(check_lost(&runs, &calls));
+        }
         if self.violations.is_empty() {
             if let Err(error) = std::fs::remove_dir_all(&self.folder) {
                 println!("{} not removed: {error}", self.folder.display());
