--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -56,6 +56,8 @@
     Sending(AttemptKey),
     /// An attempt made no progress within the service's silence limit.
     Silent(AttemptKey),
+    /// An attempt that was reported as silent made progress.
+    Progress(AttemptKey),
     /// The first bytes of the response to an attempt arrived.
     FirstBytes(AttemptKey),
     /// Another node passes on the beginning of an answer by a version of the targets' software.
@@ -70,9 +72,11 @@
     Probed {
         /// The target.
         target: TargetId,
-        /// Whether the target accepted the connection.
+        /// Whether the target accepted the connection, or refused it.
         accepted: bool,
     },
+    /// A probe ended, as connections to the target hang. It may be gone or only silent.
+    ProbeHung(TargetId),
     /// A heartbeat of a peer with a valid message authentication code arrived.
     Heartbeat(Box<Heartbeat>),
     /// A complete and verified bundle was read.
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -53,6 +53,7 @@
 use crate::spill::Spill;
 use crate::streams::StreamOrigins;
 use crate::targets::Targets;
+use attempts::ProbeResult;
 use item_fetches::ItemFetches;
 
 /// Interval between two [`Event::Tick`]s.
@@ -366,12 +367,21 @@
             Event::Arrive(arrival) => self.arrive(now, &arrival, out),
             Event::Sending(attempt) => self.authorize_send(now, attempt, out),
             Event::Silent(attempt) => self.handle_silence(now, attempt, out),
+            Event::Progress(attempt) => self.end_silence(now, attempt),
             Event::FirstBytes(attempt) => self.handle_first_bytes(now, attempt),
             Event::StreamBegan(attempt, version) => self.begin_stream(now, attempt, version),
             Event::ErrorResponse(attempt) => self.handle_target_error(now, attempt, out),
             Event::AttemptEnded(attempt, outcome) => self.end_attempt(now, attempt, outcome, out),
             Event::CallerGone(ticket) => self.handle_disconnect(now, ticket, out),
-            Event::Probed { target, accepted } => self.handle_probe(now, target, accepted, out),
+            Event::Probed { target, accepted } => {
+                let result = if accepted {
+                    ProbeResult::Accepted
+                } else {
+                    ProbeResult::Refused
+                };
+                self.handle_probe(now, target, result, out);
+            }
+            Event::ProbeHung(target) => self.handle_probe(now, target, ProbeResult::Hung, out),
             Event::Heartbeat(heartbeat) => self.receive_heartbeat(now, &heartbeat, out),
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -12,7 +12,7 @@
 use crate::handle::{AttemptKey, TargetKey};
 use crate::poison::QuarantineChange;
 use crate::refusal::Refusal;
-use crate::request::{Attempt, Destination, Request, Silence};
+use crate::request::{Attempt, Destination, Request};
 use crate::targets::{Phase, PhaseChange};
 
 /// Maximum number of fingerprints in the audit entry of a crash.
@@ -27,6 +27,16 @@
 /// Weight of a new sample in the mean service and slot times.
 const SMOOTHING: f64 = 0.05;
 
+/// What a probe of a target found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProbeResult {
+    Accepted,
+    /// No process listens, so that the requests there have ended.
+    Refused,
+    /// The target is gone or silent, which cannot be told apart.
+    Hung,
+}
+
 impl Node {
     /// Decides just before the first byte whether an attempt may still be sent.
     ///
@@ -115,21 +125,28 @@
         let limit = request.map_or(MAX_SILENCE, |request| self.silence(request.service));
         if let Some(attempt) = self.attempts.get_mut(&key) {
             // A silence that goes on is reported again after each limit.
-            let goes_on = |silence: &Silence| now.since(silence.reported) < limit + limit / 2;
-            let before = attempt.silent.filter(goes_on);
-            attempt.silent = Some(Silence {
-                since: before.map_or(now - limit, |silence| silence.since),
-                reported: now,
-            });
+            attempt.silent.get_or_insert(now - limit);
         }
         match destination {
             Destination::Target(target) => {
-                self.probe(now, target, MAX_SILENCE.saturating_sub(limit), out);
+                // A target that is slow can fall silent as the probe begins.
+                self.probe(now, target, MAX_SILENCE, out);
             }
             Destination::Node { .. } => self.cancel(key, out),
         }
     }
 
+    /// Handles progress of an attempt that was silent.
+    pub(super) fn end_silence(&mut self, now: Time, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        attempt.silent = None;
+        if let Destination::Target(target) = attempt.destination {
+            self.targets.record_answer(now, target);
+        }
+    }
+
     /// Probes a target, for at least `patience` while connections to it hang.
     fn probe(&mut self, now: Time, target: TargetKey, patience: Duration, out: &mut Vec<Command>) {
         self.targets.begin_probe(now, target);
@@ -146,7 +163,7 @@
         &mut self,
         now: Time,
         target: TargetId,
-        accepted: bool,
+        result: ProbeResult,
         out: &mut Vec<Command>,
     ) {
         let Some(key) = self.targets.key(target) else {
@@ -154,7 +171,12 @@
         };
         // A target that answered meanwhile was only silent.
         let answered = self.targets.end_probe(key);
-        let accepted = answered || accepted;
+        let result = if answered {
+            ProbeResult::Accepted
+        } else {
+            result
+        };
+        let accepted = result == ProbeResult::Accepted;
         let suspended = self.targets.is_suspended(key);
         let change = self.targets.record_probe(now, key, accepted);
         let found = accepted && !answered && (change.is_some() || suspended);
@@ -176,35 +198,42 @@
             }
             self.check_restart(now, key, out);
         }
-        self.cancel_silent(now, key, accepted, out);
+        self.cancel_silent(now, key, result, out);
         let service = self.targets.get(key).service;
         self.dispatch(now, service, out);
     }
 
     /// Cancels silent attempts at a target after a probe.
     ///
-    /// If the probe succeeded and the silence is too long for a sound target, the old connection is at
-    /// fault: a repeatable request is cancelled there to be retried, and any other one waits for its
-    /// deadline.
+    /// If the target refused the probe, all of them have ended. Otherwise, one that is silent for longer
+    /// than a sound target is cancelled if another one can still give the whole answer, and any other
+    /// one waits for its deadline.
     fn cancel_silent(
         &mut self,
         now: Time,
         target: TargetKey,
-        accepted: bool,
+        result: ProbeResult,
         out: &mut Vec<Command>,
     ) {
+        let gone = result == ProbeResult::Refused;
+        let accepted = result == ProbeResult::Accepted;
         let engine = self.is_engine(self.targets.get(target).service);
         for (key, attempt) in &mut self.attempts {
-            let too_long = |silence: Silence| !accepted || now.since(silence.since) >= MAX_SILENCE;
+            let too_long = |since: Time| gone || now.since(since) >= MAX_SILENCE;
             let affected = attempt.destination == Destination::Target(target)
                 && attempt.silent.is_some_and(too_long);
             let can_retry = self.requests.get(&attempt.ticket).is_some_and(|request| {
-                request.repeatable && request.sendable() && Self::runs_left(request) > 1
+                let resumable = request.route.is_some_and(|class| class.resumable);
+                let replaceable = attempt.responded.is_none() || resumable;
+                request.repeatable
+                    && replaceable
+                    && request.sendable()
+                    && Self::runs_left(request) > 1
             });
             // A prompt that waits in the queue of a live engine would only wait again at another
             // one.
             let queued = accepted && engine && attempt.responded.is_none();
-            if affected && !attempt.cancelled && (can_retry || !accepted) && !queued {
+            if affected && !attempt.cancelled && (can_retry || gone) && !queued {
                 attempt.cancelled = true;
                 out.push(Command::Cancel(*key));
             }
