seam-http: keep bursts of connections

Cause: the node listened with the standard library's queue of 128 connections, while it allows 3,000. The system drops the attempts beyond, and callers and nodes repeat them after 1 s and then 3 s, longer than the 700 ms in which a node connects.

Change: Listener::bind listens with a queue of 4,096, which the system lowers to its own limit. It serves all ports.

The tests of seam-http pass.

Callers saw a second of delay, or a failed attempt between nodes, when many connected at once.

--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -19,6 +19,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::{Domain, Socket, Type};
 
 use crate::body::Body;
 use crate::bounds::{Bound, record_exceeded};
@@ -164,7 +165,16 @@
     /// # Errors
     /// The system's error, for example if the address is in use.
     pub fn bind(address: SocketAddr) -> io::Result<Self> {
-        let inner = Async::<TcpListener>::bind(address)?;
+        /// Connections that may wait to be accepted; the system lowers it to its own limit. The
+        /// standard library's is lower than the connections of a busy node, and callers repeat a
+        /// dropped attempt only after a second.
+        const MAX_WAITING: i32 = 4096;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        #[cfg(unix)]
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(MAX_WAITING)?;
+        let inner = Async::new(TcpListener::from(socket))?;
         let address = inner.get_ref().local_addr()?;
         Ok(Self { inner, address })
     }
