--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -276,6 +276,63 @@
     assert!(sent > LIMIT, "{sent} sent to the warm target");
 }
 
+/// Lets the entry of a target lapse while the platform is away, and all nodes read that.
+fn lapse(fleet: &mut Fleet, name: &str, revision: u64) {
+    for unreachable in [true, false] {
+        for node in 0..fleet.nodes.len() {
+            fleet.handle(node, Event::PlatformUnreachable(unreachable));
+        }
+    }
+    fleet.commands.clear();
+    for node in 0..fleet.nodes.len() {
+        fleet.publish(node, vec![item(name, revision, None)], revision);
+    }
+}
+
+/// Guards against full traffic to a target that became cold while nodes keep its lapsed entry in use, and
+/// learn of the evacuation of its data centre, or of its new entry, only later.
+#[test]
+fn lapsed_entry() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    lapse(&mut fleet, "e1", 60);
+    let mut sent = 0;
+    for step in 0..7 {
+        sent += count_all(&mut fleet, target, 100 * step);
+        fleet.wait(Duration::from_millis(50));
+    }
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+    become_cold(&mut fleet, "e1", 61);
+    for step in 0..7 {
+        sent += count_all(&mut fleet, target, 1000 + 100 * step);
+        fleet.wait(Duration::from_millis(50));
+    }
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
+
+/// Guards against targets that take few requests for seconds after the platform was away, though they are
+/// warm and have said so.
+#[parameterized(
+    health_answer = { false },
+    renewed_entry = { true },
+)]
+fn lapsed_and_warm(renewed: bool) {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    lapse(&mut fleet, "e1", 60);
+    fleet.wait(Duration::from_millis(100));
+    if renewed {
+        for node in 0..3 {
+            let entry = listed("e1", ENGINE, NORTH, false, 0);
+            fleet.publish(node, vec![item("e1", 61, Some(entry))], 61);
+        }
+    } else {
+        report(&mut fleet, 1, target, Duration::ZERO, Duration::ZERO);
+    }
+    let sent = count_all(&mut fleet, target, 100);
+    assert!(sent > LIMIT, "{sent}");
+}
+
 /// Guards against a node that stood still while a target became cold, and takes it for warm.
 #[test]
 fn paused_node() {
