Test: count requests that waited for a target whose entry lapsed

The test counted only what leaves as a request arrives, so requests that waited left unseen, and took the share of the next second. It counts both now, and wants the target to get requests in the next second too.

--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -289,6 +289,34 @@
     }
 }
 
+/// Lets requests arrive at all nodes for some time. Returns the number that is sent to a target, also of
+/// those that waited before.
+fn count_during(fleet: &mut Fleet, target: TargetId, tickets: u64, span: Duration) -> usize {
+    let end = fleet.now + span;
+    let mut count = 0;
+    for ticket in (tickets..).step_by(5) {
+        if fleet.now >= end {
+            break;
+        }
+        fleet.commands.clear();
+        for node in 0..fleet.nodes.len() {
+            for ticket in ticket..ticket + 5 {
+                fleet.arrive(node, arrival(ticket, "review", ENGINE, 1));
+            }
+        }
+        fleet.wait(Duration::from_millis(50));
+        let mut due = fleet.sends();
+        while let Some((node, attempt, to)) = due.pop() {
+            if may_send(fleet, node, attempt) {
+                count += usize::from(to == target);
+                fleet.complete(node, attempt);
+            }
+            due.extend(fleet.sends());
+        }
+    }
+    count
+}
+
 /// Guards against full traffic to a target that became cold while nodes keep its lapsed entry in use, and
 /// learn of the evacuation of its data centre, or of its new entry, only later.
 #[test]
@@ -296,18 +324,13 @@
     let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
     let target = id_of("e1");
     lapse(&mut fleet, "e1", 60);
-    let mut sent = 0;
-    for step in 0..7 {
-        sent += count_all(&mut fleet, target, 100 * step);
-        fleet.wait(Duration::from_millis(50));
-    }
+    let mut sent = count_during(&mut fleet, target, 100, Duration::from_millis(350));
     assert!((1..=LIMIT).contains(&sent), "{sent}");
     become_cold(&mut fleet, "e1", 61);
-    for step in 0..7 {
-        sent += count_all(&mut fleet, target, 1000 + 100 * step);
-        fleet.wait(Duration::from_millis(50));
-    }
+    sent += count_during(&mut fleet, target, 200, Duration::from_millis(650));
     assert!((1..=LIMIT).contains(&sent), "{sent}");
+    let sent = count_during(&mut fleet, target, 400, Duration::from_secs(1));
+    assert!((1..=LIMIT).contains(&sent), "{sent} in the next second");
 }
 
 /// Guards against targets that take few requests for seconds after the platform was away, though they are
