--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -276,6 +276,86 @@
     assert!(sent > LIMIT, "{sent} sent to the warm target");
 }
 
+/// Lets the entry of a target lapse while the platform is away, and all nodes read that.
+fn lapse(fleet: &mut Fleet, name: &str, revision: u64) {
+    for unreachable in [true, false] {
+        for node in 0..fleet.nodes.len() {
+            fleet.handle(node, Event::PlatformUnreachable(unreachable));
+        }
+    }
+    fleet.commands.clear();
+    for node in 0..fleet.nodes.len() {
+        fleet.publish(node, vec![item(name, revision, None)], revision);
+    }
+}
+
+/// Lets requests arrive at all nodes for some time. Returns the number that is sent to a target, also of
+/// those that waited before.
+fn count_during(fleet: &mut Fleet, target: TargetId, tickets: u64, span: Duration) -> usize {
+    let end = fleet.now + span;
+    let mut count = 0;
+    for ticket in (tickets..).step_by(5) {
+        if fleet.now >= end {
+            break;
+        }
+        fleet.commands.clear();
+        for node in 0..fleet.nodes.len() {
+            for ticket in ticket..ticket + 5 {
+                fleet.arrive(node, arrival(ticket, "review", ENGINE, 1));
+            }
+        }
+        fleet.wait(Duration::from_millis(50));
+        let mut due = fleet.sends();
+        while let Some((node, attempt, to)) = due.pop() {
+            if may_send(fleet, node, attempt) {
+                count += usize::from(to == target);
+                fleet.complete(node, attempt);
+            }
+            due.extend(fleet.sends());
+        }
+    }
+    count
+}
+
+/// Guards against full traffic to a target that became cold while nodes keep its lapsed entry in use, and
+/// learn of the evacuation of its data centre, or of its new entry, only later.
+#[test]
+fn lapsed_entry() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    lapse(&mut fleet, "e1", 60);
+    let mut sent = count_during(&mut fleet, target, 100, Duration::from_millis(350));
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+    become_cold(&mut fleet, "e1", 61);
+    sent += count_during(&mut fleet, target, 200, Duration::from_millis(650));
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+    let sent = count_during(&mut fleet, target, 400, Duration::from_secs(1));
+    assert!((1..=LIMIT).contains(&sent), "{sent} in the next second");
+}
+
+/// Guards against targets that take few requests for seconds after the platform was away, though they are
+/// warm and have said so.
+#[parameterized(
+    health_answer = { false },
+    renewed_entry = { true },
+)]
+fn lapsed_and_warm(renewed: bool) {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    lapse(&mut fleet, "e1", 60);
+    fleet.wait(Duration::from_millis(100));
+    if renewed {
+        for node in 0..3 {
+            let entry = listed("e1", ENGINE, NORTH, false, 0);
+            fleet.publish(node, vec![item("e1", 61, Some(entry))], 61);
+        }
+    } else {
+        report(&mut fleet, 1, target, Duration::ZERO, Duration::ZERO);
+    }
+    let sent = count_all(&mut fleet, target, 100);
+    assert!(sent > LIMIT, "{sent}");
+}
+
 /// Guards against a node that stood still while a target became cold, and takes it for warm.
 #[test]
 fn paused_node() {
