seam-http: keep connections whose response announced no end

Cause: a target that closes after its early answer leaves the rest of a body unread when the answer is already on its way to the caller, without `Connection: close`.

Change: after such a response the rest is discarded within the same bounds, and the connection kept.

--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -113,6 +113,8 @@
     body_open: bool,
     /// Whether a body is left unread.
     unread: bool,
+    /// Whether the response was passed on to be written.
+    responded: bool,
     /// Whether the connection ends after the response.
     closes: bool,
     /// Bytes received since a body was left unread, and their maximum.
@@ -157,6 +159,12 @@
         });
     }
 
+    /// Returns whether a response was passed on that does not announce the end of the connection.
+    pub(super) fn announced_open(&self) -> bool {
+        let request = lock(&self.tracker.shared.request);
+        request.number == self.number && request.responded && !request.closes
+    }
+
     /// Records that the rest of the body was discarded, and returns how many bytes were.
     pub(super) fn nothing_unread(&self) -> usize {
         let mut request = lock(&self.tracker.shared.request);
@@ -287,6 +295,7 @@
         request.number += 1;
         request.max_discarded = max_discarded;
         request.body_open = body;
+        request.responded = false;
         let number = request.number;
         self.set(Phase::Responding);
         drop(request);
@@ -334,7 +343,9 @@
         // The head counts as a byte, as hyper writes it with the body.
         tracker.add_unwritten(1);
         let mut response = response;
-        if lock(&self.shared.request).closes {
+        let mut request = lock(&self.shared.request);
+        request.responded = true;
+        if request.closes {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/seam-http/src/serve/unread.rs
+++ b/crates/seam-http/src/serve/unread.rs
@@ -146,7 +146,8 @@
             return;
         }
         let rest = body.size_hint().upper();
-        let kept = !unread.awaited && rest.is_some_and(|rest| rest <= MAX_KEPT_BYTES);
+        let short = rest.is_some_and(|rest| rest <= MAX_KEPT_BYTES);
+        let kept = !unread.awaited && (short || unread.exchange.announced_open());
         unread.exchange.leave_unread(kept);
         if unread.awaited {
             // Reading would ask the caller for the body.
