seam-core: let heartbeats take the time of the network in published_configurations

The oracle's nodes received each other's heartbeats at once, also over slow and disturbed connections, so it could not see a node that hears of a version late. They now take the delay between the nodes, and what is sent to a node that cannot be reached by then is lost. New fault for the oracle to find: heartbeats that do not state up to which revision a node knows the items (revisions_hidden, Late).

--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -182,6 +182,8 @@
     pub fetches_fail: bool,
     /// Whether fetches of items are left to the test, as commands.
     pub fetches_held: bool,
+    /// Whether heartbeats are left to the test, as commands.
+    pub heartbeats_held: bool,
     /// Nodes that send no items to others, and say so at once.
     pub refusing_sources: BTreeSet<usize>,
     /// Fetches of items begun so far, by node.
@@ -214,6 +216,7 @@
             answers_kept: false,
             fetches_fail: false,
             fetches_held: false,
+            heartbeats_held: false,
             refusing_sources: BTreeSet::new(),
             fetches: BTreeMap::new(),
             last_heartbeats: BTreeMap::new(),
@@ -278,7 +281,7 @@
                     address: to,
                     mut heartbeat,
                     ..
-                } => {
+                } if !self.heartbeats_held => {
                     if self.answers_kept {
                         heartbeat.leaving.clear();
                     }
--- a/crates/seam-core/tests/published/attempts.rs
+++ b/crates/seam-core/tests/published/attempts.rs
@@ -90,6 +90,11 @@
                 let accepted = true;
                 self.fleet.handle(node, Event::Probed { target, accepted });
             }
+            Command::Heartbeat {
+                address: to,
+                heartbeat,
+                ..
+            } => self.send_heartbeat(node, to, heartbeat),
             Command::FetchItems {
                 address: from,
                 since,
--- a/crates/seam-core/tests/published/mutants.rs
+++ b/crates/seam-core/tests/published/mutants.rs
@@ -36,6 +36,8 @@
     KeepTimeouts,
     /// The limits of the first configuration stay in force.
     KeepLimits,
+    /// Heartbeats do not state up to which revision a node knows the items.
+    HideRevisions,
     /// Runs are cut off before the timeout that is in force.
     CutEarly,
 }
--- a/crates/seam-core/tests/published/world.rs
+++ b/crates/seam-core/tests/published/world.rs
@@ -8,6 +8,7 @@
 
 use crate::callers::Traffic;
 use crate::fleet::{Fleet, NORTH, SOUTH, listed};
+use crate::heartbeats::SentHeartbeat;
 use crate::mutants::{InjectedFault, Violation};
 use crate::readers::{Fetch, Reader};
 use crate::steps::Step;
@@ -55,6 +56,8 @@
     pub store_refused: Time,
     pub readers: Vec<Reader>,
     pub fetches: Vec<Fetch>,
+    /// Heartbeats on their way.
+    pub heartbeats: Vec<SentHeartbeat>,
     /// Pages of items that nodes have read.
     pub pages_read: u64,
     pub traffic: Traffic,
@@ -69,6 +72,7 @@
     pub fn new(fault: InjectedFault) -> Self {
         let mut fleet = Fleet::new(&NODES);
         fleet.fetches_held = true;
+        fleet.heartbeats_held = true;
         let now = fleet.now;
         let node = |(index, region): (usize, &&str)| NodeState {
             boot: index as u64,
@@ -89,6 +93,7 @@
             store_refused: now,
             readers: NODES.map(|_| Reader::new(now)).into(),
             fetches: Vec::new(),
+            heartbeats: Vec::new(),
             pages_read: 0,
             traffic: Traffic::default(),
             targets_since: vec![None; SERVICES.len()],
@@ -246,6 +251,7 @@
         let end = self.fleet.now + span;
         while self.fleet.now < end {
             self.fleet.wait(ROUND.min(end.since(self.fleet.now)));
+            self.deliver_heartbeats();
             self.end_pauses();
             self.note_disturbances();
             for node in 0..self.nodes.len() {
--- a/crates/seam-core/tests/published_configurations.rs
+++ b/crates/seam-core/tests/published_configurations.rs
@@ -11,6 +11,8 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 #[path = "live/fleet.rs"]
 mod fleet;
+#[path = "published/heartbeats.rs"]
+mod heartbeats;
 #[path = "published/mutants.rs"]
 mod mutants;
 #[path = "published/oracle.rs"]
@@ -264,6 +266,7 @@
     added_refused = { InjectedFault::SkipAdded, &[Violation::AddedRefused] },
     dropped_run = { InjectedFault::KeepDropped, &[Violation::DroppedRun] },
     denied = { InjectedFault::RefuseForGood, &[Violation::Denied] },
+    revisions_hidden = { InjectedFault::HideRevisions, &[Violation::Late] },
     routed_once = { InjectedFault::RouteOnce, &[Violation::Late] },
 )]
 fn fault_found(fault: InjectedFault, expected: &[Violation]) {
