seam-node: refuse for a time what an older version routed to another service

Cause: still one decision by two states, two versions for one request. Change: a node whose version is no older than the sender's and names another service for the route refuses the request for a time, as for a customer or a region that it lacks; the sender asks another node, or its caller comes back.

--- a/crates/seam-core/tests/published/attempts.rs
+++ b/crates/seam-core/tests/published/attempts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use seam_core::{Arrival, AttemptKey, AttemptOutcome, Command, Event, Origin, Refusal, Ticket};
-use seam_protocol::{Outcome, Reason, ServiceId, Time};
+use seam_protocol::{HostRoute, Outcome, Reason, ServiceId, Time};
 
 use crate::callers::rules;
 use crate::fleet::{PLAIN, address, arrival};
@@ -17,6 +17,8 @@
 const RUN_TIME: Duration = Duration::from_millis(20);
 /// Time beyond which a request that has not run has waited in a queue.
 const QUEUED_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a request may come back that a node refused by its version.
+const REFUSED_FOR: Duration = Duration::from_secs(1);
 /// An attempt that ends without a response after something may have been sent.
 const BROKEN: AttemptOutcome = AttemptOutcome::Broken { started: false };
 
@@ -254,10 +256,14 @@
             let matched = found.and_then(|(path, bundle)| bundle.routes.find(HOST, &path));
             debug_assert_eq!(arrival.ticket, Ticket(ticket));
             let arrival = match matched {
+                Some(route) if self.names_older_service(to, route, &arrival) => {
+                    let refusal = Refusal::not_run(Reason::Revision);
+                    self.reply_refused(index, refusal.with_retry_after(REFUSED_FOR));
+                    continue;
+                }
                 Some(route) => Arrival {
                     route: Some(rules(route)),
                     customer: route_customer(route, self.fault),
-                    service: route.service(0).unwrap_or(arrival.service),
                     ..arrival
                 },
                 None => arrival,
@@ -266,6 +272,16 @@
         }
     }
 
+    /// Returns whether a node has a version no older than the sender's, in which a route has another
+    /// service.
+    fn names_older_service(&self, node: usize, route: &HostRoute, arrival: &Arrival) -> bool {
+        let own = self.fleet.nodes[node].config_version().revision;
+        let Origin::Peer { revision, .. } = arrival.origin else {
+            return false;
+        };
+        revision <= own && route.service(0) != Some(arrival.service)
+    }
+
     fn reply_refused(&mut self, index: usize, refusal: Refusal) {
         let by_revision = refusal.reason == Reason::Revision;
         if by_revision && self.fault == InjectedFault::PassRefusals {
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use seam_core::Origin;
+use seam_core::{ConfigVersion, Origin, Refusal};
 use seam_http::{BodyError, CallerLimits, Listener, ServerLimits, Stop, lock, serve_with_limits};
 use seam_protocol::peer::peer_server::{Peer, PeerServer};
 use seam_protocol::peer::{
@@ -19,7 +19,9 @@
     ReplyHead, RequestFrame, RequestHead, reply_frame, request_frame,
 };
 use seam_protocol::route::host_name;
-use seam_protocol::{CustomerId, Delta, Digest, Fingerprint, RetryPolicy, ServiceId, VersionId};
+use seam_protocol::{
+    CustomerId, Delta, Digest, Fingerprint, Reason, RetryPolicy, ServiceId, VersionId,
+};
 use tonic::{Request, Response, Status, Streaming};
 use tower_service::Service;
 
@@ -29,13 +31,16 @@
 use crate::messages::{MessageBody, UnreadCalls};
 use crate::peer_connections::AUTH_METADATA;
 use crate::request_body::{ReadError, RequestBody};
-use crate::response_writer::ResponsePart;
+use crate::response_writer::{ResponsePart, response_channel};
 use crate::runtime::NodeRuntime;
 
 /// Maximum size of a forwarded body in bytes. The node that received the request from its caller
 /// has checked the configured limit.
 const MAX_BODY_BYTES: usize = 1 << 30;
 
+/// Time after which a request may come back that was routed by an older configuration.
+const REVISION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Limits on the connections of other nodes.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
     connections: 1024,
@@ -90,8 +95,12 @@
             hops: wire::hops(&head.hops),
             revision: head.revision,
         };
-        let inbound = inbound(&self.runtime, head, body)?;
-        let reader = drive::start(&self.runtime, inbound, origin);
+        let reader = if names_older_service(&self.runtime, &head) {
+            refuse_older(&self.runtime, &head)
+        } else {
+            let inbound = inbound(&self.runtime, head, body)?;
+            drive::start(&self.runtime, inbound, origin)
+        };
         Ok(Response::new(Box::pin(reply_stream(reader))))
     }
 
@@ -202,6 +211,34 @@
     })
 }
 
+/// Returns whether the service of a forwarded request is not the one that its route has here, in a
+/// configuration that is no older than the sender's.
+fn names_older_service(runtime: &NodeRuntime, head: &RequestHead) -> bool {
+    let snapshot = runtime.snapshot();
+    let snapshot = snapshot.filter(|snapshot| head.revision <= snapshot.bundle.revision);
+    let service = snapshot.and_then(|snapshot| {
+        let route = snapshot.bundle.routes.find(&head.host, &head.path)?;
+        route.service(Digest::of(head.id.as_bytes()).leading_u64())
+    });
+    service.is_some_and(|service| service != ServiceId(head.service))
+}
+
+/// Refuses, for a time, a request that the sender routed by an older configuration.
+fn refuse_older(runtime: &NodeRuntime, head: &RequestHead) -> Receiver<ResponsePart> {
+    let snapshot = runtime.snapshot();
+    let config = snapshot.map_or_else(ConfigVersion::default, |snapshot| snapshot.config);
+    log::info!(
+        target: "request",
+        request = head.id.as_str(), config = config.revision, config_sender = head.revision;
+        "not run: the sender's configuration names another service"
+    );
+    let refusal = Refusal::not_run(Reason::Revision).with_retry_after(REVISION_RETRY_AFTER);
+    let (writer, reader) = response_channel(false);
+    let config = config.stamp(runtime.now());
+    let _ = writer.send_final(ResponsePart::Refusal(refusal, config));
+    reader
+}
+
 fn inbound(
     runtime: &NodeRuntime,
     head: RequestHead,
@@ -218,12 +255,7 @@
         .and_then(|host| Some((bundle.routes.find(host, &head.path)?, host_name(host))));
     let customer = route.as_ref().map(|(route, host)| route.customer_id(host));
     let customer = customer.unwrap_or(CustomerId(head.customer));
-    // The sender may have an older configuration than this node; a newer one is refused later.
-    let service = route.as_ref().and_then(|(route, _)| {
-        let number = Digest::of(head.id.as_bytes()).leading_u64();
-        route.service(number)
-    });
-    let service = service.unwrap_or(ServiceId(head.service));
+    let service = ServiceId(head.service);
     let name = bundle
         .customers
         .get(&customer)
