--- a/crates/seam-http/tests/http2_bounds.rs
+++ b/crates/seam-http/tests/http2_bounds.rs
@@ -192,3 +192,21 @@
     });
     server.join().unwrap();
 }
+
+/// Guards against early responses that are lost, or that use up the window of their connection.
+#[test]
+fn unread_bodies() {
+    let address = start();
+    block_on(async {
+        let mut sender = open_http2::<Body>(address).await.unwrap();
+        for _ in 0..20 {
+            let request = Request::post(format!("http://{address}/"));
+            let request = request.body(full(vec![0; 1 << 20])).unwrap();
+            sender.ready().await.unwrap();
+            let response = sender.send_request(request).await.unwrap();
+            assert_eq!(response.status(), 200);
+            let body = response.into_body().collect().await.unwrap();
+            assert_eq!(body.to_bytes(), "done");
+        }
+    });
+}
