soak: streams that last as long as the silences around planned work

Around planned work, the events of a stream are 150 ms apart and requests have 5 s, so that silences of 1 to 1.5 s fall into answers that have begun. The other script keeps its intervals, budgets and faults.

--- a/crates/toucanseam/tests/soak/callers.rs
+++ b/crates/toucanseam/tests/soak/callers.rs
@@ -16,11 +16,12 @@
 use rand_pcg::Pcg64Mcg;
 use seam_http::{Body, Connection, full, lock};
 
+use super::script::Script;
 use super::target::{EVENTS, event, expected};
 
-/// Time that a caller waits for a response, longer than its stated deadline and every route's
-/// timeout.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time that a caller waits for a response after its stated deadline, which is no earlier than every
+/// route's timeout.
+const CALL_MARGIN: Duration = Duration::from_secs(1);
 /// Base pause between two calls of one caller, varied at random.
 const PAUSE: Duration = Duration::from_millis(15);
 
@@ -48,15 +49,25 @@
 }
 
 /// State that all callers share: their records, the nodes to call, and commands to the callers.
-#[derive(Default)]
 pub struct CallerState {
     pub calls: Mutex<Vec<CallRecord>>,
     pub nodes: Mutex<Vec<SocketAddr>>,
     pub stop: AtomicBool,
     /// Incremented to make all callers drop their connections.
     pub resets: AtomicU64,
-    /// Whether bodies arrive in parts.
-    pub slow_bodies: AtomicBool,
+    pub script: Script,
+}
+
+impl CallerState {
+    pub fn new(script: Script) -> Self {
+        Self {
+            calls: Mutex::default(),
+            nodes: Mutex::default(),
+            stop: AtomicBool::default(),
+            resets: AtomicU64::default(),
+            script,
+        }
+    }
 }
 
 /// Returns the body of a request. In parts, it is longer.
@@ -101,7 +112,7 @@
 }
 
 /// Builds a request of a kind.
-fn request(kind: &str, attempt: &str, text: &str, body: Body) -> Request<Body> {
+fn request(kind: &str, attempt: &str, text: &str, budget: Duration, body: Body) -> Request<Body> {
     let mut request = Request::builder();
     if !text.is_empty() {
         request = request.header("content-length", text.len());
@@ -111,7 +122,7 @@
         .uri(format!("/{kind}/7"))
         .header("host", "salon.example")
         .header("attempt-id", attempt)
-        .header("deadline-ms", "3000")
+        .header("deadline-ms", budget.as_millis().to_string())
         .body(body)
         .expect("the request is valid")
 }
@@ -135,6 +146,7 @@
     kind: &'static str,
     attempt: String,
     pauses: &[Duration],
+    budget: Duration,
 ) -> (CallRecord, bool) {
     let text = request_body(kind, &attempt, pauses);
     let sent: Arc<OnceLock<Instant>> = Arc::default();
@@ -150,10 +162,8 @@
         end: Instant::now(),
     };
     let response = async {
-        let response = connection
-            .send(request(kind, &attempt, &text, body))
-            .await
-            .ok()?;
+        let request = request(kind, &attempt, &text, budget, body);
+        let response = connection.send(request).await.ok()?;
         let (head, mut body) = response.into_parts();
         record.status = Some(head.status);
         let mut bytes = Vec::new();
@@ -176,7 +186,7 @@
         Some(complete && !close)
     };
     let timeout = async {
-        Timer::after(CALL_TIMEOUT).await;
+        Timer::after(budget + CALL_MARGIN).await;
         None
     };
     let reusable = response.or(timeout).await.unwrap_or(false);
@@ -214,7 +224,7 @@
         number += 1;
         let kind = KINDS[rng.random_range(0..KINDS.len())];
         let attempt = format!("{name}-{number}");
-        let pauses = if shared.slow_bodies.load(Ordering::Relaxed) {
+        let pauses = if shared.script == Script::Planned {
             let count = rng.random_range(0..MAX_PARTS);
             (0..count)
                 .map(|_| PAUSE.mul_f64(rng.random_range(0.0..4.0)))
@@ -222,7 +232,14 @@
         } else {
             Vec::new()
         };
-        let (record, reusable) = call(&mut connection, kind, attempt, &pauses).await;
+        let (record, reusable) = call(
+            &mut connection,
+            kind,
+            attempt,
+            &pauses,
+            shared.script.budget(),
+        )
+        .await;
         lock(&shared.calls).push(record);
         if reusable && connection.ready().await.is_ok() {
             open.insert(node, connection);
@@ -231,14 +248,21 @@
 }
 
 /// Makes one call of each kind to a node. Returns the kinds without a complete, expected response.
-pub async fn call_each_kind(node: SocketAddr, name: &str) -> Vec<&'static str> {
+pub async fn call_each_kind(node: SocketAddr, name: &str, script: Script) -> Vec<&'static str> {
     let mut failed = Vec::new();
     for kind in KINDS {
         let Ok(mut connection) = Connection::open(node).await else {
             failed.push(kind);
             continue;
         };
-        let (record, _) = call(&mut connection, kind, format!("{name}-{kind}"), &[]).await;
+        let (record, _) = call(
+            &mut connection,
+            kind,
+            format!("{name}-{kind}"),
+            &[],
+            script.budget(),
+        )
+        .await;
         let served = record.status == Some(StatusCode::OK) && record.complete && record.matches;
         if !served {
             failed.push(kind);
--- a/crates/toucanseam/tests/soak/script.rs
+++ b/crates/toucanseam/tests/soak/script.rs
@@ -9,7 +9,7 @@
 use super::target::TargetFault;
 
 /// Timeout of every route around planned work.
-pub const PLANNED_TIMEOUT: Duration = Duration::from_secs(3);
+pub const PLANNED_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A fault, with the indexes of the nodes and targets that it affects.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -111,6 +111,24 @@
     }
 }
 
+impl Script {
+    /// Returns the time budget of callers' requests.
+    pub fn budget(self) -> Duration {
+        match self {
+            Self::Trouble => Duration::from_secs(3),
+            Self::Planned => PLANNED_TIMEOUT,
+        }
+    }
+
+    /// Returns the interval between two events of a stream.
+    pub fn event_interval(self) -> Duration {
+        match self {
+            Self::Trouble => Duration::from_millis(20),
+            Self::Planned => Duration::from_millis(150),
+        }
+    }
+}
+
 /// Generates planned work of a seed, and silences of all targets that overlap with it, in the order of
 /// their starts.
 pub fn generate_planned(seed: u64, nodes: usize, targets: usize, length: Duration) -> Vec<Entry> {
--- a/crates/toucanseam/tests/soak/target.rs
+++ b/crates/toucanseam/tests/soak/target.rs
@@ -15,11 +15,10 @@
 use serde_json::{Value, json};
 
 use super::proxy::Proxy;
+use super::script::Script;
 
 /// Number of events in a stream.
 pub const EVENTS: u64 = 12;
-/// Interval between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a request runs.
 const RUN_TIME: Duration = Duration::from_millis(5);
 
@@ -60,12 +59,13 @@
 }
 
 impl Target {
-    pub fn start(id: &str, region: &str, service: &str, runs: &Runs) -> Self {
+    pub fn start(id: &str, region: &str, service: &str, script: Script, runs: &Runs) -> Self {
         let faults: Arc<Mutex<VecDeque<TargetFault>>> = Arc::default();
         let state = TargetState {
             id: id.to_owned(),
             region: region.to_owned(),
             faults: faults.clone(),
+            event_interval: script.event_interval(),
             runs: runs.clone(),
         };
         let state = Arc::new(state);
@@ -103,6 +103,7 @@
     id: String,
     region: String,
     faults: Arc<Mutex<VecDeque<TargetFault>>>,
+    event_interval: Duration,
     runs: Runs,
 }
 
@@ -155,7 +156,8 @@
             .parse()
             .expect("the header value is valid");
         response.headers_mut().insert("content-type", kind);
-        events(&attempt, after.unwrap_or(0), fault)
+        let interval = state.event_interval;
+        events(&attempt, after.unwrap_or(0), interval, fault)
     } else if fault.is_some() {
         aborted_body()
     } else {
@@ -175,7 +177,7 @@
     format!("id: {number}\ndata: {attempt}-{number}\n\n")
 }
 
-fn events(attempt: &str, after: u64, fault: Option<TargetFault>) -> Body {
+fn events(attempt: &str, after: u64, interval: Duration, fault: Option<TargetFault>) -> Body {
     let attempt = attempt.to_owned();
     let abort_at = fault.map(|_| after + 5);
     let parts = stream::unfold(after + 1, move |number| {
@@ -187,7 +189,7 @@
             if number > EVENTS {
                 return None;
             }
-            Timer::after(EVENT_INTERVAL).await;
+            Timer::after(interval).await;
             Some((Ok(Frame::data(event.into())), number + 1))
         }
     });
--- a/crates/toucanseam/tests/soak/world.rs
+++ b/crates/toucanseam/tests/soak/world.rs
@@ -109,7 +109,7 @@
             store,
             nodes,
             targets: Vec::new(),
-            callers: Arc::default(),
+            callers: Arc::new(CallerState::new(script)),
             runs: Runs::default(),
             leaving: Vec::new(),
             recoveries: Vec::new(),
@@ -120,11 +120,6 @@
             folder,
             script,
         };
-        let slow_bodies = script == Script::Planned;
-        world
-            .callers
-            .slow_bodies
-            .store(slow_bodies, Ordering::Relaxed);
         world.configure();
         for service in ["desk", "writer"] {
             for region in regions {
@@ -165,6 +160,7 @@
             &format!("t{}", self.started_targets),
             region,
             service,
+            self.script,
             &self.runs,
         );
         self.store.put_item(&target.id, &target.item(false));
@@ -397,6 +393,7 @@
             let failed = call_each_kind(
                 node.ports.caller,
                 &format!("end-{seed}-{}", node.ports.caller),
+                self.script,
             )
             .await;
             if !failed.is_empty() {
