Count targets whose entries lapsed as cold until they publish them again

Callers saw answers cut: a cold target that gets more than it takes falls over with what it runs (FAILBACK). Nodes keep the entry of a lapsed lease in use for 2.3 s after the platform's return, and took it for the state of the target, though it says nothing of what came since. The target's new entry, or the evacuation of its data centre, arrives in a later fetch, after full traffic. Class: one source taken for the state of a thing that changes without it.

A lapsed entry now limits its target like the other presumptions, until the target publishes it, says in a health check that it is warm, or the entry is dropped. The last item of a batch counts. Nothing is asked of the targets: they renew within about two seconds, and a check would take the place of a request.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Bundle, Delta, Entry, Inventory, RawItem, Time};
+use seam_protocol::{Bundle, Delta, Entry, Inventory, RawItem, TargetId, Time};
 
 /// Time for which a removal is kept, several times the length of the platform's own history.
 const TOMBSTONE_LIFETIME: Duration = Duration::from_secs(120);
@@ -74,6 +74,8 @@
     pub unusable: Vec<UnusableItem>,
     /// New state of each target in the batch.
     pub target_changes: Vec<TargetChange>,
+    /// Targets in the batch, with whether their entries lapsed and stay in use.
+    pub lapsed: BTreeMap<TargetId, bool>,
 }
 
 /// An item that cannot be used.
@@ -280,6 +282,9 @@
             }
             _ => merged.inventory_changed |= keep_until.is_none(),
         }
+        if let Some(Entry::Target(target)) = &entry {
+            merged.lapsed.insert(target.id(), item.lapsed);
+        }
         let key = item.key.clone();
         let state = match &entry {
             _ if item.lapsed => Some("lapsed"),
--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform lists how long a target is cold. It may not hear of it: a target that starts again while it
 //! is cut off from the platform keeps its entry. So a target that was lost and found again counts as cold
-//! until it says in a health check how long it is, here or to another node of the region.
+//! until it says in a health check how long it is, here or to another node of the region. So does one whose
+//! entry lapsed, until it publishes it again.
 
 use std::time::Duration;
 
@@ -32,6 +33,20 @@
         }
     }
 
+    /// Limits requests to a target whose entry lapsed, until it is published again: the entry does not show
+    /// whether the target became cold since.
+    pub(super) fn presume_lapsed(&mut self, now: Time, id: TargetId, out: &mut Vec<Command>) {
+        let key = self.targets.key(id);
+        let Some(key) = key.filter(|key| self.targets.get(*key).capacity.cold_start > 0) else {
+            return;
+        };
+        let (share, nodes) = self.own_cold_share(id, self.targets.get(key).capacity.cold_rate);
+        let until = now + RENEWAL_WINDOW;
+        let source = "its entry lapsed";
+        self.audit_cold(now, key, until, (share.allowed, nodes), source, out);
+        self.targets.lapse(now, key, self.boot, until, share);
+    }
+
     /// Limits requests to a target that this node does not reach, since it may start meanwhile. Returns
     /// this node's share.
     ///
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -135,6 +135,13 @@
             let change = self.config_view.refuse(version, reason, "");
             out.push(Command::LogConfig(change));
         }
+        for (target, lapsed) in &merged.lapsed {
+            if *lapsed {
+                self.presume_lapsed(now, *target, out);
+            } else {
+                self.targets.end_lapse(*target);
+            }
+        }
         let configured = config.is_some();
         if let Some((item_revision, config)) = config {
             let before = self.base_config.as_ref().map_or(0, |base| base.revision);
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -323,6 +323,18 @@
         self.get_mut(key).cold.presume(boot, until, share);
     }
 
+    /// Limits requests to a target whose entry lapsed. See [`ColdShare::lapse`].
+    pub fn lapse(&mut self, now: Time, key: TargetKey, boot: Time, until: Time, share: RateShare) {
+        self.get_mut(key).cold.lapse(now, boot, until, share);
+    }
+
+    /// Records that a target has published its entry. See [`ColdShare::end_lapse`].
+    pub fn end_lapse(&mut self, id: TargetId) {
+        if let Some(key) = self.key(id) {
+            self.get_mut(key).cold.end_lapse();
+        }
+    }
+
     /// Records that this node lost a target. See [`ColdShare::record_loss`].
     pub fn record_loss(&mut self, now: Time, key: TargetKey) {
         self.get_mut(key).cold.record_loss(now);
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -18,6 +18,8 @@
     until: Option<Time>,
     /// Until when it may be cold, since it may have started again.
     presumed: Option<Time>,
+    /// When its entry lapsed, and until when it stays in use without being published again.
+    lapsed: Option<(Time, Time)>,
     /// When this node last lost the target.
     lost: Option<Time>,
     limiter: ShareLimiter,
@@ -28,6 +30,7 @@
         Self {
             until: None,
             presumed: None,
+            lapsed: None,
             lost: None,
             limiter: ShareLimiter::new(WINDOW),
         }
@@ -48,6 +51,28 @@
         self.limiter.set(boot, share);
     }
 
+    /// Limits requests as if the target were cold, since its entry lapsed and no longer tells whether it is:
+    /// until a time, or until it publishes its entry or says that it is not cold.
+    ///
+    /// ```
+    /// use seam_core::targets::{ColdShare, cold_share};
+    /// use seam_protocol::Time;
+    /// let mut share = ColdShare::default();
+    /// share.lapse(Time(1_000_000), Time(0), Time(3_300_000), cold_share(5.0, 3, 0));
+    /// assert!(share.limiter(Time(2_000_000)).is_some());
+    /// share.end_lapse();
+    /// assert!(share.limiter(Time(2_000_000)).is_none());
+    /// ```
+    pub fn lapse(&mut self, now: Time, boot: Time, until: Time, share: RateShare) {
+        self.lapsed = Some((now, until));
+        self.limiter.set(boot, share);
+    }
+
+    /// Records that the target has published its entry.
+    pub fn end_lapse(&mut self) {
+        self.lapsed = None;
+    }
+
     /// Records that this node lost the target, which may start again from now on.
     pub fn record_loss(&mut self, now: Time) {
         self.lost = Some(now);
@@ -71,6 +96,7 @@
         if self.lost.is_none_or(|lost| lost <= asked) {
             self.presumed = None;
         }
+        self.lapsed = self.lapsed.filter(|(since, _)| *since > asked);
     }
 
     /// Returns this node's limiter while the target is cold.
@@ -85,7 +111,8 @@
     /// ```
     #[must_use]
     pub fn limiter(&self, now: Time) -> Option<&ShareLimiter> {
-        let cold = self.until.max(self.presumed);
+        let lapsed = self.lapsed.map(|(_, until)| until);
+        let cold = self.until.max(self.presumed).max(lapsed);
         cold.is_some_and(|until| until > now)
             .then_some(&self.limiter)
     }
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -336,18 +336,23 @@
 /// Guards against targets that take few requests for seconds after the platform was away, though they are
 /// warm and have said so.
 #[parameterized(
-    health_answer = { false },
-    renewed_entry = { true },
+    health_answer = { false, false },
+    renewed_entry = { true, false },
+    same_batch = { true, true },
 )]
-fn lapsed_and_warm(renewed: bool) {
+fn lapsed_and_warm(renewed: bool, together: bool) {
     let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
     let target = id_of("e1");
-    lapse(&mut fleet, "e1", 60);
+    let entry = listed("e1", ENGINE, NORTH, false, 0);
+    let mut items = vec![item("e1", 61, Some(entry))];
+    if together {
+        items.insert(0, item("e1", 60, None));
+    }
+    lapse(&mut fleet, "e1", 59);
     fleet.wait(Duration::from_millis(100));
     if renewed {
         for node in 0..3 {
-            let entry = listed("e1", ENGINE, NORTH, false, 0);
-            fleet.publish(node, vec![item("e1", 61, Some(entry))], 61);
+            fleet.publish(node, items.clone(), 61);
         }
     } else {
         report(&mut fleet, 1, target, Duration::ZERO, Duration::ZERO);
