--- a/crates/toucanseam/tests/days/world.rs
+++ b/crates/toucanseam/tests/days/world.rs
@@ -5,7 +5,6 @@
 
 use async_io::Timer;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use seam_emulator::server::Server as HttpServer;
 use seam_http::{Body, empty, fetch, full, spawn};
 use serde_json::json;
@@ -74,7 +73,7 @@
 }
 
 /// Answers with the service and the region of a target.
-fn respond(place: &str, request: &Request<Incoming>) -> Response<Body> {
+fn respond(place: &str, request: &Request<seam_http::Incoming>) -> Response<Body> {
     let mut response = Response::new(full(place.to_owned()));
     let id = request.headers().get("attempt-id").cloned();
     let headers = response.headers_mut();
