Go on calling a store that does not answer while earlier calls wait

Callers saw answers cut by cold targets that fell over (FAILBACK). While the store is silent, a node made one call at a time, each given up after 1.6 s, and waited another 0.4 to 0.8 s. A store that returns never answers a call from before, so nodes read it up to 2.4 s late, all at about the same time, as the silence had put their calls in step. What the store says of cold targets and evacuations came as late. Class: a call that waits for a dependency that is away keeps the next one from being made.

Refused calls are repeated as before.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::future::Boxed;
 use futures_lite::{FutureExt, future};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -74,6 +76,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut failures = 0;
     let mut health = Dependency::new("item store");
+    let mut probes = Probes::default();
     let mut read_all = true;
     // Consecutive watches whose history was dropped.
     let mut compactions = 0;
@@ -87,18 +90,15 @@
         let start = runtime.now();
         let changes = if read_all {
             store.read().await.map(WatchOutcome::Changes)
+        } else if failures > 0 {
+            probes.next(store.as_ref(), after, &mut rng).await
         } else {
-            let wait = if failures == 0 {
-                WATCH_WAIT
-            } else {
-                PROBE_WAIT
-            };
-            // A store that does not answer is watched often enough as it is.
-            let overdue = (failures == 0).then(|| Instant::now() + wait + OVERDUE_DELAY);
-            watch(&runtime, store.as_ref(), after, wait, overdue).await
+            let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
+            watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
+            probes = Probes::default();
             health.answered(runtime.now());
         }
         match changes {
@@ -139,8 +139,10 @@
                 if failures >= LOST_FAILURES {
                     runtime.handle(Event::PlatformUnreachable(true));
                 }
-                let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
-                Timer::after(delay.mul_f64(rng.random_range(0.5..1.0))).await;
+                if probes.pending.is_empty() {
+                    let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
+                    Timer::after(delay.mul_f64(rng.random_range(0.5..1.0))).await;
+                }
             }
         }
     }
@@ -159,6 +161,50 @@
 /// The result of a call that watches the store.
 type Watched = Result<WatchOutcome, ItemError>;
 
+/// Short watches of a store that does not answer. One begins while others still wait, since a store that
+/// returns may never answer those that began before.
+#[derive(Default)]
+struct Probes {
+    pending: Vec<Boxed<Watched>>,
+    /// When to begin another one beside those that are pending.
+    due: Option<Instant>,
+}
+
+impl Probes {
+    /// Returns the next result of a probe. Begins one now if none is pending, and more as they are due.
+    async fn next(&mut self, store: &dyn ItemStore, after: u64, rng: &mut impl RngExt) -> Watched {
+        loop {
+            let due = self.due.filter(|_| !self.pending.is_empty());
+            let until_due = async {
+                if let Some(due) = due {
+                    Timer::at(due).await;
+                }
+                None
+            };
+            if let Some(watched) = async { Some(self.ended().await) }.or(until_due).await {
+                return watched;
+            }
+            self.pending.push(store.watch(after, PROBE_WAIT));
+            let delay = MAX_RETRY_DELAY.mul_f64(rng.random_range(0.5..1.0));
+            self.due = Some(Instant::now() + delay);
+        }
+    }
+
+    /// Waits until a probe ends.
+    async fn ended(&mut self) -> Watched {
+        future::poll_fn(|context| {
+            for index in 0..self.pending.len() {
+                if let Poll::Ready(watched) = self.pending[index].poll(context) {
+                    drop(self.pending.swap_remove(index));
+                    return Poll::Ready(watched);
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
+
 /// Returns the error of a call that got no response, or what the store responded.
 fn failure(watched: Watched) -> Result<ItemError, Watched> {
     match watched {
