toucanseam tests: keep the node's processor free of the test's own threads

Cause: `head_field` and `informational_flood` measured how long the node process waited for a processor. Their servers wrote from a thread for each of 200 connections, and seven such tests ran at once. In the half second after the calls the node's worker ran for 4 to 20 % of the time and waited for 80 to 96 % (/proc schedstat), while 348 threads of the test waited 10 s together.

The bounds, the numbers of callers and servers and the bytes are the same.

--- a/crates/toucanseam/tests/endless_answers.rs
+++ b/crates/toucanseam/tests/endless_answers.rs
@@ -22,12 +22,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use endless::world::{TIME_LIMIT, VM_MEMORY, World, call_beside, start_workers, wait_until_served};
 use house::raw_servers::{EndlessAnswer, EndlessServer, RawAnswer, RawServer};
 use house::servers::Server;
 use seam_emulator::server::wait_until;
+use seam_http::{block_on, lock};
 use soak::node::Node;
 
 /// Requests whose answers do not end.
@@ -66,48 +68,52 @@
 
 /// Plays one kind of answer. Returns how many of them were written at once.
 fn play(name: &str, answer: EndlessAnswer) -> usize {
+    /// Held while response times are measured, as the plays of other tests take processors.
+    static MEASURED: Mutex<()> = Mutex::new(());
     start_workers();
-    seam_http::block_on(async {
-        let world = World::start(name).await;
-        let endless: Vec<EndlessServer> = (0..ENDLESS_SERVERS)
-            .map(|_| EndlessServer::start(answer))
-            .collect();
-        for (index, server) in endless.iter().enumerate() {
-            let mut item = house::servers::server_item(server.address(), "desk", "north-a");
-            item["slots"] = ENDLESS_REQUESTS.into();
-            world.store.put_item(&format!("s-{index}"), &item);
-        }
-        let sound = Server::start("e-1", "north-a", "writer");
-        world.store.put_item(&sound.id, &sound.item());
-        let caller = world.node.ports.caller;
-        wait_until_served(caller).await;
-        let idle = world.node.peak_memory();
-        let calls: Vec<_> = (0..ENDLESS_REQUESTS)
-            .map(|index| {
-                let id = format!("endless-{index}");
-                std::thread::spawn(move || call_endless(caller, &id, index % 2 == 0))
-            })
-            .collect();
-        let served = call_beside(caller, TIME_LIMIT).await;
-        let (beside, slowest) = served.expect("a sound server's answers arrive");
-        for call in calls {
-            call.join().expect("the caller ends");
-        }
-        wait_until(|| endless.iter().all(|server| server.open() == 0)).await;
-        let peak = world.node.peak_memory();
-        let open: usize = endless.iter().map(EndlessServer::most_open).sum();
-        println!(
-            "{name}: {open} answers at once, {beside} requests beside them in at most {} ms; \
-             {} MB at the start, {} MB at most, {} bytes written",
-            slowest.as_millis(),
-            idle >> 20,
-            peak >> 20,
-            endless.iter().map(EndlessServer::taken).sum::<usize>()
-        );
-        assert!(slowest < TIME_LIMIT, "a request took {slowest:?}");
-        assert!(peak < VM_MEMORY, "{peak} bytes of memory");
-        open
-    })
+    let world = block_on(World::start(name));
+    let endless: Vec<EndlessServer> = (0..ENDLESS_SERVERS)
+        .map(|_| EndlessServer::start(answer))
+        .collect();
+    for (index, server) in endless.iter().enumerate() {
+        let mut item = house::servers::server_item(server.address(), "desk", "north-a");
+        item["slots"] = ENDLESS_REQUESTS.into();
+        world.store.put_item(&format!("s-{index}"), &item);
+    }
+    let sound = Server::start("e-1", "north-a", "writer");
+    world.store.put_item(&sound.id, &sound.item());
+    let caller = world.node.ports.caller;
+    block_on(wait_until_served(caller));
+    let idle = world.node.peak_memory();
+    let measured = lock(&MEASURED);
+    let calls: Vec<_> = (0..ENDLESS_REQUESTS)
+        .map(|index| {
+            let id = format!("endless-{index}");
+            std::thread::spawn(move || call_endless(caller, &id, index % 2 == 0))
+        })
+        .collect();
+    let served = block_on(call_beside(caller, TIME_LIMIT));
+    drop(measured);
+    let (beside, slowest) = served.expect("a sound server's answers arrive");
+    for call in calls {
+        call.join().expect("the caller ends");
+    }
+    block_on(wait_until(|| {
+        endless.iter().all(|server| server.open() == 0)
+    }));
+    let peak = world.node.peak_memory();
+    let open: usize = endless.iter().map(EndlessServer::most_open).sum();
+    println!(
+        "{name}: {open} answers at once, {beside} requests beside them in at most {} ms; \
+         {} MB at the start, {} MB at most, {} bytes written",
+        slowest.as_millis(),
+        idle >> 20,
+        peak >> 20,
+        endless.iter().map(EndlessServer::taken).sum::<usize>()
+    );
+    assert!(slowest < TIME_LIMIT, "a request took {slowest:?}");
+    assert!(peak < VM_MEMORY, "{peak} bytes of memory");
+    open
 }
 
 /// Guards against answers without end that fill a node's memory.
