platform: show that a body is measured by one version and run by another

The front looks the route up again after the body, but not the limit on bodies. A body that the old version allows is run by a service that only the new version names, whose limit is smaller (200, 413 wanted).

--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -86,10 +86,6 @@
             return;
         }
         let now = self.fleet.now;
-        let mut bundle = core.bundle().cloned().expect("a bundle is in force");
-        if self.fault == InjectedFault::RouteOnce {
-            bundle = self.nodes[node].first.get_or_insert(bundle).clone();
-        }
         let mut request = OpenRequest {
             node,
             route,
@@ -102,21 +98,9 @@
             load: 1,
             decision: None,
         };
-        let found = bundle.routes.find(HOST, &format!("{}x", prefix(route)));
-        let service = found.and_then(|route| route.service(Digest::of(&[]).leading_u64()));
-        let Some((matched, service)) = found.zip(service) else {
-            if self.fleet.nodes[node].config_outdated() {
-                self.judge_refusal(&request, Reason::Revision);
-            } else {
-                self.judge(&request, Handling::Wrong);
-            }
+        let Some((matched, service)) = self.look_up(&request) else {
             return;
         };
-        let limits = bundle.limits.as_ref();
-        if limits.is_some_and(|limits| limits.body_bytes < request.body) {
-            self.judge(&request, Handling::Oversize);
-            return;
-        }
         let mut timeout = Duration::from_millis(matched.timeout);
         if self.fault == InjectedFault::CutEarly {
             timeout = Duration::from_millis(TIMEOUTS[0]);
@@ -126,9 +110,9 @@
             return;
         }
         request.decision = Some(Decision {
-            customer: route_customer(matched, self.fault),
+            customer: route_customer(&matched, self.fault),
             service,
-            rules: rules(matched),
+            rules: rules(&matched),
             budget: timeout.saturating_sub(reading),
         });
         request.load += self.load(service);
@@ -138,6 +122,34 @@
         self.collect();
     }
 
+    /// Returns the route of a request at its node, and the service. Judges the refusal of one without
+    /// a route, or with a larger body than allowed.
+    fn look_up(&mut self, request: &OpenRequest) -> Option<(HostRoute, ServiceId)> {
+        let node = request.node;
+        let bundle = self.fleet.nodes[node].bundle().cloned();
+        let mut bundle = bundle.expect("a bundle is in force");
+        if self.fault == InjectedFault::RouteOnce {
+            bundle = self.nodes[node].first.get_or_insert(bundle).clone();
+        }
+        let path = format!("{}x", prefix(request.route));
+        let found = bundle.routes.find(HOST, &path);
+        let service = found.and_then(|route| route.service(Digest::of(&[]).leading_u64()));
+        let Some((matched, service)) = found.zip(service) else {
+            if self.fleet.nodes[node].config_outdated() {
+                self.judge_refusal(request, Reason::Revision);
+            } else {
+                self.judge(request, Handling::Wrong);
+            }
+            return None;
+        };
+        let limits = bundle.limits.as_ref();
+        if limits.is_some_and(|limits| limits.body_bytes < request.body) {
+            self.judge(request, Handling::Oversize);
+            return None;
+        }
+        Some((matched.clone(), service))
+    }
+
     /// Returns the number of requests to a service without a final response.
     pub fn load(&self, service: ServiceId) -> usize {
         let open = self.traffic.open.values();
@@ -160,26 +172,39 @@
         }
     }
 
-    /// Passes on the requests whose bodies are read, as their heads were routed.
+    /// Passes on the requests whose bodies are read. Another version may be in force since their heads
+    /// were, so the node looks their routes up again.
     pub fn arrive(&mut self) {
         let now = self.fleet.now;
-        let mut arrivals = Vec::new();
-        for (ticket, request) in &mut self.traffic.open {
-            let down = self.fleet.down[request.node];
-            let due = request.arrives.take_if(|at| *at <= now && !down);
-            if let Some((_, decision)) = due.zip(request.decision) {
-                request.passed = Some(now);
-                let arrival = Arrival {
-                    customer: decision.customer,
-                    service: decision.service,
-                    budget: decision.budget,
-                    route: Some(decision.rules),
-                    ..arrival(*ticket, "", PLAIN, 1)
-                };
-                arrivals.push((request.node, arrival));
-            }
-        }
-        for (node, arrival) in arrivals {
+        let down = &self.fleet.down;
+        let due = self.traffic.open.iter().filter(|(_, request)| {
+            request.arrives.is_some_and(|at| at <= now) && !down[request.node]
+        });
+        let due: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
+        for ticket in due {
+            let Some(mut request) = self.traffic.open.remove(&ticket) else {
+                continue;
+            };
+            let Some((matched, service)) = self.look_up(&request) else {
+                continue;
+            };
+            let Some(decision) = &mut request.decision else {
+                continue;
+            };
+            decision.customer = route_customer(&matched, self.fault);
+            decision.service = service;
+            decision.rules = rules(&matched);
+            let arrival = Arrival {
+                customer: decision.customer,
+                service,
+                budget: decision.budget,
+                route: Some(decision.rules),
+                ..arrival(ticket, "", PLAIN, 1)
+            };
+            request.arrives = None;
+            request.passed = Some(now);
+            let node = request.node;
+            self.traffic.open.insert(ticket, request);
             self.fleet.arrive(node, arrival);
         }
     }
