seam-node: check a body by the limit that is in force after it was read

Callers whose body was read while a version with another service and a smaller limit came into force had it run by that service, whose version does not allow it. Cause: one decision by two states. The route is looked up again after the body, the limit on bodies was that of the head. Change: after the body the smaller limit in force decides too, by the size of the body that was read or declared (413, as that version says); a long body of unknown size is refused for a time. Evidence: changed_routes limited_while_read, 200 before and 413 after, no run; moved_while_read, long_bodies and older_senders pass.

--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -138,6 +138,30 @@
     })
 }
 
+/// Returns the maximum size of a body in a configuration.
+fn body_limit(snapshot: &Snapshot) -> usize {
+    let limits = snapshot.bundle.limits.as_ref();
+    limits.map_or(MAX_BODY_BYTES, |limits| limits.body_bytes)
+}
+
+/// Rejects a body that was read by another limit than the one in force, if it is larger than that. One
+/// of unknown size is refused for a time.
+fn check_limit(body: &RequestBody, (read_by, in_force): (usize, usize)) -> Result<(), Rejection> {
+    if in_force >= read_by {
+        return Ok(());
+    }
+    let detail = format!("the limit on bodies is {in_force} bytes now");
+    match body.length() {
+        Some(length) if length <= in_force as u64 => Ok(()),
+        Some(_) => Err(Rejection::new(Reason::Oversize, detail)),
+        None => {
+            let mut rejection = Rejection::new(Reason::Revision, detail);
+            rejection.refusal.retry_after = Some(RETRY_AFTER);
+            Err(rejection)
+        }
+    }
+}
+
 /// Returns the host of a request without a trailing dot.
 fn request_host(request: &http::request::Parts) -> Option<String> {
     let authority = request.uri.authority().map(http::uri::Authority::as_str);
@@ -211,8 +235,7 @@
     let budget = options
         .budget
         .map_or(max_budget, |budget| budget.min(max_budget));
-    let limit = snapshot.bundle.limits.as_ref();
-    let limit = limit.map_or(MAX_BODY_BYTES, |limits| limits.body_bytes);
+    let limit = body_limit(snapshot);
     let timeout = async {
         Timer::after(budget).await;
         Err(Rejection::new(Reason::SlowBody, "the body took too long"))
@@ -222,6 +245,8 @@
     let snapshot = self::snapshot(runtime)?;
     let found = find_route(runtime, &snapshot, &host, head.uri.path(), id);
     let (route, service) = found.map_err(|rejection| rejection.by(&snapshot))?;
+    check_limit(&body, (limit, body_limit(&snapshot)))
+        .map_err(|rejection| rejection.by(&snapshot))?;
     let mut headers = head.headers;
     runtime.dialect.strip_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
--- a/crates/seam-node/src/request_body.rs
+++ b/crates/seam-node/src/request_body.rs
@@ -128,6 +128,20 @@
         &self.first
     }
 
+    /// Returns the size of the whole body in bytes, if it is known.
+    ///
+    /// ```
+    /// use seam_node::request_body::RequestBody;
+    /// assert_eq!(RequestBody::whole("abc").length(), Some(3));
+    /// ```
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        match &self.rest {
+            Some(rest) => rest.length,
+            None => Some(self.first.len() as u64),
+        }
+    }
+
     /// Returns whether the body can be sent more than once.
     #[must_use]
     pub fn replayable(&self) -> bool {
