seam-http: bound the rest of a body after a response that keeps its connection

A caller that sent chunks without end held its connection for the idle timeout of 15 s after a response that had begun before the body was dropped.

Cause: such a connection is kept since, so its discarding did not end with the response. At the bound on bytes the stream was no longer read, and nothing ended the discarding.

Change: discarding ends as the bound is exceeded, which is 1 MiB of parsed bytes where the connection would be kept; what follows is only read.

--- a/crates/seam-http/src/serve/pace.rs
+++ b/crates/seam-http/src/serve/pace.rs
@@ -120,6 +120,8 @@
     /// Bytes received since a body was left unread, and their maximum.
     discarded: usize,
     max_discarded: usize,
+    /// Their maximum on a connection that serves another request.
+    max_kept: usize,
     /// When the server was stopped.
     stopped: Option<Instant>,
 }
@@ -155,6 +157,9 @@
         self.change(|request| {
             request.unread = true;
             request.closes |= !kept;
+            if kept {
+                request.max_discarded = request.max_kept;
+            }
             request.discarded = 0;
         });
     }
@@ -172,12 +177,14 @@
         request.discarded
     }
 
-    /// Waits until all of the response is written.
-    pub(super) async fn response_written(&self) {
+    /// Waits until no more of the body is to be parsed: the maximum is exceeded or, on a connection that
+    /// is not kept, the response is written.
+    pub(super) async fn discard_ended(&self, kept: bool) {
         let shared = &self.tracker.shared;
         loop {
             let responding = self.tracker.phase() == Phase::Responding;
-            if !responding && shared.unwritten.load(Ordering::Relaxed) == 0 {
+            let written = !responding && shared.unwritten.load(Ordering::Relaxed) == 0;
+            if (written && !kept) || self.tracker.discarded_enough() {
                 return;
             }
             let _ = shared.written.1.recv().await;
@@ -290,10 +297,11 @@
 
     /// Records that a request head is complete, whether a body follows, and how much of it may be
     /// discarded.
-    pub fn head_complete(&self, body: bool, max_discarded: usize) -> Exchange {
+    pub fn head_complete(&self, body: bool, max_discarded: usize, max_kept: usize) -> Exchange {
         let mut request = lock(&self.shared.request);
         request.number += 1;
         request.max_discarded = max_discarded;
+        request.max_kept = max_kept;
         request.body_open = body;
         request.responded = false;
         let number = request.number;
@@ -501,6 +509,7 @@
             return Poll::Pending;
         }
         if self.tracker.discarded_enough() {
+            let _ = self.tracker.shared.written.0.try_send(());
             return Poll::Pending;
         }
         let length = bytes.len().min(allowance.unwrap_or(MAX_READ_BYTES));
--- a/crates/seam-http/src/serve/unread.rs
+++ b/crates/seam-http/src/serve/unread.rs
@@ -19,6 +19,8 @@
 
 /// Largest body that a connection discards, unless the limits allow larger ones.
 const MIN_DISCARDED_BODY: usize = 8 << 20;
+/// Maximum number of bytes that are parsed of a rest after a response that keeps the connection.
+const MAX_PARSED_BYTES: usize = 1 << 20;
 /// Largest rest of a body after which a connection serves another request.
 const MAX_KEPT_BYTES: u64 = 64 << 10;
 
@@ -76,7 +78,7 @@
         limits: CallerLimits,
     ) -> Request<Self> {
         let body = !request.body().is_end_stream();
-        let exchange = tracker.head_complete(body, max_discarded_bytes(limits));
+        let exchange = tracker.head_complete(body, max_discarded_bytes(limits), MAX_PARSED_BYTES);
         let expects = request.headers().contains_key(header::EXPECT);
         let unread = Unread {
             exchange,
@@ -188,14 +190,11 @@
                 }
             }
         };
-        let written = async {
-            if kept {
-                future::pending::<()>().await;
-            }
-            exchange.response_written().await;
+        let ended = async {
+            exchange.discard_ended(kept).await;
             false
         };
-        if read.or(written).await && kept {
+        if read.or(ended).await && kept {
             record_discarded(DiscardEnd::Kept, from, exchange.nothing_unread());
         }
         drop(body);
