core: when the store last showed that the configuration in force is present

Callers got 404 from nodes that held a configuration for long, and nothing told whether the store had shown it as the present one since. A node stated when it last read something.

A complete list of the store with the contents in force, or a newer change of them, counts; what another node relays does not, and a version taken from one begins without a confirmation. In the status as confirmed_age_ms, in the metrics as seam_config_confirmed_age_ms.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -198,6 +198,8 @@
     pub read_age_ms: Option<u64>,
     /// Milliseconds since this node last knew all that the platform, or a node that reaches it, had.
     pub current_age_ms: Option<u64>,
+    /// Milliseconds since the store last showed this node that the item in force is the present one, if it did.
+    pub confirmed_age_ms: Option<u64>,
     /// Versions that were read and not taken, by reason.
     pub not_taken: BTreeMap<NotTaken, u64>,
 }
@@ -219,6 +221,8 @@
     /// When this node last knew every item that it heard of from the platform itself or from a node
     /// that reaches the platform.
     current: Option<Time>,
+    /// When the store last showed this node that the item in force is the present one.
+    confirmed: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -325,6 +329,16 @@
         self.current = Some(now);
     }
 
+    /// Records that the store showed that the item in force is the present one.
+    pub(crate) fn note_confirmed(&mut self, now: Time) {
+        self.confirmed = Some(now);
+    }
+
+    /// Returns the time since the store last showed that the item in force is the present one.
+    pub(crate) fn confirmed(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
     /// Returns a snapshot for the administration API; `read` is when the platform was last read.
     pub(crate) fn status(&self, now: Time, read: Option<Time>) -> ConfigStatus {
         let millis = |time: Time| now.since(time).as_millis() as u64;
@@ -337,6 +351,7 @@
             heard_items: self.heard_items,
             read_age_ms: read.map(millis),
             current_age_ms: self.current.map(millis),
+            confirmed_age_ms: self.confirmed.map(millis),
             not_taken: self.not_taken.clone(),
         }
     }
@@ -355,6 +370,7 @@
             item_revision,
             taken: now,
         };
+        self.confirmed = None;
         self.meaning = ConfigMeaning::of(item_revision, new);
         self.refused_routes = new.routes.refused();
         self.differing.clear();
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -448,6 +448,20 @@
         self.config_view.version
     }
 
+    /// Returns the time since the store last showed this node that the configuration in force is the present
+    /// one, `None` if it never did. What another node relays does not count.
+    ///
+    /// ```
+    /// use seam_core::{Identity, Node};
+    /// use seam_protocol::{Incarnation, RegionId, Time, VmId};
+    /// let id = Identity { vm: VmId(1), region: RegionId(1), incarnation: Incarnation(1) };
+    /// assert_eq!(Node::new(id, 1, Time(0)).config_confirmed(Time(5)), None);
+    /// ```
+    #[must_use]
+    pub fn config_confirmed(&self, now: Time) -> Option<Duration> {
+        self.config_view.confirmed(now)
+    }
+
     /// Records that the item of a configuration was read, before it is merged. Returns whether it is
     /// newer than those that were read before.
     pub fn note_config_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Bundle, Delta, Heartbeat, Time, Vm, VmId};
+use seam_protocol::{Bundle, Delta, Digest, Entry, Heartbeat, Time, Vm, VmId};
 
 use super::Node;
 use super::item_differences::{DIFFERENCE_LIMIT, ItemState};
@@ -102,6 +102,7 @@
         }
         let (old_revision, old_digest) = (self.catalogue.revision(), self.catalogue.digest());
         let exchanged = source == Source::Exchange;
+        let listed = items.full.then(|| listed_configs(&items));
         let merged = self.catalogue.merge(now, items, source);
         self.item_fetches.receive(self.catalogue.revision());
         for item in &merged.unusable {
@@ -119,6 +120,10 @@
             out.push(self.audit(now, Change::Item, &change.key, ("", change.state), cause));
         }
         let read = merged.config.clone();
+        let changed = read
+            .iter()
+            .map(|(revision, config)| (*revision, config.digest));
+        let changed: Vec<_> = changed.collect();
         // Of equal versions, the revision of the item tells which is newer, also once the removal of an
         // older item is forgotten.
         let config = merged.config.filter(|(item_revision, config)| {
@@ -160,6 +165,11 @@
                 .take(now, (&old, &config), item_revision, source);
             out.push(Command::LogConfig(change));
         }
+        // The store shows what is present in a complete list, or in a change that is newer than all before.
+        let shown = listed.unwrap_or(changed);
+        if source == Source::Platform && shown.iter().any(|shown| self.in_force(*shown)) {
+            self.config_view.note_confirmed(now);
+        }
         if configured || merged.inventory_changed {
             self.rebuild_bundle(now, out);
         }
@@ -173,6 +183,13 @@
         }
     }
 
+    /// Returns whether the item of a configuration has the contents in force, and is not older.
+    fn in_force(&self, (item_revision, digest): (u64, Digest)) -> bool {
+        let base = self.base_config.as_ref();
+        item_revision >= self.config_view.version.item_revision
+            && base.is_some_and(|base| base.digest == digest)
+    }
+
     /// Notes since when this node hears from no other one, and audits whether it is out of step.
     pub(super) fn update_step(&mut self, now: Time, out: &mut Vec<Command>) {
         let vms = self.bundle.as_ref().map(|bundle| &bundle.deployment.vms);
@@ -449,3 +466,12 @@
         }
     }
 }
+
+/// Returns the revisions and digests of the configurations in a batch.
+fn listed_configs(items: &ItemBatch) -> Vec<(u64, Digest)> {
+    let configs = items.items.iter().filter_map(|item| match &item.entry {
+        Some(Entry::Config(config)) => Some((item.item.revision, config.digest)),
+        _ => None,
+    });
+    configs.collect()
+}
--- a/crates/seam-ctl/src/commands/status.rs
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -55,6 +55,7 @@
                 "heard_items",
                 "read_age_ms",
                 "current_age_ms",
+                "confirmed_age_ms",
                 "not_taken",
             ],
         );
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -68,6 +68,7 @@
     items_heard: Gauge<u64>,
     read_age: Gauge<u64>,
     current_age: Gauge<u64>,
+    confirmed_age: Gauge<u64>,
     events: Gauge<u64>,
     bounds: Gauge<u64>,
     denied: Gauge<u64>,
@@ -141,6 +142,10 @@
                 "seam_items_current_age_ms",
                 "time since this node knew all that the store, or a node that reaches it, had",
             ),
+            confirmed_age: gauge(
+                "seam_config_confirmed_age_ms",
+                "time since the store showed this node that its configuration is the present one",
+            ),
             events: gauge("seam_events", "events since boot, by kind"),
             bounds: gauge(
                 "seam_bounds_exceeded",
@@ -180,6 +185,7 @@
         let ages = [
             (&self.read_age, config.read_age_ms),
             (&self.current_age, config.current_age_ms),
+            (&self.confirmed_age, config.confirmed_age_ms),
         ];
         for (gauge, age) in ages {
             if let Some(age) = age {
