logs: fields that decide a request come first, with the build

Operators keep the first 200 characters of a line. Fields were in alphabetical order, so status, reason, path and request were lost, and no line told which build wrote it.

JSON lines begin with build, config, config_item, confirmed_age_ms, config_age_ms, status, reason, path and request; level, module and the clock are last. A path of more than 32 characters is shortened, and is whole in full_path. Refusals state their status, path, the last confirmation by the store and the meaning's digest, also those by another node, for which the message between nodes has two more fields. Unknown values are left out.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -29,6 +29,13 @@
     pub item_revision: u64,
     /// Milliseconds for which it had been in force.
     pub age_ms: u64,
+    /// Milliseconds since the store last showed that it is the present one, if it did.
+    #[serde(skip)]
+    pub confirmed_ms: Option<u64>,
+    /// Digest of what the node made of it, see [`ConfigMeaning`], zero if that is unknown, as is the
+    /// confirmation then.
+    #[serde(skip)]
+    pub meaning: u64,
 }
 
 impl ConfigVersion {
@@ -46,6 +53,7 @@
             revision: self.revision,
             item_revision: self.item_revision,
             age_ms: now.since(self.taken).as_millis() as u64,
+            ..ConfigStamp::default()
         }
     }
 }
@@ -339,6 +347,16 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Returns the stamp of a decision that is made now, with what is known of the version in force.
+    pub(crate) fn stamp(&self, now: Time) -> ConfigStamp {
+        let confirmed = self.confirmed(now);
+        ConfigStamp {
+            confirmed_ms: confirmed.map(|age| age.as_millis() as u64),
+            meaning: self.meaning.digest,
+            ..self.version.stamp(now)
+        }
+    }
+
     /// Returns a snapshot for the administration API; `read` is when the platform was last read.
     pub(crate) fn status(&self, now: Time, read: Option<Time>) -> ConfigStatus {
         let millis = |time: Time| now.since(time).as_millis() as u64;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -38,7 +38,7 @@
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
-use crate::config_version::{ConfigVersion, ConfigView};
+use crate::config_version::{ConfigStamp, ConfigVersion, ConfigView};
 use crate::event::Event;
 use crate::fair::FairQueue;
 use crate::freshness::Freshness;
@@ -462,6 +462,12 @@
         self.config_view.confirmed(now)
     }
 
+    /// Returns the stamp of a decision by the configuration in force.
+    #[must_use]
+    pub fn config_stamp(&self, now: Time) -> ConfigStamp {
+        self.config_view.stamp(now)
+    }
+
     /// Records that the item of a configuration was read, before it is merged. Returns whether it is
     /// newer than those that were read before.
     pub fn note_config_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
--- a/crates/seam-node/src/config_log.rs
+++ b/crates/seam-node/src/config_log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use log::kv::Value;
+use seam_core::ConfigStamp;
 use seam_core::command::ItemDifference;
 use seam_core::config_version::ConfigChange;
 use seam_protocol::Delta;
@@ -33,6 +34,23 @@
     time.map_or_else(|| "".into(), |time| (time.as_millis() as u64).into())
 }
 
+/// Returns for how long the store has not shown a configuration. Left out of a line if that is unknown.
+pub fn confirmed(config: &ConfigStamp) -> Value<'static> {
+    match config.confirmed_ms {
+        _ if config.meaning == 0 => Value::null(),
+        None => "never".into(),
+        Some(age) => age.into(),
+    }
+}
+
+/// Returns the digest of what a node made of a configuration. Left out of a line if it is unknown.
+pub fn meaning(config: &ConfigStamp) -> Value<'static> {
+    match config.meaning {
+        0 => Value::null(),
+        digest => digest.into(),
+    }
+}
+
 /// Logs that another node has other items than this one at the same revision.
 pub fn log_difference(difference: &ItemDifference) {
     let digest = |digest: u32| format!("{digest:08x}");
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -128,6 +128,11 @@
     /// Builds the response to a refused request.
     fn refusal_response(&self, id: &str, refusal: Refusal, detail: &str) -> Response<Body>;
 
+    /// Returns the status of the response to a refused request.
+    fn refusal_status(&self, refusal: Refusal) -> StatusCode {
+        self.refusal_response("", refusal, "").status()
+    }
+
     /// Adds the request's identifier and outcome to a target's response.
     fn annotate(&self, response: &mut Response<Body>, id: &str, outcome: Outcome);
 
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -8,6 +8,7 @@
 use async_channel::Receiver;
 use async_executor::Task;
 use futures_lite::{FutureExt, future};
+use log::kv::Value;
 use seam_core::arrival::Arrival;
 use seam_core::command::{OriginSource, Withheld};
 use seam_core::spill::{RegionChoice, RoutingDecision};
@@ -15,6 +16,7 @@
 use seam_http::spawn;
 use seam_protocol::{Outcome, Reason, Time, VersionId};
 
+use crate::config_log::{confirmed, meaning};
 use crate::inbound::InboundRequest;
 use crate::progress::Progress;
 use crate::response_writer::{ResponsePart, ResponseWriter, response_channel};
@@ -239,6 +241,7 @@
         let poison = refusal.is_some_and(|refusal| refusal.reason == Reason::Poison);
         let parts = poison.then(|| self.inbound.shared_parts());
         let caller = self.inbound.caller_text();
+        let status = refusal.map(|refusal| self.runtime.dialect.refusal_status(refusal));
         self.runtime
             .metrics
             .request_ended(&self.inbound.customer_name, end, age);
@@ -247,11 +250,13 @@
             request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
             outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
             method = self.inbound.method.as_str(), path = self.inbound.path.as_str(), caller = caller.as_str(),
+            status = status.map_or_else(Value::null, |status| status.as_u16().into()),
             reason = refusal.map_or("", |refusal| refusal.reason.slug()),
             parts = parts.unwrap_or_default().as_str(), resumes = self.inbound.resumes.as_deref().unwrap_or_default(),
             retry_ms = refusal.and_then(|refusal| refusal.retry_after).unwrap_or_default().as_millis() as u64,
             config = self.config.revision, config_item = self.config.item_revision,
-            config_age_ms = self.config.age_ms, config_read = self.inbound.config.revision,
+            config_age_ms = self.config.age_ms, confirmed_age_ms = confirmed(&self.config),
+            meaning = meaning(&self.config), config_read = self.inbound.config.revision,
             age_ms = age.as_millis() as u64;
             "request ended"
         );
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -9,13 +9,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use seam_core::Origin;
 use seam_http::bounds::record_denied;
 use seam_http::serve::MIN_HEAD_BYTES;
 use seam_http::{Body, CallerLimits, Incoming, Listener, ServerLimits, Stop, serve_with_limits};
 use seam_protocol::Reason;
 
+use crate::config_log::{confirmed, meaning};
 use crate::drive;
 use crate::inbound::InboundRequest;
 use crate::runtime::{NodeRuntime, Snapshot};
@@ -121,8 +123,9 @@
         return response;
     }
     let request_line = format!("{} {}", request.method(), request.uri().path());
+    let uri = request.uri().clone();
     let inbound = read::read(runtime, request, &id, from.ip()).await;
-    let response = serve(runtime, inbound, &id).await;
+    let response = serve(runtime, inbound, &id, &uri).await;
     log::debug!(
         "request {id} from {from}: {request_line}: {}",
         response.status()
@@ -139,8 +142,9 @@
     let options = runtime.dialect.request_options(request.headers());
     let id = options.as_ref().ok().and_then(|options| options.id.clone());
     let id = id.unwrap_or_else(|| read::new_request_id(runtime));
+    let uri = request.uri().clone();
     let inbound = read::read_routed(runtime, request, options, &id, from.ip()).await;
-    serve(runtime, inbound, &id).await
+    serve(runtime, inbound, &id, &uri).await
 }
 
 /// Serves a request, or returns the refusal if it was rejected while it was read.
@@ -148,6 +152,7 @@
     runtime: &Arc<NodeRuntime>,
     inbound: Result<InboundRequest, Rejection>,
     id: &str,
+    uri: &Uri,
 ) -> Response<Body> {
     match inbound {
         Ok(inbound) => {
@@ -157,15 +162,24 @@
         Err(rejection) => {
             let dialect = &runtime.dialect;
             let response = dialect.refusal_response(id, rejection.refusal, &rejection.detail);
-            log_rejection(runtime, id, &rejection, response.status());
+            log_rejection(runtime, (id, uri), &rejection, response.status());
             response
         }
     }
 }
 
 /// Logs the end of a request that was rejected while it was read.
-fn log_rejection(runtime: &NodeRuntime, id: &str, rejection: &Rejection, status: StatusCode) {
-    let config = rejection.config.unwrap_or_default().stamp(runtime.now());
+fn log_rejection(
+    runtime: &NodeRuntime,
+    (id, uri): (&str, &Uri),
+    rejection: &Rejection,
+    status: StatusCode,
+) {
+    let config = rejection
+        .config
+        .map(|version| runtime.config_stamp(version));
+    let config = config.unwrap_or_default();
+    let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
     let reason = rejection.refusal.reason;
     record_denied(status, reason.slug());
     // While a request is read, only the configuration tells that a route has no target.
@@ -175,8 +189,9 @@
     log::info!(
         target: "request",
         request = id, end = "refused", outcome:% = rejection.refusal.outcome,
-        status = status.as_u16(), reason = reason.slug(), detail = rejection.detail.as_str(),
-        config = config.revision, config_item = config.item_revision, config_age_ms = config.age_ms;
+        status = status.as_u16(), reason = reason.slug(), path = path, detail = rejection.detail.as_str(),
+        config = config.revision, config_item = config.item_revision, config_age_ms = config.age_ms,
+        confirmed_age_ms = confirmed(&config), meaning = meaning(&config);
         "request ended"
     );
 }
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -22,6 +22,7 @@
 use tonic::Streaming;
 
 use super::{FrameNumbers, wire};
+use crate::config_log::{confirmed, meaning};
 use crate::inbound::InboundRequest;
 use crate::progress::{Framing, Progress};
 use crate::response_writer::{ResponseHead, ResponseWriter};
@@ -251,7 +252,7 @@
         match frame {
             Some(reply_frame::Frame::Head(head)) => {
                 if let Some(refusal) = &head.refusal {
-                    log_refusal(to, inbound, refusal);
+                    log_refusal(runtime, to, inbound, refusal);
                     return Ok(reply_to_refusal(wire::refusal(refusal)));
                 }
                 let status = StatusCode::from_u16(head.status as u16);
@@ -302,13 +303,20 @@
 }
 
 /// Logs a refusal by another node, with the configuration that decided it there.
-fn log_refusal(to: &NodeAttempt, inbound: &InboundRequest, refusal: &WireRefusal) {
+fn log_refusal(
+    runtime: &NodeRuntime,
+    to: &NodeAttempt,
+    inbound: &InboundRequest,
+    refusal: &WireRefusal,
+) {
     let config = wire::config_stamp(refusal);
+    let status = runtime.dialect.refusal_status(wire::refusal(refusal));
     log::info!(
         target: "request",
         request = inbound.id.as_str(), attempt = to.attempt.0, node:% = to.address,
-        reason = refusal.reason.as_str(), revision = to.revision, config = config.revision,
-        config_item = config.item_revision, config_age_ms = config.age_ms;
+        status = status.as_u16(), reason = refusal.reason.as_str(), path = inbound.path.as_str(),
+        revision = to.revision, config = config.revision, config_item = config.item_revision,
+        config_age_ms = config.age_ms, confirmed_age_ms = confirmed(&config), meaning = meaning(&config);
         "refused by another node"
     );
 }
--- a/crates/seam-node/src/link/wire.rs
+++ b/crates/seam-node/src/link/wire.rs
@@ -64,6 +64,8 @@
         config_revision: config.revision,
         config_item: config.item_revision,
         config_age_ms: config.age_ms,
+        confirmed_ms: config.confirmed_ms,
+        config_meaning: config.meaning,
     }
 }
 
@@ -92,6 +94,8 @@
         revision: wire.config_revision,
         item_revision: wire.config_item,
         age_ms: wire.config_age_ms,
+        confirmed_ms: wire.confirmed_ms,
+        meaning: wire.config_meaning,
     }
 }
 
--- a/crates/seam-node/src/logs.rs
+++ b/crates/seam-node/src/logs.rs
@@ -13,7 +13,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use fern::Dispatch;
-use log::kv::{self, Key, Value, VisitSource};
+use log::kv::{self, Key, Value, VisitSource, VisitValue};
 use log::{LevelFilter, Log, Metadata, Record};
 use seam_config::settings::{LogFormat, LogSettings};
 use seam_http::lock;
@@ -42,6 +42,26 @@
     },
 }
 
+/// Fields at the start of a line, in this order: those that decide what became of a request. Readers that
+/// keep only the first characters of each line keep these.
+const FIRST_FIELDS: [&str; 11] = [
+    "build",
+    "config",
+    "config_item",
+    "epoch",
+    "confirmed_age_ms",
+    "config_age_ms",
+    "status",
+    "reason",
+    "path",
+    "request",
+    "message",
+];
+/// Fields at the end of a line.
+const LAST_FIELDS: [&str; 3] = ["level", "module", "unix_ms"];
+/// Characters of a path at the start of a line. A longer one follows in full among the other fields.
+const PATH_CHARS: usize = 32;
+
 fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -56,8 +76,28 @@
 #[derive(Default)]
 struct Fields(Map<String, serde_json::Value>);
 
+/// Tells whether a value is null.
+#[derive(Default)]
+struct NullCheck(bool);
+
+impl VisitValue<'_> for NullCheck {
+    fn visit_any(&mut self, _value: Value) -> Result<(), kv::Error> {
+        Ok(())
+    }
+
+    fn visit_null(&mut self) -> Result<(), kv::Error> {
+        self.0 = true;
+        Ok(())
+    }
+}
+
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let mut null = NullCheck::default();
+        value.visit(&mut null)?;
+        if null.0 {
+            return Ok(());
+        }
         let value = match (value.to_u64(), value.to_bool()) {
             (Some(number), _) => number.into(),
             (None, Some(flag)) => flag.into(),
@@ -68,32 +108,83 @@
     }
 }
 
-fn fields(record: &Record) -> Map<String, serde_json::Value> {
+/// Returns the fields of a record with the build, in the order in which they are written.
+fn fields(build: &str, record: &Record) -> Vec<(String, serde_json::Value)> {
     let mut fields = Fields::default();
+    fields.0.insert("build".to_owned(), build.into());
     // `visit_pair` never fails.
     let _ = record.key_values().visit(&mut fields);
-    fields.0
+    let mut fields = fields.0;
+    if let Some(path) = fields.get("path").and_then(serde_json::Value::as_str)
+        && path.chars().count() > PATH_CHARS
+    {
+        let start: String = path.chars().take(PATH_CHARS - 1).collect();
+        let path = fields.insert("path".to_owned(), format!("{start}…").into());
+        fields.extend(path.map(|path| ("full_path".to_owned(), path)));
+    }
+    let mut fields: Vec<_> = fields.into_iter().collect();
+    // Stable, so that the other fields keep their alphabetical order.
+    fields.sort_by_key(|(key, _)| place(key));
+    fields
+}
+
+/// Returns the place of a field among the groups of fields in a line.
+fn place(key: &str) -> usize {
+    let first = FIRST_FIELDS.iter().position(|field| *field == key);
+    first.unwrap_or(FIRST_FIELDS.len())
 }
 
-/// Formats a record as text.
-fn format_text(record: &Record, message: &std::fmt::Arguments) -> String {
+/// Formats a record of a build as text.
+fn format_text(build: &str, record: &Record, message: &std::fmt::Arguments) -> String {
     let (level, module) = (record.level(), record.target());
     let mut line = format!("{} {level:5} {module}: {message}", unix_ms());
-    for (key, value) in fields(record) {
+    for (key, value) in fields(build, record) {
         let _ = write!(line, " {key}={value}");
     }
     line
 }
 
-/// Formats a record as a JSON object.
-fn format_json(record: &Record, message: &std::fmt::Arguments) -> String {
-    let mut line = Map::new();
-    line.insert("unix_ms".to_owned(), unix_ms().into());
-    line.insert("level".to_owned(), record.level().as_str().into());
-    line.insert("module".to_owned(), record.target().into());
-    line.insert("message".to_owned(), message.to_string().into());
-    line.append(&mut fields(record));
-    serde_json::Value::Object(line).to_string()
+/// Formats a record of a build as a JSON object.
+fn format_json(build: &str, record: &Record, message: &std::fmt::Arguments) -> String {
+    let mut fields = fields(build, record);
+    fields.retain(|(key, _)| key != "message" && !LAST_FIELDS.contains(&key.as_str()));
+    let rest = fields.partition_point(|(key, _)| place(key) < FIRST_FIELDS.len());
+    let text = ("message".to_owned(), message.to_string().into());
+    fields.insert(rest, text);
+    let last = [
+        record.level().as_str().into(),
+        record.target().into(),
+        unix_ms().into(),
+    ];
+    let last = LAST_FIELDS.iter().map(|key| (*key).to_owned()).zip(last);
+    fields.extend(last);
+    let mut line = String::from("{");
+    for (index, (key, value)) in fields.iter().enumerate() {
+        let comma = if index == 0 { "" } else { "," };
+        let _ = write!(line, "{comma}{}:{value}", serde_json::json!(key));
+    }
+    line.push('}');
+    line
+}
+
+/// Formats a record of a build as a line.
+///
+/// ```
+/// use seam_config::settings::LogFormat;
+/// use seam_node::logs::format_line;
+/// let values = [("reason", "service"), ("config", "7")];
+/// let mut record = log::Record::builder();
+/// let record = record.target("request").level(log::Level::Info).key_values(&values);
+/// let line = format_line(LogFormat::Json, "1a2b3c4", &record.args(format_args!("ended")).build());
+/// let start = r#"{"build":"1a2b3c4","config":"7","reason":"service","message":"ended","level":"INFO""#;
+/// assert!(line.starts_with(start), "{line}");
+/// ```
+#[must_use]
+pub fn format_line(format: LogFormat, build: &str, record: &Record) -> String {
+    match format {
+        LogFormat::Human => format_text(build, record, record.args()),
+        LogFormat::Json => format_json(build, record, record.args()),
+    }
 }
 
 #[derive(Debug, Default)]
@@ -160,21 +251,18 @@
     }
 }
 
-/// Starts logging to standard output.
+/// Starts logging to standard output. Each line names the build, for example by its commit.
 ///
 /// # Errors
 /// See [`LogError`].
-pub fn start(settings: &LogSettings) -> Result<(), LogError> {
+pub fn start(settings: &LogSettings, build: &'static str) -> Result<(), LogError> {
     let mut dispatch = Dispatch::new().level(level(&settings.level));
     for (module, text) in &settings.modules {
         dispatch = dispatch.level_for(module.clone(), level(text));
     }
     let format = settings.format;
-    let dispatch = dispatch.format(move |out, message, record| {
-        let line = match format {
-            LogFormat::Human => format_text(record, message),
-            LogFormat::Json => format_json(record, message),
-        };
+    let dispatch = dispatch.format(move |out, _, record| {
+        let line = format_line(format, build, record);
         out.finish(format_args!("{line}"));
     });
     let (sender, lines) = sync_channel(QUEUE_LINES);
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -294,7 +294,7 @@
         self.refresh_snapshot(&core);
         for command in commands {
             if filter(&command) {
-                self.execute(command, core.config_version().stamp(now));
+                self.execute(command, core.config_stamp(now));
             }
         }
     }
@@ -336,6 +336,18 @@
         }
     }
 
+    /// Returns the stamp of a decision by a configuration. What is known of the one in force is added to its
+    /// own stamp only.
+    pub(crate) fn config_stamp(&self, version: ConfigVersion) -> ConfigStamp {
+        self.read(|node, now| {
+            if node.config_version() == version {
+                node.config_stamp(now)
+            } else {
+                version.stamp(now)
+            }
+        })
+    }
+
     /// Registers the command channel of a request.
     pub fn register(&self, ticket: Ticket, sender: Sender<TaskCommand>) {
         let mut request_channels = lock(&self.request_channels);
--- a/crates/toucanseam/src/main.rs
+++ b/crates/toucanseam/src/main.rs
@@ -11,6 +11,9 @@
 use seam_node::daemon::{Draining, Serving};
 use seam_node::{Daemon, PlatformAdapter, logs, stalls};
 
+/// Commit of this build, or the version where that is unknown.
+const BUILD: &str = env!("BUILD_COMMIT");
+
 /// Entry node of a toucanseam deployment.
 #[derive(FromArgs)]
 struct Arguments {
@@ -40,7 +43,7 @@
         println!("{} is valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logs::start(&settings.log) {
+    if let Err(error) = logs::start(&settings.log, BUILD) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
