http: pings of connections to other nodes do not end

Requests that were forwarded on a link that acknowledges bytes and answers nothing ended with 504 for as long as the link was in use: pings had ended on it for good.

The timer's sleep was ready only once. hyper polls the sleep of its pings again when it elapsed while no request was open, for example after a request that was answered before its ping, or given up after it. Sleeps now stay ready. The same timer served the server's connections: their pings do not depend on open requests, and no other use of it in HTTP/1.1 is on. All other timers are awaited once or replaced.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::{http1, http2};
 use hyper::ext::on_informational;
 use serde::de::DeserializeOwned;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
@@ -23,6 +23,7 @@
 use crate::frames::FrameStream;
 use crate::guard::{GuardedStream, ProgressMeter, ResponseBody};
 use crate::liveness::{ACK_TIMEOUT, LiveStream};
+use crate::timer::ConnectionTimer;
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -309,7 +310,7 @@
     let stream = connect_within(address, PEER_CONNECT_TIMEOUT).await?;
     enable_dead_peer_detection(stream.get_ref());
     let (sender, connection) = http2::Builder::new(Spawner)
-        .timer(SmolTimer::new())
+        .timer(ConnectionTimer)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
--- a/crates/seam-http/src/lib.rs
+++ b/crates/seam-http/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod liveness;
 pub mod serve;
 pub mod sync;
+pub mod timer;
 
 pub use body::{Body, BodyError, empty, full, json};
 pub use client::{
@@ -18,3 +19,4 @@
 pub use guard::ResponseBody;
 pub use serve::{CallerLimits, Incoming, Listener, ServerLimits, Stop, serve, serve_with_limits};
 pub use sync::lock;
+pub use timer::ConnectionTimer;
--- a/crates/seam-http/src/serve.rs
+++ b/crates/seam-http/src/serve.rs
@@ -18,13 +18,14 @@
 use futures_lite::{FutureExt, future};
 use http::{Request, Response, StatusCode, Version};
 use hyper::service::service_fn;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 use socket2::{Domain, Socket, Type};
 
 use crate::body::Body;
 use crate::bounds::{Bound, DiscardEnd, record_denied, record_discarded, record_exceeded};
 use crate::exec::{Spawner, spawn};
 use crate::frames::{FrameStream, PREFACE_BYTES};
+use crate::timer::ConnectionTimer;
 use idle::OpenRequests;
 pub use pace::CallerLimits;
 use pace::{PhaseTracker, TrackedStream, Violation};
@@ -341,7 +342,7 @@
             async move { Ok::<_, Infallible>(tracker.track_response(response.await)) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
-            .timer(SmolTimer::new())
+            .timer(ConnectionTimer)
             .header_read_timeout(None)
             // The stream bounds heads and the tracked response what is not written.
             .max_buf_size(usize::MAX)
@@ -435,7 +436,7 @@
     let accepted_bytes = max_head_bytes().max(server_limits.head_bytes);
     let stream = FrameStream::new(stream, from, PREFACE_BYTES);
     let connection = hyper::server::conn::http2::Builder::new(Spawner)
-        .timer(SmolTimer::new())
+        .timer(ConnectionTimer)
         .keep_alive_interval(PING_INTERVAL)
         .max_header_list_size(u32::try_from(accepted_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(server_limits.streams)
