nodes: say so when a published route is misread, or refused unconfirmed

Callers got 404 at nodes of all regions from versions held for long, and no node logged a warning. Two causes could not be told apart: a published route that every node drops, and a version that the store has left.

After a version is taken, its document is scanned by other code than the parser's, and each published place is looked up in the routes in force: one line with at most 20 places (published routes misread), a counter (seam_config_misread_total) and a count in the status (misread_places). In a thread of its own, once a version, without the core's lock.

A node that refuses with 404 for no route, or 503 for an outdated version, 10 s and more after the store last showed its version says so once a minute, with its claim and the revision that the store stated last, and counts it (seam_unconfirmed_refusals_total). seam_store_revision is that stated revision. As long as only lists and changes confirm a version, each refusal later than 10 s after a change counts.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -196,6 +196,8 @@
     pub meaning: u64,
     /// Routes that are refused for a time, since they cannot be read.
     pub refused_routes: usize,
+    /// Published places that the routes in force do not have as published.
+    pub misread_places: usize,
     /// Nodes that made something else of the same item.
     pub differing: usize,
     /// Latest version that another node had in force before this one, zero for none.
@@ -220,6 +222,8 @@
     meaning: ConfigMeaning,
     /// Routes of it that are refused for a time.
     refused_routes: usize,
+    /// Published places that it does not have as published.
+    misread_places: usize,
     /// Nodes that made something else of it.
     differing: BTreeSet<VmId>,
     /// Latest version that another node has in force, and when this node heard of it first.
@@ -337,6 +341,13 @@
         self.current = Some(now);
     }
 
+    /// Records how many published places of an item the routes do not have, if that item is in force.
+    pub(crate) fn note_misread(&mut self, item_revision: u64, count: usize) {
+        if self.version.item_revision == item_revision {
+            self.misread_places = count;
+        }
+    }
+
     /// Records that the store showed that the item in force is the present one.
     pub(crate) fn note_confirmed(&mut self, now: Time) {
         self.confirmed = Some(now);
@@ -364,6 +375,7 @@
             stamp: self.version.stamp(now),
             meaning: self.meaning.digest,
             refused_routes: self.refused_routes,
+            misread_places: self.misread_places,
             differing: self.differing.len(),
             heard: self.heard.map_or(0, |(revision, _)| revision),
             heard_items: self.heard_items,
@@ -389,6 +401,7 @@
             taken: now,
         };
         self.confirmed = None;
+        self.misread_places = 0;
         self.meaning = ConfigMeaning::of(item_revision, new);
         self.refused_routes = new.routes.refused();
         self.differing.clear();
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -462,6 +462,11 @@
         self.config_view.confirmed(now)
     }
 
+    /// Records how many published places the routes of an item do not have, if it is in force.
+    pub fn note_misread_places(&mut self, item_revision: u64, count: usize) {
+        self.config_view.note_misread(item_revision, count);
+    }
+
     /// Returns the stamp of a decision by the configuration in force.
     #[must_use]
     pub fn config_stamp(&self, now: Time) -> ConfigStamp {
--- a/crates/seam-node/src/config_log.rs
+++ b/crates/seam-node/src/config_log.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
 use log::kv::Value;
-use seam_core::ConfigStamp;
 use seam_core::command::ItemDifference;
 use seam_core::config_version::ConfigChange;
-use seam_protocol::Delta;
+use seam_core::{ConfigStamp, ConfigVersion};
+use seam_protocol::{Delta, Reason};
 
+use crate::published_places::MisreadPlace;
 use crate::runtime::NodeRuntime;
 
 /// Logs the configuration of a delta if it was not read before, from the platform or from a peer.
@@ -62,6 +64,42 @@
     );
 }
 
+/// Logs a refusal by a configuration that the store has not shown for some time, with the revision up to which
+/// this node claims to know every change and the one that the store stated last to it.
+pub fn log_unconfirmed(
+    config: &ConfigStamp,
+    (status, reason): (StatusCode, Reason),
+    (claim, stated): (u64, Option<u64>),
+    skipped: u64,
+) {
+    log::warn!(
+        target: "config",
+        config = config.revision, config_item = config.item_revision, config_age_ms = config.age_ms,
+        confirmed_age_ms = confirmed(config), meaning = meaning(config), status = status.as_u16(),
+        reason = reason.slug(), claim = claim, stated = stated.map_or_else(Value::null, Value::from),
+        skipped = skipped;
+        "refused by an unconfirmed configuration"
+    );
+}
+
+/// Logs the published places at which the routes in force do not have what is published.
+pub fn log_misread(version: ConfigVersion, misread: &[MisreadPlace]) {
+    /// Places named in a line.
+    const MAX_NAMED: usize = 20;
+    let named = misread.iter().take(MAX_NAMED).map(|place| {
+        let found = place.found.as_ref();
+        let found = found.map_or_else(|| "no route".to_owned(), |name| format!("route {name:?}"));
+        format!("{}{} has {found}", place.host, place.prefix)
+    });
+    let named: Vec<_> = named.collect();
+    log::error!(
+        target: "config",
+        config = version.revision, config_item = version.item_revision, places = misread.len(),
+        named = named.join("; ").as_str();
+        "published routes misread"
+    );
+}
+
 /// Logs what the decision core learned of a version.
 pub fn log_change(change: &ConfigChange) {
     match change {
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -245,6 +245,10 @@
         self.runtime
             .metrics
             .request_ended(&self.inbound.customer_name, end, age);
+        if let Some((status, refusal)) = status.zip(refusal) {
+            self.runtime
+                .note_refusal(status, refusal.reason, &self.config);
+        }
         log::info!(
             target: "request",
             request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -186,6 +186,7 @@
     if reason.by_configuration() || reason == Reason::NoTarget {
         runtime.metrics.refused_by_config(reason);
     }
+    runtime.note_refusal(status, reason, &config);
     log::info!(
         target: "request",
         request = id, end = "refused", outcome:% = rejection.refusal.outcome,
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -9,6 +9,8 @@
 use seam_protocol::{Delta, ParsedEntry, RawItem};
 use snafu::Snafu;
 
+use crate::published_places::PublishedPlace;
+
 /// An error of a call to the item store.
 #[derive(Debug, Snafu)]
 pub enum ItemError {
@@ -75,4 +77,10 @@
 
     /// Parses an item. Returns `None` if it is not used. The entry follows from the item alone.
     fn parse_entry(&self, item: &RawItem) -> Option<ParsedEntry>;
+
+    /// Returns the places that a configuration publishes, read by other means than [`Self::parse_entry`], to
+    /// check what that made of them. None if the store cannot tell.
+    fn published_places(&self, _value: &[u8]) -> Vec<PublishedPlace> {
+        Vec::new()
+    }
 }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -13,12 +13,13 @@
 use rand_pcg::Pcg64Mcg;
 use seam_core::{Event, ItemBatch, Source, WatchCursor};
 use seam_http::lock;
-use seam_protocol::{Delta, Entry, VmId};
+use seam_protocol::{Delta, Entry, RawItem, VmId};
 
 use crate::config_log;
 use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
 use crate::item_store::{ItemError, ItemStore, StoreAnswer, WatchOutcome};
 use crate::link;
+use crate::published_places::misread_places;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
@@ -38,12 +39,22 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
 /// Passes changed items to the decision core. `from` is the peer that sent them.
-pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
+pub fn apply_delta(
+    runtime: &Arc<NodeRuntime>,
+    delta: Delta,
+    source: Source,
+    from: Option<SocketAddr>,
+) {
     let Some(store) = &runtime.items else {
         return;
     };
     config_log::note_read(runtime, store.config_key(), &delta, from);
     let in_force = runtime.read(|node, _| node.bundle().map(|bundle| bundle.digest));
+    let key = store.config_key();
+    let mut configs = delta.items.iter().filter(|item| item.key == key);
+    let newest = configs.by_ref().max_by_key(|item| item.revision);
+    let before = runtime.read(|node, _| node.config_version().item_revision);
+    let newest = newest.filter(|item| item.revision > before).cloned();
     let batch = ItemBatch::read(delta, |item| {
         let parsed = store.parse_entry(item)?;
         if let Entry::Config(config) = &parsed.entry
@@ -54,6 +65,37 @@
         Some(parsed.entry)
     });
     runtime.handle(Event::ItemsRead(batch, source));
+    if let Some(item) = newest {
+        check_places(runtime, store, item);
+    }
+}
+
+/// Looks up the places that a configuration publishes in the routes that were taken from it, in a thread, as
+/// that takes long with many routes. Does nothing if the configuration is not in force.
+fn check_places(runtime: &Arc<NodeRuntime>, store: &Arc<dyn ItemStore>, item: RawItem) {
+    let Some(snapshot) = runtime.snapshot() else {
+        return;
+    };
+    let Some(value) = item
+        .value
+        .filter(|_| snapshot.config.item_revision == item.revision)
+    else {
+        return;
+    };
+    let (runtime, store, revision) = (runtime.clone(), store.clone(), item.revision);
+    let check = move || {
+        let places = store.published_places(&value);
+        let misread = misread_places(&snapshot.bundle.routes, &places);
+        runtime.update(|node, _| node.note_misread_places(revision, misread.len()));
+        if !misread.is_empty() {
+            runtime.metrics.misread_places(misread.len());
+            config_log::log_misread(snapshot.config, &misread);
+        }
+    };
+    let thread = std::thread::Builder::new().name("places".to_owned());
+    if let Err(error) = thread.spawn(check) {
+        log::warn!("cannot check the routes of configuration item {revision}: {error}");
+    }
 }
 
 /// Logs and counts the values of a configuration that are not used as written.
@@ -102,9 +144,9 @@
             watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await
         };
         runtime.metrics.platform_call(call, changes.is_ok());
-        if changes.is_ok() {
+        if let Ok(outcome) = &changes {
             probes = Probes::default();
-            health.answered(runtime.now());
+            note_answer(&runtime, &mut health, outcome);
         }
         match changes {
             Ok(WatchOutcome::Changes(answer)) if !read_all && !answer.complete => {
@@ -177,6 +219,14 @@
     }
 }
 
+/// Records that the store answered, and which revision it states.
+fn note_answer(runtime: &NodeRuntime, health: &mut Dependency, outcome: &WatchOutcome) {
+    health.answered(runtime.now());
+    if let WatchOutcome::Changes(answer) = outcome {
+        runtime.note_stated(answer.delta.revision);
+    }
+}
+
 /// Returns the list of all items. If a change could not be read up to `unread`, what the list lacks may be
 /// what cannot be read, and later removals are in the watches from there on.
 fn list_of(answer: StoreAnswer, unread: Option<u64>) -> Delta {
@@ -319,7 +369,7 @@
 
 /// Fetches the items that changed since a revision from a peer, and merges them by `source`.
 pub async fn fetch(
-    runtime: &NodeRuntime,
+    runtime: &Arc<NodeRuntime>,
     from: VmId,
     address: SocketAddr,
     since: u64,
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pool;
 pub mod problem;
 pub mod progress;
+pub mod published_places;
 pub mod readiness;
 pub mod request_body;
 pub mod response_writer;
@@ -37,6 +38,7 @@
 pub mod targets;
 pub mod trail;
 pub mod transfers;
+pub mod unconfirmed;
 pub mod watch;
 
 pub use daemon::{Daemon, DaemonError};
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -31,6 +31,9 @@
     not_taken: Counter<u64>,
     config_differs: Counter<u64>,
     config_refusals: Counter<u64>,
+    misread: Counter<u64>,
+    unconfirmed: Counter<u64>,
+    store_revision: Gauge<u64>,
     platform: Counter<u64>,
     unread: Counter<u64>,
     heartbeats: Counter<u64>,
@@ -286,6 +289,18 @@
                 "seam_config_refusals",
                 "refusals that the configuration decided, by reason",
             ),
+            misread: counter(
+                "seam_config_misread",
+                "published places that a version taken does not have as published",
+            ),
+            unconfirmed: counter(
+                "seam_unconfirmed_refusals",
+                "refusals by a version that the store has not shown for 10 s, by reason",
+            ),
+            store_revision: meter
+                .u64_gauge("seam_store_revision")
+                .with_description("revision that the store stated last to this node")
+                .build(),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
             unread: counter(
                 "seam_config_unread",
@@ -328,6 +343,22 @@
         self.config_refusals.add(1, &label);
     }
 
+    /// Counts a refusal by a version that the store has not shown for some time.
+    pub fn refused_unconfirmed(&self, reason: Reason) {
+        let label = [KeyValue::new("reason", reason.slug())];
+        self.unconfirmed.add(1, &label);
+    }
+
+    /// Records the revision that the store stated last.
+    pub fn store_stated(&self, revision: u64) {
+        self.store_revision.record(revision, &[]);
+    }
+
+    /// Counts published places that a version does not have as published.
+    pub fn misread_places(&self, count: usize) {
+        self.misread.add(count as u64, &[]);
+    }
+
     /// Counts an answer of the directory.
     pub fn directory_answered(&self, regions: NamedRegions) {
         let label = [KeyValue::new("regions", regions.name())];
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 
 use async_channel::Sender;
+use http::StatusCode;
 use seam_config::Settings;
 use seam_config::settings::Secrets;
 use seam_core::command::{OriginSource, Withheld};
@@ -23,8 +24,8 @@
     AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Source, Ticket,
 };
 use seam_protocol::{
-    Bundle, CustomerId, Digest, Heartbeat, ServiceId, StoredResponse, TargetId, Time, VersionId,
-    VmId,
+    Bundle, CustomerId, Digest, Heartbeat, Reason, ServiceId, StoredResponse, TargetId, Time,
+    VersionId, VmId,
 };
 
 use crate::budget::ByteBudget;
@@ -39,6 +40,7 @@
 use crate::store::BundleStore;
 use crate::trail::AuditTrail;
 use crate::transfers::TransferPacer;
+use crate::unconfirmed::{Unconfirmed, UnconfirmedAlarm};
 
 /// The active bundle with an index of its credentials.
 #[derive(Debug)]
@@ -158,6 +160,9 @@
     jobs: Sender<Job>,
     clock: Clock,
     tickets: AtomicU64,
+    /// Revision that the store stated last, zero for none.
+    stated_revision: AtomicU64,
+    unconfirmed_alarm: Mutex<UnconfirmedAlarm>,
     /// The node's settings.
     pub settings: RwLock<Arc<Settings>>,
     /// The audit trail.
@@ -221,6 +226,8 @@
             jobs,
             clock: Clock::start(),
             tickets: AtomicU64::new(0),
+            stated_revision: AtomicU64::new(0),
+            unconfirmed_alarm: Mutex::default(),
             peers: PeerConnections::new(&settings.secrets.fleet),
             audit_trail: AuditTrail::default(),
             store: BundleStore::default(),
@@ -348,6 +355,30 @@
         })
     }
 
+    /// Records the revision that the store states.
+    pub(crate) fn note_stated(&self, revision: u64) {
+        self.stated_revision.store(revision, Ordering::Relaxed);
+        self.metrics.store_stated(revision);
+    }
+
+    /// Counts a refusal by a configuration that the store has not shown for some time, and logs it once in a
+    /// while with what this node claims to know.
+    pub(crate) fn note_refusal(&self, status: StatusCode, reason: Reason, config: &ConfigStamp) {
+        let observed = lock(&self.unconfirmed_alarm).observe(self.now(), reason, config);
+        let Some(unconfirmed) = observed else {
+            return;
+        };
+        self.metrics.refused_unconfirmed(reason);
+        if let Unconfirmed::Logged { skipped } = unconfirmed {
+            let claim = self.read(|node, _| node.items_revision());
+            let stated = match self.stated_revision.load(Ordering::Relaxed) {
+                0 => None,
+                revision => Some(revision),
+            };
+            config_log::log_unconfirmed(config, (status, reason), (claim, stated), skipped);
+        }
+    }
+
     /// Registers the command channel of a request.
     pub fn register(&self, ticket: Ticket, sender: Sender<TaskCommand>) {
         let mut request_channels = lock(&self.request_channels);
