http: pings begin for a request that is sent before it counts as open

A request without a body on a silent link waited for its whole time limit: no ping was planned for it.

hyper plans pings when the connection's task runs while a request is open. The task may send a request on one thread while the thread that queued it has not yet counted it as open; on a silent link nothing wakes the task again. It is woken now 50 to 100 ms after each write.

--- a/crates/seam-http/src/client.rs
+++ b/crates/seam-http/src/client.rs
@@ -57,6 +57,13 @@
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Timeout for an HTTP/2 ping acknowledgement.
 const PING_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Time from a write until a connection's task runs again, far more than a request takes to count as open.
+const WAKEUP_DELAY: Duration = Duration::from_millis(50);
+const _: () = assert!(
+    PING_INTERVAL.as_millis() + PING_TIMEOUT.as_millis() + 2 * WAKEUP_DELAY.as_millis()
+        < ACK_TIMEOUT.as_millis(),
+    "a silent peer must be found as soon as one that acknowledges nothing"
+);
 
 /// An error of a request.
 #[derive(Debug, Snafu)]
@@ -309,13 +316,14 @@
 {
     let stream = connect_within(address, PEER_CONNECT_TIMEOUT).await?;
     enable_dead_peer_detection(stream.get_ref());
+    let stream = FrameStream::new(stream, address, 0).wake_after_writes(WAKEUP_DELAY);
     let (sender, connection) = http2::Builder::new(Spawner)
         .timer(ConnectionTimer)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
-        .handshake(FuturesIo::new(FrameStream::new(stream, address, 0)))
+        .handshake(FuturesIo::new(stream))
         .await
         .context(ExchangeSnafu)?;
     spawn(async move {
--- a/crates/seam-http/src/frames.rs
+++ b/crates/seam-http/src/frames.rs
@@ -1,12 +1,13 @@
 //! Bounds the control frames of an HTTP/2 connection, and lets other tasks run beside it.
 
+use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 
 use crate::bounds::{Bound, record_exceeded};
@@ -92,6 +93,43 @@
     ![DATA, HEADERS, RST_STREAM, WINDOW_UPDATE, CONTINUATION].contains(&kind)
 }
 
+/// Wakes the task of a connection some time after each write.
+///
+/// A client of `hyper` plans its pings when its task runs while a request is open. The task may send a
+/// request before the request counts as open. On a silent link nothing else would wake it again.
+#[derive(Debug)]
+struct WriteWakeup {
+    /// Time after a write, `None` if the task is not to be woken.
+    delay: Option<Duration>,
+    timer: Option<Timer>,
+    /// Whether there was a write since the timer started.
+    rewritten: bool,
+}
+
+impl WriteWakeup {
+    fn note_write<T>(&mut self, write: &Poll<io::Result<T>>) {
+        if !matches!(write, Poll::Ready(Ok(_))) {
+            return;
+        }
+        self.rewritten = self.timer.is_some();
+        if self.timer.is_none() {
+            self.timer = self.delay.map(Timer::after);
+        }
+    }
+
+    /// Registers the task for the next wake-up.
+    fn register(&mut self, context: &mut Context<'_>) {
+        while let Some(timer) = &mut self.timer {
+            if Pin::new(timer).poll(context).is_pending() {
+                return;
+            }
+            let delay = self.delay.filter(|_| self.rewritten);
+            self.rewritten = false;
+            self.timer = delay.map(Timer::after);
+        }
+    }
+}
+
 /// An HTTP/2 connection whose reads fail after too many control frames.
 #[derive(Debug)]
 pub(crate) struct FrameStream {
@@ -99,6 +137,7 @@
     peer: SocketAddr,
     meter: FrameMeter,
     turns: ReadTurns,
+    wakeup: WriteWakeup,
 }
 
 impl FrameStream {
@@ -109,8 +148,19 @@
             peer,
             meter: FrameMeter::new(Instant::now(), preface),
             turns: ReadTurns::new(MAX_READS),
+            wakeup: WriteWakeup {
+                delay: None,
+                timer: None,
+                rewritten: false,
+            },
         }
     }
+
+    /// Wakes the connection's task after each write, between once and twice this time later.
+    pub(crate) fn wake_after_writes(mut self, delay: Duration) -> Self {
+        self.wakeup.delay = Some(delay);
+        self
+    }
 }
 
 impl AsyncRead for FrameStream {
@@ -119,6 +169,7 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        self.wakeup.register(context);
         if self.turns.exhausted(context) {
             return Poll::Pending;
         }
@@ -141,7 +192,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let write = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.wakeup.note_write(&write);
+        self.wakeup.register(context);
+        write
     }
 
     fn poll_write_vectored(
@@ -149,7 +203,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.wakeup.note_write(&write);
+        self.wakeup.register(context);
+        write
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/seam-http/tests/silent_links.rs
+++ b/crates/seam-http/tests/silent_links.rs
@@ -16,6 +16,7 @@
 use seam_http::client::open_http2;
 use seam_http::liveness::ACK_TIMEOUT;
 use seam_http::{Body, Listener, Stop, block_on, empty, full, serve, spawn, start_workers};
+use socket2::{Domain, Socket, Type};
 use yare::parameterized;
 
 /// Time within which a request on a silent link must fail, the same as on a link that acknowledges
@@ -27,6 +28,9 @@
 const LINKS: usize = 100;
 /// More threads than cores.
 const WORKERS: usize = 32;
+/// Links on which requests begin at the same moment, enough that a thread stands still between sending
+/// one and counting it as open.
+const SIMULTANEOUS_LINKS: usize = 4000;
 
 fn start_once() {
     static START: Once = Once::new();
@@ -182,3 +186,28 @@
     });
     assert!(ended.is_none(), "{ended:?}");
 }
+
+/// Guards against a request without a body that is sent before it counts as open: no ping is planned for
+/// it.
+#[test]
+fn simultaneous_requests() {
+    start_once();
+    // The system accepts and acknowledges, and nobody answers.
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(&any.into()).unwrap();
+    let backlog = i32::try_from(SIMULTANEOUS_LINKS).unwrap();
+    listener.listen(backlog).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let count = block_on(async {
+        let mut links = Vec::new();
+        for _ in 0..SIMULTANEOUS_LINKS {
+            links.push(open_http2::<Body>(address).await.unwrap());
+        }
+        unnoticed(links, 0).await
+    });
+    assert_eq!(
+        count, 0,
+        "silent links of {SIMULTANEOUS_LINKS} are not noticed"
+    );
+}
