--- a/crates/toucanseam/tests/region_days.rs
+++ b/crates/toucanseam/tests/region_days.rs
@@ -9,6 +9,10 @@
 //! NODE_PROGRAM=/path/to/toucanseam cargo test -p toucanseam --test region_days -- --nocapture
 //! ```
 //!
+//! Two kinds are played only if they are named: `rewind`, in which the store comes back with an older counter
+//! of revisions, and `restore`, in which it comes back from a copy. With `OTHER_PROGRAM`, half of the nodes
+//! run that program.
+//!
 //! `DAY_DELAY` and `DAY_INTERVAL` are in milliseconds, `DAY_LOAD` is in calls each second, `DAY_BUSY`
 //! publishes versions beside the phases, and `DAY_THROTTLED` lets all nodes run for a quarter of the time
 //! only.
@@ -85,6 +89,43 @@
     assert!(violations.is_empty(), "seed {SEED}: {violations:#?}");
 }
 
+/// Guards against nodes that miss a version around a restart of the store's process, with its history or
+/// without.
+#[test]
+fn store_restarts() {
+    start();
+    let phases = [false, true].map(|compact| Phase::Restart {
+        compact,
+        time: Duration::from_millis(2700),
+    });
+    let violations = seam_http::block_on(run_day(SEED, size(), &phases));
+    assert!(violations.is_empty(), "seed {SEED}: {violations:#?}");
+}
+
+fn run_rollback(items: bool) {
+    start();
+    let phases = [Phase::Rollback {
+        items,
+        versions: 3,
+        pause: Duration::from_millis(400),
+        time: Duration::from_secs(1),
+    }];
+    let violations = seam_http::block_on(run_day(SEED, size(), &phases));
+    assert!(violations.is_empty(), "seed {SEED}: {violations:#?}");
+}
+
+/// Guards against nodes that take no version of a store that gives revisions again which they know.
+#[test]
+fn store_counter_back() {
+    run_rollback(true);
+}
+
+/// Guards against nodes that take no version of a store that came back from a copy.
+#[test]
+fn store_copy_back() {
+    run_rollback(false);
+}
+
 #[test]
 #[ignore = "takes minutes; run by hand"]
 fn many_days() {
