--- a/crates/toucanseam/tests/regions/world.rs
+++ b/crates/toucanseam/tests/regions/world.rs
@@ -542,7 +542,7 @@
                 pause,
                 time,
             } => {
-                let backup = self.store.back_up();
+                let (copy, revision) = (self.store.copy(), self.store.revision());
                 for _ in 0..*versions {
                     self.change();
                     self.put_targets();
@@ -551,9 +551,9 @@
                 self.close_store();
                 Timer::after(*time).await;
                 if *items {
-                    self.store.rewind(&backup);
+                    self.store.set_counter(revision);
                 } else {
-                    self.store.restore(backup);
+                    self.store.restore(&copy);
                 }
                 // The first that the store serves is the operator.
                 self.change();
