--- a/crates/toucanseam/tests/region_days.rs
+++ b/crates/toucanseam/tests/region_days.rs
@@ -9,6 +9,10 @@
 //! NODE_PROGRAM=/path/to/toucanseam cargo test -p toucanseam --test region_days -- --nocapture
 //! ```
 //!
+//! Two kinds are played only if they are named: `rewind`, in which the store comes back with an older counter
+//! of revisions, and `restore`, in which it comes back from a copy. With `OTHER_PROGRAM`, half of the nodes
+//! run that program.
+//!
 //! `DAY_DELAY` and `DAY_INTERVAL` are in milliseconds, `DAY_LOAD` is in calls each second, `DAY_BUSY`
 //! publishes versions beside the phases, and `DAY_THROTTLED` lets all nodes run for a quarter of the time
 //! only.
@@ -34,6 +38,7 @@
 }
 
 use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use regions::checks::{Answer, Call, Disturbance, Records, Version};
@@ -66,10 +71,19 @@
     }
 }
 
+/// Runs a day of the seed that CI runs, one at a time, as the processes of several starve each other.
+fn check_day(phases: &[Phase]) {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    start();
+    let running = seam_http::lock(&RUNNING);
+    let violations = seam_http::block_on(run_day(SEED, size(), phases));
+    drop(running);
+    assert!(violations.is_empty(), "seed {SEED}: {violations:#?}");
+}
+
 /// Guards against versions that are not in force in time at each node of three regions.
 #[test]
 fn three_regions() {
-    start();
     let phases = [
         Phase::Change,
         Phase::Storm {
@@ -81,8 +95,40 @@
             pause: Duration::from_millis(100),
         },
     ];
-    let violations = seam_http::block_on(run_day(SEED, size(), &phases));
-    assert!(violations.is_empty(), "seed {SEED}: {violations:#?}");
+    check_day(&phases);
+}
+
+/// Guards against nodes that miss a version around a restart of the store's process, with its history or
+/// without.
+#[test]
+fn store_restarts() {
+    let phases = [false, true].map(|compact| Phase::Restart {
+        compact,
+        time: Duration::from_millis(2700),
+    });
+    check_day(&phases);
+}
+
+fn run_rollback(items: bool) {
+    let phases = [Phase::Rollback {
+        items,
+        versions: 3,
+        pause: Duration::from_millis(400),
+        time: Duration::from_secs(1),
+    }];
+    check_day(&phases);
+}
+
+/// Guards against nodes that take no version of a store that gives revisions again which they know.
+#[test]
+fn store_counter_back() {
+    run_rollback(true);
+}
+
+/// Guards against nodes that take no version of a store that came back from a copy.
+#[test]
+fn store_copy_back() {
+    run_rollback(false);
 }
 
 #[test]
