--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::store_call::{Contradiction, StoreReading, StoreScope};
 use seam_protocol::id::rank;
 use seam_protocol::{Bundle, Delta, Digest, Entry, Inventory, RawItem, TargetId, Time};
 
@@ -19,6 +20,9 @@
 /// Time within which a live target renews its entry after the platform becomes reachable again.
 pub const RENEWAL_WINDOW: Duration = Duration::from_millis(2300);
 
+/// Shortest time between two epochs that this node begins.
+const MIN_EPOCH: Duration = Duration::from_secs(5);
+
 /// Where an item was received from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -109,6 +113,8 @@
     raw: RawItem,
     entry: Option<Entry>,
     received: Time,
+    /// When its revision was received.
+    seen: Time,
     /// Until when the entry of a lapsed item (one whose lease may have expired) stays in use.
     keep_until: Option<Time>,
     /// Boot and sequence number of the last entry of an earlier boot that was not used.
@@ -160,6 +166,12 @@
     /// Whether the platform has ever been reachable from this node.
     ever_reached: bool,
     reachable_since: Option<Time>,
+    /// Number of confirmed contradictions that the items follow from, of this node or of a peer.
+    epoch: u32,
+    /// When this node last raised the epoch.
+    raised: Option<Time>,
+    /// How often the items were replaced.
+    replacements: u32,
 }
 
 impl Catalogue {
@@ -291,7 +303,7 @@
             .map(|item| PublishedItem {
                 item: RawItem {
                     key: item.raw.key.clone(),
-                    revision: batch.revision.max(item.raw.revision.saturating_add(1)),
+                    revision: batch.revision,
                     value: None,
                     lapsed: source == Source::Peer,
                 },
@@ -310,7 +322,11 @@
     ) {
         let PublishedItem { mut item, entry } = published;
         if let Some(current) = self.items.get_mut(&item.key) {
-            if current.raw.revision >= item.revision {
+            // A list may lack an item whose revision it states.
+            let removal = item.value.is_none() && current.raw.value.is_some();
+            if current.raw.revision > item.revision
+                || (current.raw.revision == item.revision && !removal)
+            {
                 return;
             }
             if current.outdates(entry.as_ref()) {
@@ -318,6 +334,7 @@
                 // change.
                 let before = part(&current.raw);
                 current.raw.revision = item.revision;
+                current.seen = now;
                 let after = part(&current.raw);
                 self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
                 let reason = "a newer entry of the same target is known".to_owned();
@@ -374,6 +391,7 @@
             raw: item,
             entry,
             received: now,
+            seen: now,
             keep_until,
             outdated: None,
         };
@@ -383,6 +401,132 @@
         }
     }
 
+    /// Returns the epoch of the items. Revisions of different epochs cannot be compared.
+    #[must_use]
+    pub fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// Adopts the epoch of a peer, for a node that has no items yet.
+    pub(crate) fn adopt_epoch(&mut self, epoch: u32) {
+        self.epoch = epoch;
+    }
+
+    /// Returns how often the items were replaced.
+    pub(crate) fn replacements(&self) -> u32 {
+        self.replacements
+    }
+
+    /// Returns whether an item is known, with its revision and value.
+    pub(crate) fn knows(&self, item: &RawItem) -> bool {
+        let known = self.items.get(&item.key);
+        known.is_some_and(|known| {
+            known.raw.revision == item.revision && known.raw.value == item.value
+        })
+    }
+
+    /// Returns the usable configuration of a key, with the revision of its item.
+    pub(crate) fn config(&self, key: &str) -> Option<(u64, Arc<Bundle>)> {
+        let item = self.items.get(key)?;
+        match &item.entry {
+            Some(Entry::Config(config)) => Some((item.raw.revision, config.clone())),
+            _ => None,
+        }
+    }
+
+    /// Returns how an answer of the store contradicts what was known when the call began.
+    pub(crate) fn contradiction(&self, reading: &StoreReading) -> Option<Contradiction> {
+        let StoreReading { call, scope, .. } = reading;
+        let against = |known, stated| Some(Contradiction { known, stated });
+        if let Some(stated) = reading.stated.filter(|stated| *stated < call.claim) {
+            return against(call.claim, stated);
+        }
+        if *scope == StoreScope::Changes {
+            return None;
+        }
+        for PublishedItem { item, entry } in &reading.batch.items {
+            let known = self.items.get(&item.key);
+            let Some(known) = known.filter(|known| known.seen < call.begun) else {
+                continue;
+            };
+            let target = matches!(entry, Some(Entry::Target(_)));
+            let differs =
+                known.raw.revision == item.revision && known.raw.value != item.value && !target;
+            if known.raw.revision > item.revision || differs {
+                return against(known.raw.revision, item.revision);
+            }
+        }
+        let stated = reading.stated.filter(|_| *scope == StoreScope::All)?;
+        let beyond = |item: &&Item| item.seen < call.begun && item.raw.revision > stated;
+        let beyond = self.items.values().find(beyond)?;
+        against(beyond.raw.revision, stated)
+    }
+
+    /// Replaces all items by a complete list, except those received after the read `begun`, and adopts
+    /// `epoch` or, if that is no higher, raises its own.
+    pub(crate) fn replace(
+        &mut self,
+        now: Time,
+        batch: ItemBatch,
+        begun: Time,
+        epoch: u32,
+    ) -> MergeResult {
+        let leases_uncertain = self.leases_uncertain(now);
+        let mut merged = MergeResult::default();
+        let mut batch = batch;
+        let listed: BTreeMap<&str, &RawItem> = batch
+            .items
+            .iter()
+            .map(|published| (published.item.key.as_str(), &published.item))
+            .collect();
+        let mut removals = Vec::new();
+        for (key, item) in &mut self.items {
+            if item.seen >= begun {
+                continue;
+            }
+            let same = listed.get(key.as_str()).is_some_and(|listed| {
+                listed.revision == item.raw.revision && listed.value == item.raw.value
+            });
+            if !same {
+                item.raw.revision = 0;
+            }
+            if !listed.contains_key(key.as_str()) && item.raw.value.is_some() && batch.full {
+                removals.push(key.clone());
+            }
+        }
+        self.items.retain(|_, item| {
+            item.raw.value.is_some() || item.keep_until.is_some() || item.raw.revision > 0
+        });
+        let removals = removals.into_iter().map(|key| PublishedItem {
+            item: RawItem {
+                key,
+                revision: batch.revision,
+                value: None,
+                lapsed: false,
+            },
+            entry: None,
+        });
+        batch.items.extend(removals);
+        for published in batch.items {
+            self.merge_item(now, published, leases_uncertain, &mut merged);
+        }
+        self.revision = batch.revision;
+        self.dropped_revision = batch.revision;
+        let digests = self.items.values().map(|item| part(&item.raw));
+        self.digest = digests.fold(0, u32::wrapping_add);
+        self.replacements += 1;
+        let raised = self
+            .raised
+            .is_some_and(|raised| now.since(raised) < MIN_EPOCH);
+        if epoch > self.epoch {
+            self.epoch = epoch;
+        } else if !raised {
+            self.epoch = self.epoch.saturating_add(1);
+            self.raised = Some(now);
+        }
+        merged
+    }
+
     /// Drops lapsed entries and old removals. Returns whether targets changed.
     pub fn expire(&mut self, now: Time) -> bool {
         let mut changed = false;
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -14,6 +14,7 @@
 use crate::placement::Order;
 use crate::refusal::Refusal;
 use crate::spill::RoutingDecision;
+use crate::store_call::StoreChange;
 use crate::targets::TargetEstimate;
 
 /// How a node found the version that began a stream.
@@ -242,6 +243,8 @@
     LogConfig(ConfigChange),
     /// Log that another node has other items than this one at the same revision.
     LogDifference(ItemDifference),
+    /// Log what the store's answers say about what this node knew.
+    LogStore(StoreChange),
     /// Append an entry to the audit trail.
     Audit(Audit),
 }
--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -198,6 +198,13 @@
     pub read_age_ms: Option<u64>,
     /// Milliseconds since this node last knew all that the platform, or a node that reaches it, had.
     pub current_age_ms: Option<u64>,
+    /// Milliseconds since the call began by which the store last showed that the item in force is the present
+    /// one, if it did.
+    pub confirmed_age_ms: Option<u64>,
+    /// Revision that the store stated last, if it did.
+    pub store_revision: Option<u64>,
+    /// Number of confirmed contradictions between the store and what nodes remembered.
+    pub epoch: u32,
     /// Versions that were read and not taken, by reason.
     pub not_taken: BTreeMap<NotTaken, u64>,
 }
@@ -219,6 +226,8 @@
     /// When this node last knew every item that it heard of from the platform itself or from a node
     /// that reaches the platform.
     current: Option<Time>,
+    /// When the call began by which the store last showed the item in force.
+    pub(crate) confirmed: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -320,6 +329,27 @@
             })
     }
 
+    /// Records that a call to the store that began at a time showed the item in force.
+    pub(crate) fn confirm(&mut self, begun: Time) {
+        self.confirmed = self.confirmed.max(Some(begun));
+    }
+
+    /// Forgets what refers to revisions of items that were replaced, up to a revision.
+    pub(crate) fn reset(&mut self, revision: u64) {
+        self.heard = None;
+        self.heard_items = 0;
+        self.read = None;
+        self.unusable = 0;
+        self.differing.clear();
+        self.rebase(self.version.item_revision.min(revision));
+    }
+
+    /// Sets the revision of the item that contains the version in force.
+    pub(crate) fn rebase(&mut self, item_revision: u64) {
+        self.version.item_revision = item_revision;
+        self.meaning.item_revision = item_revision;
+    }
+
     /// Records that the platform was read.
     pub(crate) fn note_current(&mut self, now: Time) {
         self.current = Some(now);
@@ -337,6 +367,9 @@
             heard_items: self.heard_items,
             read_age_ms: read.map(millis),
             current_age_ms: self.current.map(millis),
+            confirmed_age_ms: self.confirmed.map(millis),
+            store_revision: None,
+            epoch: 0,
             not_taken: self.not_taken.clone(),
         }
     }
@@ -355,6 +388,7 @@
             item_revision,
             taken: now,
         };
+        self.confirmed = None;
         self.meaning = ConfigMeaning::of(item_revision, new);
         self.refused_routes = new.routes.refused();
         self.differing.clear();
--- a/crates/seam-core/src/event.rs
+++ b/crates/seam-core/src/event.rs
@@ -12,6 +12,7 @@
 use crate::catalogue::{ItemBatch, Source};
 use crate::handle::{AttemptKey, Ticket};
 use crate::refusal::Refusal;
+use crate::store_call::StoreReading;
 
 /// How an attempt at a target or another node ended.
 #[derive(Clone, Debug)]
@@ -85,6 +86,19 @@
     RevisionConfirmed(u64),
     /// Items were read from the platform or received from a peer.
     ItemsRead(ItemBatch, Source),
+    /// The store answered a call.
+    StoreRead(StoreReading),
+    /// Items were fetched from a peer.
+    ItemsFetched {
+        /// The peer.
+        from: VmId,
+        /// Epoch of its items.
+        epoch: u32,
+        /// The items.
+        items: ItemBatch,
+        /// How to merge them.
+        source: Source,
+    },
     /// Items could not be fetched from this peer.
     ItemsNotRead(VmId),
     /// The platform became unreachable (`true`) or reachable again (`false`).
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -22,6 +22,7 @@
 mod streams;
 mod summaries;
 mod tick;
+mod verification;
 mod work_update;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -222,6 +223,7 @@
     pub(crate) item_fetches: ItemFetches,
     pub(crate) item_differences: ItemDifferences,
     pub(crate) item_exchanges: ItemExchanges,
+    pub(crate) verification: verification::Verification,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -317,6 +319,7 @@
             item_fetches: ItemFetches::default(),
             item_differences: ItemDifferences::default(),
             item_exchanges: ItemExchanges::default(),
+            verification: verification::Verification::default(),
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
@@ -397,6 +400,13 @@
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
             Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
+            Event::StoreRead(reading) => self.read_store(now, reading, out),
+            Event::ItemsFetched {
+                from,
+                epoch,
+                items,
+                source,
+            } => self.read_peer(now, (from, epoch), (items, source), out),
             Event::ItemsNotRead(from) => self.fetch_elsewhere(now, from, out),
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
--- a/crates/seam-core/src/node/item_fetches.rs
+++ b/crates/seam-core/src/node/item_fetches.rs
@@ -60,6 +60,12 @@
         within(self.failed.get(&peer).copied(), now, FETCH_TIMEOUT)
     }
 
+    /// Returns when the fetch from a peer began that is pending.
+    pub(crate) fn begun_with(&self, peer: VmId) -> Option<Time> {
+        let (from, begun) = self.pending?;
+        (from == peer).then_some(begun)
+    }
+
     /// Notes that a fetch begins.
     pub(crate) fn begin(&mut self, now: Time, from: VmId) {
         self.pending = Some((from, now));
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -49,16 +49,33 @@
         for region in &effect.returned {
             self.spill.note_return(now, *region);
         }
-        let newest = heartbeat.records.iter().map(|record| record.revision).max();
+        let comparable = self.compare_epochs(now, heartbeat, out);
+        if !comparable {
+            self.peers.forget_items_of(heartbeat.from);
+        }
+        let revisions = heartbeat.records.iter().map(|record| record.revision);
+        // Records of others may come from nodes that were not corrected yet.
+        let newest = match (comparable, self.catalogue.epoch()) {
+            (true, 0) => revisions.max(),
+            (true, _) => revisions.take(1).max(),
+            (false, _) => None,
+        };
         let newest = newest.unwrap_or(0);
         let own_revision = self.bundle.as_ref().map_or(0, |bundle| bundle.revision);
         let confirmed = effect.echo.filter(|_| newest <= own_revision);
         if (confirmed.is_some() && !self.freshness.fresh()) || self.alone_since.is_some() {
-            let unread = (heartbeat.items_revision, confirmed.unwrap_or_default());
+            let items = if comparable {
+                heartbeat.items_revision
+            } else {
+                0
+            };
+            let unread = (items, confirmed.unwrap_or_default());
             self.unread_items = self.unread_items.max(Some(unread));
             self.confirm_freshness();
         }
-        if self.roster.is_some() {
+        if self.roster.is_some() && !comparable {
+            // Its items have other revisions than those here.
+        } else if self.roster.is_some() {
             let items = (self.catalogue.revision(), heartbeat.items_revision);
             let reaches = heartbeat.platform_reachable;
             self.config_view.note_items(now, items, reaches);
@@ -503,6 +520,7 @@
         if let Some(roster) = &mut self.roster {
             heartbeat.vms = roster.shared_vms(now, new_node);
             heartbeat.items_revision = self.catalogue.revision();
+            heartbeat.items_epoch = self.catalogue.epoch();
         }
     }
 
@@ -529,6 +547,7 @@
             heartbeat.echo = peer.sent;
         }
         heartbeat.items_revision = self.catalogue.revision();
+        heartbeat.items_epoch = self.catalogue.epoch();
         heartbeat.items_digest = (heartbeat.items_revision > 0).then(|| self.catalogue.digest());
         heartbeat.platform_reachable = self.catalogue.platform_reachable();
         heartbeat.quarantine.digest = self.poison.digest();
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -10,7 +10,7 @@
 use super::Node;
 use super::item_differences::{DIFFERENCE_LIMIT, ItemState};
 use crate::audit::Change;
-use crate::catalogue::{ItemBatch, Source};
+use crate::catalogue::{ItemBatch, MergeResult, Source};
 use crate::command::{Command, ItemDifference};
 use crate::config_version::NotTaken;
 use crate::roster::Roster;
@@ -57,6 +57,11 @@
             .count()
     }
 
+    /// Returns whether this node is the first of its region to watch the platform.
+    pub(super) fn first_watcher(&self, now: Time) -> bool {
+        self.higher_ranked(now) == 0
+    }
+
     /// Returns whether this node has heard of changed items some time ago without receiving them. If it
     /// watches the platform, its connection may have fallen silent.
     ///
@@ -104,6 +109,25 @@
         let exchanged = source == Source::Exchange;
         let merged = self.catalogue.merge(now, items, source);
         self.item_fetches.receive(self.catalogue.revision());
+        self.apply_merged(now, merged, source, out);
+        let changed = exchanged && self.catalogue.digest() != old_digest;
+        if changed {
+            self.item_exchanges.hasten();
+        }
+        if changed || self.catalogue.revision() > old_revision {
+            self.confirm_freshness();
+            self.send_urgent_heartbeats(now, out);
+        }
+    }
+
+    /// Applies what a merge changed.
+    pub(super) fn apply_merged(
+        &mut self,
+        now: Time,
+        merged: MergeResult,
+        source: Source,
+        out: &mut Vec<Command>,
+    ) {
         for item in &merged.unusable {
             let cause = format!("the item cannot be used: {}", item.reason);
             out.push(self.audit(now, Change::Item, &item.key, ("", "ignored"), cause));
@@ -145,32 +169,39 @@
         }
         let configured = config.is_some();
         if let Some((item_revision, config)) = config {
-            let before = self.base_config.as_ref().map_or(0, |base| base.revision);
-            out.push(self.audit(
-                now,
-                Change::Revision,
-                "configuration",
-                (before.to_string(), config.revision.to_string()),
-                format!("newer revision by {source:?}"),
-            ));
-            let old = self.base_config.replace(config.clone());
-            let old = old.unwrap_or_else(|| config.clone());
-            let change = self
-                .config_view
-                .take(now, (&old, &config), item_revision, source);
-            out.push(Command::LogConfig(change));
+            self.enforce_config(now, (item_revision, config), source, out);
         }
         if configured || merged.inventory_changed {
             self.rebuild_bundle(now, out);
         }
-        let changed = exchanged && self.catalogue.digest() != old_digest;
-        if changed {
-            self.item_exchanges.hasten();
-        }
-        if changed || self.catalogue.revision() > old_revision {
-            self.confirm_freshness();
-            self.send_urgent_heartbeats(now, out);
+    }
+
+    /// Puts a configuration in force, whatever its revisions.
+    pub(super) fn enforce_config(
+        &mut self,
+        now: Time,
+        (item_revision, config): (u64, Arc<Bundle>),
+        source: Source,
+        out: &mut Vec<Command>,
+    ) {
+        if self.base_config.as_ref() == Some(&config) {
+            self.config_view.rebase(item_revision);
+            return;
         }
+        let before = self.base_config.as_ref().map_or(0, |base| base.revision);
+        out.push(self.audit(
+            now,
+            Change::Revision,
+            "configuration",
+            (before.to_string(), config.revision.to_string()),
+            format!("newer revision by {source:?}"),
+        ));
+        let old = self.base_config.replace(config.clone());
+        let old = old.unwrap_or_else(|| config.clone());
+        let change = self
+            .config_view
+            .take(now, (&old, &config), item_revision, source);
+        out.push(Command::LogConfig(change));
     }
 
     /// Notes since when this node hears from no other one, and audits whether it is out of step.
@@ -429,7 +460,7 @@
         }
     }
 
-    fn fetch_items(
+    pub(super) fn fetch_items(
         &mut self,
         now: Time,
         from: VmId,
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -86,6 +86,7 @@
             self.rebuild_bundle(now, out);
         }
         self.review_differences(now, out);
+        self.review_silence(now, out);
         self.keys.expire(now);
         self.record_open_answers(now, out);
         self.poison.expire(now);
@@ -116,6 +117,7 @@
     /// Drops all state received from peers after a pause of the process, since it may be outdated.
     pub(super) fn resume_after_pause(&mut self, now: Time, gap: Duration, out: &mut Vec<Command>) {
         self.counters.pauses += 1;
+        self.restart_silence(now);
         self.peers.clear(now);
         self.placement.drop_leadership();
         self.limits.forget_borrowed();
--- /dev/null
+++ b/crates/seam-core/src/node/verification.rs
@@ -0,0 +1,383 @@
+//! What the store says now outranks what this node remembers: reads that verify it, and what follows from a
+//! contradiction.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use seam_protocol::{Heartbeat, RawItem, Time, VmId};
+
+use super::Node;
+use crate::catalogue::{ItemBatch, MergeResult, Source};
+use crate::command::Command;
+use crate::store_call::{
+    Contradiction, StoreCall, StoreChange, StoreReading, StoreScope, key_interval,
+};
+
+/// Largest region in which every node verifies its configuration.
+const SMALL_REGION: usize = 8;
+/// Nodes of a larger region that verify it all the time.
+const VERIFIER_COUNT: usize = 4;
+/// Hash seed of their ranking.
+const VERIFY_SEED: u64 = 0x7665_7269;
+/// Time after which a node verifies that did not do so all the time.
+const CONFIRMATION_LIFETIME: Duration = Duration::from_secs(30);
+/// Longest time until a read that failed is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reads of all items by the first watcher of a region, before jitter.
+const LIST_INTERVAL: Duration = Duration::from_secs(20);
+/// Shortest time between two reads of all items because of a contradiction. It doubles with each that did not
+/// confirm one.
+const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without any answer after which the store does not count as reachable.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// A contradiction that a read of all items is to confirm.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    since: Time,
+    /// The epoch of a peer, which replaced its items.
+    epoch: u32,
+}
+
+/// State of the reads that verify what this node knows.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Verification {
+    /// When the next read of the configuration's item begins.
+    next_key: Time,
+    /// When the next read of all items begins.
+    next_list: Option<Time>,
+    doubt: Option<Doubt>,
+    /// When a read of all items last began because of a doubt.
+    listed: Option<Time>,
+    /// Consecutive contradictions that were not confirmed.
+    unconfirmed: u32,
+    /// Size of the configuration's item.
+    bytes: usize,
+    /// The store's revision, and when the call began that states it.
+    stated: Option<(u64, Time)>,
+    /// Whether the store was seen to have no configuration.
+    absent: bool,
+    /// When the first call since the last answer began.
+    asked: Option<Time>,
+    silent: bool,
+}
+
+impl Node {
+    /// Notes that a call to the store begins.
+    pub fn begin_store_call(&mut self, now: Time) -> StoreCall {
+        self.verification.asked.get_or_insert(now);
+        StoreCall {
+            begun: now,
+            claim: self.catalogue.revision(),
+            replacements: self.catalogue.replacements(),
+        }
+    }
+
+    /// Returns the store's revision, as it stated it last.
+    #[must_use]
+    pub fn store_revision(&self) -> Option<u64> {
+        self.verification.stated.map(|(revision, _)| revision)
+    }
+
+    /// Returns the time since the call began by which the store last showed that the item of the configuration
+    /// in force is the present one.
+    #[must_use]
+    pub fn config_confirmed(&self, now: Time) -> Option<Duration> {
+        self.config_view
+            .confirmed
+            .map(|confirmed| now.since(confirmed))
+    }
+
+    /// Returns the number of confirmed contradictions that the view of this node follows from.
+    #[must_use]
+    pub fn items_epoch(&self) -> u32 {
+        self.catalogue.epoch()
+    }
+
+    /// Returns how often the items were replaced by the store's or by those of a corrected peer.
+    #[must_use]
+    pub fn items_replacements(&self) -> u32 {
+        self.catalogue.replacements()
+    }
+
+    /// Returns whether this node verifies the configuration in force by the store: in small regions every node
+    /// does so, in others a few, and those that have reason to doubt.
+    #[must_use]
+    pub fn verifies_config(&self, now: Time) -> bool {
+        let rank_of = |vm: VmId| seam_protocol::id::rank(VERIFY_SEED, u64::from(vm.0));
+        let own_rank = rank_of(self.id.vm);
+        let live: Vec<_> = self.peers.live_in(now, self.id.region).collect();
+        let before = live
+            .iter()
+            .filter(|(vm, peer)| peer.platform_reachable && rank_of(*vm) > own_rank);
+        live.len() < SMALL_REGION
+            || self.verification.silent
+            || before.count() < VERIFIER_COUNT
+            || self.config_view.behind()
+            || self.lags(now)
+            || self
+                .config_confirmed(now)
+                .is_none_or(|age| age >= CONFIRMATION_LIFETIME)
+    }
+
+    /// Returns the read of the store that is due, which begins now.
+    ///
+    /// Reads do not wait for earlier ones.
+    pub fn due_read(&mut self, now: Time) -> Option<(StoreScope, StoreCall)> {
+        if !self.catalogue.platform_reachable() && !self.verification.silent {
+            return None;
+        }
+        if self.list_due(now) {
+            let fraction = self.rng.random_range(0.75..1.25);
+            let verification = &mut self.verification;
+            verification.next_list = Some(now + LIST_INTERVAL.mul_f64(fraction));
+            if verification.doubt.is_some() {
+                verification.listed = Some(now);
+            }
+            return Some((StoreScope::All, self.begin_store_call(now)));
+        }
+        if self.verification.next_key > now || !self.configured() || !self.verifies_config(now) {
+            return None;
+        }
+        let fraction = self.rng.random_range(0.0..1.0);
+        self.verification.next_key = now + key_interval(self.verification.bytes, fraction);
+        Some((StoreScope::Config, self.begin_store_call(now)))
+    }
+
+    /// Returns whether to read all items: because of a doubt, or as the first watcher of the region now and
+    /// then.
+    fn list_due(&mut self, now: Time) -> bool {
+        if self.verification.doubt.is_some() {
+            let factor = 2_u32.pow(self.verification.unconfirmed.min(3));
+            let interval = DOUBT_INTERVAL * factor;
+            let listed = self.verification.listed;
+            return listed.is_none_or(|listed| now.since(listed) >= interval);
+        }
+        if !self.first_watcher(now) {
+            self.verification.next_list = None;
+            return false;
+        }
+        *self
+            .verification
+            .next_list
+            .get_or_insert(now + LIST_INTERVAL)
+            <= now
+    }
+
+    /// Notes that a read which verifies what this node knows failed.
+    pub fn note_failed_read(&mut self, now: Time) {
+        let next = self.verification.next_key;
+        self.verification.next_key = next.min(now + RETRY_INTERVAL);
+    }
+
+    /// Notes that the store has not answered any call for some time, so that others read it.
+    pub(super) fn review_silence(&mut self, now: Time, out: &mut Vec<Command>) {
+        let Some(asked) = self.verification.asked else {
+            return;
+        };
+        let silence = now.since(asked);
+        if silence >= SILENCE_LIMIT && self.catalogue.platform_reachable() {
+            self.verification.silent = true;
+            self.set_platform_unreachable(now, true, out);
+            out.push(Command::LogStore(StoreChange::Silent(silence)));
+        }
+    }
+
+    /// Begins to wait for answers again, after a pause of the process.
+    pub(super) fn restart_silence(&mut self, now: Time) {
+        self.verification.asked = self.verification.asked.map(|_| now);
+    }
+
+    /// Returns whether this node knows an item as it is, so that it need not be parsed again.
+    #[must_use]
+    pub fn knows_item(&self, item: &RawItem) -> bool {
+        self.catalogue.knows(item)
+    }
+
+    /// Handles the answer to a call to the store.
+    pub(super) fn read_store(&mut self, now: Time, reading: StoreReading, out: &mut Vec<Command>) {
+        let StoreReading { call, scope, .. } = reading;
+        self.verification.asked = None;
+        if std::mem::take(&mut self.verification.silent) {
+            self.set_platform_unreachable(now, false, out);
+        }
+        // The answer follows from what this node remembered before it was corrected.
+        if call.replacements != self.catalogue.replacements() {
+            return;
+        }
+        let later = |(_, begun): &(u64, Time)| *begun > call.begun;
+        if let Some(stated) = reading.stated
+            && !self.verification.stated.as_ref().is_some_and(later)
+        {
+            self.verification.stated = Some((stated, call.begun));
+        }
+        let contradiction = self.catalogue.contradiction(&reading);
+        let answered = |doubt: &Doubt| scope == StoreScope::All && call.begun >= doubt.since;
+        if let Some(doubt) = self.verification.doubt.take_if(|doubt| answered(doubt)) {
+            if contradiction.is_some() || doubt.epoch > self.catalogue.epoch() {
+                self.verification.unconfirmed = 0;
+                self.replace_items(now, call, reading.batch, doubt.epoch, out);
+                return;
+            }
+            self.verification.unconfirmed += 1;
+        } else if let Some(contradiction) = contradiction {
+            self.doubt(now, contradiction, out);
+        }
+        let config = self.catalogue_config(&reading.batch);
+        let absent = scope == StoreScope::Config && reading.batch.items.is_empty();
+        if absent && !std::mem::replace(&mut self.verification.absent, absent) {
+            out.push(Command::LogStore(StoreChange::NoConfig));
+        }
+        self.merge_items(now, reading.batch, Source::Platform, out);
+        let Some((key, revision, bytes)) = config else {
+            return;
+        };
+        self.verification.bytes = bytes;
+        self.verification.absent = false;
+        let shown = self.catalogue.config(&key);
+        let Some((_, config)) = shown.filter(|(known, _)| *known == revision) else {
+            return;
+        };
+        // The store shows the item now, so what is in force instead is not what it has.
+        let earlier = self.config_view.version.taken < call.begun;
+        if scope == StoreScope::Config && earlier && self.base_config.as_ref() != Some(&config) {
+            self.enforce_config(now, (revision, config), Source::Platform, out);
+            self.rebuild_bundle(now, out);
+            self.send_urgent_heartbeats(now, out);
+        } else if scope != StoreScope::Changes && self.base_config.as_ref() == Some(&config) {
+            self.config_view.confirm(call.begun);
+        }
+    }
+
+    /// Returns the key, revision and size of the configuration's item in a batch.
+    fn catalogue_config(&self, batch: &ItemBatch) -> Option<(String, u64, usize)> {
+        let mut items = batch.items.iter();
+        items.find_map(|published| {
+            let item = &published.item;
+            let config = matches!(published.entry, Some(seam_protocol::Entry::Config(_)))
+                || self.config_view.is_key(&item.key);
+            let bytes = item.value.as_ref().filter(|_| config)?.len();
+            Some((item.key.clone(), item.revision, bytes))
+        })
+    }
+
+    /// Has all items read, since an answer contradicts what this node knows.
+    fn doubt(&mut self, now: Time, contradiction: Contradiction, out: &mut Vec<Command>) {
+        if self.verification.doubt.is_some() {
+            return;
+        }
+        self.verification.doubt = Some(Doubt {
+            since: now,
+            epoch: 0,
+        });
+        out.push(Command::LogStore(StoreChange::Contradicted(contradiction)));
+    }
+
+    /// Replaces all items by those of the store, or of a peer, and resets what refers to the earlier ones.
+    fn replace_items(
+        &mut self,
+        now: Time,
+        call: StoreCall,
+        batch: ItemBatch,
+        epoch: u32,
+        out: &mut Vec<Command>,
+    ) {
+        let before = self.catalogue.revision();
+        let config = self.catalogue_config(&batch);
+        let merged = self.catalogue.replace(now, batch, call.begun, epoch);
+        let (revision, epoch) = (self.catalogue.revision(), self.catalogue.epoch());
+        out.push(Command::LogStore(StoreChange::Replaced {
+            before,
+            revision,
+            epoch,
+        }));
+        self.item_fetches = super::ItemFetches::default();
+        self.item_differences = super::ItemDifferences::default();
+        self.item_exchanges = super::ItemExchanges::default();
+        self.verification.doubt = None;
+        self.unread_items = None;
+        self.peers.forget_items();
+        self.config_view.reset(revision);
+        let merged = MergeResult {
+            config: None,
+            ..merged
+        };
+        self.apply_merged(now, merged, Source::Platform, out);
+        let listed = config.and_then(|(key, ..)| self.catalogue.config(&key));
+        if let Some(config) = listed {
+            self.enforce_config(now, config, Source::Platform, out);
+            self.config_view.confirm(call.begun);
+        }
+        self.rebuild_bundle(now, out);
+        self.send_urgent_heartbeats(now, out);
+    }
+
+    /// Handles the epoch of a peer's items. Returns whether its items count at this node.
+    pub(super) fn compare_epochs(
+        &mut self,
+        now: Time,
+        heartbeat: &Heartbeat,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let own = self.catalogue.epoch();
+        if heartbeat.items_epoch > own && self.roster.is_some() {
+            if self.catalogue.revision() == 0 {
+                self.catalogue.adopt_epoch(heartbeat.items_epoch);
+                return true;
+            }
+            if self.reads_itself(now) {
+                self.follow_epoch(now, heartbeat.items_epoch);
+            } else if heartbeat.items_revision > 0
+                && self.item_fetches.due(now, heartbeat.from, false)
+            {
+                self.fetch_items(now, heartbeat.from, (0, Source::Peer), out);
+            }
+        }
+        heartbeat.items_epoch == own
+    }
+
+    /// Returns whether this node reads the store itself to correct its items, and does not fetch them.
+    fn reads_itself(&self, now: Time) -> bool {
+        self.catalogue.platform_reachable() && self.verifies_config(now)
+    }
+
+    /// Has a node that verifies its configuration read all items, since a peer replaced its own.
+    fn follow_epoch(&mut self, now: Time, epoch: u32) {
+        let doubt = self
+            .verification
+            .doubt
+            .get_or_insert(Doubt { since: now, epoch });
+        doubt.epoch = doubt.epoch.max(epoch);
+    }
+
+    /// Handles items that were fetched from a peer in an epoch.
+    pub(super) fn read_peer(
+        &mut self,
+        now: Time,
+        (from, epoch): (VmId, u32),
+        (items, source): (ItemBatch, Source),
+        out: &mut Vec<Command>,
+    ) {
+        let own = self.catalogue.epoch();
+        if epoch == own {
+            self.merge_items(now, items, source, out);
+            return;
+        }
+        if epoch > own && self.catalogue.revision() == 0 {
+            self.catalogue.adopt_epoch(epoch);
+            self.merge_items(now, items, source, out);
+            return;
+        }
+        let begun = self.item_fetches.begun_with(from);
+        if epoch > own && items.full && !self.reads_itself(now) {
+            let call = StoreCall {
+                begun: begun.unwrap_or(now),
+                ..StoreCall::default()
+            };
+            self.replace_items(now, call, items, epoch, out);
+            self.config_view.confirmed = None;
+        } else {
+            self.item_fetches.fail(now, from);
+        }
+    }
+}
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -42,6 +42,8 @@
     pub platform_reachable: bool,
     /// Item revision that the node reported last.
     pub items_revision: u64,
+    /// Epoch of its items.
+    pub items_epoch: u32,
 }
 
 /// The known state of another region.
@@ -152,6 +154,7 @@
             peer.direct_incarnation = own.incarnation;
             peer.platform_reachable = heartbeat.platform_reachable;
             peer.items_revision = heartbeat.items_revision;
+            peer.items_epoch = heartbeat.items_epoch;
         }
         if heartbeat.receiver_incarnation == me.1 {
             effect.echo = Some(Time(heartbeat.echo));
@@ -187,6 +190,7 @@
                     direct_incarnation: Incarnation(0),
                     platform_reachable: false,
                     items_revision: 0,
+                    items_epoch: 0,
                 },
             );
             return true;
@@ -289,6 +293,20 @@
             .map(|(vm, peer)| (*vm, peer))
     }
 
+    /// Forgets which items nodes reported, and which configurations those that are not corrected have.
+    pub fn forget_items(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.items_revision = 0;
+        }
+    }
+
+    /// Forgets which items a node reported.
+    pub fn forget_items_of(&mut self, vm: VmId) {
+        if let Some(peer) = self.peers.get_mut(&vm) {
+            peer.items_revision = 0;
+        }
+    }
+
     /// Returns the live nodes that have a newer item revision.
     pub fn ahead(&self, now: Time, revision: u64) -> impl Iterator<Item = (VmId, &Peer)> + '_ {
         self.peers
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -131,7 +131,11 @@
             fresh: self.freshness.fresh(),
             draining: self.drain_since.is_some(),
             revision: self.bundle.as_ref().map_or(0, |bundle| bundle.revision),
-            config: self.config_view.status(now, self.platform_read),
+            config: ConfigStatus {
+                store_revision: self.store_revision(),
+                epoch: self.items_epoch(),
+                ..self.config_view.status(now, self.platform_read)
+            },
             digest: self
                 .bundle
                 .as_ref()
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -8,7 +8,7 @@
 use seam_core::prompt::Part;
 use seam_core::{
     Arrival, AttemptKey, AttemptOutcome, Command, Event, Identity, ItemBatch, Node, Origin, Prompt,
-    PublishedItem, Refusal, RouteRules, Source, Ticket,
+    PublishedItem, Refusal, RouteRules, Source, StoreCall, StoreReading, StoreScope, Ticket,
 };
 use seam_protocol::bundle::{Capacity, Deployment, Region};
 use seam_protocol::route::{Share, routed_service};
@@ -317,8 +317,17 @@
                         self.handle(index, Event::ItemsNotRead(peer));
                         continue;
                     }
-                    let batch = self.items_since(from, since);
-                    self.handle(index, Event::ItemsRead(batch, source));
+                    let epoch = self.nodes[from].items_epoch();
+                    let comparable = epoch == self.nodes[index].items_epoch();
+                    let items = self.items_since(from, if comparable { since } else { 0 });
+                    let from = VmId::of(&format!("vm-{from}"));
+                    let fetched = Event::ItemsFetched {
+                        from,
+                        epoch,
+                        items,
+                        source,
+                    };
+                    self.handle(index, fetched);
                 }
                 command => self.commands.push((index, command)),
             }
@@ -371,7 +380,31 @@
     }
 
     /// Delivers a batch of the platform's items to a node.
-    pub fn publish_batch(&mut self, index: usize, mut batch: ItemBatch) {
+    pub fn publish_batch(&mut self, index: usize, batch: ItemBatch) {
+        let batch = self.with_entries(batch);
+        self.handle(index, Event::ItemsRead(batch, Source::Platform));
+    }
+
+    /// Delivers the answer to a call to the store to a node.
+    pub fn answer(
+        &mut self,
+        index: usize,
+        (scope, call): (StoreScope, StoreCall),
+        batch: ItemBatch,
+        stated: Option<u64>,
+    ) {
+        let batch = self.with_entries(batch);
+        let reading = StoreReading {
+            call,
+            scope,
+            batch,
+            stated,
+        };
+        self.handle(index, Event::StoreRead(reading));
+    }
+
+    /// Adds the regions of this fleet to the configurations of a batch, and notes its entries.
+    fn with_entries(&mut self, mut batch: ItemBatch) -> ItemBatch {
         for PublishedItem { item, entry } in &mut batch.items {
             if let Some(Entry::Config(bundle)) = entry {
                 *bundle = Arc::new(self.with_regions(bundle));
@@ -381,7 +414,7 @@
                 self.published.insert(key, entry.clone());
             }
         }
-        self.handle(index, Event::ItemsRead(batch, Source::Platform));
+        batch
     }
 
     pub fn arrive(&mut self, index: usize, arrival: Arrival) {
--- a/crates/seam-node/src/config_log.rs
+++ b/crates/seam-node/src/config_log.rs
@@ -7,6 +7,7 @@
 use log::kv::Value;
 use seam_core::command::ItemDifference;
 use seam_core::config_version::ConfigChange;
+use seam_core::store_call::StoreChange;
 use seam_protocol::Delta;
 
 use crate::runtime::NodeRuntime;
@@ -44,6 +45,36 @@
     );
 }
 
+/// Logs what the store's answers say about what this node knew.
+pub fn log_store(change: &StoreChange) {
+    match change {
+        StoreChange::Contradicted(contradiction) => log::warn!(
+            target: "config",
+            known = contradiction.known, stated = contradiction.stated;
+            "the store contradicts what is known; reading all items"
+        ),
+        StoreChange::Replaced {
+            before,
+            revision,
+            epoch,
+        } => log::warn!(
+            target: "config",
+            before = before, revision = revision, epoch = epoch;
+            "items replaced"
+        ),
+        StoreChange::NoConfig => log::warn!(
+            target: "config",
+            kept = true;
+            "the store has no configuration"
+        ),
+        StoreChange::Silent(silence) => log::warn!(
+            target: "config",
+            silent_ms = silence.as_millis() as u64;
+            "the store answers no call"
+        ),
+    }
+}
+
 /// Logs what the decision core learned of a version.
 pub fn log_change(change: &ConfigChange) {
     match change {
--- a/crates/seam-node/src/daemon.rs
+++ b/crates/seam-node/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::items;
 use crate::pool;
 use crate::runtime::{Job, NodeRuntime, PlatformAdapter};
+use crate::verification;
 use crate::watch::HttpPlatform;
 use crate::{admin, front, link, peer_server, polls, watch};
 
@@ -199,6 +200,8 @@
                 if let Some(store) = &runtime.items {
                     let follow = items::follow(runtime.clone(), store.clone(), seed);
                     self.tasks.push(spawn(follow));
+                    let verify = verification::verify(runtime.clone(), store.clone());
+                    self.tasks.push(spawn(verify));
                 }
             }
         }
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -51,6 +51,19 @@
     pub delta: Delta,
     /// Whether every element could be read.
     pub complete: bool,
+    /// The store's revision, if the answer states it.
+    pub stated: Option<u64>,
+    /// Whether a part of the answer is from an earlier call, which failed.
+    pub resumed: bool,
+}
+
+/// The item of the configuration, as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigAnswer {
+    /// The item, if it exists.
+    pub item: Option<RawItem>,
+    /// The store's revision, if the answer states it.
+    pub stated: Option<u64>,
 }
 
 /// The result of a watch.
@@ -67,6 +80,12 @@
     /// Reads every item.
     fn read(&self) -> Boxed<Result<StoreAnswer, ItemError>>;
 
+    /// Reads every item, with nothing from an earlier call.
+    fn read_anew(&self) -> Boxed<Result<StoreAnswer, ItemError>>;
+
+    /// Reads the item of the configuration, on a connection of its own.
+    fn read_config(&self) -> Boxed<Result<ConfigAnswer, ItemError>>;
+
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> Boxed<Result<WatchOutcome, ItemError>>;
 
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -11,7 +11,7 @@
 use futures_lite::{FutureExt, future};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_core::{Event, ItemBatch, Source, WatchCursor};
+use seam_core::{Event, ItemBatch, Source, StoreCall, StoreReading, StoreScope, WatchCursor};
 use seam_http::lock;
 use seam_protocol::{Delta, Entry, VmId};
 
@@ -37,14 +37,37 @@
 /// items.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Passes changed items to the decision core. `from` is the peer that sent them.
-pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
-    let Some(store) = &runtime.items else {
-        return;
-    };
+/// Passes the answer to a call to the store to the decision core.
+pub fn apply_answer(
+    runtime: &NodeRuntime,
+    delta: Delta,
+    (scope, call): (StoreScope, StoreCall),
+    stated: Option<u64>,
+) {
+    if let Some(batch) = read_batch(runtime, delta, None) {
+        runtime.handle(Event::StoreRead(StoreReading {
+            call,
+            scope,
+            batch,
+            stated,
+        }));
+    }
+}
+
+/// Parses items. `from` is the peer that sent them.
+fn read_batch(runtime: &NodeRuntime, delta: Delta, from: Option<SocketAddr>) -> Option<ItemBatch> {
+    let store = runtime.items.as_ref()?;
     config_log::note_read(runtime, store.config_key(), &delta, from);
     let in_force = runtime.read(|node, _| node.bundle().map(|bundle| bundle.digest));
-    let batch = ItemBatch::read(delta, |item| {
+    let known: Vec<bool> = runtime.read(|node, _| {
+        let items = delta.items.iter();
+        items.map(|item| node.knows_item(item)).collect()
+    });
+    let mut known = known.into_iter();
+    Some(ItemBatch::read(delta, |item| {
+        if known.next() == Some(true) {
+            return None;
+        }
         let parsed = store.parse_entry(item)?;
         if let Entry::Config(config) = &parsed.entry
             && in_force != Some(config.digest)
@@ -52,8 +75,7 @@
             warn_unread(runtime, config.revision, &parsed.warnings);
         }
         Some(parsed.entry)
-    });
-    runtime.handle(Event::ItemsRead(batch, source));
+    }))
 }
 
 /// Logs and counts the values of a configuration that are not used as written.
@@ -83,24 +105,46 @@
     let mut cursor = WatchCursor::default();
     // Where the watches after a read of all items begin, until they reach the revision that the list states.
     let mut list_start: Option<(u64, u64)> = None;
+    let mut replacements = 0;
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
             list_start = None;
             Timer::after(WATCH_CHECK_INTERVAL).await;
             continue;
         }
-        let known = runtime.read(|node, _| node.items_revision());
+        let store_call = runtime.update(seam_core::Node::begin_store_call);
+        if replacements != store_call.replacements {
+            replacements = store_call.replacements;
+            (cursor, list_start) = (WatchCursor::default(), None);
+        }
+        let known = store_call.claim;
         let after = list_start.map_or(known, |(start, _)| start);
         let call = if read_all { "read" } else { "watch" };
         let start = runtime.now();
-        let changes = if read_all {
-            store.read().await.map(WatchOutcome::Changes)
+        let (after, store_call, changes) = if read_all {
+            let list = store.read().await.map(WatchOutcome::Changes);
+            (after, store_call, list)
         } else if failures > 0 {
-            probes.next(store.as_ref(), after, &mut rng).await
+            let probe = (after, store_call);
+            probes.next(store.as_ref(), probe, &mut rng).await
         } else {
             let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
-            watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await
+            let watched =
+                async { Some(watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await) };
+            let replaced = async {
+                wait_until_replaced(&runtime, replacements).await;
+                None
+            };
+            match watched.or(replaced).await {
+                Some(watched) => (after, store_call, watched),
+                None => continue,
+            }
+        };
+        let scope = match &changes {
+            Ok(WatchOutcome::Changes(answer)) if read_all && !answer.resumed => StoreScope::All,
+            _ => StoreScope::Changes,
         };
+        let asked = (scope, store_call);
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
             probes = Probes::default();
@@ -112,12 +156,14 @@
                 log::info!("a change since revision {after} cannot be read; reading all items");
                 (read_all, unread) = (true, Some(answer.delta.revision));
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, without_claim(answer), Source::Platform, None);
+                let stated = answer.stated;
+                apply_answer(&runtime, without_claim(answer), asked, stated);
                 Timer::after(compaction_delay(compactions, &mut rng)).await;
                 compactions += 1;
             }
             Ok(WatchOutcome::Changes(answer)) => {
                 failures = 0;
+                let stated = answer.stated.filter(|_| !answer.resumed);
                 let delta = if read_all {
                     // The change that cannot be read is not watched again.
                     list_start =
@@ -132,7 +178,7 @@
                 };
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, delta, Source::Platform, None);
+                apply_answer(&runtime, delta, asked, stated);
             }
             Ok(WatchOutcome::Compacted) if list_start.is_some() => {
                 log::debug!(
@@ -209,18 +255,26 @@
 /// The result of a call that watches the store.
 type Watched = Result<WatchOutcome, ItemError>;
 
+/// The revision after which a watch asks for changes, and its call.
+type Probe = (u64, StoreCall);
+
 /// Short watches of a store that does not answer. One begins while others still wait, since a store that
 /// returns may never answer those that began before.
 #[derive(Default)]
 struct Probes {
-    pending: Vec<Boxed<Watched>>,
+    pending: Vec<(Probe, Boxed<Watched>)>,
     /// When to begin another one beside those that are pending.
     due: Option<Instant>,
 }
 
 impl Probes {
     /// Returns the next result of a probe. Begins one now if none is pending, and more as they are due.
-    async fn next(&mut self, store: &dyn ItemStore, after: u64, rng: &mut impl RngExt) -> Watched {
+    async fn next(
+        &mut self,
+        store: &dyn ItemStore,
+        probe: Probe,
+        rng: &mut impl RngExt,
+    ) -> (u64, StoreCall, Watched) {
         loop {
             let due = self.due.filter(|_| !self.pending.is_empty());
             let until_due = async {
@@ -232,19 +286,20 @@
             if let Some(watched) = async { Some(self.ended().await) }.or(until_due).await {
                 return watched;
             }
-            self.pending.push(store.watch(after, PROBE_WAIT));
+            self.pending.push((probe, store.watch(probe.0, PROBE_WAIT)));
             let delay = MAX_RETRY_DELAY.mul_f64(rng.random_range(0.5..1.0));
             self.due = Some(Instant::now() + delay);
         }
     }
 
     /// Waits until a probe ends.
-    async fn ended(&mut self) -> Watched {
+    async fn ended(&mut self) -> (u64, StoreCall, Watched) {
         future::poll_fn(|context| {
             for index in 0..self.pending.len() {
-                if let Poll::Ready(watched) = self.pending[index].poll(context) {
-                    drop(self.pending.swap_remove(index));
-                    return Poll::Ready(watched);
+                let (_, pending) = &mut self.pending[index];
+                if let Poll::Ready(watched) = pending.poll(context) {
+                    let ((after, call), _) = self.pending.swap_remove(index);
+                    return Poll::Ready((after, call, watched));
                 }
             }
             Poll::Pending
@@ -301,6 +356,16 @@
     }
 }
 
+/// Waits until the items were replaced, after which a watch that began before tells nothing.
+async fn wait_until_replaced(runtime: &NodeRuntime, replacements: u32) {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if runtime.read(|node, _| node.items_replacements()) != replacements {
+            return;
+        }
+    }
+}
+
 /// Waits until a watch is overdue or this node lags.
 async fn wait_until_late(runtime: &NodeRuntime, overdue: Option<Instant>) {
     let lagging = async {
@@ -333,7 +398,7 @@
         start,
     };
     let fetched = link::fetch_items(runtime, address, since).await;
-    let put_off = matches!(&fetched, Ok(delta) if delta.revision == 0);
+    let put_off = matches!(&fetched, Ok((delta, _)) if delta.revision == 0);
     {
         let (mut peers, now) = (lock(&runtime.item_peers), runtime.now());
         match &fetched {
@@ -343,7 +408,16 @@
         }
     }
     match fetched {
-        Ok(delta) if !put_off => apply_delta(runtime, delta, source, Some(address)),
+        Ok((delta, epoch)) if !put_off => {
+            if let Some(items) = read_batch(runtime, delta, Some(address)) {
+                runtime.handle(Event::ItemsFetched {
+                    from,
+                    epoch,
+                    items,
+                    source,
+                });
+            }
+        }
         _ => runtime.handle(Event::ItemsNotRead(from)),
     }
 }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod targets;
 pub mod trail;
 pub mod transfers;
+pub mod verification;
 pub mod watch;
 
 pub use daemon::{Daemon, DaemonError};
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -358,7 +358,7 @@
     Ok(set)
 }
 
-/// Fetches the items that changed since a revision from a node.
+/// Fetches the items that changed since a revision from a node. Returns them with their epoch.
 ///
 /// # Errors
 /// See [`FetchError`].
@@ -366,17 +366,19 @@
     runtime: &NodeRuntime,
     address: SocketAddr,
     since: u64,
-) -> Result<Delta, FetchError> {
+) -> Result<(Delta, u32), FetchError> {
+    let epoch = runtime.read(|node, _| node.items_epoch());
     let client = runtime.peers.client(address).await.context(ConnectSnafu)?;
     let mut client = client.max_decoding_message_size(MAX_ITEMS_BYTES);
-    let mut request = tonic::Request::new(ItemsRequest { since });
+    let mut request = tonic::Request::new(ItemsRequest { since, epoch });
     runtime.peers.authenticate(&mut request);
     let response = with_timeout(client.items(request)).await;
     if response.is_err() {
         runtime.peers.forget(address);
     }
-    let bytes = response?.into_inner().delta;
-    Delta::decode(&bytes).context(ItemsSnafu { address })
+    let reply = response?.into_inner();
+    let delta = Delta::decode(&reply.delta).context(ItemsSnafu { address })?;
+    Ok((delta, reply.epoch))
 }
 
 async fn fetch_part(
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -9,6 +9,7 @@
 use seam_core::command::Withheld;
 use seam_core::config_version::ConfigChange;
 use seam_core::status::Status;
+use seam_core::store_call::StoreChange;
 use seam_core::{NamedRegions, Refusal};
 use seam_http::bounds::{denied, discarded, exceeded};
 use seam_protocol::Reason;
@@ -32,6 +33,7 @@
     config_differs: Counter<u64>,
     config_refusals: Counter<u64>,
     platform: Counter<u64>,
+    store: Counter<u64>,
     unread: Counter<u64>,
     heartbeats: Counter<u64>,
     heartbeat_bytes: Counter<u64>,
@@ -281,6 +283,10 @@
                 "refusals that the configuration decided, by reason",
             ),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
+            store: counter(
+                "seam_store_changes",
+                "answers of the store that contradict what was known, and what followed",
+            ),
             unread: counter(
                 "seam_config_unread",
                 "values of configurations that were not used as written",
@@ -374,6 +380,11 @@
         self.platform.add(1, &labels);
     }
 
+    /// Counts what the store's answers say about what this node knew.
+    pub fn store_changed(&self, change: &StoreChange) {
+        self.store.add(1, &[KeyValue::new("kind", change.name())]);
+    }
+
     /// Counts values of a configuration that are not used as written.
     pub fn unread_values(&self, count: usize) {
         self.unread.add(count as u64, &[]);
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -122,10 +122,12 @@
     }
 
     async fn items(&self, request: Request<ItemsRequest>) -> Result<Response<ItemsReply>, Status> {
-        let since = request.into_inner().since;
-        let (delta, now) = self
-            .runtime
-            .read(|node, now| (node.items_since(since), now));
+        let ItemsRequest { since, epoch } = request.into_inner();
+        let (delta, epoch, now) = self.runtime.read(|node, now| {
+            let comparable = node.items_epoch() == epoch;
+            let since = if comparable { since } else { 0 };
+            (node.items_since(since), node.items_epoch(), now)
+        });
         if delta.revision == 0 {
             return Err(Status::not_found("no items are known yet"));
         }
@@ -145,6 +147,7 @@
         };
         Ok(Response::new(ItemsReply {
             delta: delta.encode(),
+            epoch,
         }))
     }
 
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -444,6 +444,10 @@
                 config_log::log_change(&change);
             }
             Command::LogDifference(difference) => config_log::log_difference(&difference),
+            Command::LogStore(change) => {
+                self.metrics.store_changed(&change);
+                config_log::log_store(&change);
+            }
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -330,6 +330,10 @@
     /// follow in a section of their own.
     #[serde(skip)]
     pub items_digest: Option<u32>,
+    /// Epoch of the sender's items; revisions of different epochs cannot be compared. It follows in a section of
+    /// its own if it is not zero.
+    #[serde(skip)]
+    pub items_epoch: u32,
 }
 
 impl Heartbeat {
@@ -346,7 +350,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let items = self.items_digest.is_some() || self.config != ConfigMeaning::default();
+        let epoch = self.items_epoch != 0;
+        let items = epoch || self.items_digest.is_some() || self.config != ConfigMeaning::default();
         let targets = items || !self.leaving.is_empty() || !self.cold.is_empty();
         let origins = targets || !self.streams.is_empty() || !self.reached.is_empty();
         let limits = origins || !self.limits.is_empty();
@@ -380,7 +385,11 @@
             return bytes;
         }
         let section = (&self.config, self.items_digest.map(u32::to_be_bytes));
-        postcard::to_extend(&section, bytes).expect("digests always serialize")
+        let bytes = postcard::to_extend(&section, bytes).expect("digests always serialize");
+        if !epoch {
+            return bytes;
+        }
+        postcard::to_extend(&self.items_epoch, bytes).expect("a number always serializes")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat. Counts that no node reaches are
@@ -450,10 +459,14 @@
         }
         let (section, rest) = postcard::take_from_bytes(rest).ok()?;
         (heartbeat.leaving, heartbeat.cold) = section;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (section, rest) = postcard::take_from_bytes::<(_, Option<[u8; 4]>)>(rest).ok()?;
+        heartbeat.config = section.0;
+        heartbeat.items_digest = section.1.map(u32::from_be_bytes);
         if !rest.is_empty() {
-            let (config, digest) = postcard::from_bytes::<(_, Option<[u8; 4]>)>(rest).ok()?;
-            heartbeat.config = config;
-            heartbeat.items_digest = digest.map(u32::from_be_bytes);
+            heartbeat.items_epoch = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -487,6 +500,7 @@
             cold: Vec::new(),
             config: ConfigMeaning::default(),
             items_digest: None,
+            items_epoch: 0,
         }
     }
 }
