--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -194,6 +194,11 @@
         self.ever_reached && !self.unreachable
     }
 
+    /// Returns whether the platform has ever been reachable from this node.
+    pub(crate) fn ever_reached(&self) -> bool {
+        self.ever_reached
+    }
+
     /// Returns the revision up to which every change is known.
     #[must_use]
     pub fn revision(&self) -> u64 {
--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -228,6 +228,8 @@
     current: Option<Time>,
     /// When the call began by which the store last showed the item in force.
     pub(crate) confirmed: Option<Time>,
+    /// Since when each node that reported its item has another one in force.
+    disputed: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -329,6 +331,20 @@
             })
     }
 
+    /// Records which item another node has in force.
+    pub(crate) fn note_item(&mut self, now: Time, other: ConfigMeaning) {
+        if other.item_revision == self.meaning.item_revision {
+            self.disputed = None;
+        } else if other.item_revision != 0 {
+            self.disputed.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether other nodes have had another item in force for `span`.
+    pub(crate) fn disputed(&self, now: Time, span: Duration) -> bool {
+        self.disputed.is_some_and(|since| now.since(since) >= span)
+    }
+
     /// Records that a call to the store that began at a time showed the item in force.
     pub(crate) fn confirm(&mut self, begun: Time) {
         self.confirmed = self.confirmed.max(Some(begun));
@@ -340,6 +356,7 @@
         self.heard_items = 0;
         self.read = None;
         self.unusable = 0;
+        self.disputed = None;
         self.differing.clear();
         self.rebase(self.version.item_revision.min(revision));
     }
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -91,6 +91,7 @@
                 .config_view
                 .compare_meaning(heartbeat.from, heartbeat.config);
             out.extend(differs.map(Command::LogConfig));
+            self.config_view.note_item(now, heartbeat.config);
             self.fetch_newer_items(now, heartbeat, out);
             self.compare_items(now, heartbeat);
         } else {
--- a/crates/seam-core/src/node/verification.rs
+++ b/crates/seam-core/src/node/verification.rs
@@ -21,6 +21,8 @@
 const VERIFY_SEED: u64 = 0x7665_7269;
 /// Time after which a node verifies that did not do so all the time.
 const CONFIRMATION_LIFETIME: Duration = Duration::from_secs(30);
+/// Time for which other nodes have another item in force before this one doubts its own.
+const DISPUTE_LIMIT: Duration = Duration::from_secs(1);
 /// Longest time until a read that failed is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two reads of all items by the first watcher of a region, before jitter.
@@ -114,6 +116,7 @@
             || self.verification.silent
             || before.count() < VERIFIER_COUNT
             || self.config_view.behind()
+            || self.config_view.disputed(now, DISPUTE_LIMIT)
             || self.lags(now)
             || self
                 .config_confirmed(now)
@@ -124,7 +127,7 @@
     ///
     /// Reads do not wait for earlier ones.
     pub fn due_read(&mut self, now: Time) -> Option<(StoreScope, StoreCall)> {
-        if !self.catalogue.platform_reachable() && !self.verification.silent {
+        if !self.catalogue.ever_reached() {
             return None;
         }
         if self.list_due(now) {
@@ -153,7 +156,7 @@
             let listed = self.verification.listed;
             return listed.is_none_or(|listed| now.since(listed) >= interval);
         }
-        if !self.first_watcher(now) {
+        if !self.first_watcher(now) || !self.catalogue.platform_reachable() {
             self.verification.next_list = None;
             return false;
         }
--- a/crates/seam-node/src/verification.rs
+++ b/crates/seam-node/src/verification.rs
@@ -38,7 +38,10 @@
     let answered = async {
         Some(match scope {
             StoreScope::Config => read_config(store.as_ref()).await,
-            _ => store.read_anew().await.map(list_of),
+            _ => store
+                .read_anew()
+                .await
+                .map(|answer| list_of(answer, call.claim)),
         })
     };
     let expired = async {
@@ -76,11 +79,16 @@
     Ok((delta, answer.stated))
 }
 
-/// Returns a list and the revision that it states. What an incomplete one lacks may exist.
-fn list_of(answer: StoreAnswer) -> (Delta, Option<u64>) {
+/// Returns a list and the revision that it states. What an incomplete one lacks may exist, and one may lack the
+/// last changes, which watches from the `claim` of the call have.
+fn list_of(answer: StoreAnswer, claim: u64) -> (Delta, Option<u64>) {
+    let list = answer.delta;
+    let newest = list.items.iter().map(|item| item.revision).max();
+    let known = newest.unwrap_or(0).max(claim);
     let delta = Delta {
         full: answer.complete,
-        ..answer.delta
+        revision: list.revision.min(known),
+        ..list
     };
     (delta, answer.stated)
 }
