--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -208,8 +208,13 @@
     pub read_age_ms: Option<u64>,
     /// Milliseconds since this node last knew all that the platform, or a node that reaches it, had.
     pub current_age_ms: Option<u64>,
-    /// Milliseconds since the store last showed this node that the item in force is the present one, if it did.
+    /// Milliseconds since the call began by which the store last showed that the item in force is the present
+    /// one, if it did.
     pub confirmed_age_ms: Option<u64>,
+    /// Revision that the store stated last, if it did.
+    pub store_revision: Option<u64>,
+    /// Number of confirmed contradictions between the store and what nodes remembered.
+    pub epoch: u32,
     /// Versions that were read and not taken, by reason.
     pub not_taken: BTreeMap<NotTaken, u64>,
 }
@@ -233,8 +238,10 @@
     /// When this node last knew every item that it heard of from the platform itself or from a node
     /// that reaches the platform.
     current: Option<Time>,
-    /// When the store last showed this node that the item in force is the present one.
-    confirmed: Option<Time>,
+    /// When the call began by which the store last showed the item in force.
+    pub(crate) confirmed: Option<Time>,
+    /// Since when each node that reported its item has another one in force.
+    disputed: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -336,6 +343,42 @@
             })
     }
 
+    /// Records which item another node has in force.
+    pub(crate) fn note_item(&mut self, now: Time, other: ConfigMeaning) {
+        if other.item_revision == self.meaning.item_revision {
+            self.disputed = None;
+        } else if other.item_revision != 0 {
+            self.disputed.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether other nodes have had another item in force for `span`.
+    pub(crate) fn disputed(&self, now: Time, span: Duration) -> bool {
+        self.disputed.is_some_and(|since| now.since(since) >= span)
+    }
+
+    /// Records that a call to the store that began at a time showed the item in force.
+    pub(crate) fn confirm(&mut self, begun: Time) {
+        self.confirmed = self.confirmed.max(Some(begun));
+    }
+
+    /// Forgets what refers to revisions of items that were replaced, up to a revision.
+    pub(crate) fn reset(&mut self, revision: u64) {
+        self.heard = None;
+        self.heard_items = 0;
+        self.read = None;
+        self.unusable = 0;
+        self.disputed = None;
+        self.differing.clear();
+        self.rebase(self.version.item_revision.min(revision));
+    }
+
+    /// Sets the revision of the item that contains the version in force.
+    pub(crate) fn rebase(&mut self, item_revision: u64) {
+        self.version.item_revision = item_revision;
+        self.meaning.item_revision = item_revision;
+    }
+
     /// Records that the platform was read.
     pub(crate) fn note_current(&mut self, now: Time) {
         self.current = Some(now);
@@ -348,11 +391,6 @@
         }
     }
 
-    /// Records that the store showed that the item in force is the present one.
-    pub(crate) fn note_confirmed(&mut self, now: Time) {
-        self.confirmed = Some(now);
-    }
-
     /// Returns the time since the store last showed that the item in force is the present one.
     pub(crate) fn confirmed(&self, now: Time) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.since(confirmed))
@@ -382,6 +420,8 @@
             read_age_ms: read.map(millis),
             current_age_ms: self.current.map(millis),
             confirmed_age_ms: self.confirmed.map(millis),
+            store_revision: None,
+            epoch: 0,
             not_taken: self.not_taken.clone(),
         }
     }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -11,7 +11,7 @@
 use futures_lite::{FutureExt, future};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_core::{Event, ItemBatch, Source, WatchCursor};
+use seam_core::{Event, ItemBatch, Source, StoreCall, StoreReading, StoreScope, WatchCursor};
 use seam_http::lock;
 use seam_protocol::{Delta, Entry, RawItem, VmId};
 
@@ -38,24 +38,66 @@
 /// items.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Passes changed items to the decision core. `from` is the peer that sent them.
-pub fn apply_delta(
+/// Passes the answer to a call to the store to the decision core.
+pub fn apply_answer(
+    runtime: &Arc<NodeRuntime>,
+    delta: Delta,
+    (scope, call): (StoreScope, StoreCall),
+    stated: Option<u64>,
+) {
+    apply(runtime, delta, None, |batch| {
+        Event::StoreRead(StoreReading {
+            call,
+            scope,
+            batch,
+            stated,
+        })
+    });
+}
+
+/// Parses items and passes them to the decision core. `from` is the peer that sent them.
+fn apply(
     runtime: &Arc<NodeRuntime>,
     delta: Delta,
-    source: Source,
     from: Option<SocketAddr>,
+    event: impl FnOnce(ItemBatch) -> Event,
 ) {
     let Some(store) = &runtime.items else {
         return;
     };
     config_log::note_read(runtime, store.config_key(), &delta, from);
-    let in_force = runtime.read(|node, _| node.bundle().map(|bundle| bundle.digest));
-    let key = store.config_key();
-    let mut configs = delta.items.iter().filter(|item| item.key == key);
-    let newest = configs.by_ref().max_by_key(|item| item.revision);
     let before = runtime.read(|node, _| node.config_version().item_revision);
-    let newest = newest.filter(|item| item.revision > before).cloned();
-    let batch = ItemBatch::read(delta, |item| {
+    let configs = delta.items.iter();
+    let configs = configs.filter(|item| item.key == store.config_key());
+    let newest = configs.max_by_key(|item| item.revision);
+    let newest = newest.filter(|item| item.revision != before).cloned();
+    // Items of a peer may arrive as those of this node are replaced, so each is parsed.
+    let skips_known = from.is_none();
+    let batch = read_batch(runtime, store.as_ref(), delta, skips_known);
+    runtime.handle(event(batch));
+    if let Some(item) = newest {
+        check_places(runtime, store, item);
+    }
+}
+
+/// Parses items, or only those that are not known as they are.
+fn read_batch(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    delta: Delta,
+    skips_known: bool,
+) -> ItemBatch {
+    let in_force = runtime.read(|node, _| node.bundle().map(|bundle| bundle.digest));
+    let known: Vec<bool> = runtime.read(|node, _| {
+        let items = delta.items.iter();
+        let known = items.map(|item| skips_known && node.knows_item(item));
+        known.collect()
+    });
+    let mut known = known.into_iter();
+    ItemBatch::read(delta, |item| {
+        if known.next() == Some(true) {
+            return None;
+        }
         let parsed = store.parse_entry(item)?;
         if let Entry::Config(config) = &parsed.entry
             && in_force != Some(config.digest)
@@ -63,11 +105,7 @@
             warn_unread(runtime, config.revision, &parsed.warnings);
         }
         Some(parsed.entry)
-    });
-    runtime.handle(Event::ItemsRead(batch, source));
-    if let Some(item) = newest {
-        check_places(runtime, store, item);
-    }
+    })
 }
 
 /// Looks up the places that a configuration publishes in the routes that were taken from it, in a thread, as
@@ -125,28 +163,50 @@
     let mut cursor = WatchCursor::default();
     // Where the watches after a read of all items begin, until they reach the revision that the list states.
     let mut list_start: Option<(u64, u64)> = None;
+    let mut replacements = 0;
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
             list_start = None;
             Timer::after(WATCH_CHECK_INTERVAL).await;
             continue;
         }
-        let known = runtime.read(|node, _| node.items_revision());
+        let store_call = runtime.update(seam_core::Node::begin_store_call);
+        if replacements != store_call.replacements {
+            replacements = store_call.replacements;
+            (cursor, list_start) = (WatchCursor::default(), None);
+        }
+        let known = store_call.claim;
         let after = list_start.map_or(known, |(start, _)| start);
         let call = if read_all { "read" } else { "watch" };
         let start = runtime.now();
-        let changes = if read_all {
-            store.read().await.map(WatchOutcome::Changes)
+        let (after, store_call, changes) = if read_all {
+            let list = store.read().await.map(WatchOutcome::Changes);
+            (after, store_call, list)
         } else if failures > 0 {
-            probes.next(store.as_ref(), after, &mut rng).await
+            let probe = (after, store_call);
+            probes.next(store.as_ref(), probe, &mut rng).await
         } else {
             let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
-            watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await
+            let watched =
+                async { Some(watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await) };
+            let replaced = async {
+                wait_until_replaced(&runtime, replacements).await;
+                None
+            };
+            match watched.or(replaced).await {
+                Some(watched) => (after, store_call, watched),
+                None => continue,
+            }
         };
+        let scope = match &changes {
+            Ok(WatchOutcome::Changes(answer)) if read_all && !answer.resumed => StoreScope::All,
+            _ => StoreScope::Changes,
+        };
+        let asked = (scope, store_call);
         runtime.metrics.platform_call(call, changes.is_ok());
-        if let Ok(outcome) = &changes {
+        if changes.is_ok() {
             probes = Probes::default();
-            note_answer(&runtime, &mut health, outcome);
+            health.answered(runtime.now());
         }
         match changes {
             Ok(WatchOutcome::Changes(answer)) if !read_all && !answer.complete => {
@@ -154,12 +214,14 @@
                 log::info!("a change since revision {after} cannot be read; reading all items");
                 (read_all, unread) = (true, Some(answer.delta.revision));
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, without_claim(answer), Source::Platform, None);
+                let stated = answer.stated;
+                apply_answer(&runtime, without_claim(answer), asked, stated);
                 Timer::after(compaction_delay(compactions, &mut rng)).await;
                 compactions += 1;
             }
             Ok(WatchOutcome::Changes(answer)) => {
                 failures = 0;
+                let stated = answer.stated.filter(|_| !answer.resumed);
                 let delta = if read_all {
                     // The change that cannot be read is not watched again.
                     list_start =
@@ -174,7 +236,7 @@
                 };
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, delta, Source::Platform, None);
+                apply_answer(&runtime, delta, asked, stated);
             }
             Ok(WatchOutcome::Compacted) if list_start.is_some() => {
                 log::debug!(
@@ -219,14 +281,6 @@
     }
 }
 
-/// Records that the store answered, and which revision it states.
-fn note_answer(runtime: &NodeRuntime, health: &mut Dependency, outcome: &WatchOutcome) {
-    health.answered(runtime.now());
-    if let WatchOutcome::Changes(answer) = outcome {
-        runtime.note_stated(answer.delta.revision);
-    }
-}
-
 /// Returns the list of all items. If a change could not be read up to `unread`, what the list lacks may be
 /// what cannot be read, and later removals are in the watches from there on.
 fn list_of(answer: StoreAnswer, unread: Option<u64>) -> Delta {
@@ -259,18 +313,26 @@
 /// The result of a call that watches the store.
 type Watched = Result<WatchOutcome, ItemError>;
 
+/// The revision after which a watch asks for changes, and its call.
+type Probe = (u64, StoreCall);
+
 /// Short watches of a store that does not answer. One begins while others still wait, since a store that
 /// returns may never answer those that began before.
 #[derive(Default)]
 struct Probes {
-    pending: Vec<Boxed<Watched>>,
+    pending: Vec<(Probe, Boxed<Watched>)>,
     /// When to begin another one beside those that are pending.
     due: Option<Instant>,
 }
 
 impl Probes {
     /// Returns the next result of a probe. Begins one now if none is pending, and more as they are due.
-    async fn next(&mut self, store: &dyn ItemStore, after: u64, rng: &mut impl RngExt) -> Watched {
+    async fn next(
+        &mut self,
+        store: &dyn ItemStore,
+        probe: Probe,
+        rng: &mut impl RngExt,
+    ) -> (u64, StoreCall, Watched) {
         loop {
             let due = self.due.filter(|_| !self.pending.is_empty());
             let until_due = async {
@@ -282,19 +344,20 @@
             if let Some(watched) = async { Some(self.ended().await) }.or(until_due).await {
                 return watched;
             }
-            self.pending.push(store.watch(after, PROBE_WAIT));
+            self.pending.push((probe, store.watch(probe.0, PROBE_WAIT)));
             let delay = MAX_RETRY_DELAY.mul_f64(rng.random_range(0.5..1.0));
             self.due = Some(Instant::now() + delay);
         }
     }
 
     /// Waits until a probe ends.
-    async fn ended(&mut self) -> Watched {
+    async fn ended(&mut self) -> (u64, StoreCall, Watched) {
         future::poll_fn(|context| {
             for index in 0..self.pending.len() {
-                if let Poll::Ready(watched) = self.pending[index].poll(context) {
-                    drop(self.pending.swap_remove(index));
-                    return Poll::Ready(watched);
+                let (_, pending) = &mut self.pending[index];
+                if let Poll::Ready(watched) = pending.poll(context) {
+                    let ((after, call), _) = self.pending.swap_remove(index);
+                    return Poll::Ready((after, call, watched));
                 }
             }
             Poll::Pending
@@ -351,6 +414,16 @@
     }
 }
 
+/// Waits until the items were replaced, after which a watch that began before tells nothing.
+async fn wait_until_replaced(runtime: &NodeRuntime, replacements: u32) {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if runtime.read(|node, _| node.items_replacements()) != replacements {
+            return;
+        }
+    }
+}
+
 /// Waits until a watch is overdue or this node lags.
 async fn wait_until_late(runtime: &NodeRuntime, overdue: Option<Instant>) {
     let lagging = async {
@@ -383,7 +456,7 @@
         start,
     };
     let fetched = link::fetch_items(runtime, address, since).await;
-    let put_off = matches!(&fetched, Ok(delta) if delta.revision == 0);
+    let put_off = matches!(&fetched, Ok((delta, _)) if delta.revision == 0);
     {
         let (mut peers, now) = (lock(&runtime.item_peers), runtime.now());
         match &fetched {
@@ -393,7 +466,14 @@
         }
     }
     match fetched {
-        Ok(delta) if !put_off => apply_delta(runtime, delta, source, Some(address)),
+        Ok((delta, epoch)) if !put_off => {
+            apply(runtime, delta, Some(address), |items| Event::ItemsFetched {
+                from,
+                epoch,
+                items,
+                source,
+            });
+        }
         _ => runtime.handle(Event::ItemsNotRead(from)),
     }
 }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod trail;
 pub mod transfers;
 pub mod unconfirmed;
+pub mod verification;
 pub mod watch;
 
 pub use daemon::{Daemon, DaemonError};
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -160,8 +160,6 @@
     jobs: Sender<Job>,
     clock: Clock,
     tickets: AtomicU64,
-    /// Revision that the store stated last, zero for none.
-    stated_revision: AtomicU64,
     unconfirmed_alarm: Mutex<UnconfirmedAlarm>,
     /// The node's settings.
     pub settings: RwLock<Arc<Settings>>,
@@ -226,7 +224,6 @@
             jobs,
             clock: Clock::start(),
             tickets: AtomicU64::new(0),
-            stated_revision: AtomicU64::new(0),
             unconfirmed_alarm: Mutex::default(),
             peers: PeerConnections::new(&settings.secrets.fleet),
             audit_trail: AuditTrail::default(),
@@ -355,12 +352,6 @@
         })
     }
 
-    /// Records the revision that the store states.
-    pub(crate) fn note_stated(&self, revision: u64) {
-        self.stated_revision.store(revision, Ordering::Relaxed);
-        self.metrics.store_stated(revision);
-    }
-
     /// Counts a refusal by a configuration that the store has not shown for some time, and logs it once in a
     /// while with what this node claims to know.
     pub(crate) fn note_refusal(&self, status: StatusCode, reason: Reason, config: &ConfigStamp) {
@@ -370,12 +361,8 @@
         };
         self.metrics.refused_unconfirmed(reason);
         if let Unconfirmed::Logged { skipped } = unconfirmed {
-            let claim = self.read(|node, _| node.items_revision());
-            let stated = match self.stated_revision.load(Ordering::Relaxed) {
-                0 => None,
-                revision => Some(revision),
-            };
-            config_log::log_unconfirmed(config, (status, reason), (claim, stated), skipped);
+            let revisions = self.read(|node, _| (node.items_revision(), node.store_revision()));
+            config_log::log_unconfirmed(config, (status, reason), revisions, skipped);
         }
     }
 
@@ -487,6 +474,10 @@
                 config_log::log_change(&change);
             }
             Command::LogDifference(difference) => config_log::log_difference(&difference),
+            Command::LogStore(change) => {
+                self.metrics.store_changed(&change);
+                config_log::log_store(&change);
+            }
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
