--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -102,49 +102,32 @@
     let mut unread = None;
     // Consecutive watches whose history was dropped or not readable.
     let mut compactions = 0;
-    let mut cursor = WatchCursor::default();
-    // Where the watches after a read of all items begin, until they reach the revision that the list states.
-    let mut list_start: Option<(u64, u64)> = None;
-    let mut replacements = 0;
+    let mut position = Position::default();
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
-            list_start = None;
+            position.list_start = None;
             Timer::after(WATCH_CHECK_INTERVAL).await;
             continue;
         }
         let store_call = runtime.update(seam_core::Node::begin_store_call);
-        if replacements != store_call.replacements {
-            replacements = store_call.replacements;
-            (cursor, list_start) = (WatchCursor::default(), None);
-        }
-        let known = store_call.claim;
-        let after = list_start.map_or(known, |(start, _)| start);
+        let after = position.begin(&store_call);
         let call = if read_all { "read" } else { "watch" };
-        let start = runtime.now();
-        let (after, store_call, changes) = if read_all {
+        let answer = if read_all {
             let list = store.read().await.map(WatchOutcome::Changes);
-            (after, store_call, list)
+            Some((after, store_call, list))
         } else if failures > 0 {
-            let probe = (after, store_call);
-            probes.next(store.as_ref(), probe, &mut rng).await
+            Some(
+                probes
+                    .next(store.as_ref(), (after, store_call), &mut rng)
+                    .await,
+            )
         } else {
-            let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
-            let watched =
-                async { Some(watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await) };
-            let replaced = async {
-                wait_until_replaced(&runtime, replacements).await;
-                None
-            };
-            match watched.or(replaced).await {
-                Some(watched) => (after, store_call, watched),
-                None => continue,
-            }
+            watch_until_replaced(&runtime, store.as_ref(), after, store_call).await
         };
-        let scope = match &changes {
-            Ok(WatchOutcome::Changes(answer)) if read_all && !answer.resumed => StoreScope::All,
-            _ => StoreScope::Changes,
+        let Some((after, store_call, changes)) = answer else {
+            continue;
         };
-        let asked = (scope, store_call);
+        let asked = (scope_of(read_all, &changes), store_call);
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
             probes = Probes::default();
@@ -166,25 +149,23 @@
                 let stated = answer.stated.filter(|_| !answer.resumed);
                 let delta = if read_all {
                     // The change that cannot be read is not watched again.
-                    list_start =
-                        WatchCursor::list_start(&answer.delta).filter(|_| unread.is_none());
+                    let start = WatchCursor::list_start(&answer.delta);
+                    position.list_start = start.filter(|_| unread.is_none());
                     list_of(answer, unread.take())
                 } else {
                     compactions = 0;
-                    let delta = cursor.confirm(after, answer.delta);
-                    let stated = list_start.map(|(_, stated)| (delta.revision, stated));
-                    list_start = stated.filter(|(start, end)| after < *start && start < end);
-                    delta
+                    position.confirm(after, answer.delta)
                 };
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
                 apply_answer(&runtime, delta, asked, stated);
             }
-            Ok(WatchOutcome::Compacted) if list_start.is_some() => {
+            Ok(WatchOutcome::Compacted) if position.list_start.is_some() => {
                 log::debug!(
-                    "the item store no longer has the changes since revision {after}; watching from {known}"
+                    "the item store no longer has the changes since revision {after}; watching from {}",
+                    store_call.claim
                 );
-                list_start = None;
+                position.list_start = None;
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!(
@@ -200,29 +181,58 @@
                     call,
                     to: None,
                     since: after,
-                    start,
+                    start: store_call.begun,
                 };
                 health.failed(runtime.now(), &failed, &error);
-                if !read_all && error.unreadable() {
-                    // The same watch would get the same response, and with every further version a
-                    // larger one. Pages have only the last version of each item.
-                    log::info!(
-                        "the changes since revision {after} cannot be read; reading all items: {error}"
-                    );
-                    read_all = true;
-                }
-                if failures >= LOST_FAILURES {
-                    runtime.handle(Event::PlatformUnreachable(true));
-                }
+                read_all = read_all || repeats(after, &error);
+                report_failures(&runtime, failures);
                 if probes.pending.is_empty() {
-                    let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
-                    Timer::after(delay.mul_f64(rng.random_range(0.5..1.0))).await;
+                    Timer::after(retry_delay(failures, &mut rng)).await;
                 }
             }
         }
     }
 }
 
+/// Where a node that follows the store continues.
+#[derive(Debug, Default)]
+struct Position {
+    cursor: WatchCursor,
+    /// Where the watches after a read of all items begin, until they reach the revision that the list states.
+    list_start: Option<(u64, u64)>,
+    /// How often the items had been replaced.
+    replacements: u32,
+}
+
+impl Position {
+    /// Returns the revision after which a watch that begins now asks for changes.
+    fn begin(&mut self, call: &StoreCall) -> u64 {
+        if self.replacements != call.replacements {
+            *self = Self {
+                replacements: call.replacements,
+                ..Self::default()
+            };
+        }
+        self.list_start.map_or(call.claim, |(start, _)| start)
+    }
+
+    /// Returns the answer to a watch with the revision up to which all changes are known.
+    fn confirm(&mut self, after: u64, answer: Delta) -> Delta {
+        let delta = self.cursor.confirm(after, answer);
+        let stated = self.list_start.map(|(_, stated)| (delta.revision, stated));
+        self.list_start = stated.filter(|(start, end)| after < *start && start < end);
+        delta
+    }
+}
+
+/// Returns what an answer can be compared with: lists that consist of one call are complete.
+fn scope_of(read_all: bool, answer: &Watched) -> StoreScope {
+    match answer {
+        Ok(WatchOutcome::Changes(answer)) if read_all && !answer.resumed => StoreScope::All,
+        _ => StoreScope::Changes,
+    }
+}
+
 /// Returns the list of all items. If a change could not be read up to `unread`, what the list lacks may be
 /// what cannot be read, and later removals are in the watches from there on.
 fn list_of(answer: StoreAnswer, unread: Option<u64>) -> Delta {
@@ -242,6 +252,28 @@
     }
 }
 
+/// Returns whether a watch would get the same response again, and with every further version a larger one. Pages
+/// have only the last version of each item.
+fn repeats(after: u64, error: &ItemError) -> bool {
+    if error.unreadable() {
+        log::info!("the changes since revision {after} cannot be read; reading all items: {error}");
+    }
+    error.unreadable()
+}
+
+/// Reports the store as unreachable after some consecutive failed calls.
+fn report_failures(runtime: &NodeRuntime, failures: u32) {
+    if failures >= LOST_FAILURES {
+        runtime.handle(Event::PlatformUnreachable(true));
+    }
+}
+
+/// Returns the delay after consecutive failed calls.
+fn retry_delay(failures: u32, rng: &mut Pcg64Mcg) -> Duration {
+    let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
+    delay.mul_f64(rng.random_range(0.5..1.0))
+}
+
 /// Returns the delay before all items are read instead of a history that was dropped or cannot be read. A
 /// store that keeps none is read no more often than it is watched otherwise.
 fn compaction_delay(compactions: u32, rng: &mut Pcg64Mcg) -> Duration {
@@ -356,6 +388,23 @@
     }
 }
 
+/// Watches the store. Returns `None` if the items were replaced meanwhile, after which the answer tells nothing.
+async fn watch_until_replaced(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    after: u64,
+    call: StoreCall,
+) -> Option<(u64, StoreCall, Watched)> {
+    let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
+    let watched = async { Some(watch(runtime, store, after, WATCH_WAIT, overdue).await) };
+    let replaced = async {
+        wait_until_replaced(runtime, call.replacements).await;
+        None
+    };
+    let watched = watched.or(replaced).await?;
+    Some((after, call, watched))
+}
+
 /// Waits until the items were replaced, after which a watch that began before tells nothing.
 async fn wait_until_replaced(runtime: &NodeRuntime, replacements: u32) {
     loop {
