node: check a link whose forwarded request is given up

Requests with short time limits on a link that falls silent ended with 504 for as long as no request waited for a ping on it: pings are planned only while a request is open, and these are given up before.

When the task of a forwarded request is ended without an outcome, one call that any node answers checks the link, at most one at a time for each node. Without an answer within 1.8 s, as for a ping, the next request opens a new link. Idle pings were weighed: they cost each open link bytes for good; this costs one small call for a request that was given up.

--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -13,6 +13,7 @@
 use seam_config::bundle::parse_manifest;
 use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::Body;
+use seam_protocol::peer::peer_client::PeerClient;
 use seam_protocol::peer::{
     ItemsRequest, NewestRequest, PartRequest, Refusal as WireRefusal, ReplyFrame, RequestFrame,
     RequestHead, reply_frame, request_frame,
@@ -23,6 +24,7 @@
 
 use super::{FrameNumbers, wire};
 use crate::inbound::InboundRequest;
+use crate::peer_connections::Channel;
 use crate::progress::{Framing, Progress};
 use crate::response_writer::{ResponseHead, ResponseWriter};
 use crate::runtime::{NodeAttempt, NodeRuntime};
@@ -130,6 +132,23 @@
     })
 }
 
+/// Checks the connection to a node if a call on it is given up.
+struct OpenCall<'a> {
+    runtime: &'a Arc<NodeRuntime>,
+    address: SocketAddr,
+    ended: bool,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (runtime, address) = (self.runtime.clone(), self.address);
+        seam_http::spawn(async move { runtime.peers.check(address).await }).detach();
+    }
+}
+
 /// Forwards a request to a node and relays the response. Returns the result of the attempt.
 pub async fn forward(
     runtime: &Arc<NodeRuntime>,
@@ -155,7 +174,27 @@
         return AttemptOutcome::NotSent;
     };
     progress.mark_sent();
-    let head = head(&to, inbound, writer);
+    let mut call = OpenCall {
+        runtime,
+        address: to.address,
+        ended: false,
+    };
+    let outcome = exchange(runtime, &mut client, &to, inbound, body, writer, progress).await;
+    call.ended = true;
+    outcome
+}
+
+/// Sends a request on a connection and relays the response.
+async fn exchange(
+    runtime: &Arc<NodeRuntime>,
+    client: &mut PeerClient<Channel>,
+    to: &NodeAttempt,
+    inbound: &InboundRequest,
+    body: Body,
+    writer: &ResponseWriter,
+    progress: &Progress,
+) -> AttemptOutcome {
+    let head = head(to, inbound, writer);
     let mut request = tonic::Request::new(frames(head, body));
     runtime.peers.authenticate(&mut request);
     let timeout = async {
@@ -165,7 +204,7 @@
     match client.forward(request).or(timeout).await {
         Ok(response) => {
             let frames = response.into_inner();
-            let reply = relay_response(runtime, &to, inbound, frames, writer, progress).await;
+            let reply = relay_response(runtime, to, inbound, frames, writer, progress).await;
             reply.unwrap_or_else(|error| {
                 log::info!(
                     "request {}: response from node {} broke off: {error}",
@@ -381,7 +420,7 @@
 
 async fn fetch_part(
     runtime: &NodeRuntime,
-    client: &mut seam_protocol::peer::peer_client::PeerClient<crate::peer_connections::Channel>,
+    client: &mut PeerClient<Channel>,
     digest: Digest,
 ) -> Result<Vec<u8>, FetchError> {
     let mut request = tonic::Request::new(PartRequest {
--- a/crates/seam-node/src/peer_connections.rs
+++ b/crates/seam-node/src/peer_connections.rs
@@ -1,16 +1,20 @@
 //! HTTP/2 connections to other nodes. All calls to a node share one connection.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Mutex;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use async_io::Timer;
+use futures_lite::FutureExt;
 use http::{Request, Response, Uri};
 use hyper::client::conn::http2::SendRequest;
 use seam_http::client::open_http2;
 use seam_http::{ClientError, lock};
+use seam_protocol::peer::PartRequest;
 use seam_protocol::peer::peer_client::PeerClient;
 use tonic::metadata::MetadataValue;
 use tower_service::Service;
@@ -24,6 +28,9 @@
 /// Memory for incomplete messages in replies of other nodes, more than the largest reply.
 const MAX_REPLY_BYTES: usize = 48 << 20;
 
+/// Time within which a node must answer a call that checks its connection, the same as for a ping.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1800);
+
 /// One connection as a service for `tonic` clients.
 #[derive(Clone, Debug)]
 pub struct Channel {
@@ -65,6 +72,8 @@
 #[derive(Debug)]
 pub struct PeerConnections {
     open: Mutex<BTreeMap<SocketAddr, Channel>>,
+    /// Connections that are being checked.
+    checked: Mutex<BTreeSet<SocketAddr>>,
     auth_token: String,
     replies: ByteBudget,
 }
@@ -75,6 +84,7 @@
     pub fn new(secret: &[u8]) -> Self {
         Self {
             open: Mutex::default(),
+            checked: Mutex::default(),
             auth_token: auth_token(secret),
             replies: ByteBudget::new(MAX_REPLY_BYTES),
         }
@@ -99,10 +109,39 @@
             Some(channel) => channel,
             None => self.connect(address).await?,
         };
-        let origin: Uri = format!("http://{address}")
-            .parse()
-            .expect("an address makes a valid URI");
-        Ok(PeerClient::with_origin(channel, origin))
+        Ok(client_on(channel))
+    }
+
+    /// Checks whether the open connection to a node still answers, and otherwise removes it, so that the next
+    /// call opens a new one.
+    ///
+    /// A connection sends pings only while a call is open. One whose calls are given up before a ping is due
+    /// would stay in use.
+    ///
+    /// # Panics
+    /// Never, since a socket address makes a valid URI.
+    pub async fn check(&self, address: SocketAddr) {
+        let Some(channel) = self.existing(address) else {
+            return;
+        };
+        if !lock(&self.checked).insert(address) {
+            return;
+        }
+        // No part has this digest. Any answer shows that the connection is sound.
+        let digest = String::new();
+        let mut request = tonic::Request::new(PartRequest { digest });
+        self.authenticate(&mut request);
+        let mut client = client_on(channel);
+        let answered = async { answers(&client.part(request).await) };
+        let timeout = async {
+            Timer::after(CHECK_TIMEOUT).await;
+            false
+        };
+        if !answered.or(timeout).await {
+            log::info!("the connection to node {address} does not answer and is replaced");
+            self.forget(address);
+        }
+        lock(&self.checked).remove(&address);
     }
 
     fn existing(&self, address: SocketAddr) -> Option<Channel> {
@@ -136,6 +175,21 @@
     }
 }
 
+fn client_on(channel: Channel) -> PeerClient<Channel> {
+    let origin: Uri = format!("http://{}", channel.address)
+        .parse()
+        .expect("an address makes a valid URI");
+    PeerClient::with_origin(channel, origin)
+}
+
+/// Returns whether the other node answered a call, also with an error. One that comes from here has a cause.
+fn answers<T>(result: &Result<T, tonic::Status>) -> bool {
+    result
+        .as_ref()
+        .err()
+        .is_none_or(|status| std::error::Error::source(status).is_none())
+}
+
 /// Derives the authentication token from the deployment's secret.
 fn auth_token(secret: &[u8]) -> String {
     let authenticated = seam_protocol::key::append_mac(secret, b"peer link 1".to_vec());
