cold_targets: a lapsed entry that is renewed with outdated facts, known red

A cold target gets full traffic as the store returns: its lapsed entry is renewed as warm, which ends the limit at all nodes, though one of them has the newer entry that says cold and the others cannot fetch it: 191 requests in 950 ms, 5 a second are allowed. Not fixed: the limit would have to last while a node lacks items that it has heard of, which costs traffic to warm targets after each outage; that was not measured.

--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -333,6 +333,25 @@
     assert!((1..=LIMIT).contains(&sent), "{sent} in the next second");
 }
 
+/// Guards against full traffic to a target whose lapsed entry is renewed with what was true before it became
+/// cold, at nodes that know that they lack a newer item.
+#[test]
+fn outdated_renewal() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    fleet.fetches_fail = true;
+    lapse(&mut fleet, "e1", 60);
+    fleet.wait(Duration::from_secs(1));
+    let warm = listed("e1", ENGINE, NORTH, false, 0);
+    for node in 0..3 {
+        fleet.publish(node, vec![item("e1", 61, Some(warm.clone()))], 61);
+    }
+    let cold = listed("e1", ENGINE, NORTH, false, 3000);
+    fleet.publish(0, vec![item("e1", 62, Some(cold))], 62);
+    let sent = count_during(&mut fleet, target, 100, Duration::from_millis(950));
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
+
 /// Guards against targets that take few requests for seconds after the platform was away, though they are
 /// warm and have said so.
 #[parameterized(
