--- a/crates/seam-core/src/node/verification.rs
+++ b/crates/seam-core/src/node/verification.rs
@@ -51,6 +51,8 @@
     doubt: Option<Doubt>,
     /// When a read of all items last began because of a doubt.
     listed: Option<Time>,
+    /// Whether it is not answered yet. A second one beside it would transfer the same items again.
+    listing: bool,
     /// Consecutive contradictions that were not confirmed.
     unconfirmed: u32,
     /// Size of the configuration's item.
@@ -118,9 +120,13 @@
             || self.config_view.behind()
             || self.config_view.disputed(now, DISPUTE_LIMIT)
             || self.lags(now)
-            || self
-                .config_confirmed(now)
-                .is_none_or(|age| age >= CONFIRMATION_LIFETIME)
+            || self.unconfirmed_for(now) >= CONFIRMATION_LIFETIME
+    }
+
+    /// Returns the time since the configuration in force was confirmed by the store, or else taken.
+    fn unconfirmed_for(&self, now: Time) -> Duration {
+        let taken = self.config_view.version.taken;
+        now.since(self.config_view.confirmed.unwrap_or(taken))
     }
 
     /// Returns the read of the store that is due, which begins now.
@@ -135,7 +141,7 @@
             let verification = &mut self.verification;
             verification.next_list = Some(now + LIST_INTERVAL.mul_f64(fraction));
             if verification.doubt.is_some() {
-                verification.listed = Some(now);
+                (verification.listed, verification.listing) = (Some(now), true);
             }
             return Some((StoreScope::All, self.begin_store_call(now)));
         }
@@ -153,6 +159,11 @@
         if self.verification.doubt.is_some() {
             let factor = 2_u32.pow(self.verification.unconfirmed.min(3));
             let interval = DOUBT_INTERVAL * factor;
+            let interval = if self.verification.listing {
+                interval.max(SILENCE_LIMIT)
+            } else {
+                interval
+            };
             let listed = self.verification.listed;
             return listed.is_none_or(|listed| now.since(listed) >= interval);
         }
@@ -168,7 +179,11 @@
     }
 
     /// Notes that a read which verifies what this node knows failed.
-    pub fn note_failed_read(&mut self, now: Time) {
+    pub fn note_failed_read(&mut self, now: Time, scope: StoreScope) {
+        if scope == StoreScope::All {
+            self.verification.listing = false;
+            return;
+        }
         let next = self.verification.next_key;
         self.verification.next_key = next.min(now + RETRY_INTERVAL);
     }
@@ -223,6 +238,7 @@
                 return;
             }
             self.verification.unconfirmed += 1;
+            self.verification.listing = false;
         } else if let Some(contradiction) = contradiction {
             self.doubt(now, contradiction, out);
         }
@@ -298,6 +314,7 @@
         self.item_differences = super::ItemDifferences::default();
         self.item_exchanges = super::ItemExchanges::default();
         self.verification.doubt = None;
+        self.verification.listing = false;
         self.unread_items = None;
         self.peers.forget_items();
         self.config_view.reset(revision);
--- a/crates/seam-core/tests/store_outranks.rs
+++ b/crates/seam-core/tests/store_outranks.rs
@@ -298,3 +298,26 @@
     assert_eq!(versions(&fleet), [5; 4]);
     assert!(fleet.nodes[0].config_confirmed(fleet.now).unwrap() > Duration::from_secs(3));
 }
+
+/// Guards against every node of a large region that reads the store at once, since a version has just been taken.
+#[test]
+fn large_region() {
+    let mut fleet = Fleet::new(&[NORTH; 12]);
+    let mut store = Store::default();
+    store.put("config", config(5));
+    for index in 0..12 {
+        store.start(&mut fleet, index);
+    }
+    fleet.wait(Duration::from_secs(2));
+    let revision = store.put("config", config(6));
+    fleet.publish(0, vec![item("config", revision, Some(config(6)))], revision);
+    fleet.wait(Duration::from_secs(2));
+    assert_eq!(versions(&fleet), [6; 12]);
+    let verifiers = |fleet: &Fleet| {
+        let nodes = fleet.nodes.iter();
+        nodes.filter(|node| node.verifies_config(fleet.now)).count()
+    };
+    assert_eq!(verifiers(&fleet), 4);
+    fleet.wait(Duration::from_secs(30));
+    assert_eq!(verifiers(&fleet), 12);
+}
--- a/crates/seam-node/src/verification.rs
+++ b/crates/seam-node/src/verification.rs
@@ -60,11 +60,11 @@
         Some(Ok((delta, stated))) => items::apply_answer(&runtime, delta, (scope, call), stated),
         Some(Err(error)) => {
             log::debug!("item store: verification by {name} failed: {error}");
-            runtime.update(seam_core::Node::note_failed_read);
+            runtime.update(|node, now| node.note_failed_read(now, scope));
         }
         None => {
             log::debug!("item store: verification by {name} took too long");
-            runtime.update(seam_core::Node::note_failed_read);
+            runtime.update(|node, now| node.note_failed_read(now, scope));
         }
     }
 }
