a version that the store lost stays in force until it is written again; all items are read after the store's return

What callers saw: with the store back from an older copy, nodes returned to the version of the copy, and used servers whose removal the copy lacks.

Cause: what a read of the store shows replaced the version in force at once, also an older version that the operator acknowledged long before; and a counter that passed the nodes' claims while the store was away contradicts nothing.

Change: an older version of an earlier item does not replace, for 10 s, one that the store itself showed. After calls that failed, the nodes that watch read all items once, after the time in which targets renew their entries. Revisions above the one that the store states count as that one, so that later changes are not below them. Without a path to the store a node keeps a version only if the peer that it follows does so.

The middle of counter_and_data_back expected the copy's version at once; it expects the acknowledged one for 4 s, then the copy's after 10 s more.

--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -9,6 +9,9 @@
 
 use crate::catalogue::Source;
 
+/// Time for which a version stays in force after the store was found to have an older one only.
+const LOST_VERSION_LIFETIME: Duration = Duration::from_secs(10);
+
 /// A configuration in force, and since when.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ConfigVersion {
@@ -242,6 +245,10 @@
     pub(crate) confirmed: Option<Time>,
     /// Since when each node that reported its item has another one in force.
     disputed: Option<Time>,
+    /// Whether a read of the store showed the item in force, and not only a change.
+    acknowledged: bool,
+    /// Since when the store has an older version than that in force only.
+    lost: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -362,8 +369,33 @@
         self.confirmed = self.confirmed.max(Some(begun));
     }
 
+    /// Records that a read of the store that began at a time showed the item in force.
+    pub(crate) fn acknowledge(&mut self, begun: Time) {
+        self.confirm(begun);
+        self.acknowledged = true;
+    }
+
+    /// Returns whether the store lost the version in force if it has an item of this revision, as it had that
+    /// version and has an earlier one.
+    pub(crate) fn lost_with(&self, item_revision: u64) -> bool {
+        let earlier = self.lost.is_some() || item_revision < self.version.item_revision;
+        self.acknowledged && earlier
+    }
+
+    /// Returns whether to keep the version in force, although the store has an older one.
+    pub(crate) fn keeps_newer(&mut self, now: Time) -> bool {
+        let since = *self.lost.get_or_insert(now);
+        let keeps = now.since(since) < LOST_VERSION_LIFETIME;
+        if keeps {
+            // The store has no item of it any more.
+            self.rebase(0);
+        }
+        keeps
+    }
+
     /// Forgets what refers to revisions of items that were replaced, up to a revision.
     pub(crate) fn reset(&mut self, revision: u64) {
+        let lost = self.lost;
         self.heard = None;
         self.heard_items = 0;
         self.read = None;
@@ -371,10 +403,14 @@
         self.disputed = None;
         self.differing.clear();
         self.rebase(self.version.item_revision.min(revision));
+        self.lost = lost;
     }
 
     /// Sets the revision of the item that contains the version in force.
     pub(crate) fn rebase(&mut self, item_revision: u64) {
+        if item_revision > 0 {
+            self.lost = None;
+        }
         self.version.item_revision = item_revision;
         self.meaning.item_revision = item_revision;
     }
@@ -440,7 +476,8 @@
             item_revision,
             taken: now,
         };
-        self.confirmed = None;
+        (self.confirmed, self.lost) = (None, None);
+        self.acknowledged = false;
         self.misread_places = 0;
         self.meaning = ConfigMeaning::of(item_revision, new);
         self.refused_routes = new.routes.refused();
--- a/crates/seam-core/src/node/verification.rs
+++ b/crates/seam-core/src/node/verification.rs
@@ -1,13 +1,14 @@
 //! What the store says now outranks what this node remembers: reads that verify it, and what follows from a
 //! contradiction.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
-use seam_protocol::{Heartbeat, RawItem, Time, VmId};
+use seam_protocol::{Bundle, Heartbeat, RawItem, Time, VmId};
 
 use super::Node;
-use crate::catalogue::{ItemBatch, MergeResult, Source};
+use crate::catalogue::{ItemBatch, MergeResult, RENEWAL_WINDOW, Source};
 use crate::command::Command;
 use crate::store_call::{
     Contradiction, StoreCall, StoreChange, StoreReading, StoreScope, key_interval,
@@ -33,6 +34,10 @@
 /// Time without any answer after which the store does not count as reachable.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time after the store answers again in which a target renews its entry, after which all items are read: a
+/// store that was away may have come back from an older copy.
+const RETURN_DELAY: Duration = Duration::from_millis(RENEWAL_WINDOW.as_millis() as u64 + 200);
+
 /// A contradiction that a read of all items is to confirm.
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
@@ -48,6 +53,8 @@
     next_key: Time,
     /// When the next read of all items begins.
     next_list: Option<Time>,
+    /// When all items are read after the store's return.
+    return_list: Option<Time>,
     doubt: Option<Doubt>,
     /// When a read of all items last began because of a doubt.
     listed: Option<Time>,
@@ -158,6 +165,14 @@
             let listed = self.verification.listed;
             return listed.is_none_or(|listed| now.since(listed) >= interval);
         }
+        if let Some(due) = self.verification.return_list {
+            if !self.watches_platform(now) {
+                self.verification.return_list = None;
+            } else if due <= now {
+                self.verification.return_list = None;
+                return true;
+            }
+        }
         if !self.first_watcher(now) || !self.catalogue.platform_reachable() {
             self.verification.next_list = None;
             return false;
@@ -192,6 +207,12 @@
         }
     }
 
+    /// Plans a read of all items, as the store answers again after calls that failed.
+    pub fn note_store_return(&mut self, now: Time) {
+        let due = now + RETURN_DELAY;
+        self.verification.return_list.get_or_insert(due);
+    }
+
     /// Begins to wait for answers again, after a pause of the process.
     pub(super) fn restart_silence(&mut self, now: Time) {
         self.verification.asked = self.verification.asked.map(|_| now);
@@ -225,7 +246,8 @@
         if let Some(doubt) = self.verification.doubt.take_if(|doubt| answered(doubt)) {
             if contradiction.is_some() || doubt.epoch > self.catalogue.epoch() {
                 self.verification.unconfirmed = 0;
-                self.replace_items(now, call, reading.batch, doubt.epoch, out);
+                let follows = (doubt.epoch, None);
+                self.replace_items(now, call, reading.batch, follows, out);
                 return;
             }
             self.verification.unconfirmed += 1;
@@ -239,6 +261,7 @@
             out.push(Command::LogStore(StoreChange::NoConfig));
         }
         let source = (Source::Platform, call.begun);
+        let stated = reading.stated.unwrap_or(0);
         self.merge_items(now, reading.batch, source, out);
         let Some((key, revision, bytes)) = config else {
             return;
@@ -252,17 +275,23 @@
         // The store shows the item now, so what is in force instead is not what it has.
         let earlier = self.config_view.version.taken < call.begun;
         if scope == StoreScope::Config && earlier && self.base_config.as_ref() != Some(&config) {
-            self.enforce_config(now, (revision, config), Source::Platform, out);
-            self.rebuild_bundle(now, out);
-            self.send_urgent_heartbeats(now, out);
-        } else if scope != StoreScope::Changes && self.base_config.as_ref() == Some(&config) {
-            self.config_view.confirm(call.begun);
+            let may_be_kept = self.config_view.lost_with(revision);
+            if self.follow_store(now, (revision, config), may_be_kept, out) {
+                self.rebuild_bundle(now, out);
+                self.send_urgent_heartbeats(now, out);
+            }
+            return;
+        }
+        let stated = scope != StoreScope::Changes || revision <= stated;
+        if stated && self.base_config.as_ref() == Some(&config) {
+            self.config_view.acknowledge(call.begun);
         }
     }
 
     /// Returns the key, revision and size of the configuration's item in a batch.
     fn catalogue_config(&self, batch: &ItemBatch) -> Option<(String, u64, usize)> {
-        let mut items = batch.items.iter();
+        // The changes that a watch returns are in the order of their revisions.
+        let mut items = batch.items.iter().rev();
         items.find_map(|published| {
             let item = &published.item;
             let config = matches!(published.entry, Some(seam_protocol::Entry::Config(_)))
@@ -284,17 +313,48 @@
         out.push(Command::LogStore(StoreChange::Contradicted(contradiction)));
     }
 
+    /// Puts the configuration that the store has in force. Returns whether it is.
+    ///
+    /// The operator writes again what the store lost with an older copy. Until then an older version does not
+    /// replace the one in force, if that `may_be_kept`.
+    fn follow_store(
+        &mut self,
+        now: Time,
+        (item_revision, config): (u64, Arc<Bundle>),
+        may_be_kept: bool,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let base = self.base_config.as_ref();
+        let older = base.is_some_and(|base| config.revision < base.revision);
+        if older && may_be_kept && self.config_view.keeps_newer(now) {
+            return false;
+        }
+        self.enforce_config(now, (item_revision, config), Source::Platform, out);
+        true
+    }
+
+    /// Returns whether a peer has a version in force that is no older than that of this node.
+    fn keeps_version(&self, now: Time, peer: VmId) -> bool {
+        let peer = self.peers.alive(now, peer);
+        peer.is_some_and(|peer| peer.record.revision >= self.config_view.version.revision)
+    }
+
     /// Replaces all items by those of the store, or of a peer, and resets what refers to the earlier ones.
     fn replace_items(
         &mut self,
         now: Time,
         call: StoreCall,
         batch: ItemBatch,
-        epoch: u32,
+        (epoch, peer): (u32, Option<VmId>),
         out: &mut Vec<Command>,
     ) {
         let before = self.catalogue.revision();
         let config = self.catalogue_config(&batch);
+        let may_be_kept = match (peer, &config) {
+            (Some(peer), _) => self.keeps_version(now, peer),
+            (None, Some((_, revision, _))) => self.config_view.lost_with(*revision),
+            (None, None) => false,
+        };
         let merged = self.catalogue.replace(now, batch, call.begun, epoch);
         let (revision, epoch) = (self.catalogue.revision(), self.catalogue.epoch());
         out.push(Command::LogStore(StoreChange::Replaced {
@@ -316,9 +376,11 @@
         };
         self.apply_merged(now, merged, Source::Platform, out);
         let listed = config.and_then(|(key, ..)| self.catalogue.config(&key));
-        if let Some(config) = listed {
-            self.enforce_config(now, config, Source::Platform, out);
-            self.config_view.confirm(call.begun);
+        if let Some(config) = listed
+            && self.follow_store(now, config, may_be_kept, out)
+            && peer.is_none()
+        {
+            self.config_view.acknowledge(call.begun);
         }
         self.rebuild_bundle(now, out);
         self.send_urgent_heartbeats(now, out);
@@ -386,8 +448,7 @@
                 begun: begun.unwrap_or(now),
                 ..StoreCall::default()
             };
-            self.replace_items(now, call, items, epoch, out);
-            self.config_view.confirmed = None;
+            self.replace_items(now, call, items, (epoch, Some(from)), out);
         } else {
             self.item_fetches.fail(now, from);
         }
--- a/crates/seam-core/tests/store_outranks.rs
+++ b/crates/seam-core/tests/store_outranks.rs
@@ -133,7 +133,8 @@
     }
 }
 
-/// Guards against nodes that keep what the store has no more, after it counts on from an older point.
+/// Guards against nodes that return to an older version at once as the store counts on from an older point, or
+/// keep for good what it has no more.
 #[test]
 fn counter_and_data_back() {
     let (mut fleet, earlier) = started(&ALL);
@@ -145,7 +146,10 @@
     store.serve(&mut fleet, &ALL, LIMIT);
     assert_eq!(versions(&fleet), [8; 4]);
     let mut store = earlier;
+    // The operator may write again what was lost.
     store.serve(&mut fleet, &ALL, LIMIT);
+    assert_eq!(versions(&fleet), [8; 4]);
+    store.serve(&mut fleet, &ALL, Duration::from_secs(10));
     assert_eq!(versions(&fleet), [5; 4]);
     store.put("config", config(9));
     store.serve(&mut fleet, &ALL, LIMIT);
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -45,6 +45,13 @@
     (scope, call): (StoreScope, StoreCall),
     stated: Option<u64>,
 ) {
+    let mut delta = delta;
+    if let Some(stated) = stated.filter(|_| scope != StoreScope::Changes) {
+        // A store whose counter went back keeps items of revisions above it, and later changes bear lower ones.
+        for item in &mut delta.items {
+            item.revision = item.revision.min(stated);
+        }
+    }
     apply(runtime, delta, None, |batch| {
         Event::StoreRead(StoreReading {
             call,
@@ -189,7 +196,7 @@
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
             probes = Probes::default();
-            health.answered(runtime.now());
+            note_answer(&runtime, &mut health, failures);
         }
         match changes {
             Ok(WatchOutcome::Changes(answer)) if !read_all && !answer.complete => {
@@ -291,6 +298,14 @@
     }
 }
 
+/// Records that the store answered after a number of failures.
+fn note_answer(runtime: &NodeRuntime, health: &mut Dependency, failures: u32) {
+    if failures > 0 {
+        runtime.update(seam_core::Node::note_store_return);
+    }
+    health.answered(runtime.now());
+}
+
 /// Returns the list of all items. If a change could not be read up to `unread`, what the list lacks may be
 /// what cannot be read, and later removals are in the watches from there on.
 fn list_of(answer: StoreAnswer, unread: Option<u64>) -> Delta {
