tests: the epoch in datagrams

Nothing checked that it is kept, that a process of the version before reads the rest, and what it takes: 1, 2 and 5 bytes, none while it is zero.

--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -191,3 +191,26 @@
     heartbeat.items_digest = Some(u32::MAX);
     assert_eq!(heartbeat.encode().len() - without, 22);
 }
+
+/// Guards against an epoch of items that gets lost, or that keeps a process of the version before from reading
+/// the rest.
+#[test]
+fn epoch_kept() {
+    let mut heartbeat = heartbeat();
+    heartbeat.items_digest = Some(7);
+    let without = heartbeat.encode();
+    for (epoch, bytes) in [(1, 1), (300, 2), (u32::MAX, 5)] {
+        heartbeat.items_epoch = epoch;
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        // What precedes it is as a process of the version before writes and reads it.
+        assert_eq!(whole[..without.len()], without);
+        assert_eq!(whole.len() - without.len(), bytes);
+        assert_eq!(
+            Heartbeat::decode(&without).map(|read| read.items_epoch),
+            Some(0)
+        );
+    }
+    heartbeat.items_digest = None;
+    assert_eq!(Heartbeat::decode(&heartbeat.encode()), Some(heartbeat));
+}
