--- a/crates/seam-core/src/node/verification.rs
+++ b/crates/seam-core/src/node/verification.rs
@@ -147,7 +147,9 @@
             return None;
         }
         let fraction = self.rng.random_range(0.0..1.0);
-        self.verification.next_key = now + key_interval(self.verification.bytes, fraction);
+        let others = self.peers.live_in(now, self.id.region).count();
+        let interval = key_interval(self.verification.bytes, others < SMALL_REGION, fraction);
+        self.verification.next_key = now + interval;
         Some((StoreScope::Config, self.begin_store_call(now)))
     }
 
--- a/crates/seam-core/src/store_call.rs
+++ b/crates/seam-core/src/store_call.rs
@@ -10,8 +10,10 @@
 const KEY_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest time between two reads of a large item.
 const MAX_KEY_INTERVAL: Duration = Duration::from_secs(30);
-/// Bytes a second that reads of the item take at most.
+/// Bytes a second that reads of the item take at most at a node of a large region.
 const KEY_BYTE_RATE: u64 = 2000;
+/// Bytes a second that they take at most at a node of a small region, which has few others to rely on.
+const SMALL_REGION_RATE: u64 = 8000;
 
 /// A call to the store, as it began.
 ///
@@ -102,15 +104,21 @@
 /// ```
 /// use std::time::Duration;
 /// use seam_core::store_call::key_interval;
-/// assert_eq!(key_interval(900, 0.0), Duration::from_secs(2));
-/// assert_eq!(key_interval(9000, 0.0), Duration::from_secs(6));
-/// assert_eq!(key_interval(900_000, 0.0), Duration::from_secs(30));
+/// assert_eq!(key_interval(900, false, 0.0), Duration::from_secs(2));
+/// assert_eq!(key_interval(9000, false, 0.0), Duration::from_secs(6));
+/// assert_eq!(key_interval(9000, true, 0.0), Duration::from_secs(2));
+/// assert_eq!(key_interval(900_000, true, 0.0), Duration::from_secs(30));
 /// ```
 #[must_use]
-pub fn key_interval(bytes: usize, fraction: f64) -> Duration {
+pub fn key_interval(bytes: usize, small_region: bool, fraction: f64) -> Duration {
     // Values are sent as base64.
     let sent = bytes as u64 * 4 / 3;
-    let scaled = Duration::from_millis(sent * 1000 / KEY_BYTE_RATE);
+    let rate = if small_region {
+        SMALL_REGION_RATE
+    } else {
+        KEY_BYTE_RATE
+    };
+    let scaled = Duration::from_millis(sent * 1000 / rate);
     let interval = scaled.clamp(KEY_INTERVAL, MAX_KEY_INTERVAL);
     interval.mul_f64(1.0 - fraction / 4.0)
 }
