--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -3,9 +3,10 @@
 //! An item is a key with a revision and an encoded entry: the configuration, a target, or the
 //! evacuation of a data centre.
 //!
-//! An item may arrive from the platform or from any peer, in any order and more than once. The
-//! highest revision of a key wins, so the merge order does not matter and no key returns to an
-//! older revision. An unreachable platform does not make any item expire.
+//! An item may arrive from the platform or from any peer, in any order and more than once. Within an
+//! epoch the highest revision of a key wins, so the merge order does not matter and no key returns to
+//! an older revision. A list of the platform that contradicts the items replaces them and begins
+//! another epoch. An unreachable platform does not make any item expire.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -117,6 +118,8 @@
     seen: Time,
     /// Until when the entry of a lapsed item (one whose lease may have expired) stays in use.
     keep_until: Option<Time>,
+    /// Whether the entry is kept under the revision of an older one, written late.
+    kept: bool,
     /// Boot and sequence number of the last entry of an earlier boot that was not used.
     outdated: Option<(u64, u64)>,
 }
@@ -166,7 +169,7 @@
     /// Whether the platform has ever been reachable from this node.
     ever_reached: bool,
     reachable_since: Option<Time>,
-    /// Number of confirmed contradictions that the items follow from, of this node or of a peer.
+    /// Raised with each replacement; revisions of different epochs cannot be compared.
     epoch: u32,
     /// When this node last raised the epoch.
     raised: Option<Time>,
@@ -340,6 +343,7 @@
                 let before = part(&current.raw);
                 current.raw.revision = item.revision;
                 current.seen = now;
+                current.kept = true;
                 let after = part(&current.raw);
                 self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
                 let reason = "a newer entry of the same target is known".to_owned();
@@ -398,6 +402,7 @@
             received: now,
             seen: now,
             keep_until,
+            kept: false,
             outdated: None,
         };
         self.digest = self.digest.wrapping_add(part(&item.raw));
@@ -430,6 +435,12 @@
         })
     }
 
+    /// Returns the revision of an item that is known with the same value.
+    pub(crate) fn revision_of(&self, item: &RawItem) -> Option<u64> {
+        let known = self.items.get(&item.key)?;
+        (known.raw.value == item.value).then_some(known.raw.revision)
+    }
+
     /// Returns the usable configuration of a key, with the revision of its item.
     pub(crate) fn config(&self, key: &str) -> Option<(u64, Arc<Bundle>)> {
         let item = self.items.get(key)?;
@@ -449,14 +460,18 @@
         if *scope == StoreScope::Changes {
             return None;
         }
-        for PublishedItem { item, entry } in &reading.batch.items {
-            let known = self.items.get(&item.key);
-            let Some(known) = known.filter(|known| known.seen < call.begun) else {
+        for PublishedItem { item, .. } in &reading.batch.items {
+            let Some(known) = self.items.get(&item.key) else {
+                if *scope == StoreScope::All && item.revision <= call.claim {
+                    return against(call.claim, item.revision);
+                }
                 continue;
             };
-            let target = matches!(entry, Some(Entry::Target(_)));
+            if known.seen >= call.begun {
+                continue;
+            }
             let differs =
-                known.raw.revision == item.revision && known.raw.value != item.value && !target;
+                known.raw.revision == item.revision && known.raw.value != item.value && !known.kept;
             if known.raw.revision > item.revision || differs {
                 return against(known.raw.revision, item.revision);
             }
--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -216,7 +216,7 @@
     pub confirmed_age_ms: Option<u64>,
     /// Revision that the store stated last, if it did.
     pub store_revision: Option<u64>,
-    /// Number of confirmed contradictions between the store and what nodes remembered.
+    /// Epoch of the items: raised as they are replaced by those of a store that contradicts them.
     pub epoch: u32,
     /// Versions that were read and not taken, by reason.
     pub not_taken: BTreeMap<NotTaken, u64>,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -62,7 +62,8 @@
         };
         let newest = newest.unwrap_or(0);
         let own_revision = self.bundle.as_ref().map_or(0, |bundle| bundle.revision);
-        let confirmed = effect.echo.filter(|_| newest <= own_revision);
+        let followed = heartbeat.items_epoch <= self.catalogue.epoch();
+        let confirmed = effect.echo.filter(|_| followed && newest <= own_revision);
         if (confirmed.is_some() && !self.freshness.fresh()) || self.alone_since.is_some() {
             let items = if comparable {
                 heartbeat.items_revision
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -198,13 +198,14 @@
             self.config_view.rebase(item_revision);
             return;
         }
+        self.verify_soon(now);
         let before = self.base_config.as_ref().map_or(0, |base| base.revision);
         out.push(self.audit(
             now,
             Change::Revision,
             "configuration",
             (before.to_string(), config.revision.to_string()),
-            format!("newer revision by {source:?}"),
+            format!("published, by {source:?}"),
         ));
         let old = self.base_config.replace(config.clone());
         let old = old.unwrap_or_else(|| config.clone());
--- a/crates/seam-core/src/node/verification.rs
+++ b/crates/seam-core/src/node/verification.rs
@@ -28,14 +28,14 @@
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two reads of all items by the first watcher of a region, before jitter.
 const LIST_INTERVAL: Duration = Duration::from_secs(20);
-/// Shortest time between two reads of all items because of a contradiction. It doubles with each that did not
-/// confirm one.
+/// Shortest time between two reads of all items because of a contradiction. It doubles with each that failed or
+/// did not confirm one.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without any answer after which the store does not count as reachable.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
-/// Time after the store answers again in which a target renews its entry, after which all items are read: a
-/// store that was away may have come back from an older copy.
+/// Time from the store's return to a read of all items, as it may be back from an older copy. Live targets have
+/// renewed their entries by then.
 const RETURN_DELAY: Duration = Duration::from_millis(RENEWAL_WINDOW.as_millis() as u64 + 200);
 
 /// A contradiction that a read of all items is to confirm.
@@ -147,8 +147,8 @@
             return None;
         }
         let fraction = self.rng.random_range(0.0..1.0);
-        let others = self.peers.live_in(now, self.id.region).count();
-        let interval = key_interval(self.verification.bytes, others < SMALL_REGION, fraction);
+        let small_region = self.in_small_region(now);
+        let interval = key_interval(self.verification.bytes, small_region, fraction);
         self.verification.next_key = now + interval;
         Some((StoreScope::Config, self.begin_store_call(now)))
     }
@@ -189,7 +189,9 @@
     /// Notes that a read which verifies what this node knows failed.
     pub fn note_failed_read(&mut self, now: Time, scope: StoreScope) {
         if scope == StoreScope::All {
-            self.verification.listing = false;
+            let verification = &mut self.verification;
+            verification.unconfirmed = verification.unconfirmed.saturating_add(1);
+            verification.listing = false;
             return;
         }
         let next = self.verification.next_key;
@@ -209,6 +211,17 @@
         }
     }
 
+    fn in_small_region(&self, now: Time) -> bool {
+        self.peers.live_in(now, self.id.region).count() < SMALL_REGION
+    }
+
+    /// Has the key of a version read that was just put in force, unless many nodes would do so at once.
+    pub(super) fn verify_soon(&mut self, now: Time) {
+        if self.in_small_region(now) {
+            self.verification.next_key = now;
+        }
+    }
+
     /// Plans a read of all items, as the store answers again after calls that failed.
     pub fn note_store_return(&mut self, now: Time) {
         let due = now + RETURN_DELAY;
@@ -226,6 +239,15 @@
         self.catalogue.knows(item)
     }
 
+    /// Limits the revisions of listed items to the one that the store states. A store whose counter went back
+    /// keeps items of revisions above it, and gives later changes lower ones.
+    pub fn limit_revisions(&self, items: &mut [RawItem], stated: u64) {
+        for item in items.iter_mut().filter(|item| item.revision > stated) {
+            let known = self.catalogue.revision_of(item);
+            item.revision = known.map_or(stated, |known| known.min(stated));
+        }
+    }
+
     /// Handles the answer to a call to the store.
     pub(super) fn read_store(&mut self, now: Time, reading: StoreReading, out: &mut Vec<Command>) {
         let StoreReading { call, scope, .. } = reading;
@@ -256,8 +278,12 @@
             self.verification.listing = false;
         } else if let Some(contradiction) = contradiction {
             self.doubt(now, contradiction, out);
+            if scope == StoreScope::All {
+                // Merged, it would hide what the next list is to confirm.
+                return;
+            }
         }
-        let config = self.catalogue_config(&reading.batch);
+        let config = self.find_config(&reading.batch);
         let absent = scope == StoreScope::Config && reading.batch.items.is_empty();
         if absent && !std::mem::replace(&mut self.verification.absent, absent) {
             out.push(Command::LogStore(StoreChange::NoConfig));
@@ -284,14 +310,14 @@
             }
             return;
         }
-        let stated = scope != StoreScope::Changes || revision <= stated;
-        if stated && self.base_config.as_ref() == Some(&config) {
+        let plausible = scope != StoreScope::Changes || revision <= stated;
+        if plausible && self.base_config.as_ref() == Some(&config) {
             self.config_view.acknowledge(call.begun);
         }
     }
 
     /// Returns the key, revision and size of the configuration's item in a batch.
-    fn catalogue_config(&self, batch: &ItemBatch) -> Option<(String, u64, usize)> {
+    fn find_config(&self, batch: &ItemBatch) -> Option<(String, u64, usize)> {
         // The changes that a watch returns are in the order of their revisions.
         let mut items = batch.items.iter().rev();
         items.find_map(|published| {
@@ -351,7 +377,7 @@
         out: &mut Vec<Command>,
     ) {
         let before = self.catalogue.revision();
-        let config = self.catalogue_config(&batch);
+        let config = self.find_config(&batch);
         let may_be_kept = match (peer, &config) {
             (Some(peer), _) => self.keeps_version(now, peer),
             (None, Some((_, revision, _))) => self.config_view.lost_with(*revision),
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -293,7 +293,7 @@
             .map(|(vm, peer)| (*vm, peer))
     }
 
-    /// Forgets which items nodes reported, and which configurations those that are not corrected have.
+    /// Forgets up to which revision each node reported to know the items.
     pub fn forget_items(&mut self) {
         for peer in self.peers.values_mut() {
             peer.items_revision = 0;
--- a/crates/seam-core/tests/store_outranks.rs
+++ b/crates/seam-core/tests/store_outranks.rs
@@ -325,3 +325,132 @@
     fleet.wait(Duration::from_secs(30));
     assert_eq!(verifiers(&fleet), 12);
 }
+
+fn values_of(fleet: &Fleet, key: &str) -> Vec<Option<Vec<u8>>> {
+    let value = |node: &seam_core::Node| {
+        let mut items = node.items_since(0).items.into_iter();
+        items.find(|item| item.key == key)?.value
+    };
+    fleet.nodes.iter().map(value).collect()
+}
+
+/// Guards against a target that is lost for good, since a removal of its own revision was received.
+#[test]
+fn removal_of_present_item() {
+    let (mut fleet, store) = started(&ALL);
+    fleet.publish(0, vec![item("e-north", 2, None)], 2);
+    store.serve(&mut fleet, &ALL, Duration::from_secs(40));
+    assert_eq!(values_of(&fleet, "e-north"), vec![Some(vec![1]); 4]);
+}
+
+/// Guards against a target that is used as it was, since the store gave its revision out again.
+#[test]
+fn revision_given_again() {
+    let (mut fleet, mut store) = started(&ALL);
+    store.items.retain(|(key, ..)| key != "e-north");
+    let mut changed = item(
+        "e-north",
+        2,
+        Some(listed("e-north", ENGINE, NORTH, true, 0)),
+    );
+    changed.item.value = Some(vec![2]);
+    let end = fleet.now + Duration::from_secs(40);
+    while fleet.now < end {
+        fleet.wait(Duration::from_millis(250));
+        for index in ALL {
+            let now = fleet.now;
+            if let Some((scope, call)) = fleet.nodes[index].due_read(now) {
+                let mut batch = store.list();
+                batch.items.push(changed.clone());
+                if scope == StoreScope::Config {
+                    batch.items.retain(|read| read.item.key == "config");
+                    (batch.revision, batch.full) = (0, false);
+                }
+                fleet.answer(index, (scope, call), batch, Some(2));
+            }
+        }
+    }
+    assert_eq!(values_of(&fleet, "e-north"), vec![Some(vec![2]); 4]);
+}
+
+/// Guards against an item that only the nodes which list all items receive, since all claim its revision.
+#[test]
+fn unknown_below_claim() {
+    let mut fleet = Fleet::new(&[NORTH, NORTH, NORTH, SOUTH, SOUTH, SOUTH]);
+    let all = [0, 1, 2, 3, 4, 5];
+    let mut store = Store::default();
+    store.put("config", config(5));
+    store.revision = 30;
+    for index in all {
+        store.start(&mut fleet, index);
+    }
+    fleet.wait(Duration::from_secs(2));
+    // The counter goes back, and passes the claims before a node calls the store.
+    store.revision = 20;
+    store.put("e-late", listed("e-late", ENGINE, NORTH, false, 0));
+    store.revision = 40;
+    for index in all {
+        fleet.publish(index, Vec::new(), 40);
+    }
+    store.serve(&mut fleet, &all, Duration::from_secs(60));
+    assert_eq!(values_of(&fleet, "e-late"), vec![Some(vec![1]); 6]);
+}
+
+/// Guards against a node that answers as if it were up to date, as it was paused while the items were replaced.
+#[test]
+fn paused_in_lower_epoch() {
+    let (mut fleet, mut store) = started(&[0]);
+    store.serve(&mut fleet, &[0], LIMIT);
+    assert!(fleet.nodes[3].status(fleet.now).fresh);
+    fleet.pause(3, Duration::from_secs(20), |fleet| {
+        fleet.publish(0, vec![item("config", 1000, Some(config(5)))], 1000);
+        fleet.wait(Duration::from_secs(1));
+        store.put("config", config(6));
+        store.serve(fleet, &[0], LIMIT);
+    });
+    fleet.fetches_held = true;
+    for _ in 0..20 {
+        fleet.wait(Duration::from_millis(50));
+        let status = fleet.nodes[3].status(fleet.now);
+        assert!(!status.fresh || status.revision == 6);
+    }
+}
+
+/// Guards against items that seem to change with each list of a store whose counter is below their revisions.
+#[test]
+fn items_above_counter() {
+    let (fleet, _) = started(&ALL);
+    let node = &fleet.nodes[0];
+    let mut items = node.items_since(0).items;
+    let known: Vec<_> = items.iter().map(|item| item.revision).collect();
+    for item in &mut items {
+        item.revision = 1000;
+    }
+    for stated in 2..5 {
+        let mut listed = items.clone();
+        node.limit_revisions(&mut listed, stated);
+        let limited: Vec<_> = listed.iter().map(|item| item.revision).collect();
+        assert_eq!(limited, known);
+        listed[0].value = Some(vec![2]);
+        listed[0].revision = 1000;
+        node.limit_revisions(&mut listed, stated);
+        assert_eq!(listed[0].revision, stated);
+    }
+}
+
+/// Guards against a version that returns with the answer to a read of its key which began before a later one.
+#[test]
+fn late_key_read() {
+    let (mut fleet, mut store) = started(&[0]);
+    let earlier = store.clone();
+    let now = fleet.now;
+    let call = fleet.nodes[0].begin_store_call(now);
+    fleet.wait(Duration::from_millis(100));
+    store.put("config", config(6));
+    store.serve(&mut fleet, &[0], LIMIT);
+    assert_eq!(versions(&fleet), [6; 4]);
+    earlier.answer(&mut fleet, 0, (StoreScope::Config, call));
+    store.serve(&mut fleet, &[0], LIMIT);
+    assert_eq!(versions(&fleet), [6; 4]);
+    assert_eq!(epochs(&fleet), [0; 4]);
+}
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -47,10 +47,7 @@
 ) {
     let mut delta = delta;
     if let Some(stated) = stated.filter(|_| scope != StoreScope::Changes) {
-        // A store whose counter went back keeps items of revisions above it, and later changes bear lower ones.
-        for item in &mut delta.items {
-            item.revision = item.revision.min(stated);
-        }
+        runtime.read(|node, _| node.limit_revisions(&mut delta.items, stated));
     }
     apply(runtime, delta, None, |batch| {
         Event::StoreRead(StoreReading {
@@ -192,7 +189,7 @@
         let Some((after, store_call, changes)) = answer else {
             continue;
         };
-        let asked = (scope_of(read_all, &changes), store_call);
+        let asked = asked(read_all, after, store_call, &changes);
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
             probes = Probes::default();
@@ -298,6 +295,13 @@
     }
 }
 
+/// Returns what a call asked for that began after a revision. A watch after a list may begin below the claim, and
+/// an answer in parts states where its part ends.
+fn asked(read_all: bool, after: u64, call: StoreCall, answer: &Watched) -> (StoreScope, StoreCall) {
+    let claim = call.claim.min(after);
+    (scope_of(read_all, answer), StoreCall { claim, ..call })
+}
+
 /// Records that the store answered after a number of failures.
 fn note_answer(runtime: &NodeRuntime, health: &mut Dependency, failures: u32) {
     if failures > 0 {
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -414,7 +414,9 @@
     address: SocketAddr,
     since: u64,
 ) -> Result<(Delta, u32), FetchError> {
-    let epoch = runtime.read(|node, _| node.items_epoch());
+    // The items may have been replaced since the fetch was planned.
+    let (epoch, claim) = runtime.read(|node, _| (node.items_epoch(), node.items_revision()));
+    let since = since.min(claim);
     let client = runtime.peers.client(address).await.context(ConnectSnafu)?;
     let mut client = client.max_decoding_message_size(MAX_ITEMS_BYTES);
     let mut request = tonic::Request::new(ItemsRequest { since, epoch });
