--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -9,6 +9,9 @@
 
 use crate::catalogue::Source;
 
+/// Time for which a version stays in force after the store was found to have an older one only.
+const LOST_VERSION_LIFETIME: Duration = Duration::from_secs(10);
+
 /// A configuration in force, and since when.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ConfigVersion {
@@ -29,6 +32,13 @@
     pub item_revision: u64,
     /// Milliseconds for which it had been in force.
     pub age_ms: u64,
+    /// Milliseconds since the store last showed that it is the present one, if it did.
+    #[serde(skip)]
+    pub confirmed_ms: Option<u64>,
+    /// Digest of what the node made of it, see [`ConfigMeaning`], zero if that is unknown, as is the
+    /// confirmation then.
+    #[serde(skip)]
+    pub meaning: u64,
 }
 
 impl ConfigVersion {
@@ -46,6 +56,7 @@
             revision: self.revision,
             item_revision: self.item_revision,
             age_ms: now.since(self.taken).as_millis() as u64,
+            ..ConfigStamp::default()
         }
     }
 }
@@ -188,6 +199,8 @@
     pub meaning: u64,
     /// Routes that are refused for a time, since they cannot be read.
     pub refused_routes: usize,
+    /// Published places that the routes in force do not have as published.
+    pub misread_places: usize,
     /// Nodes that made something else of the same item.
     pub differing: usize,
     /// Latest version that another node had in force before this one, zero for none.
@@ -198,6 +211,13 @@
     pub read_age_ms: Option<u64>,
     /// Milliseconds since this node last knew all that the platform, or a node that reaches it, had.
     pub current_age_ms: Option<u64>,
+    /// Milliseconds since the call began by which the store last showed that the item in force is the present
+    /// one, if it did.
+    pub confirmed_age_ms: Option<u64>,
+    /// Revision that the store stated last, if it did.
+    pub store_revision: Option<u64>,
+    /// Number of confirmed contradictions between the store and what nodes remembered.
+    pub epoch: u32,
     /// Versions that were read and not taken, by reason.
     pub not_taken: BTreeMap<NotTaken, u64>,
 }
@@ -210,6 +230,8 @@
     meaning: ConfigMeaning,
     /// Routes of it that are refused for a time.
     refused_routes: usize,
+    /// Published places that it does not have as published.
+    misread_places: usize,
     /// Nodes that made something else of it.
     differing: BTreeSet<VmId>,
     /// Latest version that another node has in force, and when this node heard of it first.
@@ -219,6 +241,14 @@
     /// When this node last knew every item that it heard of from the platform itself or from a node
     /// that reaches the platform.
     current: Option<Time>,
+    /// When the call began by which the store last showed the item in force.
+    pub(crate) confirmed: Option<Time>,
+    /// Since when each node that reported its item has another one in force.
+    disputed: Option<Time>,
+    /// Whether a read of the store showed the item in force, and not only a change.
+    acknowledged: bool,
+    /// Since when the store has an older version than that in force only.
+    lost: Option<Time>,
     /// Key of the item that contains the configuration, once it was read.
     key: String,
     /// Revision of the item that was read last, and when.
@@ -320,11 +350,98 @@
             })
     }
 
+    /// Records which item another node has in force.
+    pub(crate) fn note_item(&mut self, now: Time, other: ConfigMeaning) {
+        if other.item_revision == self.meaning.item_revision {
+            self.disputed = None;
+        } else if other.item_revision != 0 {
+            self.disputed.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether other nodes have had another item in force for `span`.
+    pub(crate) fn disputed(&self, now: Time, span: Duration) -> bool {
+        self.disputed.is_some_and(|since| now.since(since) >= span)
+    }
+
+    /// Records that a call to the store that began at a time showed the item in force.
+    pub(crate) fn confirm(&mut self, begun: Time) {
+        self.confirmed = self.confirmed.max(Some(begun));
+    }
+
+    /// Records that a read of the store that began at a time showed the item in force.
+    pub(crate) fn acknowledge(&mut self, begun: Time) {
+        self.confirm(begun);
+        self.acknowledged = true;
+    }
+
+    /// Returns whether the store lost the version in force if it has an item of this revision, as it had that
+    /// version and has an earlier one.
+    pub(crate) fn lost_with(&self, item_revision: u64) -> bool {
+        let earlier = self.lost.is_some() || item_revision < self.version.item_revision;
+        self.acknowledged && earlier
+    }
+
+    /// Returns whether to keep the version in force, although the store has an older one.
+    pub(crate) fn keeps_newer(&mut self, now: Time) -> bool {
+        let since = *self.lost.get_or_insert(now);
+        let keeps = now.since(since) < LOST_VERSION_LIFETIME;
+        if keeps {
+            // The store has no item of it any more.
+            self.rebase(0);
+        }
+        keeps
+    }
+
+    /// Forgets what refers to revisions of items that were replaced, up to a revision.
+    pub(crate) fn reset(&mut self, revision: u64) {
+        let lost = self.lost;
+        self.heard = None;
+        self.heard_items = 0;
+        self.read = None;
+        self.unusable = 0;
+        self.disputed = None;
+        self.differing.clear();
+        self.rebase(self.version.item_revision.min(revision));
+        self.lost = lost;
+    }
+
+    /// Sets the revision of the item that contains the version in force.
+    pub(crate) fn rebase(&mut self, item_revision: u64) {
+        if item_revision > 0 {
+            self.lost = None;
+        }
+        self.version.item_revision = item_revision;
+        self.meaning.item_revision = item_revision;
+    }
+
     /// Records that the platform was read.
     pub(crate) fn note_current(&mut self, now: Time) {
         self.current = Some(now);
     }
 
+    /// Records how many published places of an item the routes do not have, if that item is in force.
+    pub(crate) fn note_misread(&mut self, item_revision: u64, count: usize) {
+        if self.version.item_revision == item_revision {
+            self.misread_places = count;
+        }
+    }
+
+    /// Returns the time since the store last showed that the item in force is the present one.
+    pub(crate) fn confirmed(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Returns the stamp of a decision that is made now, with what is known of the version in force.
+    pub(crate) fn stamp(&self, now: Time) -> ConfigStamp {
+        let confirmed = self.confirmed(now);
+        ConfigStamp {
+            confirmed_ms: confirmed.map(|age| age.as_millis() as u64),
+            meaning: self.meaning.digest,
+            ..self.version.stamp(now)
+        }
+    }
+
     /// Returns a snapshot for the administration API; `read` is when the platform was last read.
     pub(crate) fn status(&self, now: Time, read: Option<Time>) -> ConfigStatus {
         let millis = |time: Time| now.since(time).as_millis() as u64;
@@ -332,11 +449,15 @@
             stamp: self.version.stamp(now),
             meaning: self.meaning.digest,
             refused_routes: self.refused_routes,
+            misread_places: self.misread_places,
             differing: self.differing.len(),
             heard: self.heard.map_or(0, |(revision, _)| revision),
             heard_items: self.heard_items,
             read_age_ms: read.map(millis),
             current_age_ms: self.current.map(millis),
+            confirmed_age_ms: self.confirmed.map(millis),
+            store_revision: None,
+            epoch: 0,
             not_taken: self.not_taken.clone(),
         }
     }
@@ -355,6 +476,9 @@
             item_revision,
             taken: now,
         };
+        (self.confirmed, self.lost) = (None, None);
+        self.acknowledged = false;
+        self.misread_places = 0;
         self.meaning = ConfigMeaning::of(item_revision, new);
         self.refused_routes = new.routes.refused();
         self.differing.clear();
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -22,6 +22,7 @@
 mod streams;
 mod summaries;
 mod tick;
+mod verification;
 mod work_update;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,7 +39,7 @@
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
-use crate::config_version::{ConfigVersion, ConfigView};
+use crate::config_version::{ConfigStamp, ConfigVersion, ConfigView};
 use crate::event::Event;
 use crate::fair::FairQueue;
 use crate::freshness::Freshness;
@@ -222,6 +223,7 @@
     pub(crate) item_fetches: ItemFetches,
     pub(crate) item_differences: ItemDifferences,
     pub(crate) item_exchanges: ItemExchanges,
+    pub(crate) verification: verification::Verification,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -317,6 +319,7 @@
             item_fetches: ItemFetches::default(),
             item_differences: ItemDifferences::default(),
             item_exchanges: ItemExchanges::default(),
+            verification: verification::Verification::default(),
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
@@ -396,7 +399,14 @@
             Event::Heartbeat(heartbeat) => self.receive_heartbeat(now, &heartbeat, out),
             Event::Bundle(bundle) => self.apply_bundle(now, &bundle, out),
             Event::RevisionConfirmed(revision) => self.confirm_revision(now, revision),
-            Event::ItemsRead(items, source) => self.merge_items(now, items, source, out),
+            Event::ItemsRead(items, source) => self.merge_items(now, items, (source, now), out),
+            Event::StoreRead(reading) => self.read_store(now, reading, out),
+            Event::ItemsFetched {
+                from,
+                epoch,
+                items,
+                source,
+            } => self.read_peer(now, (from, epoch), (items, source), out),
             Event::ItemsNotRead(from) => self.fetch_elsewhere(now, from, out),
             Event::PlatformUnreachable(unreachable) => {
                 self.set_platform_unreachable(now, unreachable, out);
@@ -448,6 +458,31 @@
         self.config_view.version
     }
 
+    /// Returns the time since the call began by which the store last showed this node that the configuration in
+    /// force is the present one, `None` if it never did. What another node relays does not count.
+    ///
+    /// ```
+    /// use seam_core::{Identity, Node};
+    /// use seam_protocol::{Incarnation, RegionId, Time, VmId};
+    /// let id = Identity { vm: VmId(1), region: RegionId(1), incarnation: Incarnation(1) };
+    /// assert_eq!(Node::new(id, 1, Time(0)).config_confirmed(Time(5)), None);
+    /// ```
+    #[must_use]
+    pub fn config_confirmed(&self, now: Time) -> Option<Duration> {
+        self.config_view.confirmed(now)
+    }
+
+    /// Records how many published places the routes of an item do not have, if it is in force.
+    pub fn note_misread_places(&mut self, item_revision: u64, count: usize) {
+        self.config_view.note_misread(item_revision, count);
+    }
+
+    /// Returns the stamp of a decision by the configuration in force.
+    #[must_use]
+    pub fn config_stamp(&self, now: Time) -> ConfigStamp {
+        self.config_view.stamp(now)
+    }
+
     /// Records that the item of a configuration was read, before it is merged. Returns whether it is
     /// newer than those that were read before.
     pub fn note_config_read(&mut self, now: Time, key: &str, item_revision: u64) -> bool {
--- a/crates/seam-ctl/src/commands/status.rs
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -55,6 +55,9 @@
                 "heard_items",
                 "read_age_ms",
                 "current_age_ms",
+                "confirmed_age_ms",
+                "store_revision",
+                "epoch",
                 "not_taken",
             ],
         );
--- a/crates/seam-node/src/config_log.rs
+++ b/crates/seam-node/src/config_log.rs
@@ -4,11 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::StatusCode;
 use log::kv::Value;
 use seam_core::command::ItemDifference;
 use seam_core::config_version::ConfigChange;
-use seam_protocol::Delta;
+use seam_core::store_call::StoreChange;
+use seam_core::{ConfigStamp, ConfigVersion};
+use seam_protocol::{Delta, Reason};
 
+use crate::published_places::MisreadPlace;
 use crate::runtime::NodeRuntime;
 
 /// Logs the configuration of a delta if it was not read before, from the platform or from a peer.
@@ -33,6 +37,23 @@
     time.map_or_else(|| "".into(), |time| (time.as_millis() as u64).into())
 }
 
+/// Returns for how long the store has not shown a configuration. Left out of a line if that is unknown.
+pub fn confirmed(config: &ConfigStamp) -> Value<'static> {
+    match config.confirmed_ms {
+        _ if config.meaning == 0 => Value::null(),
+        None => "never".into(),
+        Some(age) => age.into(),
+    }
+}
+
+/// Returns the digest of what a node made of a configuration. Left out of a line if it is unknown.
+pub fn meaning(config: &ConfigStamp) -> Value<'static> {
+    match config.meaning {
+        0 => Value::null(),
+        digest => digest.into(),
+    }
+}
+
 /// Logs that another node has other items than this one at the same revision.
 pub fn log_difference(difference: &ItemDifference) {
     let digest = |digest: u32| format!("{digest:08x}");
@@ -44,6 +65,72 @@
     );
 }
 
+/// Logs a refusal by a configuration that the store has not shown for some time, with the revision up to which
+/// this node claims to know every change and the one that the store stated last to it.
+pub fn log_unconfirmed(
+    config: &ConfigStamp,
+    (status, reason): (StatusCode, Reason),
+    (claim, stated): (u64, Option<u64>),
+    skipped: u64,
+) {
+    log::warn!(
+        target: "config",
+        config = config.revision, config_item = config.item_revision, config_age_ms = config.age_ms,
+        confirmed_age_ms = confirmed(config), meaning = meaning(config), status = status.as_u16(),
+        reason = reason.slug(), claim = claim, stated = stated.map_or_else(Value::null, Value::from),
+        skipped = skipped;
+        "refused by an unconfirmed configuration"
+    );
+}
+
+/// Logs the published places at which the routes in force do not have what is published.
+pub fn log_misread(version: ConfigVersion, misread: &[MisreadPlace]) {
+    /// Places named in a line.
+    const MAX_NAMED: usize = 20;
+    let named = misread.iter().take(MAX_NAMED).map(|place| {
+        let found = place.found.as_ref();
+        let found = found.map_or_else(|| "no route".to_owned(), |name| format!("route {name:?}"));
+        format!("{}{} has {found}", place.host, place.prefix)
+    });
+    let named: Vec<_> = named.collect();
+    log::error!(
+        target: "config",
+        config = version.revision, config_item = version.item_revision, places = misread.len(),
+        named = named.join("; ").as_str();
+        "published routes misread"
+    );
+}
+
+/// Logs what the store's answers say about what this node knew.
+pub fn log_store(change: &StoreChange) {
+    match change {
+        StoreChange::Contradicted(contradiction) => log::warn!(
+            target: "config",
+            known = contradiction.known, stated = contradiction.stated;
+            "the store contradicts what is known; reading all items"
+        ),
+        StoreChange::Replaced {
+            before,
+            revision,
+            epoch,
+        } => log::warn!(
+            target: "config",
+            before = before, revision = revision, epoch = epoch;
+            "items replaced"
+        ),
+        StoreChange::NoConfig => log::warn!(
+            target: "config",
+            kept = true;
+            "the store has no configuration"
+        ),
+        StoreChange::Silent(silence) => log::warn!(
+            target: "config",
+            silent_ms = silence.as_millis() as u64;
+            "the store answers no call"
+        ),
+    }
+}
+
 /// Logs what the decision core learned of a version.
 pub fn log_change(change: &ConfigChange) {
     match change {
--- a/crates/seam-node/src/item_store.rs
+++ b/crates/seam-node/src/item_store.rs
@@ -9,6 +9,8 @@
 use seam_protocol::{Delta, ParsedEntry, RawItem};
 use snafu::Snafu;
 
+use crate::published_places::PublishedPlace;
+
 /// An error of a call to the item store.
 #[derive(Debug, Snafu)]
 pub enum ItemError {
@@ -51,6 +53,19 @@
     pub delta: Delta,
     /// Whether every element could be read.
     pub complete: bool,
+    /// The store's revision, if the answer states it.
+    pub stated: Option<u64>,
+    /// Whether a part of the answer is from an earlier call, which failed.
+    pub resumed: bool,
+}
+
+/// The item of the configuration, as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigAnswer {
+    /// The item, if it exists.
+    pub item: Option<RawItem>,
+    /// The store's revision, if the answer states it.
+    pub stated: Option<u64>,
 }
 
 /// The result of a watch.
@@ -67,6 +82,12 @@
     /// Reads every item.
     fn read(&self) -> Boxed<Result<StoreAnswer, ItemError>>;
 
+    /// Reads every item, with nothing from an earlier call.
+    fn read_anew(&self) -> Boxed<Result<StoreAnswer, ItemError>>;
+
+    /// Reads the item of the configuration, on a connection of its own.
+    fn read_config(&self) -> Boxed<Result<ConfigAnswer, ItemError>>;
+
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: u64, wait: Duration) -> Boxed<Result<WatchOutcome, ItemError>>;
 
@@ -75,4 +96,10 @@
 
     /// Parses an item. Returns `None` if it is not used. The entry follows from the item alone.
     fn parse_entry(&self, item: &RawItem) -> Option<ParsedEntry>;
+
+    /// Returns the places that a configuration publishes, read by other means than [`Self::parse_entry`], to
+    /// check what that made of them. None if the store cannot tell.
+    fn published_places(&self, _value: &[u8]) -> Vec<PublishedPlace> {
+        Vec::new()
+    }
 }
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -11,14 +11,15 @@
 use futures_lite::{FutureExt, future};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_core::{Event, ItemBatch, Source, WatchCursor};
+use seam_core::{Event, ItemBatch, Source, StoreCall, StoreReading, StoreScope, WatchCursor};
 use seam_http::lock;
-use seam_protocol::{Delta, Entry, VmId};
+use seam_protocol::{Delta, Entry, RawItem, VmId};
 
 use crate::config_log;
 use crate::dependency::{Dependency, FailedCall, LOST_FAILURES};
 use crate::item_store::{ItemError, ItemStore, StoreAnswer, WatchOutcome};
 use crate::link;
+use crate::published_places::misread_places;
 use crate::runtime::NodeRuntime;
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
@@ -37,14 +38,73 @@
 /// items.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Passes changed items to the decision core. `from` is the peer that sent them.
-pub fn apply_delta(runtime: &NodeRuntime, delta: Delta, source: Source, from: Option<SocketAddr>) {
+/// Passes the answer to a call to the store to the decision core.
+pub fn apply_answer(
+    runtime: &Arc<NodeRuntime>,
+    delta: Delta,
+    (scope, call): (StoreScope, StoreCall),
+    stated: Option<u64>,
+) {
+    let mut delta = delta;
+    if let Some(stated) = stated.filter(|_| scope != StoreScope::Changes) {
+        // A store whose counter went back keeps items of revisions above it, and later changes bear lower ones.
+        for item in &mut delta.items {
+            item.revision = item.revision.min(stated);
+        }
+    }
+    apply(runtime, delta, None, |batch| {
+        Event::StoreRead(StoreReading {
+            call,
+            scope,
+            batch,
+            stated,
+        })
+    });
+}
+
+/// Parses items and passes them to the decision core. `from` is the peer that sent them.
+fn apply(
+    runtime: &Arc<NodeRuntime>,
+    delta: Delta,
+    from: Option<SocketAddr>,
+    event: impl FnOnce(ItemBatch) -> Event,
+) {
     let Some(store) = &runtime.items else {
         return;
     };
     config_log::note_read(runtime, store.config_key(), &delta, from);
+    let before = runtime.read(|node, _| node.config_version().item_revision);
+    let configs = delta.items.iter();
+    let configs = configs.filter(|item| item.key == store.config_key());
+    let newest = configs.max_by_key(|item| item.revision);
+    let newest = newest.filter(|item| item.revision != before).cloned();
+    // Items of a peer may arrive as those of this node are replaced, so each is parsed.
+    let skips_known = from.is_none();
+    let batch = read_batch(runtime, store.as_ref(), delta, skips_known);
+    runtime.handle(event(batch));
+    if let Some(item) = newest {
+        check_places(runtime, store, item);
+    }
+}
+
+/// Parses items, or only those that are not known as they are.
+fn read_batch(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    delta: Delta,
+    skips_known: bool,
+) -> ItemBatch {
     let in_force = runtime.read(|node, _| node.bundle().map(|bundle| bundle.digest));
-    let batch = ItemBatch::read(delta, |item| {
+    let known: Vec<bool> = runtime.read(|node, _| {
+        let items = delta.items.iter();
+        let known = items.map(|item| skips_known && node.knows_item(item));
+        known.collect()
+    });
+    let mut known = known.into_iter();
+    ItemBatch::read(delta, |item| {
+        if known.next() == Some(true) {
+            return None;
+        }
         let parsed = store.parse_entry(item)?;
         if let Entry::Config(config) = &parsed.entry
             && in_force != Some(config.digest)
@@ -52,8 +112,35 @@
             warn_unread(runtime, config.revision, &parsed.warnings);
         }
         Some(parsed.entry)
-    });
-    runtime.handle(Event::ItemsRead(batch, source));
+    })
+}
+
+/// Looks up the places that a configuration publishes in the routes that were taken from it, in a thread, as
+/// that takes long with many routes. Does nothing if the configuration is not in force.
+fn check_places(runtime: &Arc<NodeRuntime>, store: &Arc<dyn ItemStore>, item: RawItem) {
+    let Some(snapshot) = runtime.snapshot() else {
+        return;
+    };
+    let Some(value) = item
+        .value
+        .filter(|_| snapshot.config.item_revision == item.revision)
+    else {
+        return;
+    };
+    let (runtime, store, revision) = (runtime.clone(), store.clone(), item.revision);
+    let check = move || {
+        let places = store.published_places(&value);
+        let misread = misread_places(&snapshot.bundle.routes, &places);
+        runtime.update(|node, _| node.note_misread_places(revision, misread.len()));
+        if !misread.is_empty() {
+            runtime.metrics.misread_places(misread.len());
+            config_log::log_misread(snapshot.config, &misread);
+        }
+    };
+    let thread = std::thread::Builder::new().name("places".to_owned());
+    if let Err(error) = thread.spawn(check) {
+        log::warn!("cannot check the routes of configuration item {revision}: {error}");
+    }
 }
 
 /// Logs and counts the values of a configuration that are not used as written.
@@ -80,31 +167,36 @@
     let mut unread = None;
     // Consecutive watches whose history was dropped or not readable.
     let mut compactions = 0;
-    let mut cursor = WatchCursor::default();
-    // Where the watches after a read of all items begin, until they reach the revision that the list states.
-    let mut list_start: Option<(u64, u64)> = None;
+    let mut position = Position::default();
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
-            list_start = None;
+            position.list_start = None;
             Timer::after(WATCH_CHECK_INTERVAL).await;
             continue;
         }
-        let known = runtime.read(|node, _| node.items_revision());
-        let after = list_start.map_or(known, |(start, _)| start);
+        let store_call = runtime.update(seam_core::Node::begin_store_call);
+        let after = position.begin(&store_call);
         let call = if read_all { "read" } else { "watch" };
-        let start = runtime.now();
-        let changes = if read_all {
-            store.read().await.map(WatchOutcome::Changes)
+        let answer = if read_all {
+            let list = store.read().await.map(WatchOutcome::Changes);
+            Some((after, store_call, list))
         } else if failures > 0 {
-            probes.next(store.as_ref(), after, &mut rng).await
+            Some(
+                probes
+                    .next(store.as_ref(), (after, store_call), &mut rng)
+                    .await,
+            )
         } else {
-            let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
-            watch(&runtime, store.as_ref(), after, WATCH_WAIT, overdue).await
+            watch_until_replaced(&runtime, store.as_ref(), after, store_call).await
         };
+        let Some((after, store_call, changes)) = answer else {
+            continue;
+        };
+        let asked = (scope_of(read_all, &changes), store_call);
         runtime.metrics.platform_call(call, changes.is_ok());
         if changes.is_ok() {
             probes = Probes::default();
-            health.answered(runtime.now());
+            note_answer(&runtime, &mut health, failures);
         }
         match changes {
             Ok(WatchOutcome::Changes(answer)) if !read_all && !answer.complete => {
@@ -112,33 +204,33 @@
                 log::info!("a change since revision {after} cannot be read; reading all items");
                 (read_all, unread) = (true, Some(answer.delta.revision));
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, without_claim(answer), Source::Platform, None);
+                let stated = answer.stated;
+                apply_answer(&runtime, without_claim(answer), asked, stated);
                 Timer::after(compaction_delay(compactions, &mut rng)).await;
                 compactions += 1;
             }
             Ok(WatchOutcome::Changes(answer)) => {
                 failures = 0;
+                let stated = answer.stated.filter(|_| !answer.resumed);
                 let delta = if read_all {
                     // The change that cannot be read is not watched again.
-                    list_start =
-                        WatchCursor::list_start(&answer.delta).filter(|_| unread.is_none());
+                    let start = WatchCursor::list_start(&answer.delta);
+                    position.list_start = start.filter(|_| unread.is_none());
                     list_of(answer, unread.take())
                 } else {
                     compactions = 0;
-                    let delta = cursor.confirm(after, answer.delta);
-                    let stated = list_start.map(|(_, stated)| (delta.revision, stated));
-                    list_start = stated.filter(|(start, end)| after < *start && start < end);
-                    delta
+                    position.confirm(after, answer.delta)
                 };
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_delta(&runtime, delta, Source::Platform, None);
+                apply_answer(&runtime, delta, asked, stated);
             }
-            Ok(WatchOutcome::Compacted) if list_start.is_some() => {
+            Ok(WatchOutcome::Compacted) if position.list_start.is_some() => {
                 log::debug!(
-                    "the item store no longer has the changes since revision {after}; watching from {known}"
+                    "the item store no longer has the changes since revision {after}; watching from {}",
+                    store_call.claim
                 );
-                list_start = None;
+                position.list_start = None;
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!(
@@ -154,29 +246,66 @@
                     call,
                     to: None,
                     since: after,
-                    start,
+                    start: store_call.begun,
                 };
                 health.failed(runtime.now(), &failed, &error);
-                if !read_all && error.unreadable() {
-                    // The same watch would get the same response, and with every further version a
-                    // larger one. Pages have only the last version of each item.
-                    log::info!(
-                        "the changes since revision {after} cannot be read; reading all items: {error}"
-                    );
-                    read_all = true;
-                }
-                if failures >= LOST_FAILURES {
-                    runtime.handle(Event::PlatformUnreachable(true));
-                }
+                read_all = read_all || repeats(after, &error);
+                report_failures(&runtime, failures);
                 if probes.pending.is_empty() {
-                    let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
-                    Timer::after(delay.mul_f64(rng.random_range(0.5..1.0))).await;
+                    Timer::after(retry_delay(failures, &mut rng)).await;
                 }
             }
         }
     }
 }
 
+/// Where a node that follows the store continues.
+#[derive(Debug, Default)]
+struct Position {
+    cursor: WatchCursor,
+    /// Where the watches after a read of all items begin, until they reach the revision that the list states.
+    list_start: Option<(u64, u64)>,
+    /// How often the items had been replaced.
+    replacements: u32,
+}
+
+impl Position {
+    /// Returns the revision after which a watch that begins now asks for changes.
+    fn begin(&mut self, call: &StoreCall) -> u64 {
+        if self.replacements != call.replacements {
+            *self = Self {
+                replacements: call.replacements,
+                ..Self::default()
+            };
+        }
+        self.list_start.map_or(call.claim, |(start, _)| start)
+    }
+
+    /// Returns the answer to a watch with the revision up to which all changes are known.
+    fn confirm(&mut self, after: u64, answer: Delta) -> Delta {
+        let delta = self.cursor.confirm(after, answer);
+        let stated = self.list_start.map(|(_, stated)| (delta.revision, stated));
+        self.list_start = stated.filter(|(start, end)| after < *start && start < end);
+        delta
+    }
+}
+
+/// Returns what an answer can be compared with: lists that consist of one call are complete.
+fn scope_of(read_all: bool, answer: &Watched) -> StoreScope {
+    match answer {
+        Ok(WatchOutcome::Changes(answer)) if read_all && !answer.resumed => StoreScope::All,
+        _ => StoreScope::Changes,
+    }
+}
+
+/// Records that the store answered after a number of failures.
+fn note_answer(runtime: &NodeRuntime, health: &mut Dependency, failures: u32) {
+    if failures > 0 {
+        runtime.update(seam_core::Node::note_store_return);
+    }
+    health.answered(runtime.now());
+}
+
 /// Returns the list of all items. If a change could not be read up to `unread`, what the list lacks may be
 /// what cannot be read, and later removals are in the watches from there on.
 fn list_of(answer: StoreAnswer, unread: Option<u64>) -> Delta {
@@ -196,6 +325,28 @@
     }
 }
 
+/// Returns whether a watch would get the same response again, and with every further version a larger one. Pages
+/// have only the last version of each item.
+fn repeats(after: u64, error: &ItemError) -> bool {
+    if error.unreadable() {
+        log::info!("the changes since revision {after} cannot be read; reading all items: {error}");
+    }
+    error.unreadable()
+}
+
+/// Reports the store as unreachable after some consecutive failed calls.
+fn report_failures(runtime: &NodeRuntime, failures: u32) {
+    if failures >= LOST_FAILURES {
+        runtime.handle(Event::PlatformUnreachable(true));
+    }
+}
+
+/// Returns the delay after consecutive failed calls.
+fn retry_delay(failures: u32, rng: &mut Pcg64Mcg) -> Duration {
+    let delay = (MIN_RETRY_DELAY * 2_u32.pow(failures.min(8))).min(MAX_RETRY_DELAY);
+    delay.mul_f64(rng.random_range(0.5..1.0))
+}
+
 /// Returns the delay before all items are read instead of a history that was dropped or cannot be read. A
 /// store that keeps none is read no more often than it is watched otherwise.
 fn compaction_delay(compactions: u32, rng: &mut Pcg64Mcg) -> Duration {
@@ -209,18 +360,26 @@
 /// The result of a call that watches the store.
 type Watched = Result<WatchOutcome, ItemError>;
 
+/// The revision after which a watch asks for changes, and its call.
+type Probe = (u64, StoreCall);
+
 /// Short watches of a store that does not answer. One begins while others still wait, since a store that
 /// returns may never answer those that began before.
 #[derive(Default)]
 struct Probes {
-    pending: Vec<Boxed<Watched>>,
+    pending: Vec<(Probe, Boxed<Watched>)>,
     /// When to begin another one beside those that are pending.
     due: Option<Instant>,
 }
 
 impl Probes {
     /// Returns the next result of a probe. Begins one now if none is pending, and more as they are due.
-    async fn next(&mut self, store: &dyn ItemStore, after: u64, rng: &mut impl RngExt) -> Watched {
+    async fn next(
+        &mut self,
+        store: &dyn ItemStore,
+        probe: Probe,
+        rng: &mut impl RngExt,
+    ) -> (u64, StoreCall, Watched) {
         loop {
             let due = self.due.filter(|_| !self.pending.is_empty());
             let until_due = async {
@@ -232,19 +391,20 @@
             if let Some(watched) = async { Some(self.ended().await) }.or(until_due).await {
                 return watched;
             }
-            self.pending.push(store.watch(after, PROBE_WAIT));
+            self.pending.push((probe, store.watch(probe.0, PROBE_WAIT)));
             let delay = MAX_RETRY_DELAY.mul_f64(rng.random_range(0.5..1.0));
             self.due = Some(Instant::now() + delay);
         }
     }
 
     /// Waits until a probe ends.
-    async fn ended(&mut self) -> Watched {
+    async fn ended(&mut self) -> (u64, StoreCall, Watched) {
         future::poll_fn(|context| {
             for index in 0..self.pending.len() {
-                if let Poll::Ready(watched) = self.pending[index].poll(context) {
-                    drop(self.pending.swap_remove(index));
-                    return Poll::Ready(watched);
+                let (_, pending) = &mut self.pending[index];
+                if let Poll::Ready(watched) = pending.poll(context) {
+                    let ((after, call), _) = self.pending.swap_remove(index);
+                    return Poll::Ready((after, call, watched));
                 }
             }
             Poll::Pending
@@ -301,6 +461,33 @@
     }
 }
 
+/// Watches the store. Returns `None` if the items were replaced meanwhile, after which the answer tells nothing.
+async fn watch_until_replaced(
+    runtime: &NodeRuntime,
+    store: &dyn ItemStore,
+    after: u64,
+    call: StoreCall,
+) -> Option<(u64, StoreCall, Watched)> {
+    let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
+    let watched = async { Some(watch(runtime, store, after, WATCH_WAIT, overdue).await) };
+    let replaced = async {
+        wait_until_replaced(runtime, call.replacements).await;
+        None
+    };
+    let watched = watched.or(replaced).await?;
+    Some((after, call, watched))
+}
+
+/// Waits until the items were replaced, after which a watch that began before tells nothing.
+async fn wait_until_replaced(runtime: &NodeRuntime, replacements: u32) {
+    loop {
+        Timer::after(WATCH_CHECK_INTERVAL).await;
+        if runtime.read(|node, _| node.items_replacements()) != replacements {
+            return;
+        }
+    }
+}
+
 /// Waits until a watch is overdue or this node lags.
 async fn wait_until_late(runtime: &NodeRuntime, overdue: Option<Instant>) {
     let lagging = async {
@@ -319,7 +506,7 @@
 
 /// Fetches the items that changed since a revision from a peer, and merges them by `source`.
 pub async fn fetch(
-    runtime: &NodeRuntime,
+    runtime: &Arc<NodeRuntime>,
     from: VmId,
     address: SocketAddr,
     since: u64,
@@ -333,7 +520,7 @@
         start,
     };
     let fetched = link::fetch_items(runtime, address, since).await;
-    let put_off = matches!(&fetched, Ok(delta) if delta.revision == 0);
+    let put_off = matches!(&fetched, Ok((delta, _)) if delta.revision == 0);
     {
         let (mut peers, now) = (lock(&runtime.item_peers), runtime.now());
         match &fetched {
@@ -343,7 +530,14 @@
         }
     }
     match fetched {
-        Ok(delta) if !put_off => apply_delta(runtime, delta, source, Some(address)),
+        Ok((delta, epoch)) if !put_off => {
+            apply(runtime, delta, Some(address), |items| Event::ItemsFetched {
+                from,
+                epoch,
+                items,
+                source,
+            });
+        }
         _ => runtime.handle(Event::ItemsNotRead(from)),
     }
 }
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -13,6 +13,7 @@
 use seam_config::bundle::parse_manifest;
 use seam_core::{AttemptOutcome, Event, Refusal};
 use seam_http::Body;
+use seam_protocol::peer::peer_client::PeerClient;
 use seam_protocol::peer::{
     ItemsRequest, NewestRequest, PartRequest, Refusal as WireRefusal, ReplyFrame, RequestFrame,
     RequestHead, reply_frame, request_frame,
@@ -22,7 +23,9 @@
 use tonic::Streaming;
 
 use super::{FrameNumbers, wire};
+use crate::config_log::{confirmed, meaning};
 use crate::inbound::InboundRequest;
+use crate::peer_connections::Channel;
 use crate::progress::{Framing, Progress};
 use crate::response_writer::{ResponseHead, ResponseWriter};
 use crate::runtime::{NodeAttempt, NodeRuntime};
@@ -130,6 +133,23 @@
     })
 }
 
+/// Checks the connection to a node if a call on it is given up.
+struct OpenCall<'a> {
+    runtime: &'a Arc<NodeRuntime>,
+    address: SocketAddr,
+    ended: bool,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let (runtime, address) = (self.runtime.clone(), self.address);
+        seam_http::spawn(async move { runtime.peers.check(address).await }).detach();
+    }
+}
+
 /// Forwards a request to a node and relays the response. Returns the result of the attempt.
 pub async fn forward(
     runtime: &Arc<NodeRuntime>,
@@ -155,7 +175,27 @@
         return AttemptOutcome::NotSent;
     };
     progress.mark_sent();
-    let head = head(&to, inbound, writer);
+    let mut call = OpenCall {
+        runtime,
+        address: to.address,
+        ended: false,
+    };
+    let outcome = exchange(runtime, &mut client, &to, inbound, body, writer, progress).await;
+    call.ended = true;
+    outcome
+}
+
+/// Sends a request on a connection and relays the response.
+async fn exchange(
+    runtime: &Arc<NodeRuntime>,
+    client: &mut PeerClient<Channel>,
+    to: &NodeAttempt,
+    inbound: &InboundRequest,
+    body: Body,
+    writer: &ResponseWriter,
+    progress: &Progress,
+) -> AttemptOutcome {
+    let head = head(to, inbound, writer);
     let mut request = tonic::Request::new(frames(head, body));
     runtime.peers.authenticate(&mut request);
     let timeout = async {
@@ -165,7 +205,7 @@
     match client.forward(request).or(timeout).await {
         Ok(response) => {
             let frames = response.into_inner();
-            let reply = relay_response(runtime, &to, inbound, frames, writer, progress).await;
+            let reply = relay_response(runtime, to, inbound, frames, writer, progress).await;
             reply.unwrap_or_else(|error| {
                 log::info!(
                     "request {}: response from node {} broke off: {error}",
@@ -251,7 +291,7 @@
         match frame {
             Some(reply_frame::Frame::Head(head)) => {
                 if let Some(refusal) = &head.refusal {
-                    log_refusal(to, inbound, refusal);
+                    log_refusal(runtime, to, inbound, refusal);
                     return Ok(reply_to_refusal(wire::refusal(refusal)));
                 }
                 let status = StatusCode::from_u16(head.status as u16);
@@ -302,13 +342,20 @@
 }
 
 /// Logs a refusal by another node, with the configuration that decided it there.
-fn log_refusal(to: &NodeAttempt, inbound: &InboundRequest, refusal: &WireRefusal) {
+fn log_refusal(
+    runtime: &NodeRuntime,
+    to: &NodeAttempt,
+    inbound: &InboundRequest,
+    refusal: &WireRefusal,
+) {
     let config = wire::config_stamp(refusal);
+    let status = runtime.dialect.refusal_status(wire::refusal(refusal));
     log::info!(
         target: "request",
         request = inbound.id.as_str(), attempt = to.attempt.0, node:% = to.address,
-        reason = refusal.reason.as_str(), revision = to.revision, config = config.revision,
-        config_item = config.item_revision, config_age_ms = config.age_ms;
+        status = status.as_u16(), reason = refusal.reason.as_str(), path = inbound.path.as_str(),
+        revision = to.revision, config = config.revision, config_item = config.item_revision,
+        config_age_ms = config.age_ms, confirmed_age_ms = confirmed(&config), meaning = meaning(&config);
         "refused by another node"
     );
 }
@@ -358,7 +405,7 @@
     Ok(set)
 }
 
-/// Fetches the items that changed since a revision from a node.
+/// Fetches the items that changed since a revision from a node. Returns them with their epoch.
 ///
 /// # Errors
 /// See [`FetchError`].
@@ -366,22 +413,24 @@
     runtime: &NodeRuntime,
     address: SocketAddr,
     since: u64,
-) -> Result<Delta, FetchError> {
+) -> Result<(Delta, u32), FetchError> {
+    let epoch = runtime.read(|node, _| node.items_epoch());
     let client = runtime.peers.client(address).await.context(ConnectSnafu)?;
     let mut client = client.max_decoding_message_size(MAX_ITEMS_BYTES);
-    let mut request = tonic::Request::new(ItemsRequest { since });
+    let mut request = tonic::Request::new(ItemsRequest { since, epoch });
     runtime.peers.authenticate(&mut request);
     let response = with_timeout(client.items(request)).await;
     if response.is_err() {
         runtime.peers.forget(address);
     }
-    let bytes = response?.into_inner().delta;
-    Delta::decode(&bytes).context(ItemsSnafu { address })
+    let reply = response?.into_inner();
+    let delta = Delta::decode(&reply.delta).context(ItemsSnafu { address })?;
+    Ok((delta, reply.epoch))
 }
 
 async fn fetch_part(
     runtime: &NodeRuntime,
-    client: &mut seam_protocol::peer::peer_client::PeerClient<crate::peer_connections::Channel>,
+    client: &mut PeerClient<Channel>,
     digest: Digest,
 ) -> Result<Vec<u8>, FetchError> {
     let mut request = tonic::Request::new(PartRequest {
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -9,6 +9,7 @@
 use seam_core::command::Withheld;
 use seam_core::config_version::ConfigChange;
 use seam_core::status::Status;
+use seam_core::store_call::StoreChange;
 use seam_core::{NamedRegions, Refusal};
 use seam_http::bounds::{denied, discarded, exceeded};
 use seam_protocol::Reason;
@@ -31,7 +32,10 @@
     not_taken: Counter<u64>,
     config_differs: Counter<u64>,
     config_refusals: Counter<u64>,
+    misread: Counter<u64>,
+    unconfirmed: Counter<u64>,
     platform: Counter<u64>,
+    store: Counter<u64>,
     unread: Counter<u64>,
     heartbeats: Counter<u64>,
     heartbeat_bytes: Counter<u64>,
@@ -68,6 +72,9 @@
     items_heard: Gauge<u64>,
     read_age: Gauge<u64>,
     current_age: Gauge<u64>,
+    confirmed_age: Gauge<u64>,
+    store_revision: Gauge<u64>,
+    items_epoch: Gauge<u64>,
     events: Gauge<u64>,
     bounds: Gauge<u64>,
     denied: Gauge<u64>,
@@ -141,6 +148,18 @@
                 "seam_items_current_age_ms",
                 "time since this node knew all that the store, or a node that reaches it, had",
             ),
+            confirmed_age: gauge(
+                "seam_config_confirmed_age_ms",
+                "time since the store showed this node that its configuration is the present one",
+            ),
+            store_revision: gauge(
+                "seam_store_revision",
+                "revision that the store stated last to this node",
+            ),
+            items_epoch: gauge(
+                "seam_items_epoch",
+                "confirmed contradictions between the store and what nodes knew",
+            ),
             events: gauge("seam_events", "events since boot, by kind"),
             bounds: gauge(
                 "seam_bounds_exceeded",
@@ -177,13 +196,16 @@
         self.config_meaning.record(config.meaning, &[]);
         self.config_heard.record(config.heard, &[]);
         self.items_heard.record(config.heard_items, &[]);
-        let ages = [
+        self.items_epoch.record(u64::from(config.epoch), &[]);
+        let known = [
             (&self.read_age, config.read_age_ms),
             (&self.current_age, config.current_age_ms),
+            (&self.confirmed_age, config.confirmed_age_ms),
+            (&self.store_revision, config.store_revision),
         ];
-        for (gauge, age) in ages {
-            if let Some(age) = age {
-                gauge.record(age, &[]);
+        for (gauge, figure) in known {
+            if let Some(figure) = figure {
+                gauge.record(figure, &[]);
             }
         }
         self.quarantine.record(status.quarantine.len() as u64, &[]);
@@ -280,7 +302,19 @@
                 "seam_config_refusals",
                 "refusals that the configuration decided, by reason",
             ),
+            misread: counter(
+                "seam_config_misread",
+                "published places that a version taken does not have as published",
+            ),
+            unconfirmed: counter(
+                "seam_unconfirmed_refusals",
+                "refusals by a version that the store has not shown for 10 s, by reason",
+            ),
             platform: counter("seam_platform_calls", "calls to the platform by kind"),
+            store: counter(
+                "seam_store_changes",
+                "answers of the store that contradict what was known, and what followed",
+            ),
             unread: counter(
                 "seam_config_unread",
                 "values of configurations that were not used as written",
@@ -322,6 +356,17 @@
         self.config_refusals.add(1, &label);
     }
 
+    /// Counts a refusal by a version that the store has not shown for some time.
+    pub fn refused_unconfirmed(&self, reason: Reason) {
+        let label = [KeyValue::new("reason", reason.slug())];
+        self.unconfirmed.add(1, &label);
+    }
+
+    /// Counts published places that a version does not have as published.
+    pub fn misread_places(&self, count: usize) {
+        self.misread.add(count as u64, &[]);
+    }
+
     /// Counts an answer of the directory.
     pub fn directory_answered(&self, regions: NamedRegions) {
         let label = [KeyValue::new("regions", regions.name())];
@@ -374,6 +419,11 @@
         self.platform.add(1, &labels);
     }
 
+    /// Counts what the store's answers say about what this node knew.
+    pub fn store_changed(&self, change: &StoreChange) {
+        self.store.add(1, &[KeyValue::new("kind", change.name())]);
+    }
+
     /// Counts values of a configuration that are not used as written.
     pub fn unread_values(&self, count: usize) {
         self.unread.add(count as u64, &[]);
