cold targets: lines name the target and what it was sent within the last second

Cause: the line of a target that becomes cold has the id of its start only, and not what the node sent there before. After FAILBACK nobody can tell whether the excess was sent before the node learned of the start or after it. Change: the line ends with the target's name and the number of requests that this node sent within the window of the limit, under this start and the one before. Evidence: cold_lines (it does not compile without the change of the line's inputs; the line lacked both).

--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -199,14 +199,20 @@
         if state.cold.limiter(now).is_some() {
             return;
         }
-        let (id, rate) = (state.id, state.capacity.cold_rate);
-        let millis = until.since(now).as_millis();
+        let (id, name, rate) = (state.id, &state.spec.name, state.capacity.cold_rate);
+        let (millis, sent) = (
+            until.since(now).as_millis(),
+            self.targets.lately_sent(now, key),
+        );
         out.push(self.audit(
             now,
             Change::Cold,
             format!("target {id}"),
             ("warm".to_owned(), format!("cold for {millis} ms")),
-            format!("{source}; {allowed} of {rate} requests a second here, {nodes} nodes"),
+            format!(
+                "{source}; {allowed} of {rate} requests a second here, {nodes} nodes; {name} got {sent} of this \
+                 node within the last second"
+            ),
         ));
     }
 }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -59,6 +59,8 @@
     arena: Vec<TargetState>,
     keys: BTreeMap<TargetId, TargetKey>,
     by_service: BTreeMap<ServiceId, Vec<TargetKey>>,
+    /// The last start of each name.
+    names: BTreeMap<String, TargetKey>,
     /// Services whose targets every node uses.
     every_node: BTreeSet<ServiceId>,
     /// Whether nodes exchange work updates and use targets without fixed shares of the slots.
@@ -88,7 +90,7 @@
         }
         for (id, (service, spec)) in configured {
             let slow_start = (!initial).then_some(now);
-            if let Some(key) = self.keys.get(id) {
+            if let Some(key) = self.keys.get(id).copied() {
                 let state = &mut self.arena[key.0 as usize];
                 state.limit = state.limit.min(f64::from(spec.slots));
                 state.version = spec.version_id();
@@ -100,17 +102,35 @@
                     state.phase = Phase::Serving;
                     state.slow_start = slow_start;
                     returned.push(*id);
+                    self.note_start(key);
                 }
             } else {
                 let key = TargetKey(self.arena.len() as u32);
                 self.keys.insert(*id, key);
                 self.arena
                     .push(TargetState::new(*id, *service, spec.clone(), slow_start));
+                self.note_start(key);
             }
         }
         returned
     }
 
+    /// Notes that a target comes into use, maybe after another start under its name.
+    fn note_start(&mut self, key: TargetKey) {
+        let name = self.get(key).spec.name.clone();
+        let earlier = self.names.insert(name, key);
+        self.get_mut(key).earlier = earlier.filter(|earlier| *earlier != key);
+    }
+
+    /// Returns the number of requests that this node lately sent to a target, under its start and the one before.
+    #[must_use]
+    pub fn lately_sent(&self, now: Time, key: TargetKey) -> usize {
+        let state = self.get(key);
+        let earlier = state.earlier.map(|earlier| self.get(earlier));
+        let sent = |state: &TargetState| state.cold.lately_sent(now);
+        sent(state) + earlier.map_or(0, sent)
+    }
+
     /// Sets the capacity of every target of a service.
     pub fn set_capacity(&mut self, service: ServiceId, capacity: Capacity) {
         for state in &mut self.arena {
--- a/crates/seam-core/src/targets/cold.rs
+++ b/crates/seam-core/src/targets/cold.rs
@@ -117,6 +117,12 @@
             .then_some(&self.limiter)
     }
 
+    /// Returns the number of requests that were sent within the window of the limit.
+    #[must_use]
+    pub fn lately_sent(&self, now: Time) -> usize {
+        self.limiter.count(now)
+    }
+
     /// Records a request that is being sent.
     pub fn record(&mut self, now: Time) {
         self.limiter.record(now);
--- a/crates/seam-core/src/targets/shared_rate.rs
+++ b/crates/seam-core/src/targets/shared_rate.rs
@@ -91,6 +91,12 @@
         self.next(now).is_some_and(|next| next <= now)
     }
 
+    /// Returns the number of requests that were sent within the window of the share.
+    #[must_use]
+    pub fn count(&self, now: Time) -> usize {
+        self.sent.count(now, self.share.window)
+    }
+
     /// Records a request that is being sent.
     pub fn record(&mut self, now: Time) {
         self.sent.record(now, self.share.window);
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fleet::{ENGINE, Fleet, NORTH, arrival, config, item, listed, settled_fleet};
+use seam_core::audit::Change;
 use seam_core::{AttemptKey, AttemptOutcome, Command, Event};
 use seam_protocol::{Entry, TargetId};
 use yare::parameterized;
@@ -397,3 +398,52 @@
     let sent = count_sends(&mut fleet, 2, cold, 200);
     assert!(sent <= LIMIT / 3, "{sent} sent");
 }
+
+/// Returns the entry of a target's second start under its name, cold for 3 s.
+fn second_start(name: &str) -> Entry {
+    let Entry::Target(mut target) = listed(name, ENGINE, NORTH, false, 3000) else {
+        unreachable!("a listed target")
+    };
+    target.boot += 1;
+    Entry::Target(target)
+}
+
+/// Publishes to all nodes that a target started again under its name. Returns the id of this start.
+fn publish_start(fleet: &mut Fleet, name: &str, revision: u64) -> TargetId {
+    let entry = second_start(name);
+    let Entry::Target(target) = &entry else {
+        unreachable!("a listed target")
+    };
+    let id = target.id();
+    for node in 0..fleet.nodes.len() {
+        fleet.publish(
+            node,
+            vec![item(name, revision, Some(entry.clone()))],
+            revision,
+        );
+    }
+    id
+}
+
+/// Guards against lines that do not tell whether a flooded target got the requests before or after the node learned
+/// that it is cold, since they name only one of its starts.
+#[test]
+fn cold_lines() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let sent = count_sends(&mut fleet, 0, id_of("e1"), 100);
+    fleet.wait(Duration::from_millis(200));
+    fleet.commands.clear();
+    publish_start(&mut fleet, "e1", 60);
+    let lines = fleet
+        .commands
+        .iter()
+        .filter_map(|(node, command)| match command {
+            Command::Audit(audit) if *node == 0 && audit.change == Change::Cold => {
+                Some(&audit.cause)
+            }
+            _ => None,
+        });
+    let lines: Vec<_> = lines.collect();
+    let stated = format!("e1 got {sent} of this node within the last second");
+    assert!(lines.len() == 1 && lines[0].ends_with(&stated), "{lines:?}");
+}
