--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -425,6 +425,90 @@
     id
 }
 
+/// Lets a node find that no process listens at the address of a target.
+fn refuse(fleet: &mut Fleet, node: usize, target: TargetId) {
+    let accepted = false;
+    fleet.handle(node, Event::Probed { target, accepted });
+}
+
+/// Guards against two shares of a cold target's rate in one second: one under its earlier start, as a probe found
+/// it, and one under the start that its entry then tells of, with or without a removal between them.
+#[parameterized(
+    replaced = { false },
+    removed = { true },
+)]
+fn restarted_target(removed: bool) {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let earlier = id_of("e1");
+    for node in 0..3 {
+        refuse(&mut fleet, node, earlier);
+    }
+    fleet.wait(Duration::from_secs(4));
+    for node in 0..3 {
+        let (target, accepted) = (earlier, true);
+        fleet.handle(node, Event::Probed { target, accepted });
+    }
+    // A health check counts as a request.
+    fleet.wait(Duration::from_millis(1200));
+    let mut sent = count_all(&mut fleet, earlier, 100);
+    assert!(
+        (1..=LIMIT).contains(&sent),
+        "{sent} under the earlier start"
+    );
+    fleet.wait(Duration::from_millis(200));
+    if removed {
+        for node in 0..3 {
+            fleet.publish(node, vec![item("e1", 60, None)], 60);
+        }
+    }
+    let later = publish_start(&mut fleet, "e1", 61);
+    assert_ne!(earlier, later);
+    sent += count_during(&mut fleet, later, 200, Duration::from_millis(700));
+    assert!(sent <= LIMIT, "{sent} under both starts");
+    fleet.wait(Duration::from_millis(400));
+    let sent = count_all(&mut fleet, later, 300);
+    assert!((1..=LIMIT).contains(&sent), "{sent} a second later");
+}
+
+/// Guards against full traffic to a target that crashed and started again, from nodes that sent it nothing meanwhile,
+/// while another one was refused there.
+#[test]
+fn crash_of_others() {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let earlier = id_of("e1");
+    refuse(&mut fleet, 0, earlier);
+    fleet.wait(Duration::from_millis(300));
+    let mut sent = count_during(&mut fleet, earlier, 100, Duration::from_millis(300));
+    let later = publish_start(&mut fleet, "e1", 60);
+    sent += count_during(&mut fleet, later, 200, Duration::from_millis(600));
+    assert!((1..=LIMIT).contains(&sent), "{sent}");
+}
+
+/// Guards against nodes that limit a target because another node does not reach it, though it runs their requests
+/// or has answered them since.
+#[parameterized(
+    running = { false },
+    answered = { true },
+)]
+fn reached_by_others(answered: bool) {
+    let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
+    let target = id_of("e1");
+    for node in 1..3 {
+        let (attempt, _) = arrive(&mut fleet, node, 50)[0];
+        assert!(may_send(&mut fleet, node, attempt));
+        if answered {
+            fleet.wait(Duration::from_millis(50));
+            fleet.handle(node, Event::FirstBytes(attempt));
+            fleet.complete(node, attempt);
+        }
+    }
+    refuse(&mut fleet, 0, target);
+    let sent: usize = (1..3)
+        .map(|node| count_sends(&mut fleet, node, target, 100))
+        .sum();
+    assert!(sent > LIMIT, "{sent}");
+}
+
 /// Guards against lines that do not tell whether a flooded target got the requests before or after the node learned
 /// that it is cold, since they name only one of its starts.
 #[test]
