cold targets: nodes that a target refused tell the region, and the others verify it

Cause: a refused connection shows that no process listens, but only the node that was refused learned of it. Class: what one node knows and binds all is not told. Change: a node that is refused names the target to its region, once for a crash. Others that run no request there probe it, which ejects it if it is refused too, and so limits it after its return; one that accepts stays as it is, so the word of a node whose own links or sockets are at fault costs a connection and no more.

--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -19,7 +19,7 @@
 const MAX_LISTED_FINGERPRINTS: usize = 8;
 /// Longest time for which a sound target may be silent, with a margin for lost packets to be sent
 /// again.
-const MAX_SILENCE: Duration = Duration::from_millis(1800);
+pub(super) const MAX_SILENCE: Duration = Duration::from_millis(1800);
 /// Time after which a connection that could not be opened was not refused, but hung.
 const HUNG_AFTER: Duration = Duration::from_millis(500);
 /// Time after the first bytes of an answer in which it counts as beginning.
@@ -148,7 +148,13 @@
     }
 
     /// Probes a target, for at least `patience` while connections to it hang.
-    fn probe(&mut self, now: Time, target: TargetKey, patience: Duration, out: &mut Vec<Command>) {
+    pub(super) fn probe(
+        &mut self,
+        now: Time,
+        target: TargetKey,
+        patience: Duration,
+        out: &mut Vec<Command>,
+    ) {
         // Of several at once, none could be told which of them the target has answered since.
         if !self.targets.begin_probe(now, target) {
             return;
@@ -181,6 +187,9 @@
         };
         let accepted = result == ProbeResult::Accepted;
         let suspended = self.targets.is_suspended(key);
+        if result == ProbeResult::Refused {
+            self.report_refusal(now, key, out);
+        }
         let change = self.targets.record_probe(now, key, accepted);
         let found = accepted && !answered && (change.is_some() || suspended);
         self.record_phase_change(now, change, "probe", out);
@@ -504,6 +513,7 @@
     ) {
         let tried = now.since(started);
         if tried < HUNG_AFTER {
+            self.report_refusal(now, target, out);
             let change = self.targets.record_failure(now, target, true);
             self.record_phase_change(now, change, "connection refused", out);
         } else if self.targets.suspend(target) {
--- a/crates/seam-core/src/node/cold.rs
+++ b/crates/seam-core/src/node/cold.rs
@@ -3,7 +3,7 @@
 //! The platform lists how long a target is cold. It may not hear of it: a target that starts again while it
 //! is cut off from the platform keeps its entry. So a target that was lost and found again counts as cold
 //! until it says in a health check how long it is, here or to another node of the region. So does one whose
-//! entry lapsed, until it publishes it again.
+//! entry lapsed, until it publishes it again. Nodes that a target refused tell the others, which verify it.
 
 use std::time::Duration;
 
@@ -11,12 +11,13 @@
 use seam_protocol::{Heartbeat, TargetId, Time};
 
 use super::Node;
+use super::attempts::MAX_SILENCE;
 use crate::audit::Change;
 use crate::catalogue::RENEWAL_WINDOW;
 use crate::command::Command;
 use crate::handle::TargetKey;
 use crate::roster::Roster;
-use crate::targets::{RateShare, cold_share};
+use crate::targets::{Phase, RateShare, cold_share};
 
 impl Node {
     /// Limits requests to a target that accepts work again as if it were cold, until it has
@@ -85,6 +86,36 @@
         }
     }
 
+    /// Reports to the region that no process listens at the address of a target, so that nodes without requests
+    /// there learn that it may start again. Of the nodes that notice it, the first ones report it.
+    pub(super) fn report_refusal(&mut self, now: Time, key: TargetKey, out: &mut Vec<Command>) {
+        let state = self.targets.get(key);
+        let (target, cold_start) = (state.id, state.capacity.cold_start);
+        if cold_start > 0 && self.targets.note_refusal(now, key) {
+            self.tell_region(now, |heartbeat| heartbeat.refused.push(target), out);
+        }
+    }
+
+    /// Probes targets that refused a connection of another node of this region. One that runs requests of this
+    /// node is not probed: they would have broken.
+    pub(super) fn verify_refused(
+        &mut self,
+        now: Time,
+        heartbeat: &Heartbeat,
+        out: &mut Vec<Command>,
+    ) {
+        for target in &heartbeat.refused {
+            let Some(key) = self.targets.key(*target) else {
+                continue;
+            };
+            self.targets.note_refusal(now, key);
+            let state = self.targets.get(key);
+            if state.phase == Phase::Serving && state.running == 0 {
+                self.probe(now, key, MAX_SILENCE, out);
+            }
+        }
+    }
+
     /// Handles a target's own statement, asked at a time, of how long it is cold, zero if it is not.
     pub(super) fn handle_cold_report(
         &mut self,
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -110,6 +110,7 @@
         self.merge_limits(now, heartbeat, out);
         self.merge_leaving(now, heartbeat, out);
         self.merge_cold(now, heartbeat, out);
+        self.verify_refused(now, heartbeat, out);
         if uninformed && heartbeat.region == self.id.region {
             self.report_limits(now, heartbeat.from, out);
         }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -346,6 +346,15 @@
         }
     }
 
+    /// Notes that a target refused a connection, of this node or another one. Returns whether that is news.
+    pub fn note_refusal(&mut self, now: Time, key: TargetKey) -> bool {
+        /// Time for which refused connections tell of the same crash.
+        const REFUSAL_LIFETIME: Duration = Duration::from_secs(2);
+        let state = self.get_mut(key);
+        let refused = state.refused.replace(now);
+        refused.is_none_or(|refused| now.since(refused) >= REFUSAL_LIFETIME)
+    }
+
     /// Records that this node lost a target. See [`ColdShare::record_loss`].
     pub fn record_loss(&mut self, now: Time, key: TargetKey) {
         self.get_mut(key).cold.record_loss(now);
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -107,6 +107,8 @@
     pub(super) suspended: bool,
     /// When the last probe beside requests began.
     pub(super) probed: Option<Time>,
+    /// When it last refused a connection, of this node or another one.
+    pub(super) refused: Option<Time>,
     /// When it last began an answer.
     pub(super) answered: Option<Time>,
     /// Consecutive failures.
@@ -152,6 +154,7 @@
             room: QueueRoom::default(),
             suspended: false,
             probed: None,
+            refused: None,
             answered: None,
             failures: 0,
             ejections: 0,
--- a/crates/seam-core/tests/cold_targets.rs
+++ b/crates/seam-core/tests/cold_targets.rs
@@ -427,10 +427,25 @@
 
 /// Lets a node find that no process listens at the address of a target.
 fn refuse(fleet: &mut Fleet, node: usize, target: TargetId) {
+    fleet.commands.clear();
     let accepted = false;
     fleet.handle(node, Event::Probed { target, accepted });
 }
 
+/// Ends the probes of a target that other nodes began. Returns these nodes.
+fn end_probes(fleet: &mut Fleet, target: TargetId, accepted: bool) -> Vec<usize> {
+    let commands = fleet.commands.iter();
+    let probes = commands.filter_map(|(node, command)| match command {
+        Command::Probe { target: probed, .. } if *probed == target => Some(*node),
+        _ => None,
+    });
+    let nodes: Vec<_> = probes.collect();
+    for node in &nodes {
+        fleet.handle(*node, Event::Probed { target, accepted });
+    }
+    nodes
+}
+
 /// Guards against two shares of a cold target's rate in one second: one under its earlier start, as a probe found
 /// it, and one under the start that its entry then tells of, with or without a removal between them.
 #[parameterized(
@@ -476,6 +491,7 @@
     let mut fleet = settled_fleet(&[NORTH; 3], &TARGETS[..1]);
     let earlier = id_of("e1");
     refuse(&mut fleet, 0, earlier);
+    end_probes(&mut fleet, earlier, false);
     fleet.wait(Duration::from_millis(300));
     let mut sent = count_during(&mut fleet, earlier, 100, Duration::from_millis(300));
     let later = publish_start(&mut fleet, "e1", 60);
@@ -502,6 +518,8 @@
         }
     }
     refuse(&mut fleet, 0, target);
+    let probes = end_probes(&mut fleet, target, true);
+    assert_eq!(probes.is_empty(), !answered, "{probes:?}");
     let sent: usize = (1..3)
         .map(|node| count_sends(&mut fleet, node, target, 100))
         .sum();
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -334,6 +334,9 @@
     /// its own if it is not zero.
     #[serde(skip)]
     pub items_epoch: u32,
+    /// Targets that just refused a connection of the sender. They follow in a section of their own.
+    #[serde(skip)]
+    pub refused: Vec<TargetId>,
 }
 
 impl Heartbeat {
@@ -350,7 +353,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let epoch = self.items_epoch != 0;
+        let refused = !self.refused.is_empty();
+        let epoch = refused || self.items_epoch != 0;
         let items = epoch || self.items_digest.is_some() || self.config != ConfigMeaning::default();
         let targets = items || !self.leaving.is_empty() || !self.cold.is_empty();
         let origins = targets || !self.streams.is_empty() || !self.reached.is_empty();
@@ -389,7 +393,12 @@
         if !epoch {
             return bytes;
         }
-        postcard::to_extend(&self.items_epoch, bytes).expect("a number always serializes")
+        let bytes =
+            postcard::to_extend(&self.items_epoch, bytes).expect("a number always serializes");
+        if !refused {
+            return bytes;
+        }
+        postcard::to_extend(&self.refused, bytes).expect("targets always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat. Counts that no node reaches are
@@ -465,8 +474,13 @@
         let (section, rest) = postcard::take_from_bytes::<(_, Option<[u8; 4]>)>(rest).ok()?;
         heartbeat.config = section.0;
         heartbeat.items_digest = section.1.map(u32::from_be_bytes);
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (epoch, rest) = postcard::take_from_bytes(rest).ok()?;
+        heartbeat.items_epoch = epoch;
         if !rest.is_empty() {
-            heartbeat.items_epoch = postcard::from_bytes(rest).ok()?;
+            heartbeat.refused = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -501,6 +515,7 @@
             config: ConfigMeaning::default(),
             items_digest: None,
             items_epoch: 0,
+            refused: Vec::new(),
         }
     }
 }
--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -214,3 +214,21 @@
     heartbeat.items_digest = None;
     assert_eq!(Heartbeat::decode(&heartbeat.encode()), Some(heartbeat));
 }
+
+/// Guards against refused targets that get lost, or that keep a process of the version before from reading the
+/// rest.
+#[test]
+fn refused_kept() {
+    for (epoch, bytes) in [(300, 6), (0, 19)] {
+        let mut heartbeat = heartbeat();
+        heartbeat.items_epoch = epoch;
+        let without = heartbeat.encode();
+        heartbeat.refused = vec![TargetId(u32::MAX)];
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
+        // What precedes them is as a process of the version before writes it.
+        assert_eq!(whole[..without.len()], without);
+        assert_eq!(whole.len() - without.len(), bytes);
+    }
+}
