item store: an answer beside a watch that failed tells of the store's return

Cause: a watch that is late is joined by a second one. If one of them failed and the other was answered, the call counted as answered, and nobody read all items after the store's return. Class: a failure that an answer beside it hides. Change: an answer beside a failure counts as the store's return. Evidence: hidden_failure plays it with a watch that is silent and a second one that is refused: red in 4 of 4 runs before, green now. That counter_passes_claims failed for this is likely, not traced: its one red run left no log.

--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -426,7 +426,8 @@
 }
 
 /// Watches the store, and beside that on a new connection once the first watch is overdue or this node lags,
-/// as the first connection may have fallen silent. The first response counts.
+/// as the first connection may have fallen silent. The first response counts. One that follows a failure of the
+/// other watch tells that the store is back.
 async fn watch(
     runtime: &NodeRuntime,
     store: &dyn ItemStore,
@@ -442,15 +443,16 @@
     if let Some(watched) = async { Some((&mut first).await) }.or(late).await {
         return watched;
     }
-    let first_failed = AtomicBool::new(false);
+    let (first_failed, second_failed) = (AtomicBool::new(false), AtomicBool::new(false));
     let first = async {
         let error = failure(first.await)?;
         first_failed.store(true, Ordering::Relaxed);
-        Ok(error)
+        Ok::<_, Watched>(error)
     };
     let second = async {
         loop {
             let error = failure(store.watch(after, PROBE_WAIT).await)?;
+            second_failed.store(true, Ordering::Relaxed);
             runtime.metrics.platform_call("watch", false);
             log::debug!("item store: second watch after revision {after} failed: {error}");
             if first_failed.load(Ordering::Relaxed) {
@@ -461,7 +463,14 @@
     };
     match future::try_zip(first, second).await {
         Ok((error, _)) => Err(error),
-        Err(response) => response,
+        Err(response) => {
+            let failed = [&first_failed, &second_failed];
+            let failed = failed.iter().any(|failed| failed.load(Ordering::Relaxed));
+            if response.is_ok() && failed {
+                runtime.update(seam_core::Node::note_store_return);
+            }
+            response
+        }
     }
 }
 
