logs: a program that cannot start writes the line that says why

What operators saw: a process that ends at its start, with a port in use, without a line. Cause: the thread that writes lines ends with the process, before it has taken them from its queue. Class: work handed to another thread that nobody waits for. Change: the program waits for its lines before it ends, for half a second at most, as the reader of the output may be blocked.

--- a/crates/seam-node/src/logs.rs
+++ b/crates/seam-node/src/logs.rs
@@ -10,7 +10,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fern::Dispatch;
 use log::kv::{self, Key, Value, VisitSource, VisitValue};
@@ -193,9 +193,16 @@
     lines: u32,
 }
 
+/// What the writer thread does next.
+enum Order {
+    Write(String),
+    /// Confirms that all lines before it are written.
+    Confirm(SyncSender<()>),
+}
+
 /// A logger that sends lines to the writer thread.
 struct QueueLogger {
-    lines: SyncSender<String>,
+    orders: SyncSender<Order>,
     second: Mutex<Second>,
     /// Number of dropped lines that no line has stated yet.
     dropped: AtomicU64,
@@ -228,7 +235,7 @@
         if dropped > 0 && within_limit {
             let _ = write!(line, "\n{dropped} lines of the log were left out");
         }
-        if (exempt || within_limit) && self.lines.try_send(line).is_ok() {
+        if (exempt || within_limit) && self.orders.try_send(Order::Write(line)).is_ok() {
             if within_limit {
                 self.dropped.fetch_sub(dropped, Ordering::Relaxed);
             }
@@ -237,13 +244,28 @@
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines are written, but not for long: the reader of the output may be blocked.
+    fn flush(&self) {
+        const PATIENCE: Duration = Duration::from_millis(500);
+        let (confirm, confirmed) = sync_channel(1);
+        // A full queue belongs to a blocked reader.
+        if self.orders.try_send(Order::Confirm(confirm)).is_ok() {
+            let _ = confirmed.recv_timeout(PATIENCE);
+        }
+    }
 }
 
 /// Writes lines until the logger is dropped or standard output fails.
-fn write_lines(lines: &Receiver<String>) {
+fn write_lines(orders: &Receiver<Order>) {
     let mut out = std::io::stdout();
-    while let Ok(line) = lines.recv() {
+    while let Ok(order) = orders.recv() {
+        let line = match order {
+            Order::Write(line) => line,
+            Order::Confirm(confirm) => {
+                let _ = confirm.try_send(());
+                continue;
+            }
+        };
         let written = writeln!(out, "{line}").and_then(|()| out.flush());
         if written.is_err() {
             break;
@@ -265,13 +287,13 @@
         let line = format_line(format, build, record);
         out.finish(format_args!("{line}"));
     });
-    let (sender, lines) = sync_channel(QUEUE_LINES);
+    let (sender, orders) = sync_channel(QUEUE_LINES);
     std::thread::Builder::new()
         .name("log".to_owned())
-        .spawn(move || write_lines(&lines))
+        .spawn(move || write_lines(&orders))
         .context(ThreadSnafu)?;
     let writer: Box<dyn Log> = Box::new(QueueLogger {
-        lines: sender,
+        orders: sender,
         second: Mutex::default(),
         dropped: AtomicU64::new(0),
     });
--- a/crates/toucanseam/src/main.rs
+++ b/crates/toucanseam/src/main.rs
@@ -51,7 +51,9 @@
         log::error!("optional setting not used as written: {diagnostic}");
     }
     seam_http::start_workers(settings.workers);
-    seam_http::block_on(run(arguments.settings, settings))
+    let code = seam_http::block_on(run(arguments.settings, settings));
+    log::logger().flush();
+    code
 }
 
 async fn run(path: PathBuf, settings: Settings) -> ExitCode {
--- a/crates/toucanseam/tests/build_lines.rs
+++ b/crates/toucanseam/tests/build_lines.rs
@@ -1,7 +1,8 @@
-//! Lines of the log name the commit of the program that wrote them.
+//! Lines of the log name the commit of the program that wrote them, also why it could not start.
 
 use std::io::{BufRead, BufReader};
-use std::path::Path;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
 use seam_emulator::server::free_address;
@@ -18,10 +19,17 @@
     Some(commit.trim().to_owned())
 }
 
-/// Returns the first line of a program, `None` if it ends without one, as another process has taken a port.
-fn first_line(folder: &Path) -> Option<String> {
+/// Creates a folder for settings.
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("seam-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// Returns a command that starts a program, which serves callers at an address.
+fn program(folder: &Path, caller: SocketAddr) -> Command {
     let path = folder.join("node.toml");
-    let [caller, peer, admin, store, readiness] = [(); 5].map(|()| free_address());
+    let [peer, admin, store, readiness] = [(); 4].map(|()| free_address());
     let settings = format!(
         r#"
         name = "edge-1"
@@ -42,10 +50,14 @@
         "#
     );
     std::fs::write(&path, settings).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_toucanseam"))
-        .arg("--settings")
-        .arg(&path)
-        .stdout(Stdio::piped())
+    let mut command = Command::new(env!("CARGO_BIN_EXE_toucanseam"));
+    command.arg("--settings").arg(&path).stdout(Stdio::piped());
+    command
+}
+
+/// Returns the first line of a program, `None` if it ends without one, as another process has taken a port.
+fn first_line(folder: &Path) -> Option<String> {
+    let mut child = program(folder, free_address())
         .spawn()
         .expect("the program starts");
     let stdout = child.stdout.take().expect("a pipe");
@@ -59,8 +71,7 @@
 #[test]
 fn build_first() {
     const MAX_TRIES: usize = 20;
-    let folder = std::env::temp_dir().join(format!("seam-build-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
+    let folder = folder("build");
     let line = (0..MAX_TRIES).find_map(|_| first_line(&folder));
     let _ = std::fs::remove_dir_all(&folder);
     let line = line.expect("a line");
@@ -78,3 +89,21 @@
         None => assert_eq!(build, env!("CARGO_PKG_VERSION")),
     }
 }
+
+/// Guards against a program that cannot start and ends before the line that says why is written.
+#[test]
+fn failed_start() {
+    const STARTS: usize = 20;
+    let taken = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let caller = taken.local_addr().unwrap();
+    let folder = folder("failed");
+    for _ in 0..STARTS {
+        let output = program(&folder, caller)
+            .output()
+            .expect("the program starts");
+        assert!(!output.status.success());
+        let lines = String::from_utf8(output.stdout).expect("text");
+        assert!(lines.contains(&caller.to_string()), "{lines:?}");
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
