--- a/crates/seam-config/src/schema.rs
+++ b/crates/seam-config/src/schema.rs
@@ -442,6 +442,30 @@
             "0",
             "requests per second that a cold target may receive in addition",
         ),
+        optional(
+            "revocation_limit_ms",
+            FieldType::Rounded(0, 86_400_000),
+            "no limit",
+            "time in milliseconds after the removal of an API key for which it may still be accepted",
+        ),
+        optional(
+            "allowance_window_s",
+            FieldType::Float(0.0, 3600.0),
+            "0",
+            "window in seconds within which the allowances of tenants are judged; 0 if they are not",
+        ),
+        optional(
+            "allowance_overage",
+            FieldType::Float(0.0, 1000.0),
+            "0",
+            "fraction of an allowance that may be used beyond it within the window",
+        ),
+        optional(
+            "allowance_slack",
+            FieldType::Float(0.0, 1e12),
+            "0",
+            "units that may be used beyond that within the window",
+        ),
         optional(
             "cores",
             FieldType::Float(0.01, 1024.0),
--- a/crates/seam-config/src/settings.rs
+++ b/crates/seam-config/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use seam_protocol::bundle::Deployment;
-use seam_protocol::{Bundle, CentreId, DataCentre, Region, RegionId};
+use seam_protocol::{Bundle, CentreId, DataCentre, Region, RegionId, TenantBounds};
 
 use crate::error::{ConfigError, Diagnostic, DiagnosticKind, Diagnostics};
 use crate::reader::{ConfigFile, Table};
@@ -75,6 +75,8 @@
     pub cores: f64,
     /// Bandwidth of the node's network link in Mbit/s.
     pub link_mbps: f64,
+    /// How precisely what is published of tenants must be applied.
+    pub tenant_bounds: TenantBounds,
 }
 
 /// Weight of tail latency against the share of requests sent to other regions. A platform of items
@@ -125,6 +127,7 @@
         };
         Bundle {
             retries: self.retries,
+            tenant_bounds: self.tenant_bounds,
             ..Bundle::new(deployment)
         }
     }
@@ -348,6 +351,13 @@
     let retries = table
         .optional_rounded(file, "retries")
         .map(|limit| limit as u32);
+    let revocation_limit = items.optional_rounded(file, "revocation_limit_ms");
+    let tenant_bounds = TenantBounds {
+        revocation_limit,
+        window: (items.float(file, "allowance_window_s") * 1000.0) as u64,
+        overage: items.float(file, "allowance_overage"),
+        slack: items.float(file, "allowance_slack"),
+    };
     Some(Items {
         store: store?,
         readiness: readiness?,
@@ -358,6 +368,7 @@
         cold_spare: items.float(file, "cold_spare"),
         cores: items.float(file, "cores"),
         link_mbps: items.float(file, "link_mbps"),
+        tenant_bounds,
     })
 }
 
--- a/crates/seam-core/src/arrival.rs
+++ b/crates/seam-core/src/arrival.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use seam_protocol::{
-    CustomerId, Fingerprint, IssuedKey, RegionId, ServiceId, StreamId, VersionId, VmId,
+    CustomerId, Fingerprint, IssuedKey, RegionId, ServiceId, StreamId, TenantId, VersionId, VmId,
 };
 
 use crate::handle::Ticket;
@@ -84,6 +84,8 @@
     pub prefix: Option<u64>,
     /// Time left until the caller's deadline.
     pub budget: Duration,
+    /// Tenant whose API key it has.
+    pub tenant: Option<TenantId>,
     /// Rules of its route, if routes are published.
     pub route: Option<RouteRules>,
     /// Prompt for a model engine with its token counts, if the caller states them.
--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -79,6 +79,7 @@
             attributes: Vec::new(),
             prefix: None,
             budget: Duration::from_millis(spec.deadline),
+            tenant: None,
             route: None,
             prompt: None,
             stream: None,
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{CustomerId, Fingerprint, RegionId, ServiceId, Time, VersionId, VmId};
+use seam_protocol::{
+    CustomerId, Fingerprint, RegionId, ServiceId, TenantId, Time, VersionId, VmId,
+};
 
 use crate::arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules, StreamPart};
 use crate::handle::{AttemptKey, TargetKey, Ticket};
@@ -85,6 +87,8 @@
     pub orphaned: bool,
     /// Whether an attempt may have run.
     pub maybe_ran: bool,
+    /// Tenant whose API key it has.
+    pub tenant: Option<TenantId>,
     /// Rules of its route.
     pub route: Option<RouteRules>,
     /// Prompt for a model engine with its token counts, if known.
@@ -136,6 +140,7 @@
             attempts: 0,
             orphaned: false,
             maybe_ran: false,
+            tenant: arrival.tenant,
             route: arrival.route,
             prompt: arrival.prompt.clone(),
             stream: arrival.stream,
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -73,6 +73,7 @@
         objective: 800,
         rank: 0,
         attempts,
+        public: false,
         home_regions: None,
     }
 }
@@ -515,6 +516,7 @@
         attributes: Vec::new(),
         prefix: None,
         budget: Duration::from_secs(4),
+        tenant: None,
         route: Some(RouteRules {
             objective: Duration::from_millis(800),
             max_attempts: attempts,
--- a/crates/seam-core/tests/published/attempts.rs
+++ b/crates/seam-core/tests/published/attempts.rs
@@ -283,6 +283,7 @@
                     continue;
                 }
                 Some(route) => Arrival {
+                    tenant: None,
                     route: Some(rules(route)),
                     customer: route_customer(route, self.fault),
                     ..arrival
--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -235,6 +235,7 @@
                 customer: decision.customer,
                 service: decision.service,
                 budget: decision.budget,
+                tenant: None,
                 route: Some(decision.rules),
                 ..arrival(ticket, "", PLAIN, 1)
             };
--- a/crates/seam-harness/examples/capacity/memory.rs
+++ b/crates/seam-harness/examples/capacity/memory.rs
@@ -70,6 +70,7 @@
         attributes: Vec::new(),
         prefix: Some(ticket % 64),
         budget: std::time::Duration::from_secs(3600),
+        tenant: None,
         route: None,
         prompt: None,
         stream: None,
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -585,6 +585,7 @@
             attributes: Vec::new(),
             prefix: call_state.call.prefix,
             budget,
+            tenant: None,
             route: None,
             prompt: None,
             stream: None,
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -14,7 +14,7 @@
 use seam_core::spill::{RegionChoice, RoutingDecision};
 use seam_core::{AttemptKey, AttemptOutcome, ConfigStamp, Event, Origin, Refusal};
 use seam_http::spawn;
-use seam_protocol::{Outcome, Reason, Time, VersionId};
+use seam_protocol::{Outcome, Reason, TenantId, Time, VersionId};
 
 use crate::config_log::{confirmed, meaning};
 use crate::inbound::InboundRequest;
@@ -84,6 +84,7 @@
             .collect(),
         prefix,
         budget: inbound.budget,
+        tenant: inbound.tenant.as_deref().map(TenantId::of),
         route: inbound.rules,
         prompt: inbound.prompt.clone(),
         stream: inbound.stream(),
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -77,6 +77,8 @@
     pub budget: Duration,
     /// The host in the request, on a platform that publishes routes.
     pub host: Option<String>,
+    /// Name of the tenant whose API key the request has.
+    pub tenant: Option<String>,
     /// Rules of the matching route.
     pub rules: Option<RouteRules>,
     /// The prompt, for a model engine.
--- a/crates/seam-node/src/link/client.rs
+++ b/crates/seam-node/src/link/client.rs
@@ -102,6 +102,7 @@
         caller: inbound.caller_text(),
         content: inbound.content.0,
         version: to.version.map(|version| version.0),
+        tenant: inbound.tenant.clone().unwrap_or_default(),
     }
 }
 
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -314,6 +314,7 @@
         key,
         key_text: head.key,
         budget: Duration::from_micros(head.budget_micros),
+        tenant: None,
         rules: route.map(route_rules),
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
--- a/crates/seam-node/tests/failed_bodies.rs
+++ b/crates/seam-node/tests/failed_bodies.rs
@@ -29,6 +29,7 @@
         key_text: String::new(),
         budget: std::time::Duration::from_secs(1),
         host: None,
+        tenant: None,
         rules: None,
         prompt: None,
         resumes: None,
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::Digest;
-use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, VersionId, VmId};
+use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, TenantId, VersionId, VmId};
 use crate::route::{CallLimits, RouteTable};
 use crate::shared::Shared;
+use crate::tenant::{Tenant, TenantBounds};
 
 crate::message! {
     /// Index of a bundle. Nodes watch it for changes, since it is small.
@@ -232,6 +233,10 @@
     pub limits: Option<CallLimits>,
     /// Maximum burst of retries to a service, over all nodes; `None` for no limit.
     pub retries: Option<u32>,
+    /// Client accounts; empty if requests need no API key.
+    pub tenants: Shared<BTreeMap<TenantId, Tenant>>,
+    /// How precisely what is published of tenants must be applied.
+    pub tenant_bounds: TenantBounds,
 }
 
 impl Vm {
@@ -359,6 +364,8 @@
             routes: RouteTable::default(),
             limits: None,
             retries: None,
+            tenants: Shared::default(),
+            tenant_bounds: TenantBounds::default(),
         }
     }
 
@@ -399,7 +406,19 @@
             .collect();
         let encoded =
             postcard::to_allocvec(&(routes, self.routes.unplaced(), services, &self.limits));
-        Digest::of(&encoded.expect("a configuration always serializes"))
+        let mut encoded = encoded.expect("a configuration always serializes");
+        // Without tenants the digest is that of processes which do not know them.
+        if !self.tenants.is_empty() {
+            let public: Vec<_> = self
+                .routes
+                .by_host()
+                .filter(|(_, route)| route.public)
+                .map(|(host, route)| (host, route.prefix.as_str()))
+                .collect();
+            encoded = postcard::to_extend(&(&*self.tenants, public), encoded)
+                .expect("tenants always serialize");
+        }
+        Digest::of(&encoded)
     }
 
     /// Returns the regions that may process a request, ordered by ID.
--- a/crates/seam-protocol/src/id.rs
+++ b/crates/seam-protocol/src/id.rs
@@ -21,6 +21,8 @@
     TargetId(u32);
     /// A customer.
     CustomerId(u64);
+    /// A client account that is published beside the routes.
+    TenantId(u64);
     /// One run of a node's process on a VM. Later incarnations can have lower numbers.
     Incarnation(u64);
     /// A digest that is equal for requests that are the same to a target.
@@ -52,7 +54,7 @@
     };
 }
 
-id_from_name!(RegionId: u32, CentreId: u32, VmId: u32, ServiceId: u32, TargetId: u32, CustomerId: u64, VersionId: u32);
+id_from_name!(RegionId: u32, CentreId: u32, VmId: u32, ServiceId: u32, TargetId: u32, CustomerId: u64, TenantId: u64, VersionId: u32);
 
 impl ServiceId {
     /// Returns the short ID for heartbeats. Two services with the same tag cannot be published.
--- a/crates/seam-protocol/src/lib.rs
+++ b/crates/seam-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod response;
 pub mod route;
 pub mod shared;
+pub mod tenant;
 pub mod time;
 
 /// Generated messages and gRPC service for calls between nodes.
@@ -31,7 +32,7 @@
 pub use heartbeat::{Heartbeat, RegionSummary, ServiceLoad, VmRecord};
 pub use id::{
     CentreId, CustomerId, Fingerprint, Incarnation, RegionId, ServiceId, ServiceTag, StreamId,
-    TargetId, VersionId, VmId,
+    TargetId, TenantId, VersionId, VmId,
 };
 pub use inventory::{Delta, Entry, Inventory, ListedTarget, ParsedEntry, RawItem};
 pub use key::{IssuedKey, KeyError};
@@ -40,4 +41,5 @@
 pub use response::{HeaderField, StoredResponse};
 pub use route::{CallLimits, HostRoute, RetryPolicy, RouteTable};
 pub use shared::Shared;
+pub use tenant::{Allowance, Tenant, TenantBounds};
 pub use time::Time;
