heartbeats: a section for confirmations and allowances

Cause: revocation and allowances each need a few figures from node to node. Change: one section behind the others, left out if it says nothing. Measured: the tests of seam-protocol pass.

--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -7,7 +7,8 @@
 
 use crate::bundle::{Bundle, Vm};
 use crate::id::{
-    CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, StreamId, TargetId, VersionId, VmId,
+    CustomerId, Fingerprint, Incarnation, RegionId, ServiceTag, StreamId, TargetId, TenantId,
+    VersionId, VmId,
 };
 
 /// Largest count of requests or units in a heartbeat, beyond what a node can hold at once.
@@ -263,6 +264,58 @@
     pub tokens: u32,
 }
 
+/// How long ago the store showed that the sender's configuration is the present one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Revision of the item that the sender has in force.
+    pub item_revision: u64,
+    /// Milliseconds from the start of the call that showed it until the heartbeat was sent.
+    pub age: u32,
+}
+
+/// A request for tokens of a tenant's allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// Tokens that the sender needs beyond those that it holds.
+    pub tokens: f32,
+}
+
+/// Tokens of a tenant's allowance for the receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// Tokens, zero if there are none.
+    pub tokens: f32,
+    /// Milliseconds until there are as many as were asked for, zero if they are granted.
+    pub wait: u32,
+}
+
+/// What a node and the coordinator of the allowances tell each other.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AllowanceReport {
+    /// Milliseconds for which the sender lends its share of every allowance to the receiver.
+    pub lease: u32,
+    /// The sender's share of every allowance that the lease is about.
+    pub share: f32,
+    /// Requests for tokens.
+    pub requests: Vec<TokenRequest>,
+    /// Tokens granted in reply to the requests of one heartbeat.
+    pub grants: Vec<TokenGrant>,
+    /// `sent` time of that heartbeat, in microseconds on the receiver's clock.
+    pub requested_at: u64,
+}
+
+impl AllowanceReport {
+    /// Returns whether it says nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lease == 0 && self.requests.is_empty() && self.grants.is_empty()
+    }
+}
+
 /// A datagram between two nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -337,6 +390,12 @@
     /// Targets that just refused a connection of the sender. They follow in a section of their own.
     #[serde(skip)]
     pub refused: Vec<TargetId>,
+    /// The sender's confirmation of its configuration, where API keys must be revoked in time.
+    #[serde(skip)]
+    pub confirmation: Option<Confirmation>,
+    /// Leases and tokens of the tenants' allowances, in one section with the confirmation.
+    #[serde(skip)]
+    pub allowances: AllowanceReport,
 }
 
 impl Heartbeat {
@@ -353,7 +412,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let refused = !self.refused.is_empty();
+        let tenants = self.confirmation.is_some() || !self.allowances.is_empty();
+        let refused = tenants || !self.refused.is_empty();
         let epoch = refused || self.items_epoch != 0;
         let items = epoch || self.items_digest.is_some() || self.config != ConfigMeaning::default();
         let targets = items || !self.leaving.is_empty() || !self.cold.is_empty();
@@ -398,7 +458,12 @@
         if !refused {
             return bytes;
         }
-        postcard::to_extend(&self.refused, bytes).expect("targets always serialize")
+        let bytes = postcard::to_extend(&self.refused, bytes).expect("targets always serialize");
+        if !tenants {
+            return bytes;
+        }
+        let section = (self.confirmation, &self.allowances);
+        postcard::to_extend(&section, bytes).expect("numbers always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat. Counts that no node reaches are
@@ -479,8 +544,13 @@
         }
         let (epoch, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.items_epoch = epoch;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (refused, rest) = postcard::take_from_bytes(rest).ok()?;
+        heartbeat.refused = refused;
         if !rest.is_empty() {
-            heartbeat.refused = postcard::from_bytes(rest).ok()?;
+            (heartbeat.confirmation, heartbeat.allowances) = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -516,6 +586,8 @@
             items_digest: None,
             items_epoch: 0,
             refused: Vec::new(),
+            confirmation: None,
+            allowances: AllowanceReport::default(),
         }
     }
 }
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -151,7 +151,7 @@
     /// let route = |prefix: &str, homes: &[u32]| HostRoute {
     ///     name: prefix.into(), prefix: prefix.into(), shares: vec![],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1,
+    ///     attempts: 1, public: false,
     ///     home_regions: (!homes.is_empty()).then(|| homes.iter().copied().map(RegionId).collect()),
     /// };
     /// let mut table = RouteTable::default();
