tenants: API keys, home regions and priorities are applied

Cause: `op/config` may list tenants, and nothing read them: requests were served without a key, and a caller's own `Tenant` header reached targets.

Change: the configuration's tenants are parsed (keys as digests only); a node looks up the key of a request when its head and when its body were read (401, or 503 while its configuration may be outdated); targets get `Tenant`, never the key; both headers are removed from callers' requests always. The homes of route and tenant both bind wherever a region is chosen or checked, also when a version changes them while the request waits. Queued and forwarded requests of a tenant that the configuration in force lacks are refused as not run.

--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -1,5 +1,6 @@
 //! Admission of arriving requests: validity checks, idempotency keys and customer limits.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use seam_protocol::id::rank;
@@ -40,7 +41,14 @@
         let mut request = Request::new(now, arrival);
         let customers = self.bundle.as_ref().map(|bundle| &bundle.customers);
         let customer = customers.and_then(|customers| customers.get(&arrival.customer));
-        request.residency = customer.and_then(|customer| customer.residency.clone());
+        let tenant = self.bundle.as_ref().and_then(|bundle| {
+            let id = arrival.tenant?;
+            bundle.tenants.get(&id)
+        });
+        request.residency = intersection(
+            customer.and_then(|customer| customer.residency.as_ref()),
+            tenant.and_then(|tenant| tenant.home_regions.as_ref()),
+        );
         self.deadlines.insert((request.deadline, arrival.ticket));
         self.requests.insert(arrival.ticket, request);
         if let Err(refusal) = self.check(now, arrival, out) {
@@ -92,6 +100,10 @@
         let service = service.ok_or_else(|| missing(Reason::Service))?;
         let customer = bundle.customers.get(&arrival.customer);
         let customer = customer.ok_or_else(|| missing(Reason::Credential))?;
+        let tenant = arrival.tenant;
+        if tenant.is_some_and(|tenant| !bundle.tenants.contains_key(&tenant)) {
+            return Err(missing(Reason::Credential));
+        }
         let forbidden =
             !customer.services.is_empty() && !customer.services.contains(&arrival.service);
         if forbidden {
@@ -107,21 +119,23 @@
             return Err(Refusal::not_run(Reason::Poison));
         }
         let regions = &bundle.deployment.regions;
-        let mut permitted = regions
-            .keys()
-            .filter(|region| bundle.permits_region(service, customer, **region));
-        if permitted.next().is_none() {
-            // The regions of a route may be unreadable, and a later version may name others.
+        let permits = |region: RegionId| {
+            bundle.permits_region(service, customer, region)
+                && bundle.tenant_permits(tenant, region)
+        };
+        if !regions.keys().any(|region| permits(*region)) {
+            // The regions of a route or a tenant may be unreadable, and a later version may name others.
             return Err(if arrival.route.is_some() && !forwarded {
                 Refusal::not_run(Reason::NoTarget).with_retry_after(TRANSIENT_RETRY_AFTER)
             } else {
                 missing(Reason::Residency)
             });
         }
-        if forwarded && !bundle.permits_region(service, customer, self.id.region) {
+        if forwarded && !permits(self.id.region) {
             return Err(missing(Reason::Residency));
         }
-        let allowed = bundle.allowed_regions(service, customer);
+        let mut allowed = bundle.allowed_regions(service, customer);
+        allowed.retain(|region| bundle.tenant_permits(tenant, *region));
         if allowed.is_empty() || (forwarded && !allowed.contains(&self.id.region)) {
             return Err(Refusal::not_run(Reason::NoTarget).with_retry_after(TRANSIENT_RETRY_AFTER));
         }
@@ -237,7 +251,9 @@
             return KeyOwner::Unavailable;
         };
         let from_caller = arrival.origin == Origin::Caller;
-        if from_caller && bundle.allowed_regions(service, customer).contains(region) {
+        let allowed = bundle.allows_region(service, customer, *region)
+            && bundle.tenant_permits(arrival.tenant, *region);
+        if from_caller && allowed {
             KeyOwner::OtherNode(vm)
         } else {
             KeyOwner::Unavailable
@@ -350,6 +366,17 @@
     }
 }
 
+/// Returns the regions that are in both sets, where `None` stands for all regions.
+fn intersection(
+    one: Option<&BTreeSet<RegionId>>,
+    other: Option<&BTreeSet<RegionId>>,
+) -> Option<BTreeSet<RegionId>> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one & other),
+        (one, other) => one.or(other).cloned(),
+    }
+}
+
 /// Returns the node that owns a key chosen by a caller.
 ///
 /// It is one of the published nodes of the customer's home region, or of another allowed region if
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::command::Command;
 use crate::handle::{AttemptKey, Ticket};
 use crate::refusal::Refusal;
-use crate::request::{Attempt, Destination, Stage};
+use crate::request::{Attempt, Destination, Request, Stage};
 use crate::targets::{PromptWork, TargetChoice, TargetQuery};
 
 /// Shortest retry-after given to callers.
@@ -162,7 +162,8 @@
         }
         let quarantined = self.is_quarantined(request);
         let in_time = request.budget(now) > min_time || !self.policy.shed;
-        // A new revision may have forbidden the request here while it waited, or removed its customer.
+        // A new revision may have forbidden the request here while it waited, or removed its customer or its
+        // tenant.
         let allowed = self.allows(request, self.id.region);
         if in_time && !quarantined && allowed {
             return false;
@@ -171,7 +172,7 @@
             Reason::Poison
         } else if !in_time {
             Reason::Deadline
-        } else if self.has_customer(request.customer) {
+        } else if self.has_customer(request.customer) && self.has_tenant(request) {
             self.service_state(service).queue.end(customer);
             self.request_mut(ticket).stage = Stage::Routing;
             self.route(now, ticket, out);
@@ -185,21 +186,31 @@
         true
     }
 
-    /// Refuses, for a time, the queued requests of services that the bundle in force does not have.
+    /// Refuses, for a time, the queued requests of services and tenants that the bundle in force does not
+    /// have, and routes those again whose tenants do not permit this region any more.
     pub(super) fn refuse_unserved(&mut self, now: Time, out: &mut Vec<Command>) {
         let Some(bundle) = self.bundle.clone() else {
             return;
         };
         let unserved = |service: &ServiceId| !bundle.services.contains_key(service);
-        if !self.service_states.keys().any(unserved) {
-            return;
-        }
-        let queued = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.stage == Stage::Queued && unserved(&request.service));
-        let tickets: Vec<Ticket> = queued.map(|(ticket, _)| *ticket).collect();
+        let queued = |(_, request): &(&Ticket, &Request)| request.stage == Stage::Queued;
+        let queued = self.requests.iter().filter(queued);
+        let forbidden = queued.filter(|(_, request)| {
+            unserved(&request.service) || !bundle.tenant_permits(request.tenant, self.id.region)
+        });
+        let tickets: Vec<Ticket> = forbidden.map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
+            // Routing another of them may have ended this one.
+            let request = self.requests.get(&ticket);
+            let Some(request) = request.filter(|request| request.stage == Stage::Queued) else {
+                continue;
+            };
+            if !unserved(&request.service) && self.has_tenant(request) {
+                self.remove_from_queue(ticket);
+                self.request_mut(ticket).stage = Stage::Routing;
+                self.route(now, ticket, out);
+                continue;
+            }
             let refusal =
                 Refusal::not_run(Reason::Revision).with_retry_after(TRANSIENT_RETRY_AFTER);
             self.refuse(now, ticket, refusal, out);
@@ -212,6 +223,14 @@
         bundle.is_some_and(|bundle| bundle.customers.contains_key(&customer))
     }
 
+    /// Returns whether the bundle in force has the tenant of a request, if the request has one.
+    pub(super) fn has_tenant(&self, request: &Request) -> bool {
+        request.tenant.is_none_or(|tenant| {
+            let bundle = self.bundle.as_ref();
+            bundle.is_some_and(|bundle| bundle.tenants.contains_key(&tenant))
+        })
+    }
+
     /// Starts a request at the chosen target.
     fn send(&mut self, now: Time, ticket: Ticket, chosen: TargetChoice, out: &mut Vec<Command>) {
         let target = chosen.key;
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -66,6 +66,7 @@
                 let request = &self.requests[&ticket];
                 let (reason, retry) = match wait {
                     Some(wait) => (Reason::Overload, wait),
+                    None if !self.has_tenant(request) => (Reason::Revision, TRANSIENT_RETRY_AFTER),
                     None if request.version().is_some() => (Reason::Version, NO_TARGET_RETRY),
                     None if request.other_revision => (Reason::Revision, TRANSIENT_RETRY_AFTER),
                     None => (Reason::NoTarget, NO_TARGET_RETRY),
@@ -299,7 +300,7 @@
             .zip(bundle.customers.get(&request.customer));
         let allowed = specs
             .is_some_and(|(service, customer)| bundle.allows_region(service, customer, region));
-        allowed && request.permits(region)
+        allowed && bundle.tenant_permits(request.tenant, region) && request.permits(region)
     }
 
     /// Predicts the wait for an engine and a slot in this region, or for a share of a granted rate.
@@ -409,6 +410,7 @@
             .allowed_regions(service, customer)
             .into_iter()
             .filter(|region| *region != self.id.region && !request.refused.contains(region))
+            .filter(|region| bundle.tenant_permits(request.tenant, *region))
             .filter(|region| request.permits(*region))
             .filter(|region| {
                 let version = request.version();
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -40,7 +40,7 @@
     pub customer: CustomerId,
     /// The service.
     pub service: ServiceId,
-    /// Regions that its customer permitted when it arrived, all if `None`.
+    /// Regions that its customer and its tenant permitted when it arrived, all if `None`.
     pub residency: Option<BTreeSet<RegionId>>,
     /// Whether running it more than once is safe.
     pub repeatable: bool,
@@ -163,7 +163,7 @@
         self.stream.and_then(|stream| stream.version)
     }
 
-    /// Returns whether its customer permitted a region when it arrived. Another route may have taken over
+    /// Returns whether its customer and its tenant permitted a region when it arrived. Another route may have taken over
     /// the customer's name since.
     #[must_use]
     pub fn permits(&self, region: RegionId) -> bool {
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use seam_core::{Prompt, Refusal};
 use seam_http::{Body, Incoming, json};
-use seam_protocol::{LoadReport, Outcome};
+use seam_protocol::{Digest, LoadReport, Outcome};
 
 use crate::inbound::{
     CUSTOMER_HEADER, DEADLINE_HEADER, InboundRequest, KEY_HEADER, REQUEST_HEADER, strip_headers,
@@ -83,6 +83,16 @@
     /// Removes hop-by-hop headers and those reserved for the system.
     fn strip_headers(&self, headers: &mut HeaderMap);
 
+    /// Removes from a caller's request what [`Self::strip_headers`] removes, its API key, and headers by
+    /// which only a node may name the tenant.
+    fn strip_request_headers(&self, headers: &mut HeaderMap);
+
+    /// Reads the digest of a caller's API key from the headers of its request, `None` if there is none.
+    ///
+    /// # Errors
+    /// What is wrong with the header, without its value.
+    fn api_key(&self, headers: &HeaderMap) -> Result<Option<Digest>, String>;
+
     /// Sets the headers that a target is sent.
     fn set_target_headers(
         &self,
@@ -173,6 +183,14 @@
         strip_headers(headers);
     }
 
+    fn strip_request_headers(&self, headers: &mut HeaderMap) {
+        self.strip_headers(headers);
+    }
+
+    fn api_key(&self, _headers: &HeaderMap) -> Result<Option<Digest>, String> {
+        Ok(None)
+    }
+
     fn set_target_headers(
         &self,
         headers: &mut HeaderMap,
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -252,7 +252,8 @@
         }
         log::info!(
             target: "request",
-            request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(), end = end,
+            request = self.inbound.id.as_str(), route = self.inbound.customer_name.as_str(),
+            tenant = self.inbound.tenant.as_deref().unwrap_or_default(), end = end,
             outcome:% = outcome, fingerprint:% = self.inbound.fingerprint,
             method = self.inbound.method.as_str(), path = self.inbound.path.as_str(), caller = caller.as_str(),
             status = status.map_or_else(Value::null, |status| status.as_u16().into()),
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -11,8 +11,7 @@
 use http_body_util::BodyExt;
 use seam_core::{ConfigVersion, Refusal};
 use seam_http::{BodyError, Incoming};
-use seam_protocol::HostRoute;
-use seam_protocol::{CustomerId, Digest, Reason, RetryPolicy, ServiceId};
+use seam_protocol::{CustomerId, Digest, HostRoute, Reason, RetryPolicy, ServiceId, Tenant};
 
 use crate::dialect::RequestOptions;
 use crate::inbound::{InboundRequest, KEY_HEADER, fingerprint, route_rules};
@@ -255,6 +254,37 @@
     Ok((route, service))
 }
 
+/// Returns the tenant whose API key a request has, `None` if its route needs no key.
+///
+/// A node whose configuration may be outdated refuses what it does not know for a time only.
+fn find_tenant<'a>(
+    runtime: &NodeRuntime,
+    snapshot: &'a Snapshot,
+    route: &HostRoute,
+    key: &Result<Option<Digest>, String>,
+) -> Result<Option<&'a Tenant>, Rejection> {
+    let tenants = &snapshot.bundle.tenants;
+    if !snapshot.bundle.needs_key(route) {
+        return Ok(None);
+    }
+    if tenants.values().all(Tenant::is_unread) {
+        return Err(Rejection::unread("the tenants cannot be read"));
+    }
+    let found = match key {
+        Ok(Some(key)) => {
+            let id = snapshot.api_keys.get(key);
+            let tenant = id.and_then(|id| tenants.get(id));
+            tenant.ok_or("no tenant has the API key of the request")
+        }
+        Ok(None) => Err("the request has no API key"),
+        Err(malformed) => Err(malformed.as_str()),
+    };
+    match found {
+        Ok(tenant) => Ok(Some(tenant)),
+        Err(detail) => Err(Rejection::by_config(runtime, Reason::Credential, detail)),
+    }
+}
+
 /// Reads a request and matches it against the published routes.
 ///
 /// The time spent on reading the body counts against the request's deadline.
@@ -288,6 +318,8 @@
         ));
     };
     let (route, _) = find_route(runtime, snapshot, &host, head.uri.path(), id)?;
+    let key = runtime.dialect.api_key(&head.headers);
+    find_tenant(runtime, snapshot, route, &key)?;
     check_head(&head, super::head_limit(snapshot))?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let stated_budget = options.budget.unwrap_or(Duration::MAX);
@@ -316,10 +348,12 @@
     let snapshot = self::snapshot(runtime)?;
     let found = find_route(runtime, &snapshot, &host, head.uri.path(), id);
     let (route, service) = found.map_err(|rejection| rejection.by(&snapshot))?;
+    let tenant = find_tenant(runtime, &snapshot, route, &key)
+        .map_err(|rejection| rejection.by(&snapshot))?;
     check_limit(runtime, &body, (limit, body_limit(&snapshot)))
         .map_err(|rejection| rejection.by(&snapshot))?;
     let mut headers = head.headers;
-    runtime.dialect.strip_headers(&mut headers);
+    runtime.dialect.strip_request_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     let path = path.to_owned();
     Ok(InboundRequest {
@@ -328,8 +362,8 @@
         repeatable: route.retry_policy != RetryPolicy::Once,
         fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
         content: fingerprint(service, &head.method, &path, None, body.first()),
-        tenant: None,
-        rules: Some(route_rules(route)),
+        tenant: tenant.map(|tenant| tenant.name.clone()),
+        rules: Some(route_rules(route, tenant)),
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
         version: None,
@@ -389,7 +423,7 @@
         .map_err(|error| Rejection::new(Reason::KeyInvalid, error.to_string()))?;
     let body = read_body(runtime, body, service_config.max_body as usize).await?;
     let mut headers = head.headers;
-    runtime.dialect.strip_headers(&mut headers);
+    runtime.dialect.strip_request_headers(&mut headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(KEY_HEADER);
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -13,7 +13,7 @@
 use seam_http::Body;
 use seam_protocol::{
     CustomerId, Digest, Fingerprint, HostRoute, Kind, Reason, RetryPolicy, Service, ServiceId,
-    StreamId, VersionId,
+    StreamId, Tenant, VersionId,
 };
 
 /// Prefix of headers that are reserved for the system.
@@ -164,13 +164,16 @@
     Fingerprint(Digest::of(&bytes).leading_u64())
 }
 
-/// Returns the rules of a route that apply to a single request.
+/// Returns the rules of a route that apply to a single request. The priority of its tenant replaces that of
+/// the route.
 #[must_use]
-pub fn route_rules(route: &HostRoute) -> RouteRules {
+pub fn route_rules(route: &HostRoute, tenant: Option<&Tenant>) -> RouteRules {
     RouteRules {
         objective: Duration::from_millis(route.objective),
         max_attempts: u32::from(route.attempts.max(1)),
-        rank: route.rank,
+        rank: tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(route.rank),
         streams: route.streams,
         resumable: route.streams && route.retry_policy == RetryPolicy::Resumable,
     }
--- a/crates/seam-node/src/peer_server.rs
+++ b/crates/seam-node/src/peer_server.rs
@@ -22,7 +22,7 @@
 };
 use seam_protocol::route::host_name;
 use seam_protocol::{
-    CustomerId, Delta, Digest, Fingerprint, Reason, RetryPolicy, ServiceId, VersionId,
+    CustomerId, Delta, Digest, Fingerprint, Reason, RetryPolicy, ServiceId, TenantId, VersionId,
 };
 use tonic::{Code, Request, Response, Status, Streaming};
 use tower_service::Service;
@@ -101,8 +101,8 @@
             hops: wire::hops(&head.hops),
             revision: head.revision,
         };
-        let reader = if names_older_service(&self.runtime, &head) {
-            refuse_older(&self.runtime, &head)
+        let reader = if let Some(difference) = older_difference(&self.runtime, &head) {
+            refuse_older(&self.runtime, &head, difference)
         } else {
             let inbound = inbound(&self.runtime, head, body)?;
             drive::start(&self.runtime, inbound, origin)
@@ -223,26 +223,39 @@
     })
 }
 
-/// Returns whether the service of a forwarded request is not the one that its route has here, in a
-/// configuration that is no older than the sender's.
-fn names_older_service(runtime: &NodeRuntime, head: &RequestHead) -> bool {
+/// Returns in what a forwarded request differs from a configuration here that is no older than the sender's:
+/// the service of its route, or the tenant. Requests from newer configurations are refused later, when this
+/// node has asked the sender for its configuration.
+fn older_difference(runtime: &NodeRuntime, head: &RequestHead) -> Option<&'static str> {
     let snapshot = runtime.snapshot();
-    let snapshot = snapshot.filter(|snapshot| head.revision <= snapshot.bundle.revision);
-    let service = snapshot.and_then(|snapshot| {
-        let route = snapshot.bundle.routes.find(&head.host, &head.path)?;
-        route.service(Digest::of(head.id.as_bytes()).leading_u64())
-    });
-    service.is_some_and(|service| service != ServiceId(head.service))
+    let snapshot = snapshot.filter(|snapshot| head.revision <= snapshot.bundle.revision)?;
+    let bundle = &snapshot.bundle;
+    let id = TenantId::of(&head.tenant);
+    if !head.tenant.is_empty() && !bundle.tenants.contains_key(&id) {
+        return Some("names an unknown tenant");
+    }
+    let route = bundle.routes.find(&head.host, &head.path)?;
+    if head.tenant.is_empty() && bundle.needs_key(route) {
+        return Some("names no tenant");
+    }
+    let service = route.service(Digest::of(head.id.as_bytes()).leading_u64());
+    let other = service.is_some_and(|service| service != ServiceId(head.service));
+    other.then_some("names another service")
 }
 
 /// Refuses, for a time, a request that the sender routed by an older configuration.
-fn refuse_older(runtime: &NodeRuntime, head: &RequestHead) -> Receiver<ResponsePart> {
+fn refuse_older(
+    runtime: &NodeRuntime,
+    head: &RequestHead,
+    difference: &str,
+) -> Receiver<ResponsePart> {
     let snapshot = runtime.snapshot();
     let config = snapshot.map_or_else(ConfigVersion::default, |snapshot| snapshot.config);
     log::info!(
         target: "request",
-        request = head.id.as_str(), config = config.revision, config_sender = head.revision;
-        "not run: the sender's configuration names another service"
+        request = head.id.as_str(), config = config.revision, config_sender = head.revision,
+        tenant = head.tenant.as_str();
+        "not run: the sender's configuration {difference}"
     );
     let refusal = Refusal::not_run(Reason::Revision).with_retry_after(REVISION_RETRY_AFTER);
     let (writer, reader) = response_channel(false);
@@ -286,6 +299,7 @@
         .request_options(&headers)
         .map_err(|what| malformed(&what))?;
     let route = route.map(|(route, _)| route);
+    let tenant = bundle.tenants.get(&TenantId::of(&head.tenant));
     // The request is repeatable only if the rules of both nodes allow it.
     let repeatable = match (&host, route) {
         (None, _) => {
@@ -314,8 +328,8 @@
         key,
         key_text: head.key,
         budget: Duration::from_micros(head.budget_micros),
-        tenant: None,
-        rules: route.map(route_rules),
+        rules: route.map(|route| route_rules(route, tenant)),
+        tenant: (!head.tenant.is_empty()).then_some(head.tenant),
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
         version: head.version.map(VersionId),
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -24,8 +24,8 @@
     AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Source, Ticket,
 };
 use seam_protocol::{
-    Bundle, CustomerId, Digest, Heartbeat, Reason, ServiceId, StoredResponse, TargetId, Time,
-    VersionId, VmId,
+    Bundle, CustomerId, Digest, Heartbeat, Reason, ServiceId, StoredResponse, TargetId, TenantId,
+    Time, VersionId, VmId, tenant,
 };
 
 use crate::budget::ByteBudget;
@@ -42,13 +42,15 @@
 use crate::transfers::TransferPacer;
 use crate::unconfirmed::{Unconfirmed, UnconfirmedAlarm};
 
-/// The active bundle with an index of its credentials.
+/// The active bundle with indexes of its credentials and API keys.
 #[derive(Debug)]
 pub struct Snapshot {
     /// The bundle.
     pub bundle: Arc<Bundle>,
     /// Customers by the digest of their tokens.
     pub credentials: BTreeMap<Digest, CustomerId>,
+    /// Tenants by the digest of their API keys.
+    pub api_keys: BTreeMap<Digest, TenantId>,
     /// The configuration from which the bundle was built.
     pub config: ConfigVersion,
 }
@@ -61,6 +63,7 @@
             .flat_map(|(id, customer)| customer.credentials.iter().map(|digest| (*digest, *id)))
             .collect();
         Self {
+            api_keys: tenant::keys(&bundle.tenants),
             bundle,
             credentials,
             config,
@@ -327,7 +330,7 @@
         discarded
     }
 
-    /// Rebuilds the index of credentials if another bundle has become active.
+    /// Rebuilds the indexes of credentials and API keys if another bundle has become active.
     fn refresh_snapshot(&self, core: &Node) {
         let Some(bundle) = core.bundle() else {
             return;
--- a/crates/seam-protocol/src/bundle.rs
+++ b/crates/seam-protocol/src/bundle.rs
@@ -7,7 +7,7 @@
 
 use crate::digest::Digest;
 use crate::id::{CentreId, CustomerId, RegionId, ServiceId, TargetId, TenantId, VersionId, VmId};
-use crate::route::{CallLimits, RouteTable};
+use crate::route::{CallLimits, HostRoute, RouteTable};
 use crate::shared::Shared;
 use crate::tenant::{Tenant, TenantBounds};
 
@@ -452,6 +452,53 @@
                 .any(|target| target.region == region)
     }
 
+    /// Returns whether a region may process requests of a tenant. For a tenant that the configuration lacks,
+    /// none may; requests without one may go to any.
+    ///
+    /// ```
+    /// # use seam_protocol::{Bundle, bundle::Deployment};
+    /// # let deployment = Deployment {
+    /// #   name: "d".into(), latency_weight: 0.5, regions: Default::default(), links: vec![],
+    /// #   vms: Default::default(), loads_per_minute: 1, repeat_window: 1,
+    /// # };
+    /// use seam_protocol::{RegionId, TenantId};
+    /// let bundle = Bundle::new(deployment);
+    /// let region = RegionId::of("east");
+    /// assert!(bundle.tenant_permits(None, region));
+    /// assert!(!bundle.tenant_permits(Some(TenantId::of("huka")), region));
+    /// ```
+    #[must_use]
+    pub fn tenant_permits(&self, tenant: Option<TenantId>, region: RegionId) -> bool {
+        tenant.is_none_or(|id| {
+            let tenant = self.tenants.get(&id);
+            tenant.is_some_and(|tenant| tenant.permits(region))
+        })
+    }
+
+    /// Returns whether requests of a route need an API key of a tenant.
+    ///
+    /// ```
+    /// # use seam_protocol::{Bundle, HostRoute, RetryPolicy, Tenant, TenantId, bundle::Deployment};
+    /// # let deployment = Deployment {
+    /// #   name: "d".into(), latency_weight: 0.5, regions: Default::default(), links: vec![],
+    /// #   vms: Default::default(), loads_per_minute: 1, repeat_window: 1,
+    /// # };
+    /// let route = HostRoute {
+    ///     name: "r".into(), prefix: "/".into(), shares: vec![], retry_policy: RetryPolicy::Once,
+    ///     streams: false, timeout: 1, objective: 1, rank: 0, attempts: 1, public: false,
+    ///     home_regions: None,
+    /// };
+    /// let mut bundle = Bundle::new(deployment);
+    /// assert!(!bundle.needs_key(&route));
+    /// bundle.tenants.insert(TenantId::of("huka"), Tenant { name: "huka".into(), ..Tenant::unread() });
+    /// assert!(bundle.needs_key(&route));
+    /// assert!(!bundle.needs_key(&HostRoute { public: true, ..route }));
+    /// ```
+    #[must_use]
+    pub fn needs_key(&self, route: &HostRoute) -> bool {
+        !self.tenants.is_empty() && !route.public
+    }
+
     /// Returns the one-way delay between two regions in microseconds, or 100 ms without a link.
     #[must_use]
     pub fn delay(&self, from: RegionId, to: RegionId) -> u64 {
--- a/crates/seam-protocol/src/outcome.rs
+++ b/crates/seam-protocol/src/outcome.rs
@@ -72,7 +72,7 @@
 
 reasons! {
     /// The credential is missing or belongs to no customer.
-    Credential = "credential", 401, "send the customer's bearer token";
+    Credential = "credential", 401, "send the bearer token of a customer or the API key of a tenant";
     /// The path names no service that the customer may call.
     Service = "service", 404, "check the first part of the path against the service's name";
     /// A header or the body is malformed or too large.
--- a/crates/seam-protocol/src/tenant.rs
+++ b/crates/seam-protocol/src/tenant.rs
@@ -60,6 +60,44 @@
     }
 }
 
+impl Tenant {
+    /// Returns a tenant without a name and keys, which stands for published ones that cannot be read.
+    ///
+    /// ```
+    /// use seam_protocol::Tenant;
+    /// let unread = Tenant::unread();
+    /// assert!(unread.is_unread() && unread.keys.is_empty());
+    /// ```
+    #[must_use]
+    pub fn unread() -> Self {
+        Self {
+            name: String::new(),
+            keys: Vec::new(),
+            priority: None,
+            allowance: None,
+            home_regions: Some(BTreeSet::new()),
+        }
+    }
+
+    /// Returns whether it stands for published tenants that cannot be read ([`Self::unread`]).
+    #[must_use]
+    pub fn is_unread(&self) -> bool {
+        self.name.is_empty()
+    }
+
+    /// Returns whether a region may process its requests.
+    ///
+    /// ```
+    /// use seam_protocol::{RegionId, Tenant};
+    /// assert!(!Tenant::unread().permits(RegionId::of("east")));
+    /// ```
+    #[must_use]
+    pub fn permits(&self, region: RegionId) -> bool {
+        let homes = self.home_regions.as_ref();
+        homes.is_none_or(|homes| homes.contains(&region))
+    }
+}
+
 impl Allowance {
     /// Returns the cost of a request, given the tokens of its prompt and of its longest output if it states
     /// them.
