early responses: resets are also found if the response is read later

Cause: a response without a length whose connection is reset during the upload must not count as whole. Only a reader that reads at once was tested. Change: the test also reads after the upload has failed.

--- a/crates/seam-http/tests/early_responses.rs
+++ b/crates/seam-http/tests/early_responses.rs
@@ -44,8 +44,8 @@
     Ok(())
 }
 
-/// Sends a request with a long body in parts and reads the whole response.
-async fn call(address: SocketAddr) -> Result<(StatusCode, Bytes), ClientError> {
+/// Sends a request with a long body in parts and reads the whole response, after a delay.
+async fn call(address: SocketAddr, delay: Duration) -> Result<(StatusCode, Bytes), ClientError> {
     let parts = stream::unfold(0, |sent| async move {
         Timer::after(PART_PAUSE).await;
         let part = Bytes::from(vec![b'x'; PART_BYTES]);
@@ -58,6 +58,7 @@
         .unwrap();
     let mut connection = Connection::open(address).await?;
     let (head, body) = connection.send(request).await?.into_parts();
+    Timer::after(delay).await;
     let body = body.collect().await.map_err(|error| ClientError::Body {
         message: error.to_string(),
     })?;
@@ -67,14 +68,14 @@
     Ok((head.status, body.to_bytes()))
 }
 
-fn calls(response: &'static str) -> Vec<Result<(StatusCode, Bytes), ClientError>> {
+fn calls(response: &'static str, delay: Duration) -> Vec<Result<(StatusCode, Bytes), ClientError>> {
     static START: std::sync::Once = std::sync::Once::new();
     START.call_once(|| seam_http::start_workers(2));
     let address = start_server(response);
     seam_http::block_on(async {
         let mut results = Vec::new();
         for _ in 0..CALLS {
-            results.push(call(address).await);
+            results.push(call(address, delay).await);
         }
         results
     })
@@ -83,15 +84,25 @@
 /// Guards against a whole response that is dropped since the body can no longer be sent.
 #[test]
 fn whole_response() {
-    let results = calls("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone");
+    let results = calls(
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone",
+        Duration::ZERO,
+    );
     let lost: Vec<_> = results.iter().filter(|result| result.is_err()).collect();
     assert!(lost.is_empty(), "{} of {CALLS} lost: {lost:?}", lost.len());
 }
 
-/// Guards against a response without a length that counts as whole although its connection was reset.
+/// Guards against a response without a length that counts as whole though the connection was reset, also if
+/// the failed upload shows that before the response is read.
 #[test]
 fn reset_response() {
-    for result in calls("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\ndone") {
-        assert!(result.is_err(), "{result:?}");
+    for delay in [
+        Duration::ZERO,
+        3 * PART_PAUSE,
+        2 * PARTS as u32 * PART_PAUSE,
+    ] {
+        let results = calls("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\ndone", delay);
+        let whole = results.iter().filter(|result| result.is_ok()).count();
+        assert_eq!(whole, 0, "of {CALLS} read after {delay:?}");
     }
 }
