--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -77,6 +77,7 @@
 pub fn rules(route: &HostRoute) -> RouteRules {
     RouteRules {
         objective: Duration::from_millis(route.objective),
+        pause: Duration::ZERO,
         max_attempts: u32::from(route.attempts),
         rank: route.rank,
         streams: false,
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -169,6 +169,7 @@
 pub fn route_rules(route: &HostRoute) -> RouteRules {
     RouteRules {
         objective: Duration::from_millis(route.objective),
+        pause: Duration::from_millis(route.pause),
         max_attempts: u32::from(route.attempts.max(1)),
         rank: route.rank,
         streams: route.streams,
