tenant_homes: what follows a send that a new version withholds

Cause: the test ended with the withheld attempt. Change: the request must then be refused, or go to the tenant's new home.

--- a/crates/seam-core/tests/tenant_homes.rs
+++ b/crates/seam-core/tests/tenant_homes.rs
@@ -204,6 +204,7 @@
 /// region.
 #[parameterized(removed = { None }, moved = { Some(tenant(Some(&[SOUTH]))) })]
 fn changed_before_sent(tenant: Option<Tenant>) {
+    let moved = tenant.is_some();
     let mut fleet = bound_fleet(None, None);
     fleet.arrive(0, request(1, ROUTE));
     let (node, attempt, _) = fleet.sends()[0];
@@ -212,6 +213,14 @@
     fleet.handle(node, Event::Sending(attempt));
     let cancelled = |(_, command): &(usize, Command)| matches!(command, Command::Cancel(key) if *key == attempt);
     assert!(fleet.commands.iter().any(cancelled));
+    fleet.handle(node, Event::AttemptEnded(attempt, AttemptOutcome::NotSent));
+    assert!(fleet.sends().is_empty());
+    if moved {
+        assert_eq!(fleet.forwards().len(), 1);
+        assert!(all_southward(&fleet));
+    } else {
+        assert_refused(&fleet, 1, Reason::Revision);
+    }
 }
 
 /// Guards against a run of a request whose tenant this node lacks.
