competition: urgent kinds come first where engines are scarce

Cause: all kinds of a service shared one flow of the queue, and each was refused by its own objective. With engines full, the least urgent kind (3 s) waited for each slot that became free and the most urgent one (800 ms) was refused.

Change: the queue orders by the rank of the route and within it fairly by tenant. Less urgent kinds leave an eighth of each engine to the most urgent one that was lately asked for, and take no engine where its prompts would wait. What waits for slots is predicted by recent starts, and is refused when it can no longer be in time. A kind that is refused much more often than all is not held back. Queued requests look for room every 25 ms. With ample room, requests that would be late are served.

--- /dev/null
+++ b/crates/seam-core/src/admission.rs
@@ -0,0 +1,255 @@
+//! Decides which requests of a service are held back in favour of more urgent ones.
+//!
+//! A service may serve several kinds of requests, ordered by the rank of their routes. While engines
+//! have ample room, the rank has no effect. When room gets scarce, less urgent requests leave a
+//! reserve of each engine to the most urgent rank that was lately asked for.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use seam_protocol::Time;
+
+use crate::targets::SlidingWindow;
+
+/// Time for which a rank counts as asked for after its last request.
+const RECENT: Duration = Duration::from_secs(10);
+/// Time in which the weight of an arrival or a refusal halves.
+const HALF_LIFE: Duration = Duration::from_secs(15);
+/// Fraction of the slots and the memory of each engine that less urgent requests leave free. Nodes
+/// learn of each other's requests within 0.2 s; in this time about a tenth of the slots is taken.
+const RESERVED_FRACTION: f64 = 0.125;
+/// Fraction of the most urgent objective that an engine's queued prefill may take before less urgent
+/// prompts are held back. The rest is for the prefill of the urgent prompt and prediction errors.
+const WAIT_FRACTION: f64 = 0.25;
+/// Fraction of the service ratio of all ranks below which a rank is not held back. It is more than a
+/// quarter, since a ratio is known late.
+const MIN_RELATIVE_SERVICE: f64 = 0.35;
+/// Number of recent requests of a rank from which its service ratio counts.
+const MIN_REQUESTS: f64 = 8.0;
+/// Time over which starts are counted to predict how long queued requests wait.
+const START_WINDOW: Duration = Duration::from_secs(2);
+/// Fraction of the slots or the memory in use above which room is scarce.
+const SCARCE_USE: f64 = 0.75;
+
+/// A count that halves within [`HALF_LIFE`].
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingCount {
+    count: f64,
+    updated: Time,
+}
+
+impl DecayingCount {
+    fn value(self, now: Time) -> f64 {
+        let half_lives = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.count * (-half_lives).exp2()
+    }
+
+    fn add(&mut self, now: Time) {
+        self.count = self.value(now) + 1.0;
+        self.updated = now;
+    }
+}
+
+/// Recent requests of one rank at this node.
+#[derive(Clone, Debug, Default)]
+struct RankDemand {
+    arrived: DecayingCount,
+    refused: DecayingCount,
+    starts: SlidingWindow,
+    last: Time,
+    /// Objective of the last request.
+    objective: Duration,
+}
+
+impl RankDemand {
+    /// Returns the recent arrivals and how many of them were not refused.
+    fn served(&self, now: Time) -> (f64, f64) {
+        let arrived = self.arrived.value(now);
+        (arrived, (arrived - self.refused.value(now)).max(0.0))
+    }
+}
+
+/// Part of each engine that a request leaves to more urgent ones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reserve {
+    /// Rank that it is left to.
+    pub rank: u8,
+    /// Fraction of the slots and of the memory that stays free.
+    pub fraction: f64,
+    /// Longest predicted wait for the prefill of other prompts at which the engine takes a less
+    /// urgent one.
+    pub max_wait: Duration,
+}
+
+/// Use of the engines of a service in this region, by all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pressure {
+    /// Shortest predicted wait of a prompt over the engines in use.
+    pub wait: Duration,
+    /// Fraction of the slots in use.
+    pub slots: f64,
+    /// Fraction of the memory in use, zero if its size is not known.
+    pub memory: f64,
+}
+
+impl Pressure {
+    /// Returns whether a request with a latency objective takes room that others need.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::admission::Pressure;
+    /// let objective = Duration::from_millis(800);
+    /// let pressure = Pressure { slots: 0.5, ..Pressure::default() };
+    /// assert!(!pressure.is_scarce(objective));
+    /// let pressure = Pressure { slots: 0.9, ..Pressure::default() };
+    /// assert!(pressure.is_scarce(objective));
+    /// ```
+    #[must_use]
+    pub fn is_scarce(&self, objective: Duration) -> bool {
+        let long_wait = self.wait > objective.mul_f64(WAIT_FRACTION);
+        long_wait || self.slots.max(self.memory) > SCARCE_USE
+    }
+}
+
+/// Recent requests of a service at this node, by the rank of their routes.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    ranks: BTreeMap<u8, RankDemand>,
+}
+
+impl Demand {
+    /// Records the arrival of a request.
+    pub fn record_arrival(&mut self, now: Time, rank: u8, objective: Duration) {
+        let demand = self.ranks.entry(rank).or_default();
+        demand.arrived.add(now);
+        demand.last = now;
+        demand.objective = objective;
+    }
+
+    /// Records that a request was refused for lack of room.
+    pub fn record_refusal(&mut self, now: Time, rank: u8) {
+        if let Some(demand) = self.ranks.get_mut(&rank) {
+            demand.refused.add(now);
+        }
+    }
+
+    /// Records that a request was sent to a target.
+    pub fn record_start(&mut self, now: Time, rank: u8) {
+        let demand = self.ranks.entry(rank).or_default();
+        demand.starts.record(now, START_WINDOW);
+    }
+
+    /// Returns what a request of a rank leaves to more urgent ones, `None` if it leaves nothing: no
+    /// more urgent rank was asked for lately, or too many of its own rank were refused.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::admission::Demand;
+    /// use seam_protocol::Time;
+    /// let mut demand = Demand::default();
+    /// demand.record_arrival(Time(0), 2, Duration::from_secs(3));
+    /// assert!(demand.reserve(Time(0), 2).is_none());
+    /// demand.record_arrival(Time(0), 0, Duration::from_millis(800));
+    /// let reserve = demand.reserve(Time(0), 2).unwrap();
+    /// assert_eq!((reserve.rank, reserve.max_wait), (0, Duration::from_millis(200)));
+    /// assert!(demand.reserve(Time(0), 0).is_none());
+    /// ```
+    #[must_use]
+    pub fn reserve(&self, now: Time, rank: u8) -> Option<Reserve> {
+        let mut more_urgent = self.ranks.range(..rank);
+        let asked = |demand: &RankDemand| now.since(demand.last) < RECENT;
+        let (urgent, demand) = more_urgent.find(|(_, demand)| asked(demand))?;
+        (!self.is_starved(now, rank)).then(|| Reserve {
+            rank: *urgent,
+            fraction: RESERVED_FRACTION,
+            max_wait: demand.objective.mul_f64(WAIT_FRACTION),
+        })
+    }
+
+    /// Returns the fraction of the recent requests of a rank that were not refused.
+    #[must_use]
+    pub fn service_ratio(&self, now: Time, rank: u8) -> f64 {
+        let demand = self.ranks.get(&rank);
+        let (arrived, served) = demand.map_or((0.0, 0.0), |demand| demand.served(now));
+        if arrived < 1.0 { 1.0 } else { served / arrived }
+    }
+
+    /// Returns whether a rank is served so much less often than all that it is not held back.
+    fn is_starved(&self, now: Time, rank: u8) -> bool {
+        let Some((arrived, served)) = self.ranks.get(&rank).map(|demand| demand.served(now)) else {
+            return false;
+        };
+        let (all_arrived, all_served) = self.ranks.values().fold((0.0, 0.0), |sum, demand| {
+            let (arrived, served) = demand.served(now);
+            (sum.0 + arrived, sum.1 + served)
+        });
+        arrived >= MIN_REQUESTS
+            && served * all_arrived < MIN_RELATIVE_SERVICE * all_served * arrived
+    }
+
+    /// Predicts how long a request of a rank waits behind others, by the recent starts of requests of
+    /// its rank and of less urgent ones, whose slots it would get.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::admission::Demand;
+    /// use seam_protocol::Time;
+    /// let mut demand = Demand::default();
+    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0), Duration::from_secs(2));
+    /// for _ in 0..19 {
+    ///     demand.record_start(Time(0), 2);
+    /// }
+    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0), Duration::from_millis(100));
+    /// assert_eq!(demand.turnover_wait(Time(0), 3, 0), Duration::from_secs(2));
+    /// ```
+    #[must_use]
+    pub fn turnover_wait(&self, now: Time, rank: u8, ahead: usize) -> Duration {
+        let ranks = self.ranks.range(rank..);
+        let starts: usize = ranks
+            .map(|(_, demand)| demand.starts.count(now, START_WINDOW))
+            .sum();
+        START_WINDOW.mul_f64((ahead + 1) as f64 / (starts + 1) as f64)
+    }
+}
+
+/// How a request competes for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// There is room for it and others.
+    Ample,
+    /// It would take room that others need.
+    Scarce,
+    /// It leaves scarce room to more urgent requests.
+    Held,
+}
+
+/// Returns the time by which the response to a request has to begin so that the request is worth its
+/// room, measured from now.
+///
+/// While room is scarce, this is the end of its objective, with a margin for prediction errors. With
+/// ample room it is the caller's deadline. A request that is held back joins the queue with a part of
+/// its objective, since urgent requests may come before it.
+///
+/// ```
+/// use std::time::Duration;
+/// use seam_core::admission::{Room, time_limit};
+/// let millis = Duration::from_millis;
+/// let (objective, age, budget) = (millis(800), millis(100), millis(4000));
+/// assert_eq!(time_limit(Room::Scarce, objective, age, budget), millis(900));
+/// assert_eq!(time_limit(Room::Held, objective, age, budget), millis(380));
+/// assert_eq!(time_limit(Room::Ample, objective, age, budget), budget);
+/// ```
+#[must_use]
+pub fn time_limit(room: Room, objective: Duration, age: Duration, budget: Duration) -> Duration {
+    /// Multiple of the objective beyond which a predicted response counts as late.
+    const LATE_FACTOR: f64 = 1.25;
+    /// Fraction of the objective within which the response to a held request has to be expected. With
+    /// 1.25 the queue settled at this wait, and most responses were late.
+    const HELD_FACTOR: f64 = 0.6;
+    let factor = match room {
+        Room::Ample => return budget,
+        Room::Scarce => LATE_FACTOR,
+        Room::Held => HELD_FACTOR,
+    };
+    budget.min(objective.mul_f64(factor).saturating_sub(age))
+}
--- a/crates/seam-core/src/arrival.rs
+++ b/crates/seam-core/src/arrival.rs
@@ -101,8 +101,10 @@
     pub objective: Duration,
     /// Maximum number of targets that may run the request.
     pub max_attempts: u32,
-    /// Priority among routes. 0 is the most urgent.
+    /// Priority that targets are told. 0 is the most urgent.
     pub rank: u8,
+    /// Rank of the route itself, which orders the kinds of requests of a service. 0 is the most urgent.
+    pub kind: u8,
     /// Whether the response is a stream.
     pub streams: bool,
     /// Whether another target can resume a stream that was interrupted.
--- a/crates/seam-core/src/fair.rs
+++ b/crates/seam-core/src/fair.rs
@@ -1,8 +1,8 @@
-//! Weighted fair queuing by customer.
+//! Queuing by rank, and weighted fair queuing by customer or tenant within each rank.
 //!
-//! Implements start-time fair queuing: the virtual start of a customer's request is no earlier than
-//! the virtual end of its previous one, and the request with the earliest virtual start runs first.
-//! A long backlog of one customer therefore does not delay the others.
+//! Implements start-time fair queuing: the virtual start of a flow's request is no earlier than the
+//! virtual end of its previous one, and of the most urgent rank the request with the earliest
+//! virtual start runs first. A long backlog of one customer therefore does not delay the others.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -19,7 +19,22 @@
 /// Largest fraction of the slots that is reserved.
 const MAX_RESERVED_FRACTION: f64 = 0.25;
 
-/// Queued and running requests of one customer.
+/// Identifies the requests of one customer or tenant that have the same rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FlowKey {
+    /// Rank of the requests. 0 is the most urgent and runs first.
+    pub rank: u8,
+    /// Customer, or tenant.
+    pub owner: CustomerId,
+}
+
+impl From<CustomerId> for FlowKey {
+    fn from(owner: CustomerId) -> Self {
+        Self { rank: 0, owner }
+    }
+}
+
+/// Queued and running requests of one flow.
 #[derive(Clone, Debug, Default)]
 struct Flow {
     waiting: VecDeque<Ticket>,
@@ -50,10 +65,11 @@
 /// Request queue of one service at one node.
 #[derive(Clone, Debug, Default)]
 pub struct FairQueue {
-    flows: BTreeMap<CustomerId, Flow>,
-    /// Customers with queued requests, by the virtual start of their next one.
-    order: BTreeSet<(u64, CustomerId)>,
-    virtual_time: u64,
+    flows: BTreeMap<FlowKey, Flow>,
+    /// Flows with queued requests, by rank and by the virtual start of their next one.
+    order: BTreeSet<(u8, u64, FlowKey)>,
+    /// Virtual time of each rank.
+    virtual_times: BTreeMap<u8, u64>,
     total_weight: u64,
     queued: usize,
     running: u32,
@@ -72,22 +88,25 @@
         self.running
     }
 
-    /// Appends a request to its customer's queue.
+    /// Appends a request to its flow.
     ///
     /// ```
-    /// use seam_core::{Ticket, fair::FairQueue};
+    /// use seam_core::{Ticket, fair::{FairQueue, FlowKey}};
     /// use seam_protocol::CustomerId;
     /// let mut queue = FairQueue::default();
     /// for ticket in 0..3 {
-    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    ///     queue.push(CustomerId(1).into(), 1, Ticket(ticket));
     /// }
-    /// queue.push(CustomerId(2), 1, Ticket(9));
+    /// queue.push(CustomerId(2).into(), 1, Ticket(9));
     /// assert_eq!(queue.pop(8), Some(Ticket(0)));
     /// assert_eq!(queue.pop(8), Some(Ticket(9)));
+    /// let less_urgent = FlowKey { rank: 1, owner: CustomerId(3) };
+    /// queue.push(less_urgent, 1, Ticket(10));
+    /// assert_eq!(queue.pop(8), Some(Ticket(1)));
     /// ```
-    pub fn push(&mut self, customer: CustomerId, weight: u64, ticket: Ticket) {
-        let now = self.virtual_time;
-        let flow = self.flows.entry(customer).or_insert_with(|| {
+    pub fn push(&mut self, key: FlowKey, weight: u64, ticket: Ticket) {
+        let now = self.virtual_time(key.rank);
+        let flow = self.flows.entry(key).or_insert_with(|| {
             self.total_weight += weight;
             Flow {
                 weight,
@@ -96,65 +115,70 @@
         });
         if flow.waiting.is_empty() {
             flow.start = flow.start.max(now);
-            self.order.insert((flow.start, customer));
+            self.order.insert((key.rank, flow.start, key));
         }
         flow.waiting.push_back(ticket);
         self.queued += 1;
     }
 
-    /// Removes the next request of a customer that is below its share of the slots, and counts it
-    /// as running.
+    fn virtual_time(&self, rank: u8) -> u64 {
+        self.virtual_times.get(&rank).copied().unwrap_or_default()
+    }
+
+    /// Removes the next request of a flow that is below its share of the slots, and counts it as
+    /// running.
     pub fn pop(&mut self, slots: u32) -> Option<Ticket> {
         if self.running >= slots {
             return None;
         }
         let slots_per_weight = self.slots_per_weight(slots);
-        let (start, customer) = *self.order.iter().find(|(_, customer)| {
-            let flow = &self.flows[customer];
+        let (rank, start, key) = *self.order.iter().find(|(_, _, key)| {
+            let flow = &self.flows[key];
             f64::from(flow.running) < slots_per_weight * flow.weight as f64
         })?;
-        self.order.remove(&(start, customer));
-        let flow = self.flows.get_mut(&customer)?;
+        self.order.remove(&(rank, start, key));
+        let flow = self.flows.get_mut(&key)?;
         let ticket = flow.waiting.pop_front()?;
-        self.virtual_time = self.virtual_time.max(start);
+        let virtual_time = self.virtual_times.entry(rank).or_default();
+        *virtual_time = start.max(*virtual_time);
         flow.start = start + REQUEST_COST / flow.weight.max(1);
         flow.running += 1;
         if !flow.waiting.is_empty() {
-            self.order.insert((flow.start, customer));
+            self.order.insert((rank, flow.start, key));
         }
         self.queued -= 1;
         self.running += 1;
         Some(ticket)
     }
 
-    /// Puts a popped request back at the head of its customer's queue.
-    pub fn requeue(&mut self, customer: CustomerId, ticket: Ticket) {
-        let now = self.virtual_time;
-        let Some(flow) = self.flows.get_mut(&customer) else {
+    /// Puts a popped request back at the head of its flow's queue.
+    pub fn requeue(&mut self, key: FlowKey, ticket: Ticket) {
+        let now = self.virtual_time(key.rank);
+        let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
-        self.order.remove(&(flow.start, customer));
+        self.order.remove(&(key.rank, flow.start, key));
         flow.running = flow.running.saturating_sub(1);
         self.running = self.running.saturating_sub(1);
         flow.start = now;
-        self.order.insert((now, customer));
+        self.order.insert((key.rank, now, key));
         flow.waiting.push_front(ticket);
         self.queued += 1;
     }
 
-    /// Counts a running request as ended, and removes the customer's entry if it is idle.
-    pub fn end(&mut self, customer: CustomerId) {
-        let Some(flow) = self.flows.get_mut(&customer) else {
+    /// Counts a running request as ended, and removes the flow's entry if it is idle.
+    pub fn end(&mut self, key: FlowKey) {
+        let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
         flow.running = flow.running.saturating_sub(1);
         self.running = self.running.saturating_sub(1);
-        self.remove_idle(customer);
+        self.remove_idle(key);
     }
 
     /// Removes a queued request. Returns whether it was queued.
-    pub fn remove(&mut self, customer: CustomerId, ticket: Ticket) -> bool {
-        let Some(flow) = self.flows.get_mut(&customer) else {
+    pub fn remove(&mut self, key: FlowKey, ticket: Ticket) -> bool {
+        let Some(flow) = self.flows.get_mut(&key) else {
             return false;
         };
         let before = flow.waiting.len();
@@ -162,17 +186,17 @@
         let found = flow.waiting.len() < before;
         self.queued -= usize::from(found);
         if flow.waiting.is_empty() {
-            self.order.remove(&(flow.start, customer));
+            self.order.remove(&(key.rank, flow.start, key));
         }
-        self.remove_idle(customer);
+        self.remove_idle(key);
         found
     }
 
-    fn remove_idle(&mut self, customer: CustomerId) {
-        let flow = &self.flows[&customer];
+    fn remove_idle(&mut self, key: FlowKey) {
+        let flow = &self.flows[&key];
         if flow.running == 0 && flow.waiting.is_empty() {
             self.total_weight -= flow.weight;
-            self.flows.remove(&customer);
+            self.flows.remove(&key);
         }
     }
 
@@ -202,28 +226,39 @@
         water_fill(&demands, slots - reserved).0
     }
 
-    /// Returns how many queued requests run before a new request of a customer.
+    /// Returns how many queued requests run before a new request of a flow.
     ///
     /// ```
-    /// use seam_core::{Ticket, fair::FairQueue};
+    /// use seam_core::{Ticket, fair::{FairQueue, FlowKey}};
     /// use seam_protocol::CustomerId;
     /// let mut queue = FairQueue::default();
     /// for ticket in 0..100 {
-    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    ///     queue.push(CustomerId(1).into(), 1, Ticket(ticket));
     /// }
-    /// assert_eq!(queue.ahead(CustomerId(1), 1), 100);
-    /// assert_eq!(queue.ahead(CustomerId(2), 1), 1);
+    /// assert_eq!(queue.ahead(CustomerId(1).into(), 1), 100);
+    /// assert_eq!(queue.ahead(CustomerId(2).into(), 1), 1);
+    /// let less_urgent = FlowKey { rank: 1, owner: CustomerId(2) };
+    /// assert_eq!(queue.ahead(less_urgent, 1), 100);
     /// ```
     #[must_use]
-    pub fn ahead(&self, customer: CustomerId, weight: u64) -> usize {
-        let flow = self.flows.get(&customer);
-        let own_requests = flow.map_or(0, |flow| flow.waiting.len());
+    pub fn ahead(&self, key: FlowKey, weight: u64) -> usize {
         let weight = weight.max(1);
-        let known = flow.map_or(0, |flow| flow.weight);
-        let total_weight = self.total_weight - known + weight;
-        let other_weight = total_weight.saturating_sub(weight) as usize;
-        let others_first = (own_requests + 1) * other_weight / weight as usize;
-        own_requests + others_first.min(self.queued - own_requests)
+        let (mut more_urgent, mut same_rank, mut other_weight) = (0, 0, 0);
+        for (other, flow) in self
+            .flows
+            .iter()
+            .filter(|(other, _)| other.rank <= key.rank)
+        {
+            if other.rank < key.rank {
+                more_urgent += flow.waiting.len();
+            } else if *other != key {
+                same_rank += flow.waiting.len();
+                other_weight += flow.weight as usize;
+            }
+        }
+        let own = self.flows.get(&key).map_or(0, |flow| flow.waiting.len());
+        let others_first = (own + 1) * other_weight / weight as usize;
+        more_urgent + own + others_first.min(same_rank)
     }
 
     /// Returns the heavy customers, with their fractions of all running requests.
@@ -236,10 +271,10 @@
     /// use seam_protocol::CustomerId;
     /// let mut queue = FairQueue::default();
     /// for ticket in 0..9 {
-    ///     queue.push(CustomerId(1), 1, Ticket(ticket));
+    ///     queue.push(CustomerId(1).into(), 1, Ticket(ticket));
     /// }
     /// for customer in 2..5 {
-    ///     queue.push(CustomerId(customer), 1, Ticket(customer));
+    ///     queue.push(CustomerId(customer).into(), 1, Ticket(customer));
     /// }
     /// while queue.pop(12).is_some() {}
     /// let heavy = queue.heavy();
@@ -260,7 +295,7 @@
             large && others > 0 && scaled_running > HEAVY_RATIO * others * flow.weight
         });
         heavy
-            .map(|(id, flow)| (*id, f64::from(flow.running) / f64::from(self.running)))
+            .map(|(key, flow)| (key.owner, f64::from(flow.running) / f64::from(self.running)))
             .collect()
     }
 
--- a/crates/seam-core/src/lib.rs
+++ b/crates/seam-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! appends [`Command`]s for adapters to execute. [`Node`] holds all state, so any program that
 //! supplies events and times can run a whole fleet.
 
+pub mod admission;
 pub mod arrival;
 pub mod audit;
 pub mod catalogue;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod brittle;
 mod cold;
+mod competition;
 mod config;
 pub(crate) mod directory;
 mod dispatch;
@@ -36,12 +37,13 @@
     key::KEY_LIFETIME,
 };
 
+use crate::admission::Demand;
 use crate::audit::{Audit, Change};
 use crate::catalogue::Catalogue;
 use crate::command::Command;
 use crate::config_version::{ConfigStamp, ConfigVersion, ConfigView};
 use crate::event::Event;
-use crate::fair::FairQueue;
+use crate::fair::{FairQueue, FlowKey};
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::handle::{AttemptKey, TargetKey, Ticket};
@@ -82,6 +84,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceState {
     pub(crate) queue: FairQueue,
+    /// Recent requests by the rank of their routes.
+    pub(crate) demand: Demand,
+    /// When queued requests become late, so that they are refused then.
+    pub(crate) late: BTreeSet<(Time, Ticket)>,
     pub(crate) retry_budget: RetryBudget,
     /// When queued requests may be sent to a target that takes only a granted rate.
     pub(crate) next_grant: Option<Time>,
@@ -535,16 +541,25 @@
         self.limits.active().map(|id| (id, self.limits.running(id)))
     }
 
-    /// Returns the key of the fair-queue flow for a customer's requests.
+    /// Returns whether routes are published.
+    pub(crate) fn routed(&self) -> bool {
+        let bundle = self.bundle.as_ref();
+        bundle.is_some_and(|bundle| !bundle.routes.is_empty())
+    }
+
+    /// Returns the flow in which a request would be queued.
     ///
-    /// With published routes, customers are not separate tenants, so all share one flow.
-    pub(crate) fn flow(&self, customer: CustomerId) -> CustomerId {
-        let routed = self.bundle.as_ref().is_some_and(|b| !b.routes.is_empty());
-        if self.policy.fair && !routed {
-            customer
-        } else {
-            CustomerId(0)
-        }
+    /// With published routes, customers are not separate tenants, so the flow is that of the tenant,
+    /// or one flow for all requests without a tenant.
+    pub(crate) fn flow_key(&self, now: Time, request: &Request) -> FlowKey {
+        let rank = self.effective_rank(now, request);
+        let owner = match request.tenant {
+            _ if !self.policy.fair => CustomerId(0),
+            _ if !self.routed() => request.customer,
+            Some(tenant) => CustomerId(tenant.0),
+            None => CustomerId(0),
+        };
+        FlowKey { rank, owner }
     }
 
     /// Returns the context in which a customer's limits are checked.
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -47,6 +47,7 @@
             self.refuse(now, arrival.ticket, refusal, out);
             return;
         }
+        self.record_demand(now, arrival.ticket);
         match self.owner_of(arrival) {
             None => {
                 if self.find_origin(now, arrival.ticket, out) {
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -470,8 +470,8 @@
         self.pending_update.mark_changed();
         let service = self.targets.get(target).service;
         if let Some(request) = self.requests.get(&attempt.ticket) {
-            let customer = self.flow(request.customer);
-            self.service_state(service).queue.end(customer);
+            let flow = request.flow;
+            self.service_state(service).queue.end(flow);
         }
         match &outcome {
             AttemptOutcome::Complete { success, .. } => {
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -22,23 +22,35 @@
     /// Queues a request for a slot of a target in this region.
     pub(super) fn enqueue(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
         let request = &self.requests[&ticket];
-        let (service, customer) = (request.service, self.flow(request.customer));
+        let service = request.service;
+        let flow = self.flow_key(now, request);
         let weight = self.weight(request);
-        self.request_mut(ticket).stage = Stage::Queued;
+        let late_at = self.late_at(now, request);
+        let request = self.request_mut(ticket);
+        request.stage = Stage::Queued;
+        request.flow = flow;
         let burst_limit = self.retry_burst_limit();
         let state = self.service_states.entry(service).or_default();
         state.retry_budget.earn();
         if let Some(limit) = burst_limit {
             state.retry_budget.cap(limit);
         }
-        state.queue.push(customer, weight, ticket);
+        state.queue.push(flow, weight, ticket);
+        state.late.extend(late_at.map(|late_at| (late_at, ticket)));
         self.dispatch(now, service, out);
     }
 
     /// Starts queued requests of a service while its targets have free slots.
     pub(super) fn dispatch(&mut self, now: Time, service: ServiceId, out: &mut Vec<Command>) {
         let mut deferred = Vec::new();
-        let heavy = self.service_state(service).heavy_customers.clone();
+        let routed = self.routed();
+        self.shed_late(now, service, out);
+        // A tenant may be naturally large, so it is not confined to some targets.
+        let heavy = if self.routed() {
+            Vec::new()
+        } else {
+            self.service_state(service).heavy_customers.clone()
+        };
         loop {
             let slots = self.slots(now, service);
             let Some(state) = self.service_states.get_mut(&service) else {
@@ -63,12 +75,13 @@
                 TargetQuery {
                     prefix: request.prefix,
                     suspect: suspect.then_some(request.fingerprint),
-                    customer: self.flow(request.customer),
+                    customer: request.flow.owner,
                     prompt: prompt.as_deref(),
                     just_booted: self.just_booted(now),
                     avoid: (!avoid.is_empty()).then_some(&avoid),
                     heavy: &heavy,
                     version,
+                    reserve: self.queued_reserve(now, request),
                 },
             );
             match chosen {
@@ -77,7 +90,7 @@
                     deferred.push(ticket);
                     let next = self.targets.next_grant(now, service);
                     let next = next.filter(|next| *next > now);
-                    let review = self.targets.next_room(now, service);
+                    let review = self.targets.next_room(now, service, routed);
                     self.service_state(service).next_grant = next.or(review);
                     // Targets that a suspect or a begun stream may not use can still accept other
                     // requests.
@@ -88,8 +101,8 @@
             }
         }
         for ticket in deferred.into_iter().rev() {
-            let customer = self.flow(self.requests[&ticket].customer);
-            self.service_state(service).queue.requeue(customer, ticket);
+            let flow = self.requests[&ticket].flow;
+            self.service_state(service).queue.requeue(flow, ticket);
         }
     }
 
@@ -146,17 +159,17 @@
         let Some(request) = self.requests.get(&ticket) else {
             return true;
         };
-        let customer = self.flow(request.customer);
+        let flow = request.flow;
         let version = request.version();
         if version.is_some() && !self.targets.serving(service, version) {
             // The last target of the version here left while the request waited.
-            self.service_state(service).queue.end(customer);
+            self.service_state(service).queue.end(flow);
             self.request_mut(ticket).stage = Stage::Routing;
             self.route(now, ticket, out);
             return true;
         }
         if self.outlasts_process(now, request) {
-            self.service_state(service).queue.end(customer);
+            self.service_state(service).queue.end(flow);
             self.refuse_dequeued(now, ticket, Self::draining_refusal(), out);
             return true;
         }
@@ -172,14 +185,14 @@
         } else if !in_time {
             Reason::Deadline
         } else if self.has_customer(request.customer) {
-            self.service_state(service).queue.end(customer);
+            self.service_state(service).queue.end(flow);
             self.request_mut(ticket).stage = Stage::Routing;
             self.route(now, ticket, out);
             return true;
         } else {
             Reason::Revision
         };
-        self.service_state(service).queue.end(customer);
+        self.service_state(service).queue.end(flow);
         let refusal = Refusal::not_run(reason).with_retry_after(MIN_RETRY_AFTER);
         self.refuse_dequeued(now, ticket, refusal, out);
         true
@@ -216,6 +229,7 @@
     fn send(&mut self, now: Time, ticket: Ticket, chosen: TargetChoice, out: &mut Vec<Command>) {
         let target = chosen.key;
         let attempt = self.start_attempt(now, ticket, Destination::Target(target), chosen.work);
+        self.record_start(now, ticket);
         let request = &self.requests[&ticket];
         let suspect = self.poison.suspected(request.fingerprint);
         let keep = request.local_key;
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -47,7 +47,14 @@
             refusal.reason,
             Reason::Overload | Reason::NoTarget | Reason::Deadline
         );
-        if request.forwarded() && request.offered && no_room {
+        let forwarded_on = request.forwarded() && request.offered && no_room;
+        if no_room {
+            self.record_no_room(now, ticket);
+        }
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        if forwarded_on {
             // The sender's next attempt is a retry.
             refusal.reason = Reason::Refused;
         }
@@ -160,7 +167,7 @@
         };
         match request.stage {
             Stage::Queued => {
-                let flow = self.flow(request.customer);
+                let flow = request.flow;
                 self.service_state(request.service)
                     .queue
                     .remove(flow, ticket);
@@ -277,7 +284,7 @@
         self.targets
             .end_prompt(target, attempt.work, attempt.responded.is_some());
         let request = &self.requests[&ticket];
-        let (service, customer) = (request.service, self.flow(request.customer));
-        self.service_state(service).queue.end(customer);
+        let (service, flow) = (request.service, request.flow);
+        self.service_state(service).queue.end(flow);
     }
 }
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -11,6 +11,7 @@
 use super::admit::TRANSIENT_RETRY_AFTER;
 use super::dispatch::{MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use super::summaries::{WAIT_NO_TARGET, ample_slots};
+use crate::admission::time_limit;
 use crate::command::Command;
 use crate::handle::Ticket;
 use crate::peers::Peer;
@@ -19,9 +20,6 @@
 use crate::spill::{LocalView, RegionChoice, RemoteView, RoutingDecision, RoutingRequest};
 use crate::targets::{NodeSubset, TargetQuery, service_nodes};
 
-/// Multiple of a request's latency objective beyond which its predicted response counts as late.
-/// The margin above 1 allows for prediction error.
-const LATE_FACTOR: f64 = 1.25;
 /// Longest predicted wait at which a region accepts forwarded requests that the sender's region is
 /// allowed to serve itself.
 const MAX_SPILL_WAIT: Duration = Duration::from_millis(200);
@@ -156,7 +154,15 @@
             class.objective.saturating_sub(now.since(request.arrived))
         });
         let late_after = match request.route {
-            Some(class) => budget.min(class.objective.mul_f64(LATE_FACTOR)),
+            Some(class) => {
+                let room = self.room(now, request);
+                time_limit(
+                    room,
+                    class.objective,
+                    self.counted_age(now, request),
+                    budget,
+                )
+            }
             None => budget,
         };
         RoutingRequest {
@@ -194,6 +200,7 @@
                     prompt: Some(&prompt),
                     just_booted: self.just_booted(now),
                     version: request.version(),
+                    reserve: self.reserve(now, request),
                     ..TargetQuery::default()
                 };
                 self.choose(now, service, query)
@@ -307,6 +314,7 @@
         let (service, version) = (request.service, request.version());
         let slot_wait = self.slot_wait(now, request);
         let wait = match request.prompt {
+            Some(_) if self.awaits_turnover(now, request) => self.turnover_wait(now, request),
             Some(_) => self.prompt_wait(now, service, version) + slot_wait,
             None => {
                 let (_, queued) = self.regional_load(now, service);
@@ -338,7 +346,7 @@
             return Duration::ZERO;
         };
         let weight = self.weight(request);
-        let ahead = state.queue.ahead(self.flow(request.customer), weight);
+        let ahead = state.queue.ahead(self.flow_key(now, request), weight);
         let free = slots.saturating_sub(state.queue.running());
         if ahead < free as usize {
             return Duration::ZERO;
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::arrival::{Arrival, Hop, IdempotencyKey, Origin, RouteRules, StreamPart};
+use crate::fair::FlowKey;
 use crate::handle::{AttemptKey, TargetKey, Ticket};
 use crate::poison::part_fingerprints;
 use crate::prompt::Prompt;
@@ -72,6 +73,8 @@
     pub hops: Vec<Hop>,
     /// Its processing stage.
     pub stage: Stage,
+    /// Flow of the fair queue that it was last queued in.
+    pub flow: FlowKey,
     /// Whether it counts against its customer's concurrency at this node.
     pub charged: bool,
     /// Regions that refused or failed it.
@@ -133,6 +136,7 @@
             deadline: now + arrival.budget,
             hops,
             stage: Stage::Routing,
+            flow: FlowKey::default(),
             charged: false,
             refused: BTreeSet::new(),
             tried: BTreeSet::new(),
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -20,6 +20,7 @@
 use seam_protocol::heartbeat::{MAX_COUNT, TargetWork};
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
+use crate::admission::Pressure;
 use crate::handle::TargetKey;
 pub use brittle::slot_share;
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
@@ -435,14 +436,14 @@
     }
 
     /// Returns when to look again for room at the targets of a service that queue requests by
-    /// themselves, if there are any: their load changes by what other nodes do. A brittle one is not
-    /// asked sooner than requests come.
+    /// themselves, or of any with `all`, if there are some: their load changes by what other nodes do.
+    /// A brittle one is not asked sooner than requests come.
     #[must_use]
-    pub fn next_room(&self, now: Time, service: ServiceId) -> Option<Time> {
+    pub fn next_room(&self, now: Time, service: ServiceId, all: bool) -> Option<Time> {
         const REVIEW_INTERVAL: Duration = Duration::from_millis(25);
         let serving = self.for_service(service);
         let mut serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
-        let queues = self.shared && serving.any(|(_, state)| state.queues_itself());
+        let queues = self.shared && serving.any(|(_, state)| all || state.queues_itself());
         let sound = !self.is_brittle(now, service);
         (queues && sound).then_some(now + REVIEW_INTERVAL)
     }
@@ -469,6 +470,41 @@
         Some(Duration::from_secs_f64(shortest / MILLIS))
     }
 
+    /// Returns whether a target of a service serves and takes requests at any rate, so that only its use
+    /// keeps it from taking one.
+    #[must_use]
+    pub fn is_open(&self, now: Time, service: ServiceId, version: Option<VersionId>) -> bool {
+        let mut serving = self.for_service(service);
+        serving.any(|(_, state)| state.serves(version) && !state.is_granted(now))
+    }
+
+    /// Returns the use of a service's engines by all nodes together.
+    #[must_use]
+    pub fn pressure(&self, now: Time, service: ServiceId) -> Pressure {
+        let serving = self.for_service(service);
+        let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
+        let (mut slots, mut load, mut memory, mut tokens) = (0, 0, 0.0, 0);
+        let mut wait: Option<f64> = None;
+        for (_, state) in serving {
+            let running = state.load(now);
+            slots += state.spec.slots;
+            load += running;
+            memory += state.memory_tokens().unwrap_or_default();
+            tokens += state.kv_tokens(now);
+            let queue_ms = state.engine.queue_ms(state.prefill_queue(now), running);
+            wait = Some(wait.map_or(queue_ms, |wait| wait.min(queue_ms)));
+        }
+        Pressure {
+            wait: Duration::from_secs_f64(wait.unwrap_or_default() / 1000.0),
+            slots: f64::from(load) / f64::from(slots.max(1)),
+            memory: if memory > 0.0 {
+                tokens as f64 / memory
+            } else {
+                0.0
+            },
+        }
+    }
+
     /// Predicts how long a request waits in the queues of targets that queue requests by themselves,
     /// behind `queued` others that are not sent yet.
     #[must_use]
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -9,6 +9,7 @@
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
 use super::{EngineModel, Phase, PromptWork, Targets};
+use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
 use crate::prompt::Prompt;
@@ -35,6 +36,8 @@
     pub heavy: &'a [(CustomerId, f64)],
     /// Version of the software that alone may go on with its stream.
     pub version: Option<VersionId>,
+    /// What it leaves to more urgent requests.
+    pub reserve: Option<Reserve>,
 }
 
 /// Estimates by which a target was chosen, for the log.
@@ -105,6 +108,11 @@
             .for_service(service)
             .filter(|(_, state)| state.serves(query.version))
             .filter(|(key, _)| self.accepts(now, *key, heavy))
+            .filter(|(_, state)| {
+                let tokens = query.prompt.map_or(0, Prompt::peak_tokens);
+                let reserve = query.reserve.as_ref();
+                reserve.is_none_or(|reserve| state.leaves(now, reserve, tokens))
+            })
             .filter(|(_, state)| query.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
             .collect();
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -9,6 +9,7 @@
 
 use super::brittle::BrittleRoom;
 use super::{ColdShare, EngineModel, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
+use crate::admission::Reserve;
 
 /// Time over which the usable slots of a new or returning target ramp up.
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -382,6 +383,23 @@
         has_report && !heavy && self.running < self.max_running(now) && has_free_slots
     }
 
+    /// Returns whether an engine keeps a reserve for more urgent requests if it takes another one with
+    /// this many KV tokens.
+    pub(super) fn leaves(&self, now: Time, reserve: &Reserve, tokens: u64) -> bool {
+        let Some(memory) = self.memory_tokens() else {
+            return true;
+        };
+        let load = self.load(now);
+        let usable = 1.0 - reserve.fraction;
+        let slots = (f64::from(self.spec.slots) * usable).floor() as u32;
+        let free = slots.saturating_sub(load);
+        let fits = (self.kv_tokens(now) + tokens) as f64 <= memory * usable;
+        let wait_ms = self.engine.queue_ms(self.prefill_queue(now), load);
+        let short = wait_ms <= reserve.max_wait.as_secs_f64() * 1000.0;
+        // Nodes that do not know of each other's starts would use up the reserve together.
+        free > 0 && self.starts.allows(now, free) && fits && short
+    }
+
     /// Returns whether the target queues excess requests by itself. Only engines, which do not, have a
     /// configured KV memory.
     pub(super) fn queues_itself(&self) -> bool {
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -521,6 +521,7 @@
             objective: Duration::from_millis(800),
             max_attempts: attempts,
             rank: 0,
+            kind: 0,
             streams: service == ENGINE,
             resumable: route == "hint",
         }),
--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -79,6 +79,7 @@
         objective: Duration::from_millis(route.objective),
         max_attempts: u32::from(route.attempts),
         rank: route.rank,
+        kind: route.rank,
         streams: false,
         resumable: false,
     }
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -171,6 +171,7 @@
         objective: Duration::from_millis(route.objective),
         max_attempts: u32::from(route.attempts.max(1)),
         rank: route.rank,
+        kind: route.rank,
         streams: route.streams,
         resumable: route.streams && route.retry_policy == RetryPolicy::Resumable,
     }
