competition: a tenant in a surge waits behind the others

Cause: all tenants shared one flow, and prompts queued at the engines, which know no tenants. A tenant at seven times its usual load made all others late.

Change: the fair queue has a flow for each tenant, weighted by its usual load, so that a large tenant is served as often as small ones. Requests beyond 1.5 times the usual load, scaled by what the others send, follow the rest of their kind and leave a part of each engine free. A tenant's prompt waits at its node while an engine has prefill queued for 0.4 of its objective. Waits for slots are predicted by the rate at which the region's engines end requests, too: by a node's own starts alone, nodes that had few refused.

--- a/crates/seam-core/src/admission.rs
+++ b/crates/seam-core/src/admission.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use seam_protocol::Time;
+use seam_protocol::{TenantId, Time};
 
 use crate::targets::SlidingWindow;
 
@@ -15,6 +15,22 @@
 const RECENT: Duration = Duration::from_secs(10);
 /// Time in which the weight of an arrival or a refusal halves.
 const HALF_LIFE: Duration = Duration::from_secs(15);
+/// The same time for the usual load of a tenant, several times as long as surges last.
+const USUAL_HALF_LIFE: Duration = Duration::from_secs(60);
+/// Fraction of its objective that an engine's queued prefill may take before a tenant's prompt waits in
+/// the queue of its node, where tenants have their turns. Engines have no such order.
+const TURN_FRACTION: f64 = 0.4;
+/// Time in which the weight of a request halves in the present load of a tenant.
+const PRESENT_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Multiple of its usual load from which a tenant's requests are in excess.
+const EXCESS_FACTOR: f64 = 1.5;
+/// How much a request in excess counts in the usual load, so that a load that stays becomes usual.
+const EXCESS_WEIGHT: f64 = 0.1;
+/// Fraction of its objective that an engine's queued prefill may take before it takes a request in
+/// excess.
+const EXCESS_WAIT_FRACTION: f64 = 0.2;
+/// Largest weight of a tenant, so that sums stay small.
+const MAX_WEIGHT: u64 = 4096;
 /// Fraction of the slots and the memory of each engine that less urgent requests leave free. Nodes
 /// learn of each other's requests within 0.2 s; in this time about a tenth of the slots is taken.
 const RESERVED_FRACTION: f64 = 0.125;
@@ -31,7 +47,7 @@
 /// Fraction of the slots or the memory in use above which room is scarce.
 const SCARCE_USE: f64 = 0.75;
 
-/// A count that halves within [`HALF_LIFE`].
+/// A count that halves within a time.
 #[derive(Clone, Copy, Debug, Default)]
 struct DecayingCount {
     count: f64,
@@ -39,13 +55,13 @@
 }
 
 impl DecayingCount {
-    fn value(self, now: Time) -> f64 {
-        let half_lives = now.since(self.updated).as_secs_f64() / HALF_LIFE.as_secs_f64();
+    fn value(self, now: Time, half_life: Duration) -> f64 {
+        let half_lives = now.since(self.updated).as_secs_f64() / half_life.as_secs_f64();
         self.count * (-half_lives).exp2()
     }
 
-    fn add(&mut self, now: Time) {
-        self.count = self.value(now) + 1.0;
+    fn add(&mut self, now: Time, half_life: Duration, weight: f64) {
+        self.count = self.value(now, half_life) + weight;
         self.updated = now;
     }
 }
@@ -64,8 +80,35 @@
 impl RankDemand {
     /// Returns the recent arrivals and how many of them were not refused.
     fn served(&self, now: Time) -> (f64, f64) {
-        let arrived = self.arrived.value(now);
-        (arrived, (arrived - self.refused.value(now)).max(0.0))
+        let arrived = self.arrived.value(now, HALF_LIFE);
+        (
+            arrived,
+            (arrived - self.refused.value(now, HALF_LIFE)).max(0.0),
+        )
+    }
+}
+
+/// Recent requests of one tenant at this node, or of all.
+#[derive(Clone, Copy, Debug, Default)]
+struct TenantLoad {
+    usual: DecayingCount,
+    /// Those that were not in excess.
+    present: DecayingCount,
+}
+
+impl TenantLoad {
+    fn add(&mut self, now: Time, excess: bool) {
+        let weight = if excess { EXCESS_WEIGHT } else { 1.0 };
+        self.usual.add(now, USUAL_HALF_LIFE, weight);
+        if !excess {
+            self.present.add(now, PRESENT_HALF_LIFE, 1.0);
+        }
+    }
+
+    /// Returns the usual load and the present one, as counts.
+    fn counts(&self, now: Time) -> (f64, f64) {
+        let usual = self.usual.value(now, USUAL_HALF_LIFE);
+        (usual, self.present.value(now, PRESENT_HALF_LIFE))
     }
 }
 
@@ -92,6 +135,39 @@
     pub memory: f64,
 }
 
+impl Reserve {
+    /// Returns the limits of a tenant's request that no more urgent one competes with: it leaves no part
+    /// of the engine free, but waits for its turn while much prefill is queued there. One in `excess` of
+    /// the tenant's usual load leaves a part to other tenants.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::admission::Reserve;
+    /// let reserve = Reserve::for_turns(0, Duration::from_millis(800), false);
+    /// assert_eq!(reserve.max_wait, Duration::from_millis(320));
+    /// assert!(!reserve.holds(0));
+    /// ```
+    #[must_use]
+    pub fn for_turns(rank: u8, objective: Duration, excess: bool) -> Self {
+        let (fraction, wait) = if excess {
+            (RESERVED_FRACTION, EXCESS_WAIT_FRACTION)
+        } else {
+            (0.0, TURN_FRACTION)
+        };
+        Self {
+            rank,
+            fraction,
+            max_wait: objective.mul_f64(wait),
+        }
+    }
+
+    /// Returns whether it holds a request of this rank back in favour of more urgent ones.
+    #[must_use]
+    pub fn holds(&self, rank: u8) -> bool {
+        self.rank < rank
+    }
+}
+
 impl Pressure {
     /// Returns whether a request with a latency objective takes room that others need.
     ///
@@ -115,21 +191,82 @@
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     ranks: BTreeMap<u8, RankDemand>,
+    /// Recent requests of each tenant.
+    tenants: BTreeMap<TenantId, TenantLoad>,
+    all_tenants: TenantLoad,
 }
 
 impl Demand {
     /// Records the arrival of a request.
     pub fn record_arrival(&mut self, now: Time, rank: u8, objective: Duration) {
         let demand = self.ranks.entry(rank).or_default();
-        demand.arrived.add(now);
+        demand.arrived.add(now, HALF_LIFE, 1.0);
         demand.last = now;
         demand.objective = objective;
     }
 
+    /// Records the arrival of a tenant's request. Returns whether it is in excess of the tenant's usual
+    /// load, scaled by how much the load of the others differs from their usual one.
+    ///
+    /// ```
+    /// use seam_core::admission::Demand;
+    /// use seam_protocol::{TenantId, Time};
+    /// let mut demand = Demand::default();
+    /// let mut excess = [0, 0];
+    /// for second in 0..120 {
+    ///     let rates = if second < 110 { [4, 4] } else { [4, 28] };
+    ///     for (tenant, rate) in rates.into_iter().enumerate() {
+    ///         for _ in 0..rate {
+    ///             let tenant_id = TenantId(tenant as u64);
+    ///             let now = Time(second * 1_000_000);
+    ///             excess[tenant] += u32::from(demand.record_tenant(now, tenant_id));
+    ///         }
+    ///     }
+    /// }
+    /// assert!(excess[0] < 5 && excess[1] > 120);
+    /// ```
+    pub fn record_tenant(&mut self, now: Time, tenant: TenantId) -> bool {
+        let own = self.tenants.entry(tenant).or_default();
+        let (usual, present) = own.counts(now);
+        let (all_usual, all_present) = self.all_tenants.counts(now);
+        let (other_usual, other_present) = (all_usual - usual, all_present - present);
+        let excess = other_usual > 0.0 && {
+            let expected = usual * other_present / other_usual;
+            present > EXCESS_FACTOR * expected + 1.0
+        };
+        own.add(now, excess);
+        self.all_tenants.add(now, excess);
+        excess
+    }
+
+    /// Returns the fair-queuing weight of a tenant: its usual load, so that one that is large by nature
+    /// is served as often as the others, and one in a surge waits behind its own requests. Each step of
+    /// its priority above 3 doubles the weight.
+    ///
+    /// ```
+    /// use seam_core::admission::Demand;
+    /// use seam_protocol::{TenantId, Time};
+    /// let mut demand = Demand::default();
+    /// assert_eq!(demand.tenant_weight(Time(0), TenantId(1), 3), 1);
+    /// for _ in 0..50 {
+    ///     demand.record_tenant(Time(0), TenantId(1));
+    /// }
+    /// assert_eq!(demand.tenant_weight(Time(0), TenantId(1), 3), 50);
+    /// assert_eq!(demand.tenant_weight(Time(0), TenantId(1), 2), 100);
+    /// ```
+    #[must_use]
+    pub fn tenant_weight(&self, now: Time, tenant: TenantId, priority: u8) -> u64 {
+        const LOWEST_PRIORITY: u8 = 3;
+        let count = self.tenants.get(&tenant);
+        let usual = count.map_or(0.0, |count| count.counts(now).0);
+        let weight = (usual.round() as u64).clamp(1, MAX_WEIGHT);
+        weight << LOWEST_PRIORITY.saturating_sub(priority)
+    }
+
     /// Records that a request was refused for lack of room.
     pub fn record_refusal(&mut self, now: Time, rank: u8) {
         if let Some(demand) = self.ranks.get_mut(&rank) {
-            demand.refused.add(now);
+            demand.refused.add(now, HALF_LIFE, 1.0);
         }
     }
 
@@ -145,7 +282,7 @@
     /// ```
     /// use std::time::Duration;
     /// use seam_core::admission::Demand;
-    /// use seam_protocol::Time;
+    /// use seam_protocol::{TenantId, Time};
     /// let mut demand = Demand::default();
     /// demand.record_arrival(Time(0), 2, Duration::from_secs(3));
     /// assert!(demand.reserve(Time(0), 2).is_none());
@@ -188,27 +325,30 @@
     }
 
     /// Predicts how long a request of a rank waits behind others, by the recent starts of requests of
-    /// its rank and of less urgent ones, whose slots it would get.
+    /// its rank and of less urgent ones, whose slots it would get. `rate` is this node's even part of
+    /// the starts a second that the region's engines have room for, zero if others get that room.
     ///
     /// ```
     /// use std::time::Duration;
     /// use seam_core::admission::Demand;
-    /// use seam_protocol::Time;
+    /// use seam_protocol::{TenantId, Time};
     /// let mut demand = Demand::default();
-    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0), Duration::from_secs(2));
+    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0, 0.0), Duration::from_secs(2));
     /// for _ in 0..19 {
     ///     demand.record_start(Time(0), 2);
     /// }
-    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0), Duration::from_millis(100));
-    /// assert_eq!(demand.turnover_wait(Time(0), 3, 0), Duration::from_secs(2));
+    /// assert_eq!(demand.turnover_wait(Time(0), 0, 0, 0.0), Duration::from_millis(100));
+    /// assert_eq!(demand.turnover_wait(Time(0), 3, 0, 0.0), Duration::from_secs(2));
+    /// assert_eq!(demand.turnover_wait(Time(0), 3, 0, 4.5), Duration::from_millis(200));
     /// ```
     #[must_use]
-    pub fn turnover_wait(&self, now: Time, rank: u8, ahead: usize) -> Duration {
+    pub fn turnover_wait(&self, now: Time, rank: u8, ahead: usize, rate: f64) -> Duration {
         let ranks = self.ranks.range(rank..);
         let starts: usize = ranks
             .map(|(_, demand)| demand.starts.count(now, START_WINDOW))
             .sum();
-        START_WINDOW.mul_f64((ahead + 1) as f64 / (starts + 1) as f64)
+        let starts = (starts as f64).max(rate * START_WINDOW.as_secs_f64());
+        START_WINDOW.mul_f64((ahead + 1) as f64 / (starts + 1.0))
     }
 }
 
--- a/crates/seam-core/src/fair.rs
+++ b/crates/seam-core/src/fair.rs
@@ -106,13 +106,9 @@
     /// ```
     pub fn push(&mut self, key: FlowKey, weight: u64, ticket: Ticket) {
         let now = self.virtual_time(key.rank);
-        let flow = self.flows.entry(key).or_insert_with(|| {
-            self.total_weight += weight;
-            Flow {
-                weight,
-                ..Flow::default()
-            }
-        });
+        let flow = self.flows.entry(key).or_default();
+        self.total_weight = self.total_weight - flow.weight + weight;
+        flow.weight = weight;
         if flow.waiting.is_empty() {
             flow.start = flow.start.max(now);
             self.order.insert((key.rank, flow.start, key));
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -12,6 +12,10 @@
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
 
+/// Ranks of the queue for each kind of requests: the usual ones, and those in excess of their tenant's
+/// usual load.
+const RANKS_OF_KIND: u8 = 2;
+
 impl Node {
     /// Returns whether requests compete for the engines of a service: those of routes, where nodes
     /// know of each other's work.
@@ -23,22 +27,42 @@
             && spec.is_some_and(|spec| spec.kind == Kind::Engine)
     }
 
-    /// Returns what a request leaves to more urgent ones. The rest of a stream leaves nothing, since
-    /// what was done for it would be lost.
+    /// Returns what a request leaves to more urgent ones, or what a tenant's request waits for. The rest
+    /// of a stream waits for nothing, since what was done for it would be lost.
     pub(super) fn reserve(&self, now: Time, request: &Request) -> Option<Reserve> {
         if !self.competes(request) || Self::has_begun(request) {
             return None;
         }
         let state = self.service_states.get(&request.service)?;
-        state.demand.reserve(now, request.route?.kind)
+        let held = state.demand.reserve(now, request.route?.kind);
+        held.or_else(|| Self::turn(request))
+    }
+
+    /// Returns what a tenant's request waits for if it is not held back.
+    fn turn(request: &Request) -> Option<Reserve> {
+        let route = request.route.filter(|_| request.tenant.is_some())?;
+        Some(Reserve::for_turns(
+            route.kind,
+            route.objective,
+            request.excess,
+        ))
+    }
+
+    /// Returns whether a request is held back in favour of more urgent ones.
+    fn is_held(&self, now: Time, request: &Request) -> bool {
+        let route = request.route.zip(self.reserve(now, request));
+        route.is_some_and(|(route, reserve)| reserve.holds(route.kind))
     }
 
     /// Returns what a queued request leaves to more urgent ones. One that was queued with the most urgent
     /// ones leaves nothing, since it would hold them up.
     pub(super) fn queued_reserve(&self, now: Time, request: &Request) -> Option<Reserve> {
         let kind = request.route?.kind;
-        let reserve = self.reserve(now, request);
-        reserve.filter(|_| request.flow.rank == kind)
+        let reserve = self.reserve(now, request)?;
+        if reserve.holds(kind) && request.flow.rank / RANKS_OF_KIND != kind {
+            return Self::turn(request);
+        }
+        Some(reserve)
     }
 
     /// Returns whether an earlier attempt may have run, or the request takes up a stream.
@@ -47,12 +71,14 @@
     }
 
     /// Returns the rank by which a request is queued. One that leaves no reserve is as urgent as the
-    /// most urgent ones.
+    /// most urgent ones. A request in excess of its tenant's usual load follows the others of its kind.
     pub(super) fn effective_rank(&self, now: Time, request: &Request) -> u8 {
-        match request.route {
-            Some(route) if self.reserve(now, request).is_some() => route.kind,
+        let kind = match request.route {
+            Some(route) if self.is_held(now, request) => route.kind,
             _ => 0,
-        }
+        };
+        let rank = kind.saturating_mul(RANKS_OF_KIND);
+        rank.saturating_add(u8::from(request.excess))
     }
 
     /// Returns the use of the engines of a service in this region.
@@ -70,7 +96,7 @@
         let pressure = self.pressure(now, request.service);
         if !queued && !pressure.is_scarce(route.objective) {
             Room::Ample
-        } else if self.reserve(now, request).is_some() {
+        } else if self.is_held(now, request) {
             Room::Held
         } else {
             Room::Scarce
@@ -126,14 +152,27 @@
     /// Predicts how long a request waits for a slot that others use now.
     pub(super) fn turnover_wait(&self, now: Time, request: &Request) -> Duration {
         let key = self.flow_key(now, request);
-        let weight = self.weight(request);
+        let weight = self.weight(now, request);
         let state = self.service_states.get(&request.service);
         let Some((state, route)) = state.zip(request.route) else {
             return Duration::ZERO;
         };
-        let rank = key.rank.min(route.kind);
+        let rank = (key.rank / RANKS_OF_KIND).min(route.kind);
         let ahead = state.queue.ahead(key, weight);
-        state.demand.turnover_wait(now, rank, ahead)
+        let rate = if self.is_held(now, request) || request.excess {
+            0.0
+        } else {
+            self.even_rate(now, request.service)
+        };
+        state.demand.turnover_wait(now, rank, ahead, rate)
+    }
+
+    /// Returns this node's even part of the requests a second that end at the region's engines.
+    fn even_rate(&self, now: Time, service: ServiceId) -> f64 {
+        let running = self.targets.for_service(service);
+        let running: u32 = running.map(|(_, state)| state.load(now)).sum();
+        let slot_secs = self.slot_time(service).as_secs_f64().max(f64::EPSILON);
+        f64::from(running) / slot_secs / self.alive.len().max(1) as f64
     }
 
     /// Records the start of a request.
@@ -150,11 +189,13 @@
     pub(super) fn record_demand(&mut self, now: Time, ticket: Ticket) {
         let request = &self.requests[&ticket];
         if let Some(route) = request.route {
-            let service = request.service;
-            let state = self.service_state(service);
-            state
-                .demand
-                .record_arrival(now, route.kind, route.objective);
+            let (service, tenant) = (request.service, request.tenant);
+            let demand = &mut self.service_state(service).demand;
+            demand.record_arrival(now, route.kind, route.objective);
+            if let Some(tenant) = tenant {
+                let excess = demand.record_tenant(now, tenant);
+                self.request_mut(ticket).excess = excess;
+            }
         }
     }
 
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -24,7 +24,7 @@
         let request = &self.requests[&ticket];
         let service = request.service;
         let flow = self.flow_key(now, request);
-        let weight = self.weight(request);
+        let weight = self.weight(now, request);
         let late_at = self.late_at(now, request);
         let request = self.request_mut(ticket);
         request.stage = Stage::Queued;
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -345,7 +345,7 @@
         let Some(state) = self.service_states.get(&request.service) else {
             return Duration::ZERO;
         };
-        let weight = self.weight(request);
+        let weight = self.weight(now, request);
         let ahead = state.queue.ahead(self.flow_key(now, request), weight);
         let free = slots.saturating_sub(state.queue.running());
         if ahead < free as usize {
@@ -366,8 +366,15 @@
     }
 
     /// Returns the fair-queueing weight of a request. Each priority level doubles it.
-    pub(super) fn weight(&self, request: &Request) -> u64 {
+    /// A tenant's weight is its usual load.
+    pub(super) fn weight(&self, now: Time, request: &Request) -> u64 {
         const MAX_PRIORITY: u8 = 3;
+        let state = self.service_states.get(&request.service);
+        if let Some((tenant, route)) = request.tenant.zip(request.route) {
+            return state.map_or(1, |state| {
+                state.demand.tenant_weight(now, tenant, route.rank)
+            });
+        }
         self.bundle
             .as_ref()
             .and_then(|bundle| bundle.customers.get(&request.customer))
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -73,6 +73,8 @@
     pub hops: Vec<Hop>,
     /// Its processing stage.
     pub stage: Stage,
+    /// Whether it is in excess of its tenant's usual load.
+    pub excess: bool,
     /// Flow of the fair queue that it was last queued in.
     pub flow: FlowKey,
     /// Whether it counts against its customer's concurrency at this node.
@@ -136,6 +138,7 @@
             deadline: now + arrival.budget,
             hops,
             stage: Stage::Routing,
+            excess: false,
             flow: FlowKey::default(),
             charged: false,
             refused: BTreeSet::new(),
--- a/crates/seam-core/tests/live/engines.rs
+++ b/crates/seam-core/tests/live/engines.rs
@@ -7,7 +7,19 @@
 use seam_core::{Arrival, AttemptKey, AttemptOutcome, Command, Event, Refusal};
 use seam_protocol::{TargetId, Time};
 
-use crate::fleet::Fleet;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use seam_core::prompt::Part;
+use seam_protocol::TenantId;
+
+use crate::fleet::{ENGINE, Fleet, NORTH, arrival, prompt, settled_fleet};
+
+/// Objectives of the kinds of requests.
+pub const OBJECTIVES: [Duration; 3] = [
+    Duration::from_millis(800),
+    Duration::from_millis(1500),
+    Duration::from_secs(3),
+];
 
 /// Prompt tokens that an engine prefills in a millisecond.
 const PREFILL: f64 = 74.8;
@@ -60,9 +72,15 @@
 }
 
 impl Engines {
-    pub fn new(fleet: Fleet) -> Self {
+    /// Starts a fleet with a number of engines in the north.
+    pub fn of(regions: &[&str], count: usize) -> Self {
+        let names: Vec<String> = (0..count).map(|number| format!("e{number}")).collect();
+        let targets: Vec<_> = names
+            .iter()
+            .map(|name| (name.as_str(), ENGINE, NORTH))
+            .collect();
         Self {
-            fleet,
+            fleet: settled_fleet(regions, &targets),
             samples: BTreeMap::new(),
             engines: BTreeMap::new(),
             later: BTreeMap::new(),
@@ -120,7 +138,11 @@
                 }
                 self.carry_out();
             }
-            for node in 0..self.fleet.nodes.len() {
+            // No node is always the first one to learn of room.
+            self.serial += 1;
+            let nodes = self.fleet.nodes.len();
+            for node in 0..nodes {
+                let node = (node + self.serial as usize) % nodes;
                 self.fleet.handle(node, Event::Tick);
             }
             self.carry_out();
@@ -182,7 +204,7 @@
     }
 
     /// Returns the samples of a kind that arrived within a span.
-    pub fn of(&self, kind: u8, from: Time, to: Time) -> Vec<Sample> {
+    pub fn samples_of(&self, kind: u8, from: Time, to: Time) -> Vec<Sample> {
         let samples = self.samples.values().copied();
         let samples = samples.filter(|sample| sample.kind == kind);
         samples
@@ -196,3 +218,86 @@
     let in_time = |sample: &&Sample| sample.first.is_some_and(|first| first <= objective);
     samples.iter().filter(in_time).count() as f64 / samples.len().max(1) as f64
 }
+
+/// Returns a request of a kind, and the number of its prompt tokens that no engine has cached.
+pub fn request(ticket: u64, kind: u8, tenant: Option<TenantId>) -> (Arrival, u32) {
+    let mut request = arrival(ticket, "review", ENGINE, 1);
+    let (input, output, uncached) = if kind == 0 {
+        (9200, 54, 2900)
+    } else {
+        (830, 294, 830)
+    };
+    let mut own = prompt(70 + ticket % 8, 1000 + ticket);
+    let changed = std::sync::Arc::make_mut(&mut own);
+    changed.output_limit = output;
+    changed.input_tokens = input;
+    if kind == 0 {
+        changed.parts[2].tokens = uncached;
+    } else {
+        changed.parts = vec![Part {
+            id: 1000 + ticket,
+            tokens: input,
+        }];
+    }
+    request.prompt = Some(own);
+    request.tenant = tenant;
+    request.budget = Duration::from_secs(12);
+    let rules = request.route.as_mut().unwrap();
+    rules.kind = kind;
+    rules.objective = OBJECTIVES[usize::from(kind)];
+    (request, uncached)
+}
+
+/// Requests that arrive at random nodes.
+pub struct Load {
+    /// Requests a second of each kind.
+    pub rates: [f64; 3],
+    /// Parts of the load that tenants send.
+    tenants: Vec<f64>,
+    rng: Pcg64Mcg,
+    ticket: u64,
+}
+
+impl Load {
+    pub fn new(kind: u8, rate: f64, tenants: &[f64]) -> Self {
+        let mut rates = [0.0; 3];
+        rates[usize::from(kind)] = rate;
+        Self {
+            rates,
+            tenants: tenants.to_vec(),
+            rng: Pcg64Mcg::seed_from_u64(5),
+            ticket: 0,
+        }
+    }
+
+    /// Lets a tenant send a multiple of its usual load.
+    pub fn surge(&mut self, tenant: usize, factor: f64) {
+        self.tenants[tenant] *= factor;
+    }
+
+    /// Chooses the senders of the requests of one step, if there are any.
+    fn senders(&mut self, rate: f64) -> Vec<Option<TenantId>> {
+        let step = TICK.as_secs_f64();
+        if self.tenants.is_empty() {
+            return vec![None; usize::from(self.rng.random_bool(rate * step))];
+        }
+        let mut senders = Vec::new();
+        for (tenant, part) in (1..).zip(&self.tenants) {
+            if self.rng.random_bool(rate * part * step) {
+                senders.push(Some(TenantId(tenant)));
+            }
+        }
+        senders
+    }
+
+    pub fn arrive(&mut self, engines: &mut Engines) {
+        for kind in 0..3 {
+            for tenant in self.senders(self.rates[usize::from(kind)]) {
+                self.ticket += 1;
+                let (request, uncached) = request(self.ticket, kind, tenant);
+                let node = self.rng.random_range(0..engines.fleet.nodes.len());
+                engines.arrive(node, request, uncached);
+            }
+        }
+    }
+}
