competition: decisions are logged with their inputs and counted by rank

Cause: nothing told why a request was held back, and a queued request that became late was refused without a line and with a fixed time to retry.

Change: the line "placed" names the rank, the rank that a request is held back for, whether it is in excess, how much room there is and the use of the engines. It is written for requests that become late in the queue too, and their Retry-After is the predicted wait. `seam_ranks` counts requests by rank. The penalty no longer makes a request late where requests compete for engines.

--- a/crates/seam-core/src/admission.rs
+++ b/crates/seam-core/src/admission.rs
@@ -352,6 +352,21 @@
     }
 }
 
+/// The inputs of the decision about a request that competes for engines, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Contest {
+    /// Rank of the request's route.
+    pub rank: u8,
+    /// More urgent rank that it is held back for.
+    pub held_for: Option<u8>,
+    /// Whether it is in excess of its tenant's usual load.
+    pub excess: bool,
+    /// How much room there is.
+    pub room: Room,
+    /// Use of the engines in this region.
+    pub pressure: Pressure,
+}
+
 /// How a request competes for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Room {
@@ -363,6 +378,18 @@
     Held,
 }
 
+impl Room {
+    /// Returns the name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ample => "ample",
+            Self::Scarce => "scarce",
+            Self::Held => "held",
+        }
+    }
+}
+
 /// Returns the time by which the response to a request has to begin so that the request is worth its
 /// room, measured from now.
 ///
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -143,6 +143,35 @@
     since: Time,
 }
 
+/// Counters of requests whose routes have one rank, since boot.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct KindCounters {
+    /// Requests received, from callers and other nodes.
+    pub arrived: u64,
+    /// Requests queued because they are held back in favour of more urgent ones.
+    pub held: u64,
+    /// Requests sent to targets.
+    pub started: u64,
+    /// Requests refused for lack of room.
+    pub no_room: u64,
+}
+
+impl KindCounters {
+    /// Number of ranks that are counted apart. The last one includes all above it.
+    pub const RANKS: usize = 4;
+
+    /// Returns the position of a rank in [`Counters::kinds`].
+    ///
+    /// ```
+    /// use seam_core::node::KindCounters;
+    /// assert_eq!([0, 3, 9].map(KindCounters::index), [0, 3, 3]);
+    /// ```
+    #[must_use]
+    pub fn index(rank: u8) -> usize {
+        usize::from(rank).min(Self::RANKS - 1)
+    }
+}
+
 /// Counters since boot, for metrics.
 #[derive(Clone, Copy, Debug, Default, serde::Serialize)]
 pub struct Counters {
@@ -170,6 +199,8 @@
     pub crashes: u64,
     /// Process pauses detected.
     pub pauses: u64,
+    /// Counters by the rank of the route.
+    pub kinds: [KindCounters; KindCounters::RANKS],
 }
 
 /// Switches that each replace a decision by a simple baseline, to measure what the decision gains.
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -4,13 +4,14 @@
 
 use seam_protocol::{Kind, Reason, ServiceId, Time};
 
-use super::Node;
-use super::dispatch::MIN_RETRY_AFTER;
-use crate::admission::{Pressure, Reserve, Room};
+use super::dispatch::{MAX_RETRY_AFTER, MIN_RETRY_AFTER};
+use super::{KindCounters, Node};
+use crate::admission::{Contest, Pressure, Reserve, Room};
 use crate::command::Command;
 use crate::handle::Ticket;
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
+use crate::spill::{LocalView, RegionChoice, RoutingDecision};
 
 /// Ranks of the queue for each kind of requests: the usual ones, and those in excess of their tenant's
 /// usual load.
@@ -103,6 +104,30 @@
         }
     }
 
+    /// Returns the part of a predicted wait that is no reason to refuse a request. The penalty for a used
+    /// engine is no delay; with it, urgent requests were refused while the last slots were free.
+    pub(super) fn refusal_penalty(&self, request: &Request, penalty: Duration) -> Duration {
+        if self.competes(request) {
+            penalty
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns the inputs of the decision about a request, for the log.
+    pub(super) fn contest(&self, now: Time, request: &Request) -> Option<Contest> {
+        let route = request.route.filter(|_| self.competes(request))?;
+        let held = self.reserve(now, request);
+        let held = held.filter(|reserve| reserve.holds(route.kind));
+        Some(Contest {
+            rank: route.kind,
+            held_for: held.map(|reserve| reserve.rank),
+            excess: request.excess,
+            room: self.room(now, request),
+            pressure: self.pressure(now, request.service),
+        })
+    }
+
     /// Returns the part of a request's objective that it has used. None counts after its response began.
     pub(super) fn counted_age(&self, now: Time, request: &Request) -> Duration {
         if self.competes(request) && !Self::has_begun(request) {
@@ -135,12 +160,33 @@
         for (_, ticket) in std::mem::replace(&mut state.late, later) {
             let request = self.requests.get(&ticket);
             if request.is_some_and(|request| request.stage == Stage::Queued) {
-                let refusal = Refusal::not_run(Reason::Overload).with_retry_after(MIN_RETRY_AFTER);
-                self.refuse(now, ticket, refusal, out);
+                self.refuse_queued(now, ticket, out);
             }
         }
     }
 
+    /// Refuses a queued request that can no longer be in time.
+    fn refuse_queued(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        let request = &self.requests[&ticket];
+        let wait = self.turnover_wait(now, request);
+        let decision = RoutingDecision {
+            request: self.routing_request(now, request),
+            local: LocalView {
+                possible: true,
+                wait,
+                penalty: Duration::ZERO,
+            },
+            best: None,
+            age: Duration::ZERO,
+            choice: RegionChoice::Refuse(Some(wait)),
+            contest: self.contest(now, request),
+        };
+        out.push(Command::LogRouting { ticket, decision });
+        let refusal = Refusal::not_run(Reason::Overload)
+            .with_retry_after(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+        self.refuse(now, ticket, refusal, out);
+    }
+
     /// Returns whether a prompt waits for slots that others use now, not for engines to come back.
     pub(super) fn awaits_turnover(&self, now: Time, request: &Request) -> bool {
         let open = self
@@ -180,16 +226,30 @@
         let request = &self.requests[&ticket];
         if let Some(route) = request.route {
             let service = request.service;
+            self.counters.kinds[KindCounters::index(route.kind)].started += 1;
             let state = self.service_state(service);
             state.demand.record_start(now, route.kind);
         }
     }
 
+    /// Counts a request that is queued because it is held back.
+    pub(super) fn count_held(&mut self, ticket: Ticket, log: &Command) {
+        let request = self.requests.get(&ticket);
+        let queued = request.is_some_and(|request| request.stage == Stage::Queued);
+        if let Command::LogRouting { decision, .. } = log
+            && let Some(contest) = decision.contest.filter(|_| queued)
+            && contest.held_for.is_some()
+        {
+            self.counters.kinds[KindCounters::index(contest.rank)].held += 1;
+        }
+    }
+
     /// Records the arrival of a request.
     pub(super) fn record_demand(&mut self, now: Time, ticket: Ticket) {
         let request = &self.requests[&ticket];
         if let Some(route) = request.route {
             let (service, tenant) = (request.service, request.tenant);
+            self.counters.kinds[KindCounters::index(route.kind)].arrived += 1;
             let demand = &mut self.service_state(service).demand;
             demand.record_arrival(now, route.kind, route.objective);
             if let Some(tenant) = tenant {
@@ -206,6 +266,7 @@
         };
         if let Some(route) = request.route {
             let service = request.service;
+            self.counters.kinds[KindCounters::index(route.kind)].no_room += 1;
             let state = self.service_state(service);
             state.demand.record_refusal(now, route.kind);
         }
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -50,6 +50,7 @@
             (RegionChoice::Local, Some(vm)) => self.forward(now, ticket, vm, out),
             (RegionChoice::Local, None) => {
                 self.enqueue(now, ticket, out);
+                self.count_held(ticket, &log);
                 let request = self.requests.get(&ticket);
                 if request.is_some_and(|request| request.stage == Stage::Queued) {
                     out.push(log);
@@ -103,6 +104,7 @@
         if local_node.is_some() {
             local.possible = true;
             local.wait = self.regional_wait(now, request.service);
+            local.penalty = Duration::ZERO;
         }
         // No other region is faster than this one without a wait. A forwarded request is not
         // forwarded again.
@@ -139,12 +141,13 @@
             best,
             age: received.map_or(Duration::ZERO, |received| now.since(received)),
             choice,
+            contest: self.contest(now, request),
         };
         (decision, local_node)
     }
 
     /// Returns the properties of a request that decide its region.
-    fn routing_request(&self, now: Time, request: &Request) -> RoutingRequest {
+    pub(super) fn routing_request(&self, now: Time, request: &Request) -> RoutingRequest {
         let weight = self
             .bundle
             .as_ref()
@@ -212,6 +215,7 @@
             Some(chosen) => LocalView {
                 possible: true,
                 wait: chosen.delay.saturating_sub(unqueued) + self.slot_wait(now, request),
+                penalty: self.refusal_penalty(request, chosen.penalty),
             },
             None => self.local_view(now, request),
         }
@@ -229,6 +233,7 @@
         LocalView {
             possible: self.possible_here(request),
             wait: self.local_wait(now, request),
+            penalty: Duration::ZERO,
         }
     }
 
--- a/crates/seam-core/src/spill.rs
+++ b/crates/seam-core/src/spill.rs
@@ -6,6 +6,8 @@
 
 use seam_protocol::{RegionId, ServiceId, Time};
 
+use crate::admission::Contest;
+
 /// Factor on the threshold for sending requests to another region while a service's requests are
 /// sent there, for hysteresis.
 const RETURN_THRESHOLD_FACTOR: f64 = 0.7;
@@ -21,6 +23,9 @@
     pub possible: bool,
     /// Predicted wait for a slot.
     pub wait: Duration,
+    /// Part of the wait that does not delay the request, but makes a region with many requests less
+    /// preferred.
+    pub penalty: Duration,
 }
 
 /// State of another region for a request.
@@ -86,6 +91,8 @@
     pub age: Duration,
     /// The decision. `Local` means that the request waits for a slot here.
     pub choice: RegionChoice,
+    /// What it competes with, if it competes for engines.
+    pub contest: Option<Contest>,
 }
 
 /// State of region selection: the services whose requests are sent to other regions, and the
@@ -147,8 +154,8 @@
     ///     wait: Duration::ZERO,
     ///     free: 3,
     /// };
-    /// let idle = LocalView { possible: true, wait: Duration::ZERO };
-    /// let busy = LocalView { possible: true, wait: Duration::from_secs(1) };
+    /// let idle = LocalView { possible: true, wait: Duration::ZERO, penalty: Duration::ZERO };
+    /// let busy = LocalView { wait: Duration::from_secs(1), ..idle };
     /// let mut spill = Spill::default();
     /// assert_eq!(spill.choose(request, idle, &[remote]), RegionChoice::Local);
     /// assert_eq!(spill.choose(request, busy, &[remote]), RegionChoice::Remote(RegionId(2)));
@@ -164,7 +171,8 @@
             .filter(|remote| remote.free > 0 || remote.wait > Duration::ZERO)
             .filter(|remote| remote.round_trip + remote.wait + request.expected <= request.budget)
             .min_by_key(|remote| remote.cost());
-        let fits = local.possible && local.wait + request.expected <= request.budget;
+        let delay = local.wait.saturating_sub(local.penalty);
+        let fits = local.possible && delay + request.expected <= request.budget;
         let Some(best) = best else {
             let wait = local.possible.then_some(local.wait);
             return if fits {
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -62,6 +62,8 @@
     pub copy_from: Option<TargetKey>,
     /// Predicted time to the first token at an engine, plus the penalty for its load.
     pub delay: Duration,
+    /// The penalty in `delay`.
+    pub penalty: Duration,
     /// Estimates by which the target was chosen.
     pub estimate: TargetEstimate,
 }
@@ -75,6 +77,7 @@
             work: PromptWork::default(),
             copy_from: None,
             delay: Duration::ZERO,
+            penalty: Duration::ZERO,
             estimate: TargetEstimate::default(),
         }
     }
@@ -147,6 +150,7 @@
             work,
             copy_from: None,
             delay: Duration::ZERO,
+            penalty: Duration::ZERO,
             estimate,
         }
     }
@@ -339,6 +343,7 @@
         let chosen = TargetChoice {
             copy_from,
             delay: Duration::from_secs_f64(delay_ms / 1000.0),
+            penalty: Duration::from_secs_f64(load_penalty / 1000.0),
             ..self.chosen(now, key, work)
         };
         EngineCost { chosen, total }
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -172,8 +172,11 @@
             request,
             local,
             best,
+            contest,
             ..
         } = decision;
+        let pressure = contest.map(|contest| contest.pressure).unwrap_or_default();
+        let percent = |part: f64| (part * 100.0).round() as u64;
         let choice = match decision.choice {
             RegionChoice::Local => "waits here",
             RegionChoice::Remote(_) => "other region",
@@ -187,7 +190,13 @@
             limit_ms = millis(request.budget),
             other:% = best.map_or_else(String::new, |best| best.region.to_string()),
             other_wait_ms = best.map_or(0, |best| millis(best.round_trip + best.wait)),
-            other_age_ms = millis(decision.age), age_ms = self.age();
+            other_age_ms = millis(decision.age),
+            rank = contest.map_or(0, |contest| contest.rank),
+            held_for = contest.and_then(|contest| contest.held_for).map_or_else(Value::null, Value::from),
+            excess = contest.is_some_and(|contest| contest.excess),
+            room = contest.map_or("", |contest| contest.room.name()),
+            urgent_wait_ms = millis(pressure.wait), slots_percent = percent(pressure.slots),
+            memory_percent = percent(pressure.memory), age_ms = self.age();
             "placed"
         );
     }
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -76,6 +76,7 @@
     store_revision: Gauge<u64>,
     items_epoch: Gauge<u64>,
     events: Gauge<u64>,
+    ranks: Gauge<u64>,
     bounds: Gauge<u64>,
     denied: Gauge<u64>,
     unread: Gauge<u64>,
@@ -161,6 +162,7 @@
                 "confirmed contradictions between the store and what nodes knew",
             ),
             events: gauge("seam_events", "events since boot, by kind"),
+            ranks: gauge("seam_ranks", "requests since boot, by rank of their routes"),
             bounds: gauge(
                 "seam_bounds_exceeded",
                 "times that a machine sent more than a bound, by bound",
@@ -241,6 +243,17 @@
         ] {
             self.events.record(count, &[KeyValue::new("kind", kind)]);
         }
+        for (rank, kind) in (0_i64..).zip(&counters.kinds) {
+            for (event, count) in [
+                ("arrived", kind.arrived),
+                ("held", kind.held),
+                ("started", kind.started),
+                ("no_room", kind.no_room),
+            ] {
+                let labels = [KeyValue::new("rank", rank), KeyValue::new("event", event)];
+                self.ranks.record(count, &labels);
+            }
+        }
         for (bound, count) in exceeded() {
             let label = [KeyValue::new("bound", bound.name())];
             self.bounds.record(count, &label);
