competition: a rank that was served before starves for a shorter time

Change: they halve within 8 s. The new test least_kept checks the quarter after 25 s of overload; before that the ratio counts what was served earlier.

--- a/crates/seam-core/src/admission.rs
+++ b/crates/seam-core/src/admission.rs
@@ -14,7 +14,7 @@
 /// Time for which a rank counts as asked for after its last request.
 const RECENT: Duration = Duration::from_secs(10);
 /// Time in which the weight of an arrival or a refusal halves.
-const HALF_LIFE: Duration = Duration::from_secs(15);
+const HALF_LIFE: Duration = Duration::from_secs(8);
 /// The same time for the usual load of a tenant, several times as long as surges last.
 const USUAL_HALF_LIFE: Duration = Duration::from_secs(60);
 /// Fraction of its objective that an engine's queued prefill may take before a tenant's prompt waits in
--- a/crates/seam-core/tests/competing_kinds.rs
+++ b/crates/seam-core/tests/competing_kinds.rs
@@ -38,3 +38,27 @@
     assert!(urgent >= 0.95, "in time: {urgent}");
     assert!(other >= 0.45, "in time: {other}");
 }
+
+#[test]
+fn least_kept() {
+    // The most urgent kind alone asks for twice what the engines serve. The least urgent one must not
+    // starve: it keeps a quarter of the service ratio of all.
+    let (mut engines, mut load) = warm_engines();
+    load.rates = [100.0, 0.0, 20.0];
+    // What was served before counts for a time.
+    engines.run(Duration::from_secs(25), |engines| load.arrive(engines));
+    let begin = engines.fleet.now;
+    engines.run(Duration::from_secs(30), |engines| load.arrive(engines));
+    let end = engines.fleet.now;
+    engines.run(Duration::from_secs(8), |_| {});
+    let served = |kind: u8| {
+        let samples = engines.samples_of(kind, begin, end);
+        let served = samples.iter().filter(|sample| sample.refused.is_none());
+        (served.count() as f64, samples.len() as f64)
+    };
+    let (urgent, least) = (served(0), served(2));
+    let all = (urgent.0 + least.0) / (urgent.1 + least.1);
+    let ratio = least.0 / least.1;
+    assert!(ratio >= all / 4.0, "{ratio} of {all}");
+    assert!(urgent.0 / urgent.1 >= ratio, "{urgent:?} {least:?}");
+}
