--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -11,6 +11,7 @@
 use super::admit::TRANSIENT_RETRY_AFTER;
 use super::dispatch::{MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use super::summaries::{WAIT_NO_TARGET, ample_slots};
+use crate::admission::time_limit;
 use crate::command::Command;
 use crate::handle::Ticket;
 use crate::peers::Peer;
@@ -19,9 +20,6 @@
 use crate::spill::{LocalView, RegionChoice, RemoteView, RoutingDecision, RoutingRequest};
 use crate::targets::{NodeSubset, TargetQuery, service_nodes};
 
-/// Multiple of a request's latency objective beyond which its predicted response counts as late.
-/// The margin above 1 allows for prediction error.
-const LATE_FACTOR: f64 = 1.25;
 /// Longest predicted wait at which a region accepts forwarded requests that the sender's region is
 /// allowed to serve itself.
 const MAX_SPILL_WAIT: Duration = Duration::from_millis(200);
@@ -52,6 +50,7 @@
             (RegionChoice::Local, Some(vm)) => self.forward(now, ticket, vm, out),
             (RegionChoice::Local, None) => {
                 self.enqueue(now, ticket, out);
+                self.count_held(ticket, &log);
                 let request = self.requests.get(&ticket);
                 if request.is_some_and(|request| request.stage == Stage::Queued) {
                     out.push(log);
@@ -106,6 +105,7 @@
         if local_node.is_some() {
             local.possible = true;
             local.wait = self.regional_wait(now, request.service);
+            local.penalty = Duration::ZERO;
         }
         // No other region is faster than this one without a wait. A forwarded request is not
         // forwarded again.
@@ -142,12 +142,13 @@
             best,
             age: received.map_or(Duration::ZERO, |received| now.since(received)),
             choice,
+            contest: self.contest(now, request),
         };
         (decision, local_node)
     }
 
     /// Returns the properties of a request that decide its region.
-    fn routing_request(&self, now: Time, request: &Request) -> RoutingRequest {
+    pub(super) fn routing_request(&self, now: Time, request: &Request) -> RoutingRequest {
         let weight = self
             .bundle
             .as_ref()
@@ -157,7 +158,15 @@
             class.objective.saturating_sub(now.since(request.arrived))
         });
         let late_after = match request.route {
-            Some(class) => budget.min(class.objective.mul_f64(LATE_FACTOR)),
+            Some(class) => {
+                let room = self.room(now, request);
+                time_limit(
+                    room,
+                    class.objective,
+                    self.counted_age(now, request),
+                    budget,
+                )
+            }
             None => budget,
         };
         RoutingRequest {
@@ -195,6 +204,7 @@
                     prompt: Some(&prompt),
                     just_booted: self.just_booted(now),
                     version: request.version(),
+                    reserve: self.reserve(now, request),
                     ..TargetQuery::default()
                 };
                 self.choose(now, service, query)
@@ -206,6 +216,7 @@
             Some(chosen) => LocalView {
                 possible: true,
                 wait: chosen.delay.saturating_sub(unqueued) + self.slot_wait(now, request),
+                penalty: self.refusal_penalty(request, chosen.penalty),
             },
             None => self.local_view(now, request),
         }
@@ -223,6 +234,7 @@
         LocalView {
             possible: self.possible_here(request),
             wait: self.local_wait(now, request),
+            penalty: Duration::ZERO,
         }
     }
 
@@ -308,6 +320,7 @@
         let (service, version) = (request.service, request.version());
         let slot_wait = self.slot_wait(now, request);
         let wait = match request.prompt {
+            Some(_) if self.awaits_turnover(now, request) => self.turnover_wait(now, request),
             Some(_) => self.prompt_wait(now, service, version) + slot_wait,
             None => {
                 let (_, queued) = self.regional_load(now, service);
@@ -338,8 +351,8 @@
         let Some(state) = self.service_states.get(&request.service) else {
             return Duration::ZERO;
         };
-        let weight = self.weight(request);
-        let ahead = state.queue.ahead(self.flow(request.customer), weight);
+        let weight = self.weight(now, request);
+        let ahead = state.queue.ahead(self.flow_key(now, request), weight);
         let free = slots.saturating_sub(state.queue.running());
         if ahead < free as usize {
             return Duration::ZERO;
@@ -359,8 +372,15 @@
     }
 
     /// Returns the fair-queueing weight of a request. Each priority level doubles it.
-    pub(super) fn weight(&self, request: &Request) -> u64 {
+    /// A tenant's weight is its usual load.
+    pub(super) fn weight(&self, now: Time, request: &Request) -> u64 {
         const MAX_PRIORITY: u8 = 3;
+        let state = self.service_states.get(&request.service);
+        if let Some((tenant, route)) = request.tenant.zip(request.route) {
+            return state.map_or(1, |state| {
+                state.demand.tenant_weight(now, tenant, route.rank)
+            });
+        }
         self.bundle
             .as_ref()
             .and_then(|bundle| bundle.customers.get(&request.customer))
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -9,6 +9,7 @@
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
 use super::{EngineModel, Phase, PromptWork, Targets};
+use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
 use crate::prompt::Prompt;
@@ -35,6 +36,8 @@
     pub heavy: &'a [(CustomerId, f64)],
     /// Version of the software that alone may go on with its stream.
     pub version: Option<VersionId>,
+    /// What it leaves to more urgent requests.
+    pub reserve: Option<Reserve>,
 }
 
 /// Estimates by which a target was chosen, for the log.
@@ -59,6 +62,8 @@
     pub copy_from: Option<TargetKey>,
     /// Predicted time to the first token at an engine, plus the penalty for its load.
     pub delay: Duration,
+    /// The penalty in `delay`.
+    pub penalty: Duration,
     /// Estimates by which the target was chosen.
     pub estimate: TargetEstimate,
 }
@@ -72,6 +77,7 @@
             work: PromptWork::default(),
             copy_from: None,
             delay: Duration::ZERO,
+            penalty: Duration::ZERO,
             estimate: TargetEstimate::default(),
         }
     }
@@ -105,6 +111,11 @@
             .for_service(service)
             .filter(|(_, state)| state.serves(query.version))
             .filter(|(key, _)| self.accepts(now, *key, heavy))
+            .filter(|(_, state)| {
+                let tokens = query.prompt.map_or(0, Prompt::peak_tokens);
+                let reserve = query.reserve.as_ref();
+                reserve.is_none_or(|reserve| state.leaves(now, reserve, tokens))
+            })
             .filter(|(_, state)| query.suspect.is_none() || state.suspects == 0)
             .map(|(key, _)| key)
             .collect();
@@ -139,6 +150,7 @@
             work,
             copy_from: None,
             delay: Duration::ZERO,
+            penalty: Duration::ZERO,
             estimate,
         }
     }
@@ -331,6 +343,7 @@
         let chosen = TargetChoice {
             copy_from,
             delay: Duration::from_secs_f64(delay_ms / 1000.0),
+            penalty: Duration::from_secs_f64(load_penalty / 1000.0),
             ..self.chosen(now, key, work)
         };
         EngineCost { chosen, total }
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -523,6 +523,7 @@
             pause: Duration::ZERO,
             max_attempts: attempts,
             rank: 0,
+            kind: 0,
             streams: service == ENGINE,
             resumable: route == "hint",
         }),
--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -80,6 +80,7 @@
         pause: Duration::ZERO,
         max_attempts: u32::from(route.attempts),
         rank: route.rank,
+        kind: route.rank,
         streams: false,
         resumable: false,
     }
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -175,6 +175,7 @@
         rank: tenant
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.rank),
+        kind: route.rank,
         streams: route.streams,
         resumable: route.streams && route.retry_policy == RetryPolicy::Resumable,
     }
