--- /dev/null
+++ b/crates/seam-core/src/allowance/balance.rs
@@ -0,0 +1,370 @@
+//! The tokens that this node holds for one tenant, and the requests that wait for more.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use seam_protocol::Time;
+
+use super::{GRANT_LIFETIME, MAX_WAIT, Terms};
+use crate::handle::Ticket;
+
+/// Time constant of the measured demand.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+/// Time of demand that a node asks for ahead.
+const AHEAD: Duration = Duration::from_millis(800);
+/// Requests of usual cost that a node with little demand holds tokens for.
+const STANDING_REQUESTS: f64 = 2.0;
+/// Fraction of the burst that all nodes together may hold for little demand.
+const STANDING_FRACTION: f64 = 0.5;
+/// Remaining time at which unused tokens are returned, before they would expire.
+const RETURN_AGE: Duration = Duration::from_millis(300);
+/// Remaining time up to which tokens count half, as they will not be there after the next report.
+const AGING: Duration = Duration::from_millis(600);
+/// Time after which an unanswered question is asked again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after the last request at which the state of a tenant is dropped.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of requests of a tenant that wait at one node.
+const MAX_WAITING: usize = 1024;
+
+/// Tokens that may be used for some time.
+#[derive(Clone, Copy, Debug)]
+struct Tokens {
+    tokens: f64,
+    until: Time,
+}
+
+/// A request that waits for tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// The request.
+    pub ticket: Ticket,
+    /// Tokens that it costs.
+    pub cost: f64,
+    /// When it is refused.
+    pub until: Time,
+}
+
+/// This node's own share of an allowance while it is not lent.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnShare {
+    /// The share.
+    pub share: f64,
+    /// Since when it has not been lent.
+    pub since: Time,
+}
+
+/// What a node asks for and returns.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Tokens that it needs beyond those that it holds.
+    pub tokens: f64,
+    /// Tokens that it removed from its balance.
+    pub returned: f64,
+}
+
+/// Decision on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Its tokens are taken.
+    Admit,
+    /// It waits for tokens.
+    Wait,
+    /// There are no tokens for it before this time has passed.
+    Refuse(Duration),
+}
+
+/// The state of one tenant at this node.
+#[derive(Clone, Debug)]
+pub struct Balance {
+    /// Granted tokens, in order of their end.
+    grants: VecDeque<Tokens>,
+    /// Bucket of the own share, with the time for which it holds.
+    own: Option<(f64, Time)>,
+    /// Decaying sums of the costs and the number of arrived requests.
+    costs: f64,
+    requests: f64,
+    measured: Time,
+    last_arrival: Time,
+    waiting: VecDeque<Waiting>,
+    /// Unanswered questions: when each was asked, and the tokens.
+    asked: VecDeque<(Time, f64)>,
+    /// Tokens that the last answer lacked, when it arrived, and after what time they are there.
+    lacking: Option<(f64, Time, Duration)>,
+}
+
+impl Balance {
+    /// Creates an empty balance.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Self {
+            grants: VecDeque::new(),
+            own: None,
+            costs: 0.0,
+            requests: 0.0,
+            measured: now,
+            last_arrival: now,
+            waiting: VecDeque::new(),
+            asked: VecDeque::new(),
+            lacking: None,
+        }
+    }
+
+    fn decay(&mut self, now: Time) {
+        let factor = (-now.since(self.measured).as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp();
+        self.costs *= factor;
+        self.requests *= factor;
+        self.measured = now;
+    }
+
+    fn granted(&mut self, now: Time) -> f64 {
+        self.grants
+            .retain(|grant| grant.until > now && grant.tokens > 0.0);
+        self.grants.iter().map(|grant| grant.tokens).sum()
+    }
+
+    /// Returns the tokens of the own share.
+    fn own(&self, now: Time, terms: Terms, own: Option<OwnShare>) -> f64 {
+        let Some(own) = own else {
+            return 0.0;
+        };
+        let (tokens, at) = self.own.map_or((0.0, own.since), |(tokens, at)| {
+            if at < own.since {
+                (0.0, own.since)
+            } else {
+                (tokens, at)
+            }
+        });
+        let earned = now.since(at).as_secs_f64() * terms.rate * own.share;
+        (tokens + earned).min(terms.burst * own.share)
+    }
+
+    /// Returns the tokens that this node holds.
+    pub fn held(&mut self, now: Time, terms: Terms, own: Option<OwnShare>) -> f64 {
+        self.granted(now) + self.own(now, terms, own)
+    }
+
+    /// Takes tokens, granted ones first, if there are enough.
+    fn take(&mut self, now: Time, cost: f64, terms: Terms, own: Option<OwnShare>) -> bool {
+        /// Rounding of the tokens in messages.
+        const ROUNDING: f64 = 1e-6;
+        let owned = self.own(now, terms, own);
+        if self.granted(now) + owned < cost * (1.0 - ROUNDING) {
+            return false;
+        }
+        let mut rest = cost;
+        for grant in &mut self.grants {
+            let used = grant.tokens.min(rest);
+            grant.tokens -= used;
+            rest -= used;
+        }
+        if own.is_some() {
+            self.own = Some(((owned - rest).max(0.0), now));
+        }
+        true
+    }
+
+    /// Decides on a request that has arrived, and keeps it if it waits. `left` is the time until its deadline.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use seam_core::Ticket;
+    /// use seam_core::allowance::{Terms, balance::{Balance, Decision}};
+    /// use seam_protocol::Time;
+    /// let mut balance = Balance::new(Time(0));
+    /// let terms = Terms { rate: 100.0, burst: 100.0 };
+    /// balance.accept(Time(10), Time(0), (50.0, Duration::ZERO));
+    /// let mut admit = |ticket| {
+    ///     balance.admit(Time(10), (Ticket(ticket), 30.0), Duration::from_secs(1), terms, None)
+    /// };
+    /// assert_eq!(admit(1), Decision::Admit);
+    /// assert_eq!(admit(2), Decision::Wait);
+    /// ```
+    pub fn admit(
+        &mut self,
+        now: Time,
+        (ticket, cost): (Ticket, f64),
+        left: Duration,
+        terms: Terms,
+        own: Option<OwnShare>,
+    ) -> Decision {
+        self.decay(now);
+        self.costs += cost;
+        self.requests += 1.0;
+        self.last_arrival = now;
+        if self.waiting.is_empty() && self.take(now, cost, terms, own) {
+            return Decision::Admit;
+        }
+        let wait = self.wait(now, cost, terms, own);
+        let left = left.min(MAX_WAIT);
+        if wait > left || self.waiting.len() >= MAX_WAITING {
+            return Decision::Refuse(wait);
+        }
+        let until = now + left;
+        self.waiting.push_back(Waiting {
+            ticket,
+            cost,
+            until,
+        });
+        Decision::Wait
+    }
+
+    /// Returns the time after which a request would have its tokens, as far as is known.
+    pub fn wait(&mut self, now: Time, cost: f64, terms: Terms, own: Option<OwnShare>) -> Duration {
+        const MAX_WAIT_S: f64 = 60.0;
+        let before: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
+        let needed = (cost + before - self.held(now, terms, own)).max(0.0);
+        if let Some(own) = own {
+            let rate = (terms.rate * own.share).max(f64::MIN_POSITIVE);
+            return Duration::from_secs_f64((needed / rate).min(MAX_WAIT_S));
+        }
+        let Some((tokens, at, wait)) = self.lacking else {
+            return Duration::ZERO;
+        };
+        // The answer may be older than the tokens that were returned since.
+        if now.since(at) >= GRANT_LIFETIME.max(wait) {
+            return Duration::ZERO;
+        }
+        let per_token = wait.as_secs_f64() / tokens.max(1.0);
+        let first = Duration::from_secs_f64((needed * per_token).min(MAX_WAIT_S));
+        first.saturating_sub(now.since(at))
+    }
+
+    /// Takes the tokens of the first waiting request and returns it, or returns it with the time after which to
+    /// retry if there are none in time.
+    pub fn next(
+        &mut self,
+        now: Time,
+        terms: Terms,
+        own: Option<OwnShare>,
+    ) -> Option<(Waiting, Option<Duration>)> {
+        let first = *self.waiting.front()?;
+        if self.take(now, first.cost, terms, own) {
+            self.waiting.pop_front();
+            return Some((first, None));
+        }
+        let rest = std::mem::take(&mut self.waiting);
+        let wait = self.wait(now, first.cost, terms, own);
+        self.waiting = rest;
+        if now < first.until && now + wait <= first.until {
+            return None;
+        }
+        self.waiting.pop_front();
+        Some((first, Some(wait)))
+    }
+
+    /// Removes and returns the first waiting request.
+    pub fn pop_waiting(&mut self) -> Option<Waiting> {
+        self.waiting.pop_front()
+    }
+
+    /// Removes a request that no longer waits.
+    pub fn remove_waiting(&mut self, ticket: Ticket) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Puts back the tokens of a request that did not run.
+    pub fn refund(&mut self, now: Time, cost: f64) {
+        let until = now + GRANT_LIFETIME;
+        self.grants.push_back(Tokens {
+            tokens: cost,
+            until,
+        });
+    }
+
+    /// Returns what to ask for at `sent`. A regular report also returns unused tokens and asks ahead of demand,
+    /// of which a node with little demand may hold `1 / known` of a part of the burst.
+    pub fn ask(&mut self, sent: Time, terms: Terms, known: usize, regular: bool) -> Ask {
+        self.decay(sent);
+        let mut returned = 0.0;
+        if regular && self.waiting.is_empty() {
+            for grant in &mut self.grants {
+                if grant.until.since(sent) < RETURN_AGE {
+                    returned += std::mem::take(&mut grant.tokens);
+                }
+            }
+        }
+        let mut held = self.granted(sent);
+        if regular {
+            let old = self
+                .grants
+                .iter()
+                .filter(|grant| grant.until.since(sent) < AGING);
+            held -= old.map(|grant| grant.tokens).sum::<f64>() / 2.0;
+        }
+        self.asked
+            .retain(|(asked, _)| sent.since(*asked) < ANSWER_TIMEOUT);
+        held += self.asked.iter().map(|(_, tokens)| tokens).sum::<f64>();
+        let waiting: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
+        let target = waiting + self.ahead(terms, known);
+        // Small amounts wait for the next regular report.
+        let due = regular || waiting > held;
+        let tokens = if due { (target - held).max(0.0) } else { 0.0 };
+        if tokens > 0.0 {
+            self.asked.push_back((sent, tokens));
+        }
+        if regular && self.waiting.is_empty() {
+            returned += self.take_excess(target, sent);
+        }
+        Ask { tokens, returned }
+    }
+
+    /// Removes and returns the tokens beyond twice the wanted number, the oldest first.
+    fn take_excess(&mut self, target: f64, now: Time) -> f64 {
+        const EXCESS: f64 = 2.0;
+        let mut excess = self.granted(now) - EXCESS * target;
+        let mut taken = 0.0;
+        for grant in &mut self.grants {
+            let used = grant.tokens.min(excess).max(0.0);
+            grant.tokens -= used;
+            excess -= used;
+            taken += used;
+        }
+        taken
+    }
+
+    /// Returns the tokens to hold for requests that have not arrived.
+    fn ahead(&self, terms: Terms, known: usize) -> f64 {
+        if self.requests < 0.05 {
+            return 0.0;
+        }
+        let ahead = self.costs * AHEAD.as_secs_f64() / DEMAND_TIME.as_secs_f64();
+        let usual = self.costs / self.requests;
+        let most = STANDING_FRACTION * terms.burst / known.max(1) as f64;
+        let standing = (STANDING_REQUESTS * usual).min(most);
+        let standing = if standing < usual { 0.0 } else { standing };
+        let ahead = if ahead < usual { 0.0 } else { ahead };
+        ahead.max(standing)
+    }
+
+    /// Accepts the answer to what was asked at a time: tokens, and the time until there are as many as asked.
+    pub fn accept(&mut self, now: Time, asked: Time, (tokens, wait): (f64, Duration)) {
+        let until = asked + GRANT_LIFETIME;
+        let question = self.asked.iter().find(|(time, _)| *time == asked);
+        let question = question.map(|(_, tokens)| *tokens);
+        self.asked.retain(|(time, _)| *time != asked);
+        if until > now && tokens.is_finite() && tokens > 0.0 {
+            self.grants.push_back(Tokens { tokens, until });
+            self.grants
+                .make_contiguous()
+                .sort_by_key(|grant| grant.until);
+        }
+        if wait.is_zero() {
+            self.lacking = None;
+        } else if let Some(question) = question {
+            self.lacking = Some((question - tokens, now, wait));
+        }
+    }
+
+    /// Returns whether nothing of it is needed any more.
+    #[must_use]
+    pub fn idle(&self, now: Time) -> bool {
+        self.waiting.is_empty() && now.since(self.last_arrival) >= IDLE_TIME
+    }
+}
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use seam_protocol::{Heartbeat, ServiceId, StoredResponse, TargetId, VersionId, VmId};
+use seam_protocol::{Heartbeat, ServiceId, StoredResponse, TargetId, TenantId, VersionId, VmId};
 
 use crate::arrival::Hop;
 use crate::audit::Audit;
@@ -89,6 +89,35 @@
     pub other: u32,
 }
 
+/// What a node decided about the allowances of tenants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AllowanceEvent {
+    /// A request is refused.
+    Refused {
+        /// The request.
+        ticket: Ticket,
+        /// Its tenant.
+        tenant: TenantId,
+        /// Tokens that it costs.
+        cost: f64,
+        /// Tokens that this node holds for the tenant.
+        held: f64,
+        /// Coordinator that was asked last.
+        coordinator: Option<VmId>,
+        /// Time after which there are enough.
+        wait: Duration,
+    },
+    /// Another coordinator is asked from now on.
+    Coordinator {
+        /// The one before.
+        from: Option<VmId>,
+        /// The new one.
+        to: VmId,
+        /// This node's share of each allowance.
+        share: f64,
+    },
+}
+
 /// An output of [`crate::Node::handle`].
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -243,6 +272,8 @@
     LogConfig(ConfigChange),
     /// Log that another node has other items than this one at the same revision.
     LogDifference(ItemDifference),
+    /// Log a decision about the allowances of tenants.
+    LogAllowance(AllowanceEvent),
     /// Log what the store's answers say about what this node knew.
     LogStore(StoreChange),
     /// Append an entry to the audit trail.
--- a/crates/seam-core/src/lib.rs
+++ b/crates/seam-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! appends [`Command`]s for adapters to execute. [`Node`] holds all state, so any program that
 //! supplies events and times can run a whole fleet.
 
+pub mod allowance;
 pub mod arrival;
 pub mod audit;
 pub mod catalogue;
@@ -41,6 +42,7 @@
 pub use config_version::{ConfigStamp, ConfigVersion};
 pub use event::{AttemptOutcome, Event};
 pub use handle::{AttemptKey, TargetKey, Ticket};
+pub use node::allowances::AllowanceStatus;
 pub use node::directory::{DirectoryAnswer, NamedRegions};
 pub use node::{Identity, Node};
 pub use prompt::Prompt;
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -1,6 +1,7 @@
 //! The decision state of one node, and the entry point through which events change it.
 
 mod admit;
+pub(crate) mod allowances;
 mod attempts;
 mod brittle;
 mod cold;
@@ -255,6 +256,7 @@
     pub(crate) last_refresh: Time,
     pub(crate) service_states: BTreeMap<ServiceId, ServiceState>,
     pub(crate) limits: Limits,
+    pub(crate) allowances: allowances::Allowances,
     pub(crate) keys: KeyTable,
     /// Serial number of the last issued idempotency key.
     pub(crate) key_serial: u64,
@@ -340,6 +342,7 @@
             last_refresh: now,
             service_states: BTreeMap::new(),
             limits: Limits::default(),
+            allowances: allowances::Allowances::new(now),
             keys: KeyTable::default(),
             key_serial: 0,
             poison: PoisonTable::default(),
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -47,20 +47,27 @@
             self.refuse(now, arrival.ticket, refusal, out);
             return;
         }
-        match self.owner_of(arrival) {
+        if self.charge_tenant(now, arrival.ticket, out) {
+            self.enter(now, arrival.ticket, out);
+        }
+    }
+
+    /// Continues a request that was checked and charged to its tenant, at the owner of its key.
+    pub(super) fn enter(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+        match self.owner_of(&self.requests[&ticket]) {
             None => {
-                if self.find_origin(now, arrival.ticket, out) {
-                    self.charge(now, arrival.ticket, out);
+                if self.find_origin(now, ticket, out) {
+                    self.charge(now, ticket, out);
                 }
             }
-            Some(KeyOwner::ThisNode) => self.claim(now, arrival.ticket, out),
+            Some(KeyOwner::ThisNode) => self.claim(now, ticket, out),
             Some(KeyOwner::OtherNode(vm)) => {
-                self.request_mut(arrival.ticket).key_owner = Some(vm);
-                self.charge(now, arrival.ticket, out);
+                self.request_mut(ticket).key_owner = Some(vm);
+                self.charge(now, ticket, out);
             }
             Some(KeyOwner::Unavailable) => {
                 let refusal = Refusal::unknown(Reason::KeyOwner);
-                self.refuse(now, arrival.ticket, refusal, out);
+                self.refuse(now, ticket, refusal, out);
             }
         }
     }
@@ -194,13 +201,10 @@
     }
 
     /// Returns the owner of a request's key, `None` where no key applies.
-    fn owner_of(&self, arrival: &Arrival) -> Option<KeyOwner> {
+    fn owner_of(&self, request: &Request) -> Option<KeyOwner> {
         let bundle = self.bundle.as_ref()?;
-        if arrival.repeatable {
-            return None;
-        }
-        let owner = match arrival.key.as_ref()? {
-            IdempotencyKey::Issued(key) if key.customer != arrival.customer => {
+        let owner = match request.key.as_ref()? {
+            IdempotencyKey::Issued(key) if key.customer != request.customer => {
                 KeyOwner::Unavailable
             }
             IdempotencyKey::Issued(key) if key.vm == self.id.vm => {
@@ -210,13 +214,13 @@
                     KeyOwner::Unavailable
                 }
             }
-            IdempotencyKey::Issued(key) => self.other_owner(arrival, key.vm),
+            IdempotencyKey::Issued(key) => self.other_owner(request, key.vm),
             IdempotencyKey::Caller { digest, .. } => {
-                let service = bundle.services.get(&arrival.service)?;
-                let customer = bundle.customers.get(&arrival.customer)?;
+                let service = bundle.services.get(&request.service)?;
+                let customer = bundle.customers.get(&request.customer)?;
                 match caller_key_owner(bundle, service, customer, *digest) {
                     Some(vm) if vm == self.id.vm => KeyOwner::ThisNode,
-                    Some(vm) => self.other_owner(arrival, vm),
+                    Some(vm) => self.other_owner(request, vm),
                     None => KeyOwner::Unavailable,
                 }
             }
@@ -225,18 +229,18 @@
     }
 
     /// Returns another node as the owner, if the request may be forwarded to it.
-    fn other_owner(&self, arrival: &Arrival, vm: VmId) -> KeyOwner {
+    fn other_owner(&self, request: &Request, vm: VmId) -> KeyOwner {
         let Some(bundle) = &self.bundle else {
             return KeyOwner::Unavailable;
         };
         let specs = bundle
             .services
-            .get(&arrival.service)
-            .zip(bundle.customers.get(&arrival.customer));
+            .get(&request.service)
+            .zip(bundle.customers.get(&request.customer));
         let Some(((service, customer), region)) = specs.zip(self.regions.get(&vm)) else {
             return KeyOwner::Unavailable;
         };
-        let from_caller = arrival.origin == Origin::Caller;
+        let from_caller = !request.forwarded();
         if from_caller && bundle.allowed_regions(service, customer).contains(region) {
             KeyOwner::OtherNode(vm)
         } else {
--- a/crates/seam-core/src/node/finish.rs
+++ b/crates/seam-core/src/node/finish.rs
@@ -147,12 +147,26 @@
         };
         self.deadlines.remove(&(request.deadline, ticket));
         out.push(Command::Done(ticket));
+        if self.did_not_run(&request) {
+            self.allowances.refund(&request);
+        }
         if request.charged {
             self.limits.release(request.customer);
             self.freed_customers.insert(request.customer);
         }
     }
 
+    /// Returns whether a request that is removed is certain not to have run.
+    fn did_not_run(&self, request: &Request) -> bool {
+        let sending = match request.stage {
+            Stage::Running(key) | Stage::Forwarded(key) => {
+                self.attempts.get(&key).is_some_and(|attempt| attempt.sent)
+            }
+            _ => false,
+        };
+        request.runs == 0 && !request.maybe_ran && !sending
+    }
+
     /// Removes a request from the queue that it waits in, if any.
     pub(super) fn remove_from_queue(&mut self, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket).cloned() else {
@@ -166,6 +180,7 @@
                     .remove(flow, ticket);
             }
             Stage::Parked => self.limits.remove_parked(request.customer, ticket),
+            Stage::AwaitingTokens => self.allowances.remove_waiting(request.tenant, ticket),
             Stage::Joined => self.remove_key_waiter(&request, ticket),
             Stage::Asking => {
                 if let Some(stream) = request.stream {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -116,6 +116,7 @@
         }
         self.lend(now, heartbeat, out);
         self.accept_grants(now, heartbeat, out);
+        self.receive_allowances(now, heartbeat, effect.echo, out);
         if effect.members_changed {
             self.refresh_members(now);
         }
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -36,6 +36,7 @@
         if now.since(self.last_refresh) >= REFRESH_INTERVAL {
             self.refresh(now, out);
         }
+        self.tend_allowances(now, out);
         self.use_grants(now, out);
         self.unpark(now, out);
     }
--- a/crates/seam-core/src/request.rs
+++ b/crates/seam-core/src/request.rs
@@ -19,6 +19,8 @@
 pub enum Stage {
     /// It waits for a free concurrency unit of its customer.
     Parked,
+    /// It waits for tokens of its tenant's allowance.
+    AwaitingTokens,
     /// It waits for another request with the same key.
     Joined,
     /// It waits until other nodes say which version began its stream.
@@ -74,6 +76,8 @@
     pub stage: Stage,
     /// Whether it counts against its customer's concurrency at this node.
     pub charged: bool,
+    /// Tokens of its tenant's allowance that it took at this node.
+    pub paid: Option<f64>,
     /// Regions that refused or failed it.
     pub refused: BTreeSet<RegionId>,
     /// Nodes that could not take it: they reach no target for it, or have another revision of the
@@ -134,6 +138,7 @@
             hops,
             stage: Stage::Routing,
             charged: false,
+            paid: None,
             refused: BTreeSet::new(),
             tried: BTreeSet::new(),
             other_revision: false,
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -108,6 +108,7 @@
             | Command::FetchItems { .. }
             | Command::LogConfig(_)
             | Command::LogDifference(_)
+            | Command::LogAllowance(_)
             | Command::LogStore(_)
             | Command::Discard(_) => {}
         }
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! makes all decisions.
 
 pub mod admin;
+mod allowance_log;
 pub mod budget;
 pub mod clock;
 mod config_log;
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -17,6 +17,7 @@
 use seam_config::Settings;
 use seam_config::settings::Secrets;
 use seam_core::command::{OriginSource, Withheld};
+use seam_core::config_version::ConfigChange;
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
 use seam_core::targets::TargetEstimate;
@@ -28,6 +29,7 @@
     VersionId, VmId,
 };
 
+use crate::allowance_log;
 use crate::budget::ByteBudget;
 use crate::clock::Clock;
 use crate::config_log;
@@ -469,11 +471,9 @@
             | Command::FetchItems { .. }
             | Command::FetchManifest { .. }
             | Command::Order { .. } => self.enqueue(command),
-            Command::LogConfig(change) => {
-                self.metrics.config_changed(&change);
-                config_log::log_change(&change);
-            }
+            Command::LogConfig(change) => self.log_change(&change),
             Command::LogDifference(difference) => config_log::log_difference(&difference),
+            Command::LogAllowance(event) => allowance_log::log_event(&event),
             Command::LogStore(change) => {
                 self.metrics.store_changed(&change);
                 config_log::log_store(&change);
@@ -482,6 +482,11 @@
         }
     }
 
+    fn log_change(&self, change: &ConfigChange) {
+        self.metrics.config_changed(change);
+        config_log::log_change(change);
+    }
+
     fn cancel(&self, attempt: AttemptKey) {
         let attempts = lock(&self.attempts);
         let ticket = attempts.get(&attempt).copied();
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -280,6 +280,8 @@
     pub tenant: TenantId,
     /// Tokens that the sender needs beyond those that it holds.
     pub tokens: f32,
+    /// Unused tokens that the sender has removed from those that it holds.
+    pub returned: f32,
 }
 
 /// Tokens of a tenant's allowance for the receiver.
@@ -312,7 +314,7 @@
     /// Returns whether it says nothing.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.lease == 0 && self.requests.is_empty() && self.grants.is_empty()
+        self.lease == 0 && self.requests.is_empty() && self.requested_at == 0
     }
 }
 
