allowances: two coordinators, each with half of every share

Cause: the death of the only coordinator refused 11.6 % of the requests of 8 s at the usual rate. Change: each node lends half of its share to each of two coordinators and reports to them in turn.

--- a/crates/seam-core/src/allowance.rs
+++ b/crates/seam-core/src/allowance.rs
@@ -1,6 +1,6 @@
 //! Token quotas of tenants, enforced over the whole fleet without agreement between nodes.
 //!
-//! Each node has a fixed share of every allowance. It lends the share by a [`lease`] to one coordinator, which
+//! Each node has a fixed share of every allowance. It lends each half of it by a [`lease`] to a coordinator, which
 //! collects the lent shares in a [`pool`] and grants tokens from it. A node keeps granted tokens in a
 //! [`balance`] for each tenant whose requests it receives. A share is used by one node at a time, tokens are
 //! removed before they are sent, and what is lost in transit is lost. So the sum over all nodes stays within
@@ -14,11 +14,14 @@
 
 use seam_protocol::{Allowance, TenantBounds};
 
-/// Time for which a node lends its share with each report to the coordinator. It covers one lost report.
-pub const LEASE: Duration = Duration::from_millis(1200);
+/// Coordinators among which each node divides its share, so that the death of one leaves the other half.
+pub const COORDINATORS: usize = 2;
+/// Time for which a node lends a part of its share with each report. The coordinator counts it from its last
+/// answer, so it covers two reports to the same coordinator and a delay.
+pub const LEASE: Duration = Duration::from_millis(2300);
 /// Time for which granted tokens may be used, from when the node asked for them.
 pub const GRANT_LIFETIME: Duration = Duration::from_secs(1);
-/// Time between two reports to the coordinator.
+/// Time between two reports, which go to the coordinators in turn.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(450);
 /// Longest time that a request waits for tokens.
 pub const MAX_WAIT: Duration = Duration::from_millis(400);
--- a/crates/seam-core/src/allowance/balance.rs
+++ b/crates/seam-core/src/allowance/balance.rs
@@ -5,7 +5,7 @@
 
 use seam_protocol::Time;
 
-use super::{GRANT_LIFETIME, MAX_WAIT, Terms};
+use super::{COORDINATORS, GRANT_LIFETIME, MAX_WAIT, Terms};
 use crate::handle::Ticket;
 
 /// Time constant of the measured demand.
@@ -34,6 +34,26 @@
     until: Time,
 }
 
+/// Tokens that were asked for.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    time: Time,
+    /// Part of the share whose coordinator was asked.
+    part: usize,
+    tokens: f64,
+}
+
+/// Tokens that a coordinator does not have yet.
+#[derive(Clone, Copy, Debug)]
+struct Lacking {
+    /// When it said so.
+    at: Time,
+    /// When it is asked again.
+    until: Time,
+    /// Tokens per second that it expects to have.
+    rate: f64,
+}
+
 /// A request that waits for tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiting {
@@ -87,10 +107,10 @@
     measured: Time,
     last_arrival: Time,
     waiting: VecDeque<Waiting>,
-    /// Unanswered questions: when each was asked, and the tokens.
-    asked: VecDeque<(Time, f64)>,
-    /// Tokens that the last answer lacked, when it arrived, and after what time they are there.
-    lacking: Option<(f64, Time, Duration)>,
+    /// Unanswered questions.
+    asked: VecDeque<Question>,
+    /// What the last answer of each coordinator lacked.
+    lacking: [Option<Lacking>; COORDINATORS],
 }
 
 impl Balance {
@@ -106,7 +126,7 @@
             last_arrival: now,
             waiting: VecDeque::new(),
             asked: VecDeque::new(),
-            lacking: None,
+            lacking: [None; COORDINATORS],
         }
     }
 
@@ -209,25 +229,31 @@
         Decision::Wait
     }
 
-    /// Returns the time after which a request would have its tokens, as far as is known.
+    /// Returns the time after which a request would have its tokens, as far as is known: zero if a coordinator
+    /// may have them.
     pub fn wait(&mut self, now: Time, cost: f64, terms: Terms, own: Option<OwnShare>) -> Duration {
         const MAX_WAIT_S: f64 = 60.0;
         let before: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
-        let needed = (cost + before - self.held(now, terms, own)).max(0.0);
-        if let Some(own) = own {
-            let rate = (terms.rate * own.share).max(f64::MIN_POSITIVE);
-            return Duration::from_secs_f64((needed / rate).min(MAX_WAIT_S));
+        let mut needed = cost + before - self.held(now, terms, own);
+        let mut rate = own.map_or(0.0, |own| terms.rate * own.share);
+        for lacking in &self.lacking {
+            let Some(lacking) = lacking.filter(|lacking| now < lacking.until) else {
+                return Duration::ZERO;
+            };
+            rate += lacking.rate;
+            needed -= lacking.rate * now.since(lacking.at).as_secs_f64();
         }
-        let Some((tokens, at, wait)) = self.lacking else {
-            return Duration::ZERO;
-        };
-        // The answer may be older than the tokens that were returned since.
-        if now.since(at) >= GRANT_LIFETIME.max(wait) {
-            return Duration::ZERO;
-        }
-        let per_token = wait.as_secs_f64() / tokens.max(1.0);
-        let first = Duration::from_secs_f64((needed * per_token).min(MAX_WAIT_S));
-        first.saturating_sub(now.since(at))
+        let wait = needed.max(0.0) / rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(wait.min(MAX_WAIT_S))
+    }
+
+    /// Records that there is no coordinator for a part of the share.
+    pub fn note_absent(&mut self, now: Time, part: usize) {
+        self.lacking[part] = Some(Lacking {
+            at: now,
+            until: now + GRANT_LIFETIME,
+            rate: 0.0,
+        });
     }
 
     /// Takes the tokens of the first waiting request and returns it, or returns it with the time after which to
@@ -278,9 +304,15 @@
         });
     }
 
-    /// Returns what to ask for at `sent`. A regular report also returns unused tokens and asks ahead of demand,
+    /// Returns what to ask the coordinator of a part of the share for at `sent`. A regular report also returns unused tokens and asks ahead of demand,
     /// of which a node with little demand may hold `1 / known` of a part of the burst.
-    pub fn ask(&mut self, sent: Time, terms: Terms, known: usize, regular: bool) -> Ask {
+    pub fn ask(
+        &mut self,
+        (sent, part): (Time, usize),
+        terms: Terms,
+        known: usize,
+        regular: bool,
+    ) -> Ask {
         self.decay(sent);
         let mut returned = 0.0;
         if regular && self.waiting.is_empty() {
@@ -299,15 +331,20 @@
             held -= old.map(|grant| grant.tokens).sum::<f64>() / 2.0;
         }
         self.asked
-            .retain(|(asked, _)| sent.since(*asked) < ANSWER_TIMEOUT);
-        held += self.asked.iter().map(|(_, tokens)| tokens).sum::<f64>();
+            .retain(|question| sent.since(question.time) < ANSWER_TIMEOUT);
+        held += self
+            .asked
+            .iter()
+            .map(|question| question.tokens)
+            .sum::<f64>();
         let waiting: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
         let target = waiting + self.ahead(terms, known);
         // Small amounts wait for the next regular report.
         let due = regular || waiting > held;
         let tokens = if due { (target - held).max(0.0) } else { 0.0 };
         if tokens > 0.0 {
-            self.asked.push_back((sent, tokens));
+            let time = sent;
+            self.asked.push_back(Question { time, part, tokens });
         }
         if regular && self.waiting.is_empty() {
             returned += self.take_excess(target, sent);
@@ -346,19 +383,24 @@
     /// Accepts the answer to what was asked at a time: tokens, and the time until there are as many as asked.
     pub fn accept(&mut self, now: Time, asked: Time, (tokens, wait): (f64, Duration)) {
         let until = asked + GRANT_LIFETIME;
-        let question = self.asked.iter().find(|(time, _)| *time == asked);
-        let question = question.map(|(_, tokens)| *tokens);
-        self.asked.retain(|(time, _)| *time != asked);
-        if until > now && tokens.is_finite() && tokens > 0.0 {
+        let question = self
+            .asked
+            .iter()
+            .position(|question| question.time == asked);
+        let question = question.and_then(|index| self.asked.remove(index));
+        let tokens = if tokens.is_finite() { tokens } else { 0.0 };
+        if until > now && tokens > 0.0 {
             self.grants.push_back(Tokens { tokens, until });
-            self.grants
-                .make_contiguous()
-                .sort_by_key(|grant| grant.until);
+            let grants = self.grants.make_contiguous();
+            grants.sort_by_key(|grant| grant.until);
         }
-        if wait.is_zero() {
-            self.lacking = None;
-        } else if let Some(question) = question {
-            self.lacking = Some((question - tokens, now, wait));
+        if let Some(question) = question {
+            let missing = (question.tokens - tokens).max(0.0);
+            self.lacking[question.part] = (!wait.is_zero()).then(|| Lacking {
+                at: now,
+                until: now + wait.max(GRANT_LIFETIME),
+                rate: missing / wait.as_secs_f64(),
+            });
         }
     }
 
--- a/crates/seam-core/src/allowance/lease.rs
+++ b/crates/seam-core/src/allowance/lease.rs
@@ -1,18 +1,18 @@
-//! To which coordinator a node lends its share of the allowances, and whom it asks for tokens.
+//! To which coordinators a node lends the parts of its share of the allowances, and whom it asks for tokens.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use seam_protocol::id::weighted_rank;
+use seam_protocol::id::{rank, weighted_rank};
 use seam_protocol::{Incarnation, Time, Vm, VmId};
 
-use super::LEASE;
 use super::balance::OwnShare;
+use super::{COORDINATORS, LEASE};
 
-/// Time without an answer after which a node asks another coordinator. It covers one lost datagram.
-const ANSWER_LIMIT: Duration = Duration::from_millis(750);
+/// Time without an answer after which a node asks another coordinator. It covers two lost datagrams.
+const ANSWER_LIMIT: Duration = Duration::from_millis(650);
 /// Time after a start before the share is used: the lease of the previous process on the VM has ended then.
-const START_WAIT: Duration = Duration::from_millis(1250);
+const START_WAIT: Duration = Duration::from_millis(2350);
 /// Time after a start within which a node learns of the other nodes.
 const START_TIME: Duration = Duration::from_secs(10);
 /// Time for which the number of known nodes must not have grown within the [`START_TIME`].
@@ -25,28 +25,36 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Key of the rendezvous hashing.
 const RANK_KEY: u64 = 0x616c_6c6f_7761_6e63;
+/// Key by which nodes are assigned to the parts of the shares.
+const PART_KEY: u64 = 0x7061_7274;
 
-/// The lease of this node's share.
+/// The lease of a part of this node's share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Lent {
     to: (VmId, Incarnation),
     until: Time,
 }
 
-/// The share of this node, its lease and the choice of the coordinator.
-#[derive(Clone, Debug)]
-pub struct Lender {
-    boot: Time,
-    known: usize,
-    /// When the number of known nodes last grew.
-    grown: Time,
+/// A part of this node's share.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
     lent: Option<Lent>,
-    /// Since when the share has been this node's own.
+    /// Since when it has been this node's own.
     own_since: Time,
     /// Coordinator that was asked last.
     asked: Option<VmId>,
     /// First report to it without an answer.
     unanswered: Option<Time>,
+}
+
+/// The share of this node, its leases and the choice of the coordinators.
+#[derive(Clone, Debug)]
+pub struct Lender {
+    boot: Time,
+    known: usize,
+    /// When the number of known nodes last changed.
+    changed: Time,
+    parts: [Part; COORDINATORS],
     /// Coordinators that did not answer, and when each was last checked.
     silent: BTreeMap<VmId, Time>,
 }
@@ -55,20 +63,31 @@
     /// Creates the state of a process that starts now.
     #[must_use]
     pub fn new(now: Time) -> Self {
+        let part = Part {
+            own_since: now + START_WAIT,
+            ..Part::default()
+        };
         Self {
             boot: now,
             known: 1,
-            grown: now,
-            lent: None,
-            own_since: now + START_WAIT,
-            asked: None,
-            unanswered: None,
+            changed: now,
+            parts: [part; COORDINATORS],
             silent: BTreeMap::new(),
         }
     }
 
     /// Sets the number of known nodes, alive or not, including this one. `unheard` is the number of seeds if
     /// this node has heard of no other node.
+    ///
+    /// ```
+    /// use seam_core::allowance::{lease::Lender, share};
+    /// use seam_protocol::Time;
+    /// let mut lender = Lender::new(Time(0));
+    /// lender.set_known(Time(1), 1, 3);
+    /// assert!(lender.part_share() < 0.01);
+    /// lender.set_known(Time(2), 4, 0);
+    /// assert!((2.0 * lender.part_share() - share(4)).abs() < 1e-9);
+    /// ```
     pub fn set_known(&mut self, now: Time, known: usize, unheard: usize) {
         let assumed = unheard > 0 && now.since(self.boot) < ASSUMED_TIME;
         let known = if assumed {
@@ -76,10 +95,11 @@
         } else {
             known.max(1)
         };
-        let starting = now.since(self.boot) < START_TIME;
-        if known != self.known && starting {
-            self.grown = now;
-            self.own_since = self.own_since.max(now + SETTLE_TIME);
+        if known != self.known && now.since(self.boot) < START_TIME {
+            self.changed = now;
+            for part in &mut self.parts {
+                part.own_since = part.own_since.max(now + SETTLE_TIME);
+            }
         }
         self.known = known;
     }
@@ -90,120 +110,142 @@
         self.known
     }
 
-    /// Returns this node's share of each allowance.
+    /// Returns the size of a part of this node's share of each allowance.
     #[must_use]
-    pub fn share(&self) -> f64 {
-        super::share(self.known)
+    pub fn part_share(&self) -> f64 {
+        super::share(self.known) / COORDINATORS as f64
     }
 
-    fn settled(&self, now: Time) -> bool {
-        let grown = self.grown > self.boot && now.since(self.grown) < SETTLE_TIME;
-        let starting = now.since(self.boot) < START_TIME;
-        now.since(self.boot) >= START_WAIT && !(starting && grown)
+    /// Returns whether a part may be used or lent, and ends its lease if it is over.
+    fn free(&mut self, now: Time, part: usize) -> bool {
+        let part = &mut self.parts[part];
+        if let Some(lent) = part.lent
+            && lent.until <= now
+        {
+            part.own_since = part.own_since.max(lent.until);
+            part.lent = None;
+        }
+        part.lent.is_none() && part.own_since <= now
     }
 
-    /// Returns the own share, if it may be used.
+    /// Returns the parts of the share that are not lent, if there are any.
     ///
     /// ```
     /// use seam_core::allowance::lease::Lender;
     /// use seam_protocol::{Incarnation, Time, VmId};
     /// let mut lender = Lender::new(Time(0));
     /// assert!(lender.own(Time(1_000_000)).is_none());
-    /// assert!(lender.own(Time(2_000_000)).is_some());
-    /// assert!(lender.lend(Time(2_000_000), (VmId(1), Incarnation(1))));
-    /// assert!(lender.own(Time(3_100_000)).is_none());
-    /// assert!(lender.own(Time(3_200_000)).is_some());
+    /// let whole = lender.own(Time(3_000_000)).unwrap().share;
+    /// assert!(lender.lend(Time(3_000_000), 0, (VmId(1), Incarnation(1))));
+    /// assert!(!lender.lend(Time(3_000_000), 0, (VmId(2), Incarnation(1))));
+    /// assert_eq!(lender.own(Time(5_000_000)).unwrap().share, whole / 2.0);
+    /// assert_eq!(lender.own(Time(5_300_000)).unwrap().share, whole);
     /// ```
     pub fn own(&mut self, now: Time) -> Option<OwnShare> {
-        if let Some(lent) = self.lent
-            && lent.until <= now
-        {
-            self.own_since = self.own_since.max(lent.until);
-            self.lent = None;
+        let size = self.part_share();
+        let mut own: Option<OwnShare> = None;
+        for part in 0..COORDINATORS {
+            if self.free(now, part) {
+                // Counted from when all of it has been free.
+                let since = self.parts[part].own_since;
+                let known = own.map_or((0.0, since), |own| (own.share, own.since));
+                own = Some(OwnShare {
+                    share: known.0 + size,
+                    since: known.1.max(since),
+                });
+            }
         }
-        let free = self.lent.is_none() && self.settled(now) && self.own_since <= now;
-        free.then(|| OwnShare {
-            share: self.share(),
-            since: self.own_since,
-        })
+        own
     }
 
-    /// Lends the share to a process, or renews its lease. Returns false if the share is lent to another one, or
-    /// may not be used yet.
-    pub fn lend(&mut self, now: Time, to: (VmId, Incarnation)) -> bool {
-        let own = self.own(now).is_some();
-        let renews = self.lent.is_some_and(|lent| lent.to == to);
-        if own || renews {
+    /// Lends a part of the share to a process, or renews its lease. Returns false if the part is lent to another
+    /// one, or may not be used yet.
+    pub fn lend(&mut self, now: Time, part: usize, to: (VmId, Incarnation)) -> bool {
+        let free = self.free(now, part);
+        let part = &mut self.parts[part];
+        let lends = free || part.lent.is_some_and(|lent| lent.to == to);
+        if lends {
             let until = now + LEASE;
-            self.lent = Some(Lent { to, until });
+            part.lent = Some(Lent { to, until });
         }
-        own || renews
+        lends
     }
 
-    /// Returns to whom the share is lent.
-    pub fn lent_to(&mut self, now: Time) -> Option<VmId> {
-        let _ = self.own(now);
-        self.lent.map(|lent| lent.to.0)
+    /// Returns to whom a part of the share is lent.
+    pub fn lent_to(&mut self, now: Time, part: usize) -> Option<VmId> {
+        let _ = self.free(now, part);
+        self.parts[part].lent.map(|lent| lent.to.0)
     }
 
-    /// Chooses the coordinator among the nodes, of which `usable` says whether they seem alive and ready. A node
-    /// that holds the lease is asked until it ends.
+    /// Chooses the coordinator of a part among the nodes, of which `usable` says whether they seem alive and
+    /// ready. Returns it, and the node to ask: one that holds the lease is asked until the lease ends.
     pub fn choose<'a>(
         &mut self,
         now: Time,
+        part: usize,
         vms: impl Iterator<Item = (&'a VmId, &'a Vm)>,
         usable: impl Fn(VmId) -> bool,
     ) -> Option<(VmId, VmId)> {
-        let usable = |vm: VmId| !self.silent.contains_key(&vm) && usable(vm);
-        let candidates = vms.map(|(id, vm)| (*id, rank(*id, vm.weight)));
-        let candidates = candidates.filter(|(id, _)| usable(*id));
-        let best = candidates.max_by(|(_, one), (_, other)| one.total_cmp(other));
-        let best = best.map(|(id, _)| id)?;
-        let lent = self.lent_to(now);
-        let holder = lent.filter(|vm| !self.silent.contains_key(vm));
+        let asked = self.parts.map(|part| part.asked);
+        let usable = |vm: VmId| {
+            let seems = asked.contains(&Some(vm)) || usable(vm);
+            seems && !self.silent.contains_key(&vm)
+        };
+        let candidates = vms.map(|(id, vm)| (*id, preference(*id, vm.weight)));
+        let mut candidates: Vec<(VmId, f64)> = candidates.filter(|(id, _)| usable(*id)).collect();
+        candidates.sort_by(|(_, one), (_, other)| other.total_cmp(one));
+        // Each node belongs to one part, so that another coordinator of a part does not move the other part.
+        let of_part = |vm: &VmId| rank(PART_KEY, u64::from(vm.0)) as usize % COORDINATORS == part;
+        let ids = || candidates.iter().map(|(id, _)| *id);
+        let best = ids().find(of_part).or_else(|| ids().nth(1))?;
+        let holder = self.lent_to(now, part);
+        let holder = holder.filter(|vm| !self.silent.contains_key(vm));
         Some((best, holder.unwrap_or(best)))
     }
 
-    /// Records a report to a coordinator. Returns the one that was asked before if it is another.
-    pub fn note_asked(&mut self, now: Time, vm: VmId) -> Option<Option<VmId>> {
-        let changed = self.asked != Some(vm);
-        let before = self.asked.replace(vm);
+    /// Records a report to the coordinator of a part. Returns the one that was asked before if it is another.
+    pub fn note_asked(&mut self, now: Time, part: usize, vm: VmId) -> Option<Option<VmId>> {
+        let part = &mut self.parts[part];
+        let changed = part.asked != Some(vm);
+        let before = part.asked.replace(vm);
         if changed {
-            self.unanswered = None;
+            part.unanswered = None;
         }
-        self.unanswered.get_or_insert(now);
+        part.unanswered.get_or_insert(now);
         changed.then_some(before)
     }
 
-    /// Returns whether the last report to a coordinator has been answered, or was just sent, so that its lease
-    /// may be renewed.
+    /// Returns the time since the first report to the coordinator of a part without an answer.
     #[must_use]
-    pub fn renewable(&self, now: Time) -> bool {
-        const OVERDUE: Duration = Duration::from_millis(400);
-        self.unanswered
-            .is_none_or(|since| now.since(since) < OVERDUE)
+    pub fn unanswered(&self, now: Time, part: usize) -> Duration {
+        let since = self.parts[part].unanswered;
+        since.map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// Records an answer.
     pub fn note_answer(&mut self, vm: VmId) {
         self.silent.remove(&vm);
-        if self.asked == Some(vm) {
-            self.unanswered = None;
+        for part in &mut self.parts {
+            if part.asked == Some(vm) {
+                part.unanswered = None;
+            }
         }
     }
 
-    /// Returns whether the coordinator has not answered for so long that another one is asked from now on.
-    pub fn check_answer(&mut self, now: Time) -> bool {
-        let late = |since: &Time| now.since(*since) >= ANSWER_LIMIT;
-        let (Some(vm), Some(_)) = (self.asked, self.unanswered.filter(late)) else {
-            return false;
-        };
-        self.silent.insert(vm, now);
-        self.unanswered = None;
-        true
+    /// Returns whether the coordinator of a part has not answered for so long that another one is asked from now
+    /// on.
+    pub fn check_answer(&mut self, now: Time, part: usize) -> bool {
+        let late = self.unanswered(now, part) >= ANSWER_LIMIT;
+        let part = &mut self.parts[part];
+        if let Some(vm) = part.asked.filter(|_| late) {
+            self.silent.insert(vm, now);
+            part.asked = None;
+            part.unanswered = None;
+        }
+        late
     }
 
-    /// Returns a preferred coordinator that did not answer, if it is time to check whether it does now.
+    /// Returns a coordinator that did not answer, if it is time to check whether it does now: the preferred one.
     pub fn due_check<'a>(
         &mut self,
         now: Time,
@@ -211,24 +253,21 @@
     ) -> Option<VmId> {
         let vms: BTreeMap<VmId, u32> = vms.map(|(id, vm)| (*id, vm.weight)).collect();
         self.silent.retain(|vm, _| vms.contains_key(vm));
-        let ranked = |vm: &VmId| rank(*vm, vms[vm]);
-        let best = self.silent.keys().copied();
-        let best = best.max_by(|one, other| ranked(one).total_cmp(&ranked(other)))?;
-        let checked = self.silent.get_mut(&best)?;
-        let due = now.since(*checked) >= CHECK_INTERVAL;
-        if due {
-            *checked = now;
-        }
-        due.then_some(best)
+        let due = |(_, checked): &(&VmId, &Time)| now.since(**checked) >= CHECK_INTERVAL;
+        let due = self.silent.iter().filter(due).map(|(vm, _)| *vm);
+        let preferred = |vm: &VmId| preference(*vm, vms[vm]);
+        let best = due.max_by(|one, other| preferred(one).total_cmp(&preferred(other)))?;
+        self.silent.insert(best, now);
+        Some(best)
     }
 
-    /// Returns the coordinator that was asked last.
+    /// Returns the coordinators that were asked last.
     #[must_use]
-    pub fn coordinator(&self) -> Option<VmId> {
-        self.asked
+    pub fn coordinators(&self) -> [Option<VmId>; COORDINATORS] {
+        self.parts.map(|part| part.asked)
     }
 }
 
-fn rank(vm: VmId, weight: u32) -> f64 {
+fn preference(vm: VmId, weight: u32) -> f64 {
     weighted_rank(RANK_KEY, u64::from(vm.0), weight)
 }
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -6,6 +6,7 @@
 
 use seam_protocol::{Heartbeat, ServiceId, StoredResponse, TargetId, TenantId, VersionId, VmId};
 
+use crate::allowance::COORDINATORS;
 use crate::arrival::Hop;
 use crate::audit::Audit;
 use crate::catalogue::Source;
@@ -102,18 +103,18 @@
         cost: f64,
         /// Tokens that this node holds for the tenant.
         held: f64,
-        /// Coordinator that was asked last.
-        coordinator: Option<VmId>,
+        /// Coordinators that were asked last.
+        coordinators: [Option<VmId>; COORDINATORS],
         /// Time after which there are enough.
         wait: Duration,
     },
-    /// Another coordinator is asked from now on.
+    /// Another coordinator of a part of this node's share is asked from now on.
     Coordinator {
         /// The one before.
         from: Option<VmId>,
         /// The new one.
         to: VmId,
-        /// This node's share of each allowance.
+        /// Size of the part.
         share: f64,
     },
 }
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use seam_protocol::heartbeat::{AllowanceReport, TokenGrant, TokenRequest};
-use seam_protocol::{Bundle, Heartbeat, Reason, TenantId, Time, VmId};
+use seam_protocol::{Bundle, Heartbeat, Incarnation, Reason, TenantId, Time, VmId};
 
 use super::Node;
 use super::admit::TRANSIENT_RETRY_AFTER;
 use crate::allowance::balance::{Balance, Decision, OwnShare};
 use crate::allowance::lease::Lender;
 use crate::allowance::pool::{Granted, Pool};
-use crate::allowance::{LEASE, REPORT_INTERVAL, Terms};
+use crate::allowance::{COORDINATORS, LEASE, REPORT_INTERVAL, Terms};
 use crate::command::{AllowanceEvent, Command};
 use crate::handle::Ticket;
 use crate::refusal::Refusal;
@@ -20,8 +20,8 @@
 
 /// Minimum time between two reports because requests wait.
 const EXTRA_INTERVAL: Duration = Duration::from_millis(20);
-/// Minimum time between two reports while the share is not lent.
-const LEND_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reports of a part of the share that is not lent, or whose coordinator does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of tenants that one datagram names.
 const MAX_NAMED: usize = 32;
 /// Shortest lease that counts. A shorter one only asks for an answer.
@@ -40,10 +40,10 @@
     pub returned: f64,
     /// Requests that wait for tokens.
     pub waiting: usize,
-    /// Coordinator that was asked last.
-    pub coordinator: Option<VmId>,
-    /// Whether this node's share is lent.
-    pub lent: bool,
+    /// Coordinators that were asked last.
+    pub coordinators: [Option<VmId>; COORDINATORS],
+    /// Parts of this node's share that are lent.
+    pub lent: usize,
     /// Sum of the shares that are lent to this node.
     pub pooled: f64,
 }
@@ -58,8 +58,10 @@
     examined: Option<(Arc<Bundle>, bool)>,
     /// Tokens of requests that did not run, until they are added to the balances.
     refunds: Vec<(TenantId, f64)>,
-    reported: Option<Time>,
-    asked: Option<Time>,
+    /// Last regular report of each part of the share.
+    reported: [Option<Time>; COORDINATORS],
+    /// Part whose coordinator was asked last, and when.
+    asked: Option<(usize, Time)>,
     status: AllowanceStatus,
 }
 
@@ -71,7 +73,7 @@
             balances: BTreeMap::new(),
             examined: None,
             refunds: Vec::new(),
-            reported: None,
+            reported: [None; COORDINATORS],
             asked: None,
             status: AllowanceStatus::default(),
         }
@@ -119,8 +121,10 @@
         let waiting = state.balances.values().map(Balance::waiting);
         AllowanceStatus {
             waiting: waiting.sum(),
-            coordinator: state.lender.coordinator(),
-            lent: state.lender.lent_to(now).is_some(),
+            coordinators: state.lender.coordinators(),
+            lent: (0..COORDINATORS)
+                .filter(|part| state.lender.lent_to(now, *part).is_some())
+                .count(),
             pooled: state.pool.share(now),
             ..state.status
         }
@@ -226,7 +230,7 @@
             tenant,
             cost,
             held,
-            coordinator: self.allowances.lender.coordinator(),
+            coordinators: self.allowances.lender.coordinators(),
             wait,
         }));
         let refusal = Refusal::not_run(Reason::Rate).with_retry_after(wait);
@@ -256,40 +260,44 @@
             self.allowances.balance(now, tenant).refund(now, tokens);
         }
         self.update_known(now);
-        let lender = &mut self.allowances.lender;
-        let silent = lender.check_answer(now);
-        let interval = if lender.own(now).is_some() {
-            LEND_INTERVAL
-        } else {
-            REPORT_INTERVAL
-        };
-        let reported = self.allowances.reported;
-        let due = reported.is_none_or(|reported| now.since(reported) >= interval);
-        if due || silent {
-            let tenants = |tenant| terms(&bundle, tenant);
-            self.allowances.pool.expire(now, tenants);
-            let idle = |balance: &Balance| balance.idle(now);
-            self.allowances.balances.retain(|_, balance| !idle(balance));
-            self.check_silent(now, &bundle, out);
-            self.report_allowances(now, &bundle, true, out);
+        for part in 0..COORDINATORS {
+            if self.report_due(now, part) {
+                let tenants = |tenant| terms(&bundle, tenant);
+                self.allowances.pool.expire(now, tenants);
+                self.allowances.balances.retain(|_, known| !known.idle(now));
+                self.check_silent(now, &bundle, out);
+                self.report_allowances(now, &bundle, (part, true), out);
+            }
         }
         self.serve_waiting(now, &bundle, out);
         self.ask_for_waiting(now, &bundle, out);
     }
 
-    /// Asks the coordinator for tokens if requests wait for more than was asked for.
+    /// Returns whether a regular report of a part of the share is due. Reports of the parts alternate.
+    fn report_due(&mut self, now: Time, part: usize) -> bool {
+        let lender = &mut self.allowances.lender;
+        let silent = lender.check_answer(now, part);
+        let since = |time: Option<Time>| time.map_or(Duration::MAX, |time| now.since(time));
+        let reported = self.allowances.reported;
+        let urgent =
+            lender.lent_to(now, part).is_none() || lender.unanswered(now, part) >= RETRY_INTERVAL;
+        if silent || (urgent && since(reported[part]) >= RETRY_INTERVAL) {
+            return true;
+        }
+        let last = since(reported.iter().copied().flatten().max());
+        since(reported[part]) >= REPORT_INTERVAL * COORDINATORS as u32 && last >= REPORT_INTERVAL
+    }
+
+    /// Asks the coordinators in turn for tokens if requests wait for more than was asked for.
     fn ask_for_waiting(&mut self, now: Time, bundle: &Bundle, out: &mut Vec<Command>) {
-        let recent = |asked: Time| now.since(asked) < EXTRA_INTERVAL;
-        if self.allowances.asked.is_some_and(recent) {
+        let (part, asked) = self.allowances.asked.unwrap_or_default();
+        if now.since(asked) < EXTRA_INTERVAL {
             return;
         }
-        if self
-            .allowances
-            .balances
-            .values()
-            .any(|balance| balance.waiting() > 0)
-        {
-            self.report_allowances(now, bundle, false, out);
+        let mut balances = self.allowances.balances.values();
+        if balances.any(|balance| balance.waiting() > 0) {
+            let next = (part + 1) % COORDINATORS;
+            self.report_allowances(now, bundle, (next, false), out);
         }
     }
 
@@ -386,40 +394,46 @@
         ready && alive
     }
 
-    /// Sends the coordinator the lease of this node's share and what it needs. `regular` reports renew the
-    /// lease, the others only ask for waiting requests.
+    /// Sends the coordinator of a part of this node's share the lease of it and what this node needs. `regular`
+    /// reports renew the lease, the others only ask for waiting requests.
     fn report_allowances(
         &mut self,
         now: Time,
         bundle: &Bundle,
-        regular: bool,
+        (part, regular): (usize, bool),
         out: &mut Vec<Command>,
     ) {
         let mut lender = self.allowances.lender.clone();
         let vms = bundle.deployment.vms.iter();
-        let chosen = lender.choose(now, vms, |vm| self.may_coordinate(now, vm));
+        let chosen = lender.choose(now, part, vms, |vm| self.may_coordinate(now, vm));
         self.allowances.lender = lender;
-        let (best, asked) = chosen.unwrap_or((self.id.vm, self.id.vm));
-        let sent = self.next_timestamp(now);
-        let requests = self.token_requests(sent, bundle, regular);
         if regular {
-            self.allowances.reported = Some(now);
-        } else if requests.is_empty() {
+            self.allowances.reported[part] = Some(now);
+        }
+        self.allowances.asked = Some((part, now));
+        let Some((best, asked)) = chosen else {
+            for balance in self.allowances.balances.values_mut() {
+                balance.note_absent(now, part);
+            }
+            return;
+        };
+        let sent = self.next_timestamp(now);
+        let requests = self.token_requests((sent, part), bundle, regular);
+        if !regular && requests.is_empty() {
             return;
         }
-        self.allowances.asked = Some(now);
         let lender = &mut self.allowances.lender;
-        if let Some(from) = lender.note_asked(now, asked) {
+        let share = lender.part_share();
+        let renewable = lender.unanswered(now, part) < RETRY_INTERVAL;
+        if let Some(from) = lender.note_asked(now, part, asked) {
             let to = asked;
-            let share = lender.share();
             let change = AllowanceEvent::Coordinator { from, to, share };
             out.push(Command::LogAllowance(change));
         }
-        let lends = regular && best == asked && lender.renewable(now);
+        let lends = regular && best == asked && renewable;
         if asked == self.id.vm {
             let to = (asked, self.id.incarnation);
-            if lends && lender.lend(now, to) {
-                let share = lender.share();
+            if lends && lender.lend(now, part, to) {
                 self.allowances.pool.lend(now, asked, share, now + LEASE);
             }
             self.allowances.lender.note_answer(asked);
@@ -431,8 +445,8 @@
             return;
         };
         let to = (asked, heartbeat.receiver_incarnation);
-        let lender = &mut self.allowances.lender;
-        let lent = lends && to.1.0 != 0 && lender.lend(sent, to);
+        let known = to.1 != Incarnation(0);
+        let lent = lends && known && self.allowances.lender.lend(sent, part, to);
         let lease = if lent {
             LEASE.as_millis() as u32
         } else {
@@ -440,7 +454,7 @@
         };
         heartbeat.allowances = AllowanceReport {
             lease,
-            share: lender.share() as f32,
+            share: share as f32,
             requests,
             ..AllowanceReport::default()
         };
@@ -469,7 +483,12 @@
     }
 
     /// Returns what to ask for, at most for [`MAX_NAMED`] tenants: those with waiting requests first.
-    fn token_requests(&mut self, sent: Time, bundle: &Bundle, regular: bool) -> Vec<TokenRequest> {
+    fn token_requests(
+        &mut self,
+        asked: (Time, usize),
+        bundle: &Bundle,
+        regular: bool,
+    ) -> Vec<TokenRequest> {
         let known = self.allowances.lender.known();
         let mut balances: Vec<_> = self.allowances.balances.iter_mut().collect();
         balances.sort_by_key(|(_, balance)| std::cmp::Reverse(balance.waiting()));
@@ -481,7 +500,7 @@
             let Some(terms) = terms(bundle, *tenant) else {
                 continue;
             };
-            let ask = balance.ask(sent, terms, known, regular);
+            let ask = balance.ask(asked, terms, known, regular);
             if ask.tokens > 0.0 || ask.returned > 0.0 {
                 requests.push(TokenRequest {
                     tenant: *tenant,
--- a/crates/seam-core/tests/allowances/network.rs
+++ b/crates/seam-core/tests/allowances/network.rs
@@ -352,7 +352,11 @@
                 }
             }
             Command::LogAllowance(event) if std::env::var("SHOW_ALLOWANCES").is_ok() => {
-                println!("{:?} {node} {event:?} {:?}", self.fleet.now, self.status(node));
+                println!(
+                    "{:?} {node} {event:?} {:?}",
+                    self.fleet.now,
+                    self.status(node)
+                );
             }
             Command::Forward { .. } => panic!("a request left its region"),
             _ => {}
@@ -391,10 +395,11 @@
     pub fn coordinator(&self) -> usize {
         let mut votes: BTreeMap<VmId, usize> = BTreeMap::new();
         for (index, node) in self.fleet.nodes.iter().enumerate() {
-            if !self.fleet.down[index]
-                && let Some(vm) = node.allowance_status(self.now()).coordinator
-            {
-                *votes.entry(vm).or_default() += 1;
+            if !self.fleet.down[index] {
+                let status = node.allowance_status(self.now());
+                for vm in status.coordinators.into_iter().flatten() {
+                    *votes.entry(vm).or_default() += 1;
+                }
             }
         }
         let most = votes.into_iter().max_by_key(|(_, votes)| *votes);
--- a/crates/seam-node/src/allowance_log.rs
+++ b/crates/seam-node/src/allowance_log.rs
@@ -10,14 +10,15 @@
             tenant,
             cost,
             held,
-            coordinator,
+            coordinators,
             wait,
         } => {
-            let coordinator = coordinator.map_or_else(String::new, |vm| vm.to_string());
+            let names = coordinators.iter().flatten().map(ToString::to_string);
+            let names = names.collect::<Vec<_>>().join(" ");
             log::info!(
                 target: "allowance",
                 ticket = ticket.0, tenant:% = tenant, cost = cost, held = held,
-                coordinator = coordinator.as_str(), wait_ms = wait.as_millis() as u64;
+                coordinators = names.as_str(), wait_ms = wait.as_millis() as u64;
                 "refused by the allowance"
             );
         }
