allowances: agree on coordinators, metrics and log lines

Cause: records of other regions said for 20 s that a starting node was not ready, so some nodes kept other coordinators and refused what was owed. Change: such records count for 5 s; a node that is asked stays usable until it is silent; gauges and log lines.

--- a/crates/seam-core/src/allowance/lease.rs
+++ b/crates/seam-core/src/allowance/lease.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use seam_protocol::id::{rank, weighted_rank};
-use seam_protocol::{Incarnation, Time, Vm, VmId};
+use seam_protocol::{Incarnation, RegionId, Time, Vm, VmId};
 
 use super::balance::OwnShare;
 use super::{COORDINATORS, LEASE};
@@ -23,6 +23,8 @@
 const ASSUMED_TIME: Duration = Duration::from_secs(600);
 /// Time between two checks of a preferred coordinator that did not answer.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Nodes of a region that did not answer after which none of the others is asked for the first time.
+const LOST_REGION: usize = 2;
 /// Key of the rendezvous hashing.
 const RANK_KEY: u64 = 0x616c_6c6f_7761_6e63;
 /// Key by which nodes are assigned to the parts of the shares.
@@ -186,13 +188,24 @@
         vms: impl Iterator<Item = (&'a VmId, &'a Vm)>,
         usable: impl Fn(VmId) -> bool,
     ) -> Option<(VmId, VmId)> {
-        let asked = self.parts.map(|part| part.asked);
-        let usable = |vm: VmId| {
-            let seems = asked.contains(&Some(vm)) || usable(vm);
-            seems && !self.silent.contains_key(&vm)
+        let vms: Vec<(VmId, &Vm)> = vms.map(|(id, vm)| (*id, vm)).collect();
+        let silent = |id: VmId| self.silent.contains_key(&id);
+        let mut silent_in: BTreeMap<RegionId, usize> = BTreeMap::new();
+        for (_, vm) in vms.iter().filter(|(id, _)| silent(*id)) {
+            *silent_in.entry(vm.region).or_default() += 1;
+        }
+        let lost = |region| {
+            silent_in
+                .get(&region)
+                .is_some_and(|count| *count >= LOST_REGION)
         };
-        let candidates = vms.map(|(id, vm)| (*id, preference(*id, vm.weight)));
-        let mut candidates: Vec<(VmId, f64)> = candidates.filter(|(id, _)| usable(*id)).collect();
+        let asked = self.parts.map(|part| part.asked);
+        let seems =
+            |id: VmId, vm: &Vm| asked.contains(&Some(id)) || (usable(id) && !lost(vm.region));
+        let candidates = vms.into_iter();
+        let candidates = candidates.filter(|(id, vm)| !silent(*id) && seems(*id, vm));
+        let candidates = candidates.map(|(id, vm)| (id, preference(id, vm.weight)));
+        let mut candidates: Vec<(VmId, f64)> = candidates.collect();
         candidates.sort_by(|(_, one), (_, other)| other.total_cmp(one));
         // Each node belongs to one part, so that another coordinator of a part does not move the other part.
         let of_part = |vm: &VmId| rank(PART_KEY, u64::from(vm.0)) as usize % COORDINATORS == part;
@@ -239,7 +252,6 @@
         let part = &mut self.parts[part];
         if let Some(vm) = part.asked.filter(|_| late) {
             self.silent.insert(vm, now);
-            part.asked = None;
             part.unanswered = None;
         }
         late
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -22,6 +22,10 @@
 const EXTRA_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two reports of a part of the share that is not lent, or whose coordinator does not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which a coordinator is not asked for waiting requests before it has answered.
+const PROMPT_ANSWER: Duration = Duration::from_millis(150);
+/// Time for which a record says that a node is not ready. Records from other regions arrive every 20 s or so.
+const UNREADY_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of tenants that one datagram names.
 const MAX_NAMED: usize = 32;
 /// Shortest lease that counts. A shorter one only asks for an answer.
@@ -30,7 +34,7 @@
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Counts of the tenants' allowances since boot, and their state.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
 pub struct AllowanceStatus {
     /// Tokens of admitted requests.
     pub admitted: f64,
@@ -296,7 +300,11 @@
         }
         let mut balances = self.allowances.balances.values();
         if balances.any(|balance| balance.waiting() > 0) {
-            let next = (part + 1) % COORDINATORS;
+            let lender = &self.allowances.lender;
+            let parts = (1..=COORDINATORS).map(|step| (part + step) % COORDINATORS);
+            let prompt = |part: &usize| lender.unanswered(now, *part) < PROMPT_ANSWER;
+            let mut prompt = parts.filter(prompt);
+            let next = prompt.next().unwrap_or((part + 1) % COORDINATORS);
             self.report_allowances(now, bundle, (next, false), out);
         }
     }
@@ -385,13 +393,16 @@
         if vm == self.id.vm {
             return self.drain_since.is_none();
         }
-        let ready = self.peers.known(vm).is_none_or(|peer| peer.record.ready);
+        let unready = self
+            .peers
+            .known(vm)
+            .is_some_and(|peer| !peer.record.ready && now.since(peer.updated) < UNREADY_TIME);
         let region = self.regions.get(&vm).copied();
         let alive = match region {
-            Some(region) if region != self.id.region => self.peers.region(now, region).is_some(),
+            Some(region) if region != self.id.region => !self.peers.region_silent(now, region),
             _ => self.peers.alive(now, vm).is_some(),
         };
-        ready && alive
+        !unready && alive
     }
 
     /// Sends the coordinator of a part of this node's share the lease of it and what this node needs. `regular`
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::config_version::ConfigStatus;
+use crate::node::allowances::AllowanceStatus;
 use crate::node::{Counters, Node};
 use crate::targets::{Phase, TargetState};
 
@@ -44,6 +45,8 @@
     pub peers: Vec<PeerStatus>,
     /// Targets of this region.
     pub targets: Vec<TargetStatus>,
+    /// Allowances of tenants.
+    pub allowances: AllowanceStatus,
     /// Services.
     pub services: Vec<ServiceStatus>,
     /// Counters since the process started.
@@ -154,6 +157,7 @@
             suspects: self.poison.len(),
             peers: self.peer_status(now),
             targets: self.target_status(now),
+            allowances: self.allowance_status(now),
             services: self.service_status(),
             counters: self.counters,
         }
--- a/crates/seam-core/tests/allowances.rs
+++ b/crates/seam-core/tests/allowances.rs
@@ -11,7 +11,7 @@
 use network::{Limit, Network, TENANTS, large, small};
 use proptest::prelude::*;
 use rand::RngExt;
-use seam_core::Command;
+use seam_core::{Command, Node};
 use seam_protocol::{Reason, Time};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -114,6 +114,40 @@
     network.check(&[large(0)]);
 }
 
+/// Reports must stay small next to the other heartbeats: 16 tenants at their usual rates at each of 70 nodes.
+#[test]
+fn traffic() {
+    let limits: Vec<Limit> = (0..TENANTS)
+        .map(|tenant| Limit {
+            rate: large(tenant).rate / 4.0,
+            ..large(tenant)
+        })
+        .collect();
+    let mut network = settled(&limits);
+    let all: Vec<usize> = (0..70).collect();
+    let play = |network: &mut Network| {
+        network.run(4 * SECOND, |network, now| {
+            let mut requests = Vec::new();
+            for limit in &limits {
+                for _ in 0..network.due(now, *limit, 1.0 / HEADROOM) {
+                    requests.push((all[network.rng.random_range(0..all.len())], *limit));
+                }
+            }
+            requests
+        });
+    };
+    play(&mut network);
+    network.traffic.clear();
+    play(&mut network);
+    let mut bytes: Vec<(usize, usize)> = network.traffic.values().copied().collect();
+    bytes.sort_by_key(|(_, bytes)| *bytes);
+    let per_second = |(count, bytes): (usize, usize)| (count as f64 / 4.0, bytes as f64 / 4.0);
+    let (median, most) = (per_second(bytes[35]), per_second(bytes[69]));
+    println!("datagrams and bytes a second: median {median:?}, most {most:?}");
+    assert!(median.1 < 2000.0, "{median:?}");
+    assert!(network.refused_share() <= 0.0, "{}", network.summary());
+}
+
 /// A limit that falls to a tenth holds although some nodes learn of it late, and one that rises is used.
 #[test]
 fn changed_limits() {
@@ -190,7 +224,7 @@
     let states = |network: &Network| {
         let nodes = network.fleet.nodes.iter();
         nodes
-            .map(|node| node.allowance_states())
+            .map(Node::allowance_states)
             .fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
     };
     assert!(states(&network).0 > 0);
--- a/crates/seam-core/tests/allowances/network.rs
+++ b/crates/seam-core/tests/allowances/network.rs
@@ -92,6 +92,8 @@
     arrivals: u64,
     credit: BTreeMap<u64, (Time, f64)>,
     longest_wait: Duration,
+    /// Datagrams about allowances and their bytes, by sender.
+    pub traffic: BTreeMap<usize, (usize, usize)>,
     version: u64,
     sizes: Vec<usize>,
 }
@@ -128,6 +130,7 @@
             arrivals: 0,
             credit: BTreeMap::new(),
             longest_wait: Duration::ZERO,
+            traffic: BTreeMap::new(),
             version: 0,
             sizes: sizes.to_vec(),
         };
@@ -224,7 +227,7 @@
                         self.collect();
                     }
                 }
-                self.run_twins(Event::Tick);
+                self.run_twins(&Event::Tick);
             }
             for (node, limit) in send(self, now) {
                 self.arrive(node, limit);
@@ -232,10 +235,10 @@
         }
     }
 
-    fn run_twins(&mut self, event: Event) {
+    fn run_twins(&mut self, event: &Event) {
         for twin in 0..self.twins.len() {
             self.as_twin(twin, |network, node| {
-                network.fleet.handle(node, event.clone())
+                network.fleet.handle(node, event.clone());
             });
         }
     }
@@ -312,6 +315,11 @@
                 heartbeat,
                 ..
             } => {
+                if !heartbeat.allowances.is_empty() {
+                    let traffic = self.traffic.entry(node).or_default();
+                    traffic.0 += 1;
+                    traffic.1 += heartbeat.encode().len();
+                }
                 let to = (0..self.fleet.nodes.len()).find(|other| address(*other) == to);
                 let lost = self.rng.random_range(0..100) < self.loss;
                 let Some(to) = to.filter(|to| !lost && self.reaches(node, *to)) else {
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -2,7 +2,7 @@
 //! makes all decisions.
 
 pub mod admin;
-mod allowance_log;
+mod allowances;
 pub mod budget;
 pub mod clock;
 mod config_log;
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -14,6 +14,7 @@
 use seam_http::bounds::{denied, discarded, exceeded};
 use seam_protocol::Reason;
 
+use crate::allowances::AllowanceGauges;
 use crate::stalls::StallKind;
 
 /// Histogram bucket bounds of request times in seconds, around common latency objectives.
@@ -79,6 +80,7 @@
     bounds: Gauge<u64>,
     denied: Gauge<u64>,
     unread: Gauge<u64>,
+    allowances: AllowanceGauges,
 }
 
 impl Gauges {
@@ -173,6 +175,7 @@
                 "seam_unread_bodies",
                 "request bodies that were not read before the response, by end",
             ),
+            allowances: AllowanceGauges::new(meter),
         }
     }
 
@@ -241,6 +244,7 @@
         ] {
             self.events.record(count, &[KeyValue::new("kind", kind)]);
         }
+        self.allowances.set(&status.allowances);
         for (bound, count) in exceeded() {
             let label = [KeyValue::new("bound", bound.name())];
             self.bounds.record(count, &label);
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -29,7 +29,7 @@
     VersionId, VmId,
 };
 
-use crate::allowance_log;
+use crate::allowances;
 use crate::budget::ByteBudget;
 use crate::clock::Clock;
 use crate::config_log;
@@ -473,7 +473,7 @@
             | Command::Order { .. } => self.enqueue(command),
             Command::LogConfig(change) => self.log_change(&change),
             Command::LogDifference(difference) => config_log::log_difference(&difference),
-            Command::LogAllowance(event) => allowance_log::log_event(&event),
+            Command::LogAllowance(event) => allowances::log_event(&event),
             Command::LogStore(change) => {
                 self.metrics.store_changed(&change);
                 config_log::log_store(&change);
