--- a/crates/seam-core/src/allowance/balance.rs
+++ b/crates/seam-core/src/allowance/balance.rs
@@ -11,17 +11,17 @@
 /// Time constant of the measured demand.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 /// Time of demand that a node asks for ahead.
-const AHEAD: Duration = Duration::from_millis(800);
+const AHEAD: Duration = Duration::from_millis(600);
 /// Requests of usual cost that a node with little demand holds tokens for.
 const STANDING_REQUESTS: f64 = 2.0;
 /// Fraction of the burst that all nodes together may hold for little demand.
-const STANDING_FRACTION: f64 = 0.5;
+const STANDING_FRACTION: f64 = 0.4;
 /// Remaining time at which unused tokens are returned, before they would expire.
 const RETURN_AGE: Duration = Duration::from_millis(300);
 /// Remaining time up to which tokens count half, as they will not be there after the next report.
 const AGING: Duration = Duration::from_millis(600);
-/// Time after which an unanswered question is asked again.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which an unanswered question is asked again, within the longest wait even if its answer was lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after the last request at which the state of a tenant is dropped.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of requests of a tenant that wait at one node.
--- a/crates/seam-core/src/allowance/pool.rs
+++ b/crates/seam-core/src/allowance/pool.rs
@@ -11,6 +11,8 @@
 const MAX_LOWS: usize = 256;
 /// Wait that is reported while no shares are lent, or have just been: about the time until they are.
 const GROWTH_WAIT: Duration = Duration::from_millis(350);
+/// Time constant of the tokens asked for in vain, for which nodes ask again a few times while they wait.
+const LACKING_TIME: Duration = Duration::from_millis(250);
 /// Time within which lenders choose a new coordinator.
 const GROWTH_TIME: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,9 @@
     tokens: f64,
     /// [`Pool::earned`] at that time.
     earned: f64,
+    /// Tokens that nodes lately asked for in vain, a decaying sum, and when it was counted.
+    lacking: f64,
+    counted: Time,
 }
 
 /// A size that the pool had.
@@ -204,12 +209,18 @@
         let held = self.level(terms, stored) + returned;
         let held = held.min(terms.burst * self.share).max(0.0);
         let tokens = asked.min(held);
+        let missing = asked - tokens;
+        let before = stored.map_or(0.0, |bucket| {
+            let age = now.since(bucket.counted).as_secs_f64();
+            bucket.lacking * (-age / LACKING_TIME.as_secs_f64()).exp()
+        });
         let bucket = Bucket {
             tokens: held - tokens,
             earned: self.earned,
+            lacking: before + missing,
+            counted: now,
         };
         self.buckets.insert(tenant, bucket);
-        let missing = asked - tokens;
         let rate = terms.rate * self.share;
         let growing = now.since(self.grown) < GROWTH_TIME;
         let wait = if missing <= 0.0 {
@@ -218,7 +229,7 @@
             GROWTH_WAIT
         } else {
             const MAX_WAIT_S: f64 = 60.0;
-            let wait = Duration::from_secs_f64((missing / rate).min(MAX_WAIT_S));
+            let wait = Duration::from_secs_f64((bucket.lacking / rate).min(MAX_WAIT_S));
             if growing { wait.min(GROWTH_WAIT) } else { wait }
         };
         Granted { tokens, wait }
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -1,14 +1,14 @@
 //! Token quotas of tenants at this node: admission of requests, reports to the coordinator, and its answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use seam_protocol::heartbeat::{AllowanceReport, TokenGrant, TokenRequest};
 use seam_protocol::{Bundle, Heartbeat, Incarnation, Reason, TenantId, Time, VmId};
 
-use super::Node;
 use super::admit::TRANSIENT_RETRY_AFTER;
+use super::{Node, TICK};
 use crate::allowance::balance::{Balance, Decision, OwnShare};
 use crate::allowance::lease::Lender;
 use crate::allowance::pool::{Granted, Pool};
@@ -25,7 +25,7 @@
 /// Time after which a coordinator is not asked for waiting requests before it has answered.
 const PROMPT_ANSWER: Duration = Duration::from_millis(150);
 /// Time for which a record says that a node is not ready. Records from other regions arrive every 20 s or so.
-const UNREADY_TIME: Duration = Duration::from_secs(5);
+const UNREADY_TIME: Duration = Duration::from_millis(2500);
 /// Maximum number of tenants that one datagram names.
 const MAX_NAMED: usize = 32;
 /// Shortest lease that counts. A shorter one only asks for an answer.
@@ -58,6 +58,10 @@
     lender: Lender,
     pool: Pool,
     balances: BTreeMap<TenantId, Balance>,
+    /// Tenants with waiting requests.
+    waiting: BTreeSet<TenantId>,
+    /// Whether the tenants without a limit in the configuration in force were released.
+    released: bool,
     /// Configuration that was examined last, and whether a tenant in it has an allowance.
     examined: Option<(Arc<Bundle>, bool)>,
     /// Tokens of requests that did not run, until they are added to the balances.
@@ -75,6 +79,8 @@
             lender: Lender::new(now),
             pool: Pool::new(now),
             balances: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            released: true,
             examined: None,
             refunds: Vec::new(),
             reported: [None; COORDINATORS],
@@ -151,6 +157,7 @@
                 let mut tenants = bundle.tenants.values();
                 let limited = tenants.any(|tenant| tenant.allowance.is_some());
                 self.allowances.examined = Some((bundle.clone(), limited));
+                self.allowances.released = false;
                 limited
             }
         };
@@ -169,7 +176,9 @@
         let Some(tenant) = request.tenant.filter(|_| !request.forwarded()) else {
             return true;
         };
-        let (left, tokens) = (request.budget(now), request.prompt.clone());
+        // Refused before the deadline passes between two ticks.
+        let left = request.budget(now).saturating_sub(TICK);
+        let tokens = request.prompt.clone();
         let tokens = tokens.map(|prompt| prompt.peak_tokens());
         let Some(bundle) = self.limited_bundle() else {
             return true;
@@ -193,6 +202,7 @@
             }
             Decision::Wait => {
                 self.request_mut(ticket).stage = Stage::AwaitingTokens;
+                self.allowances.waiting.insert(tenant);
                 self.ask_for_waiting(now, &bundle, out);
                 false
             }
@@ -255,7 +265,8 @@
     pub(super) fn tend_allowances(&mut self, now: Time, out: &mut Vec<Command>) {
         let Some(bundle) = self.limited_bundle() else {
             self.allowances.refunds.clear();
-            if !self.allowances.balances.is_empty() {
+            if !self.allowances.released {
+                self.allowances.pool.expire(now, |_| None);
                 self.release_unlimited(now, None, out);
             }
             return;
@@ -298,8 +309,7 @@
         if now.since(asked) < EXTRA_INTERVAL {
             return;
         }
-        let mut balances = self.allowances.balances.values();
-        if balances.any(|balance| balance.waiting() > 0) {
+        if !self.allowances.waiting.is_empty() {
             let lender = &self.allowances.lender;
             let parts = (1..=COORDINATORS).map(|step| (part + step) % COORDINATORS);
             let prompt = |part: &usize| lender.unanswered(now, *part) < PROMPT_ANSWER;
@@ -312,11 +322,11 @@
     /// Admits waiting requests for which there are tokens, in order, and refuses those for which there are none
     /// in time.
     fn serve_waiting(&mut self, now: Time, bundle: &Arc<Bundle>, out: &mut Vec<Command>) {
-        self.release_unlimited(now, Some(bundle), out);
+        if !self.allowances.released {
+            self.release_unlimited(now, Some(bundle), out);
+        }
         let own = self.allowances.lender.own(now);
-        let balances = self.allowances.balances.iter();
-        let waiting = balances.filter(|(_, balance)| balance.waiting() > 0);
-        let waiting: Vec<TenantId> = waiting.map(|(tenant, _)| *tenant).collect();
+        let waiting: Vec<TenantId> = self.allowances.waiting.iter().copied().collect();
         for tenant in waiting {
             let Some(terms) = terms(bundle, tenant) else {
                 continue;
@@ -333,6 +343,13 @@
                 }
             }
         }
+        let balances = &self.allowances.balances;
+        let waits = |tenant: &TenantId| {
+            balances
+                .get(tenant)
+                .is_some_and(|known| known.waiting() > 0)
+        };
+        self.allowances.waiting.retain(waits);
     }
 
     fn next_waiting(
@@ -355,6 +372,7 @@
     ) {
         let limited = |tenant: TenantId| bundle.is_some_and(|known| terms(known, tenant).is_some());
         let tenants = self.allowances.balances.keys().copied();
+        self.allowances.released = true;
         let unlimited: Vec<TenantId> = tenants.filter(|tenant| !limited(*tenant)).collect();
         for tenant in unlimited {
             let Some(mut balance) = self.allowances.balances.remove(&tenant) else {
@@ -501,7 +519,13 @@
         regular: bool,
     ) -> Vec<TokenRequest> {
         let known = self.allowances.lender.known();
-        let mut balances: Vec<_> = self.allowances.balances.iter_mut().collect();
+        let Allowances {
+            balances, waiting, ..
+        } = &mut self.allowances;
+        let balances = balances.iter_mut();
+        let mut balances: Vec<_> = balances
+            .filter(|(tenant, _)| regular || waiting.contains(tenant))
+            .collect();
         balances.sort_by_key(|(_, balance)| std::cmp::Reverse(balance.waiting()));
         let mut requests = Vec::new();
         for (tenant, balance) in balances {
--- a/crates/seam-core/tests/allowances.rs
+++ b/crates/seam-core/tests/allowances.rs
@@ -212,6 +212,18 @@
     assert!(status.returned > 0.99 * status.admitted - 1.0, "{status:?}");
 }
 
+/// A request with a prompt must cost its input and the limit of its output.
+#[test]
+fn prompt_cost() {
+    let mut network = Network::new(&[2], &[large(0)]);
+    network.run(6 * SECOND, |_, _| Vec::new());
+    network.prompt = Some(fleet::prompt(2, 3));
+    let mut one = Some(vec![(0, large(0))]);
+    network.run(SECOND, |_, _| one.take().unwrap_or_default());
+    let admitted = network.status(0).admitted;
+    assert!((admitted - 6850.0).abs() < 0.5, "{admitted}");
+}
+
 /// The state of idle tenants must not stay in memory.
 #[test]
 fn idle_tenants() {
--- a/crates/seam-core/tests/allowances/network.rs
+++ b/crates/seam-core/tests/allowances/network.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use seam_core::{AllowanceStatus, AttemptOutcome, Command, Event, Node, Refusal, Ticket};
+use seam_core::{AllowanceStatus, AttemptOutcome, Command, Event, Node, Prompt, Refusal, Ticket};
 use seam_protocol::tenant::{Allowance, CostUnit, Tenant, TenantBounds};
 use seam_protocol::{Bundle, Digest, Entry, Heartbeat, Reason, Shared, TenantId, Time, VmId};
 
@@ -14,7 +14,8 @@
 
 pub const TENANTS: u64 = 16;
 const STEP: Duration = Duration::from_millis(10);
-const TICK_STEPS: u64 = 5;
+/// Steps between two ticks of a node.
+const TICK_STEPS: u64 = 10;
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 pub const BOUNDS: TenantBounds = TenantBounds {
     revocation_limit: None,
@@ -80,6 +81,8 @@
     /// Whether callers leave before their requests are sent.
     pub leave_unsent: bool,
     pub last_refusal: Option<Refusal>,
+    /// Prompt of each request.
+    pub prompt: Option<Arc<Prompt>>,
     in_flight: Datagrams,
     sent: u64,
     steps: u64,
@@ -119,6 +122,7 @@
             targets_refuse: false,
             leave_unsent: false,
             last_refusal: None,
+            prompt: None,
             in_flight: Datagrams::new(),
             sent: 0,
             steps: 0,
@@ -220,13 +224,14 @@
                     self.collect();
                 }
             }
-            if self.steps.is_multiple_of(TICK_STEPS) {
-                for node in 0..self.fleet.nodes.len() {
-                    if !self.fleet.down[node] {
-                        self.fleet.handle(node, Event::Tick);
-                        self.collect();
-                    }
+            for node in 0..self.fleet.nodes.len() {
+                let due = (self.steps + node as u64).is_multiple_of(TICK_STEPS);
+                if due && !self.fleet.down[node] {
+                    self.fleet.handle(node, Event::Tick);
+                    self.collect();
                 }
+            }
+            if self.steps.is_multiple_of(TICK_STEPS) {
                 self.run_twins(&Event::Tick);
             }
             for (node, limit) in send(self, now) {
@@ -269,6 +274,7 @@
         self.arrivals += 1;
         let mut arrival = arrival(self.arrivals, "view", PLAIN, 2);
         arrival.tenant = Some(id(limit.tenant));
+        arrival.prompt.clone_from(&self.prompt);
         let key = (node, arrival.ticket);
         let request = (limit.tenant, f64::from(limit.cost), self.fleet.now);
         self.requests.insert(key, request);
