--- a/crates/seam-core/tests/allowances.rs
+++ b/crates/seam-core/tests/allowances.rs
@@ -1,5 +1,7 @@
 //! Token quotas of tenants over fleets of nodes whose datagrams are delayed, lost and partitioned.
 
+#[path = "live/cases.rs"]
+mod cases;
 #[allow(dead_code, reason = "each test file uses a part")]
 #[path = "live/fleet.rs"]
 mod fleet;
@@ -10,6 +12,7 @@
 
 use network::{Limit, Network, TENANTS, large, small};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::RngExt;
 use seam_core::{Command, Node};
 use seam_protocol::{Reason, Time};
@@ -341,7 +344,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+    #![proptest_config(cases::proptest_config(24, RngSeed::Fixed(7)))]
 
     /// No order of faults may let a window exceed the bound.
     #[test]
