--- a/crates/seam-core/src/lib.rs
+++ b/crates/seam-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! supplies events and times can run a whole fleet.
 
 pub mod admission;
+pub mod allowance;
 pub mod arrival;
 pub mod audit;
 pub mod catalogue;
@@ -42,6 +43,7 @@
 pub use config_version::{ConfigStamp, ConfigVersion};
 pub use event::{AttemptOutcome, Event};
 pub use handle::{AttemptKey, TargetKey, Ticket};
+pub use node::allowances::AllowanceStatus;
 pub use node::directory::{DirectoryAnswer, NamedRegions};
 pub use node::{Identity, Node};
 pub use prompt::Prompt;
--- a/crates/seam-node/src/lib.rs
+++ b/crates/seam-node/src/lib.rs
@@ -2,6 +2,7 @@
 //! makes all decisions.
 
 pub mod admin;
+mod allowances;
 pub mod budget;
 pub mod clock;
 mod config_log;
