revocation: keyed requests need a recent confirmation of the configuration

Cause: a node that is cut off from the store admits requests with API keys that were removed long ago. Change: where the limit is set, a node admits keyed requests only while its configuration was confirmed less than the limit less 250 ms ago: by the item itself, by answers to watches without changes once every change up to the stated revision is known, or by another node, dated by the echo of this node's own message. Watches wait 500 ms there. Log lines, a counter and a gauge.

--- a/crates/seam-core/src/catalogue.rs
+++ b/crates/seam-core/src/catalogue.rs
@@ -160,6 +160,8 @@
 pub struct Catalogue {
     items: BTreeMap<String, Item>,
     revision: u64,
+    /// Key of the last configuration that was received.
+    config_key: Option<String>,
     /// Sum of the parts of all items.
     digest: u32,
     /// Revision up to which removals may be missing: they were dropped, or came before a complete list.
@@ -366,7 +368,10 @@
             (entry, None)
         };
         match &entry {
-            Some(Entry::Config(bundle)) => merged.config = Some((item.revision, bundle.clone())),
+            Some(Entry::Config(bundle)) => {
+                merged.config = Some((item.revision, bundle.clone()));
+                self.config_key = Some(item.key.clone());
+            }
             Some(Entry::Unusable(reason)) => {
                 merged.unusable.push(UnusableItem {
                     key: item.key.clone(),
@@ -450,6 +455,16 @@
         }
     }
 
+    /// Returns the configuration that was received last, with the revision of its item, unless a later item cannot
+    /// be used or removes it.
+    pub(crate) fn last_config(&self) -> Option<(u64, &Arc<Bundle>)> {
+        let item = self.items.get(self.config_key.as_ref()?)?;
+        match &item.entry {
+            Some(Entry::Config(config)) => Some((item.raw.revision, config)),
+            _ => None,
+        }
+    }
+
     /// Returns how an answer of the store contradicts what was known when the call began.
     pub(crate) fn contradiction(&self, reading: &StoreReading) -> Option<Contradiction> {
         let StoreReading { call, scope, .. } = reading;
--- a/crates/seam-core/src/command.rs
+++ b/crates/seam-core/src/command.rs
@@ -243,6 +243,13 @@
     LogConfig(ConfigChange),
     /// Log that another node has other items than this one at the same revision.
     LogDifference(ItemDifference),
+    /// Log that this node begins or stops to admit requests with API keys.
+    LogAdmission {
+        /// Whether it admits them from now on.
+        admits: bool,
+        /// Age of the last confirmation of the configuration in force, if there is one.
+        age: Option<Duration>,
+    },
     /// Log what the store's answers say about what this node knew.
     LogStore(StoreChange),
     /// Append an entry to the audit trail.
--- a/crates/seam-core/src/config_version.rs
+++ b/crates/seam-core/src/config_version.rs
@@ -214,6 +214,9 @@
     /// Milliseconds since the call began by which the store last showed that the item in force is the present
     /// one, if it did.
     pub confirmed_age_ms: Option<u64>,
+    /// Age of the youngest confirmation, by the store or relayed by another node, if revoked API keys must be
+    /// refused within a limit.
+    pub revocation_age_ms: Option<u64>,
     /// Revision that the store stated last, if it did.
     pub store_revision: Option<u64>,
     /// Epoch of the items: raised as they are replaced by those of a store that contradicts them.
@@ -456,6 +459,7 @@
             read_age_ms: read.map(millis),
             current_age_ms: self.current.map(millis),
             confirmed_age_ms: self.confirmed.map(millis),
+            revocation_age_ms: None,
             store_revision: None,
             epoch: 0,
             not_taken: self.not_taken.clone(),
--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -18,6 +18,7 @@
 mod published;
 mod rate_limits;
 mod reach;
+mod revocation;
 mod routing;
 mod streams;
 mod summaries;
@@ -164,6 +165,8 @@
     pub crashes: u64,
     /// Process pauses detected.
     pub pauses: u64,
+    /// Requests with API keys that were refused, as the configuration was not confirmed in time.
+    pub unconfirmed: u64,
 }
 
 /// Switches that each replace a decision by a simple baseline, to measure what the decision gains.
@@ -224,6 +227,7 @@
     pub(crate) item_differences: ItemDifferences,
     pub(crate) item_exchanges: ItemExchanges,
     pub(crate) verification: verification::Verification,
+    pub(crate) revocation: revocation::Revocation,
     pub(crate) pending_update: work_update::PendingUpdate,
     /// Targets whose rate limit began, ended or changed since the last work update.
     pub(crate) changed_limits: BTreeSet<TargetKey>,
@@ -320,6 +324,7 @@
             item_differences: ItemDifferences::default(),
             item_exchanges: ItemExchanges::default(),
             verification: verification::Verification::default(),
+            revocation: revocation::Revocation::new(now),
             pending_update: work_update::PendingUpdate::default(),
             changed_limits: BTreeSet::new(),
             regions: BTreeMap::new(),
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -78,6 +78,9 @@
         }
         self.check_path(now, &arrival.origin, bundle.revision, out)?;
         let forwarded = matches!(arrival.origin, Origin::Peer { .. });
+        if arrival.tenant.is_some() && !forwarded {
+            self.check_confirmation(now)?;
+        }
         // A route named the service and the customer, here or at the node that received the request
         // from its caller. So what is missing has another revision of the configuration.
         let found_before = forwarded || arrival.route.is_some();
--- a/crates/seam-core/src/node/directory.rs
+++ b/crates/seam-core/src/node/directory.rs
@@ -83,6 +83,7 @@
         /// Enough nodes to tolerate the loss of some, few enough for weights to take effect.
         const SUBSET_SIZE: usize = 6;
         let (regions, mut nodes) = self.nodes_for_callers(now, region, host);
+        self.prefer_confirmed(now, &mut nodes);
         let even = nodes
             .windows(2)
             .all(|pair| pair[0].1.weight == pair[1].1.weight);
@@ -101,6 +102,15 @@
         }
     }
 
+    /// Leaves out the nodes that are known to refuse requests with API keys, if others are known to admit them.
+    fn prefer_confirmed(&self, now: Time, nodes: &mut Vec<(VmId, &Vm)>) {
+        let admits = |vm: VmId| self.known_to_admit(now, vm);
+        if nodes.iter().any(|(vm, _)| admits(*vm) == Some(true)) {
+            nodes.retain(|(vm, _)| admits(*vm) != Some(false));
+            nodes.sort_by_key(|(vm, _)| admits(*vm).is_none());
+        }
+    }
+
     /// Returns the ready nodes of a region, or else those of regions that may process all requests of the
     /// host.
     ///
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -74,6 +74,8 @@
             self.unread_items = self.unread_items.max(Some(unread));
             self.confirm_freshness();
         }
+        self.merge_confirmation(now, heartbeat, effect.echo, comparable);
+        self.return_confirmation(now, heartbeat, out);
         if self.roster.is_some() && !comparable {
             // Its items have other revisions than those here.
         } else if self.roster.is_some() {
@@ -431,6 +433,7 @@
         };
         heartbeat.config = self.config_view.meaning();
         let turn = self.gossip.next_turn(to);
+        self.list_confirmation(now, turn, &mut heartbeat, to);
         if self.regions.get(&to) == Some(&self.id.region) {
             self.list_limits(now, LimitSelection::Turn(turn), &mut heartbeat);
             self.list_leaving(turn, &mut heartbeat);
@@ -558,6 +561,7 @@
         if self.regions.get(&to) == Some(&self.id.region) {
             self.list_reached(sent, &mut heartbeat);
         }
+        self.list_own_confirmation(sent, &mut heartbeat);
         Some((address, heartbeat))
     }
 
--- a/crates/seam-core/src/node/published.rs
+++ b/crates/seam-core/src/node/published.rs
@@ -42,14 +42,17 @@
     ///
     /// In each region, the first few nodes by rank among those that can reach the platform watch
     /// it. A node that knows too few live ones, has no configuration yet, or does not receive what
-    /// others have, watches it too.
+    /// others have, or the confirmations that it needs, watches it too.
     #[must_use]
     pub fn watches_platform(&self, now: Time) -> bool {
-        self.higher_ranked(now) < WATCHER_COUNT || !self.configured() || self.lags(now)
+        self.higher_ranked(now) < WATCHER_COUNT
+            || !self.configured()
+            || self.lags(now)
+            || self.lacks_confirmation(now)
     }
 
     /// Returns the number of nodes of the region that go before this one in reading the platform.
-    fn higher_ranked(&self, now: Time) -> usize {
+    pub(super) fn higher_ranked(&self, now: Time) -> usize {
         let rank_of = |vm: VmId| seam_protocol::id::rank(WATCH_SEED, u64::from(vm.0));
         let own_rank = rank_of(self.id.vm);
         let live = self.peers.live_in(now, self.id.region);
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -29,6 +29,7 @@
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
         self.expire_requests(now, out);
         self.announce_readiness(now, out);
+        self.review_admission(now, out);
         self.send_due_heartbeats(now, out);
         self.maintain_roster(now, out);
         self.send_work_update(now, out);
--- a/crates/seam-core/src/peers.rs
+++ b/crates/seam-core/src/peers.rs
@@ -44,6 +44,17 @@
     pub items_revision: u64,
     /// Epoch of its items.
     pub items_epoch: u32,
+    /// The confirmation of its configuration that it sent last.
+    pub confirmation: Option<ConfirmationAge>,
+}
+
+/// The age of a confirmation of another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfirmationAge {
+    /// When it was received.
+    pub received: Time,
+    /// Its age when it was sent.
+    pub age: Duration,
 }
 
 /// The known state of another region.
@@ -150,6 +161,9 @@
             effect.members_changed |= self.store_record(now, *region, record, index == 0);
         }
         if let Some(peer) = self.peers.get_mut(&heartbeat.from) {
+            if peer.direct_incarnation != own.incarnation {
+                peer.confirmation = None;
+            }
             peer.sent = heartbeat.sent;
             peer.direct_incarnation = own.incarnation;
             peer.platform_reachable = heartbeat.platform_reachable;
@@ -191,6 +205,7 @@
                     platform_reachable: false,
                     items_revision: 0,
                     items_epoch: 0,
+                    confirmation: None,
                 },
             );
             return true;
@@ -307,6 +322,20 @@
         }
     }
 
+    /// Records the confirmation that a node sent.
+    pub fn note_confirmation(&mut self, vm: VmId, confirmation: ConfirmationAge) {
+        if let Some(peer) = self.peers.get_mut(&vm) {
+            peer.confirmation = Some(confirmation);
+        }
+    }
+
+    /// Returns the age of the last confirmation that a node sent, without the time that it took to arrive.
+    #[must_use]
+    pub fn confirmation_age(&self, now: Time, vm: VmId) -> Option<Duration> {
+        let confirmation = self.peers.get(&vm)?.confirmation?;
+        Some(now.since(confirmation.received) + confirmation.age)
+    }
+
     /// Returns the live nodes that have a newer item revision.
     pub fn ahead(&self, now: Time, revision: u64) -> impl Iterator<Item = (VmId, &Peer)> + '_ {
         self.peers
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -134,6 +134,7 @@
             config: ConfigStatus {
                 store_revision: self.store_revision(),
                 epoch: self.items_epoch(),
+                revocation_age_ms: self.confirmation_age(now).map(|age| age.as_millis() as u64),
                 ..self.config_view.status(now, self.platform_read)
             },
             digest: self
--- a/crates/seam-core/src/store_call.rs
+++ b/crates/seam-core/src/store_call.rs
@@ -50,6 +50,8 @@
     pub batch: ItemBatch,
     /// The store's revision, if the answer states it.
     pub stated: Option<u64>,
+    /// Whether every element of the answer could be read.
+    pub complete: bool,
 }
 
 /// A difference between what the store says and what this node knew when the call began.
--- a/crates/seam-ctl/src/commands/status.rs
+++ b/crates/seam-ctl/src/commands/status.rs
@@ -56,6 +56,7 @@
                 "read_age_ms",
                 "current_age_ms",
                 "confirmed_age_ms",
+                "revocation_age_ms",
                 "store_revision",
                 "epoch",
                 "not_taken",
--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -108,6 +108,7 @@
             | Command::FetchItems { .. }
             | Command::LogConfig(_)
             | Command::LogDifference(_)
+            | Command::LogAdmission { .. }
             | Command::LogStore(_)
             | Command::Discard(_) => {}
         }
--- a/crates/seam-node/src/config_log.rs
+++ b/crates/seam-node/src/config_log.rs
@@ -101,6 +101,24 @@
     );
 }
 
+/// Logs that this node begins or stops to admit requests with API keys, by the age of the last confirmation that
+/// its configuration is the present one.
+pub fn log_admission(config: ConfigStamp, admits: bool, age: Option<Duration>) {
+    if admits {
+        log::info!(
+            target: "config",
+            config = config.revision, config_item = config.item_revision, revocation_age_ms = millis(age);
+            "requests with API keys are admitted"
+        );
+    } else {
+        log::warn!(
+            target: "config",
+            config = config.revision, config_item = config.item_revision, revocation_age_ms = millis(age);
+            "requests with API keys are refused, as the configuration is not confirmed"
+        );
+    }
+}
+
 /// Logs what the store's answers say about what this node knew.
 pub fn log_store(change: &StoreChange) {
     match change {
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -200,6 +200,26 @@
     }
 }
 
+/// Rejects a request whose API key was found in a configuration that may be outdated by more than the limit on
+/// revocation. Has to follow the read of the head and the look-up of the key at once.
+fn check_revocation(runtime: &NodeRuntime, snapshot: &Snapshot) -> Result<(), Rejection> {
+    let checked = runtime.update(|node, now| {
+        let checked = node.check_keyed(now, &snapshot.config);
+        checked.map_err(|refusal| (refusal, node.confirmation_age(now)))
+    });
+    checked.map_err(|(refusal, age)| {
+        let age = age.map_or_else(
+            || "never".to_owned(),
+            |age| format!("{} ms ago", age.as_millis()),
+        );
+        Rejection {
+            refusal,
+            detail: format!("the configuration was confirmed {age}"),
+            config: None,
+        }
+    })
+}
+
 /// Rejects a head that exceeds the limit in force. It was read because the configuration may be outdated.
 fn check_head(head: &http::request::Parts, limit: usize) -> Result<(), Rejection> {
     if head_bytes(head) <= limit {
@@ -288,6 +308,10 @@
         ));
     };
     let (route, _) = find_route(runtime, snapshot, &host, head.uri.path(), id)?;
+    let tenant: Option<String> = None;
+    if tenant.is_some() {
+        check_revocation(runtime, snapshot)?;
+    }
     check_head(&head, super::head_limit(snapshot))?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let stated_budget = options.budget.unwrap_or(Duration::MAX);
@@ -328,7 +352,7 @@
         repeatable: route.retry_policy != RetryPolicy::Once,
         fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
         content: fingerprint(service, &head.method, &path, None, body.first()),
-        tenant: None,
+        tenant,
         rules: Some(route_rules(route)),
         prompt: options.prompt.map(Arc::new),
         resumes: options.resumes,
--- a/crates/seam-node/src/items.rs
+++ b/crates/seam-node/src/items.rs
@@ -24,6 +24,9 @@
 
 /// Maximum wait of one watch. It is short so that a stalled connection is detected soon.
 pub const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// The same where API keys must be revoked in time: an answer without changes confirms that the configuration in
+/// force is the present one, and is needed more often than each second.
+const CONFIRMING_WAIT: Duration = Duration::from_millis(500);
 /// Time after the wait of a watch in which it must be answered, or another one is tried beside it. It exceeds
 /// what a new connection and a call to another region take.
 const OVERDUE_DELAY: Duration = Duration::from_millis(500);
@@ -43,7 +46,7 @@
     runtime: &Arc<NodeRuntime>,
     delta: Delta,
     (scope, call): (StoreScope, StoreCall),
-    stated: Option<u64>,
+    (stated, complete): (Option<u64>, bool),
 ) {
     let mut delta = delta;
     if let Some(stated) = stated.filter(|_| scope != StoreScope::Changes) {
@@ -55,6 +58,7 @@
             scope,
             batch,
             stated,
+            complete,
         })
     });
 }
@@ -167,7 +171,7 @@
     let mut position = Position::default();
     loop {
         if !read_all && !runtime.read(seam_core::Node::watches_platform) {
-            position.list_start = None;
+            (position.list_start, position.idle) = (None, true);
             Timer::after(WATCH_CHECK_INTERVAL).await;
             continue;
         }
@@ -184,7 +188,8 @@
                     .await,
             )
         } else {
-            watch_until_replaced(&runtime, store.as_ref(), after, store_call).await
+            let wait = watch_wait(&runtime, std::mem::take(&mut position.idle));
+            watch_until_replaced(&runtime, store.as_ref(), (after, store_call), wait).await
         };
         let Some((after, store_call, changes)) = answer else {
             continue;
@@ -202,13 +207,14 @@
                 (read_all, unread) = (true, Some(answer.delta.revision));
                 runtime.handle(Event::PlatformUnreachable(false));
                 let stated = answer.stated;
-                apply_answer(&runtime, without_claim(answer), asked, stated);
+                apply_answer(&runtime, without_claim(answer), asked, (stated, false));
                 Timer::after(compaction_delay(compactions, &mut rng)).await;
                 compactions += 1;
             }
             Ok(WatchOutcome::Changes(answer)) => {
                 failures = 0;
                 let stated = answer.stated.filter(|_| !answer.resumed);
+                let complete = answer.complete;
                 let delta = if read_all {
                     // The change that cannot be read is not watched again.
                     let start = WatchCursor::list_start(&answer.delta);
@@ -220,7 +226,7 @@
                 };
                 read_all = false;
                 runtime.handle(Event::PlatformUnreachable(false));
-                apply_answer(&runtime, delta, asked, stated);
+                apply_answer(&runtime, delta, asked, (stated, complete));
             }
             Ok(WatchOutcome::Compacted) if position.list_start.is_some() => {
                 log::debug!(
@@ -264,6 +270,8 @@
     list_start: Option<(u64, u64)>,
     /// How often the items had been replaced.
     replacements: u32,
+    /// Whether the node did not watch before.
+    idle: bool,
 }
 
 impl Position {
@@ -474,15 +482,25 @@
     }
 }
 
+/// Returns how long a watch waits. One that `begins` to watch where confirmations are needed lacks one.
+fn watch_wait(runtime: &NodeRuntime, begins: bool) -> Duration {
+    let limited = runtime.read(|node, _| node.revocation_limit().is_some());
+    match (limited, begins) {
+        (false, _) => WATCH_WAIT,
+        (true, false) => CONFIRMING_WAIT,
+        (true, true) => PROBE_WAIT,
+    }
+}
+
 /// Watches the store. Returns `None` if the items were replaced meanwhile, after which the answer tells nothing.
 async fn watch_until_replaced(
     runtime: &NodeRuntime,
     store: &dyn ItemStore,
-    after: u64,
-    call: StoreCall,
+    (after, call): Probe,
+    wait: Duration,
 ) -> Option<(u64, StoreCall, Watched)> {
-    let overdue = Some(Instant::now() + WATCH_WAIT + OVERDUE_DELAY);
-    let watched = async { Some(watch(runtime, store, after, WATCH_WAIT, overdue).await) };
+    let overdue = Some(Instant::now() + wait + OVERDUE_DELAY);
+    let watched = async { Some(watch(runtime, store, after, wait, overdue).await) };
     let replaced = async {
         wait_until_replaced(runtime, call.replacements).await;
         None
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -73,6 +73,7 @@
     read_age: Gauge<u64>,
     current_age: Gauge<u64>,
     confirmed_age: Gauge<u64>,
+    revocation_age: Gauge<u64>,
     store_revision: Gauge<u64>,
     items_epoch: Gauge<u64>,
     events: Gauge<u64>,
@@ -152,6 +153,10 @@
                 "seam_config_confirmed_age_ms",
                 "time since the store showed this node that its configuration is the present one",
             ),
+            revocation_age: gauge(
+                "seam_revocation_age_ms",
+                "age of the youngest confirmation of the configuration, by the store or another node",
+            ),
             store_revision: gauge(
                 "seam_store_revision",
                 "revision that the store stated last to this node",
@@ -201,6 +206,7 @@
             (&self.read_age, config.read_age_ms),
             (&self.current_age, config.current_age_ms),
             (&self.confirmed_age, config.confirmed_age_ms),
+            (&self.revocation_age, config.revocation_age_ms),
             (&self.store_revision, config.store_revision),
         ];
         for (gauge, figure) in known {
@@ -238,6 +244,7 @@
             ("ejections", counters.ejections),
             ("crashes", counters.crashes),
             ("pauses", counters.pauses),
+            ("unconfirmed", counters.unconfirmed),
         ] {
             self.events.record(count, &[KeyValue::new("kind", kind)]);
         }
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -19,6 +19,7 @@
 use seam_core::command::{OriginSource, Withheld};
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
+use seam_core::store_call::StoreChange;
 use seam_core::targets::TargetEstimate;
 use seam_core::{
     AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Source, Ticket,
@@ -474,14 +475,19 @@
                 config_log::log_change(&change);
             }
             Command::LogDifference(difference) => config_log::log_difference(&difference),
-            Command::LogStore(change) => {
-                self.metrics.store_changed(&change);
-                config_log::log_store(&change);
+            Command::LogAdmission { admits, age } => {
+                config_log::log_admission(config, admits, age);
             }
+            Command::LogStore(change) => self.log_store_change(&change),
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
 
+    fn log_store_change(&self, change: &StoreChange) {
+        self.metrics.store_changed(change);
+        config_log::log_store(change);
+    }
+
     fn cancel(&self, attempt: AttemptKey) {
         let attempts = lock(&self.attempts);
         let ticket = attempts.get(&attempt).copied();
