revocation: tests of partial, late and open answers, other items and large regions

Cause: mutants that date a confirmation by its arrival, take one for another item or meaning, or confirm by a part of the changes passed the first tests. Change: five more tests, with parts of one change each, answers without changes, and 27 nodes.

--- a/crates/seam-core/tests/live/revocation.rs
+++ b/crates/seam-core/tests/live/revocation.rs
@@ -96,6 +96,10 @@
     /// Nodes that receive no heartbeats.
     deaf: BTreeSet<usize>,
     pub damage: Damage,
+    /// Size of the configuration's item, by which it is read more or less often.
+    pub config_bytes: usize,
+    /// Whether confirmations are of another meaning of the configuration than the sender's.
+    pub other_meaning: bool,
     /// Calls to the store so far.
     pub calls: usize,
     /// Whether no heartbeat had a confirmation.
@@ -142,6 +146,8 @@
             loss: 0.0,
             deaf: BTreeSet::new(),
             damage: Damage::None,
+            config_bytes: 1,
+            other_meaning: false,
             calls: 0,
             without_confirmations: true,
             refused: vec![0; regions.len()],
@@ -165,7 +171,10 @@
 
     fn put(&mut self, key: &str, entry: Entry) {
         self.revision += 1;
-        let published = item(key, self.revision, Some(entry));
+        let mut published = item(key, self.revision, Some(entry));
+        if key == "config" {
+            published.item.value = Some(vec![1; self.config_bytes]);
+        }
         self.history.insert(self.revision, published);
     }
 
@@ -442,10 +451,13 @@
             match command {
                 Command::Heartbeat {
                     address: to,
-                    heartbeat,
+                    mut heartbeat,
                     ..
                 } => {
                     self.without_confirmations &= heartbeat.confirmation.is_none();
+                    if self.other_meaning {
+                        heartbeat.config.digest ^= 1;
+                    }
                     let to = (0..self.paths.len()).find(|other| address(*other) == to);
                     let reaches = |to: &usize| {
                         let pair = (from.min(*to), from.max(*to));
@@ -660,6 +672,41 @@
         );
     }
 
+    /// Answers a call that begins now without changes. Returns when it began.
+    pub fn answer_empty(
+        &mut self,
+        index: usize,
+        revision: u64,
+        stated: Option<u64>,
+        complete: bool,
+    ) -> Time {
+        let now = self.fleet.clock(index);
+        let call = self.fleet.nodes[index].begin_store_call(now);
+        self.answer_call(index, call, revision, (stated, complete));
+        call.begun
+    }
+
+    /// Answers a call for changes without any; they are known up to a revision.
+    pub fn answer_call(
+        &mut self,
+        index: usize,
+        call: StoreCall,
+        revision: u64,
+        (stated, complete): (Option<u64>, bool),
+    ) {
+        let batch = ItemBatch {
+            items: Vec::new(),
+            revision,
+            full: false,
+        };
+        self.give(
+            index,
+            (StoreScope::Changes, call),
+            batch,
+            (stated, complete),
+        );
+    }
+
     fn give(
         &mut self,
         index: usize,
--- a/crates/seam-core/tests/revocation.rs
+++ b/crates/seam-core/tests/revocation.rs
@@ -304,6 +304,112 @@
     }
 }
 
+/// Guards against a confirmation by one of many parts, as the removal is in a later one and the configuration is too
+/// large to be read often.
+#[test]
+fn many_parts() {
+    let mut world = World::new(&[NORTH, NORTH]);
+    world.config_bytes = 200_000;
+    world.publish(&["a", "b"]);
+    world.run(seconds(10));
+    world.assert_admitted("a", 0..2);
+    world.damage = world::Damage::Parts;
+    for step in 0..200 {
+        world.publish_target(&format!("e-{step}"));
+    }
+    world.publish(&["b"]);
+    world.run(seconds(20));
+    world.assert_refused("a", 0..2);
+    world.assert_admitted("b", 0..2);
+}
+
+/// Guards against a confirmation for an item, or for a meaning of it, that the node does not have in force.
+#[test]
+fn other_items() {
+    for other_meaning in [false, true] {
+        let mut world = settled();
+        world.cut_store(&[2]);
+        world.fleet.fetches_fail = true;
+        world.other_meaning = other_meaning;
+        if !other_meaning {
+            world.publish(&["b"]);
+        }
+        world.run(seconds(10));
+        world.assert_refused("b", [2]);
+    }
+}
+
+/// Guards against nodes of a region without the store that get confirmations too rarely from a large region.
+#[test]
+fn large_regions() {
+    let mut regions = vec![NORTH; 24];
+    regions.extend([SOUTH; 3]);
+    let mut world = World::new(&regions);
+    world.publish(&["a"]);
+    world.run(seconds(5));
+    world.cut_store(&[24, 25, 26]);
+    world.begin_count();
+    world.run(seconds(12));
+    assert_eq!(world.refused(), [0; 27]);
+    assert!(world.oldest() <= seconds(4), "{:?}", world.oldest());
+}
+
+/// Returns a node alone that has read all items at a revision, and the time of its confirmation.
+fn alone() -> World {
+    let mut world = World::new(&[NORTH]);
+    world.publish(&["a"]);
+    world.run(seconds(4));
+    let all = [0];
+    world.hang_store(&all);
+    world.run(seconds(1));
+    world
+}
+
+/// Guards against an answer that confirms although the store's revision is beyond what the node knows, and one after
+/// an element that could not be read.
+#[test]
+fn open_answers() {
+    let mut world = alone();
+    let known = world.fleet.nodes[0].items_revision();
+    let age = |world: &World| {
+        let now = world.fleet.clock(0);
+        world.fleet.nodes[0].confirmation_age(now).unwrap()
+    };
+    let before = age(&world);
+    let first = world.answer_empty(0, known, Some(known + 1), true);
+    assert_eq!(age(&world), before, "a change may be missing");
+    world.run(Duration::from_millis(200));
+    let second = world.answer_empty(0, known + 1, Some(known + 2), true);
+    let now = world.fleet.clock(0);
+    assert!(first < second);
+    assert_eq!(age(&world), now.since(first), "as of the first call");
+    world.run(Duration::from_millis(200));
+    let before = age(&world);
+    world.answer_empty(0, known + 1, Some(known + 1), false);
+    world.answer_empty(0, known + 2, Some(known + 2), true);
+    assert_eq!(
+        age(&world),
+        before,
+        "what could not be read may be the configuration"
+    );
+    world.answer_empty(0, known + 2, None, true);
+    assert_eq!(age(&world), before, "the store's revision is unknown");
+}
+
+/// Guards against a confirmation as of the time at which an answer arrives, long after its call.
+#[test]
+fn late_answer() {
+    let mut world = alone();
+    let known = world.fleet.nodes[0].items_revision();
+    let now = world.fleet.clock(0);
+    let call = world.fleet.nodes[0].begin_store_call(now);
+    world.run(seconds(5));
+    world.answer_call(0, call, known, (Some(known), true));
+    let now = world.fleet.clock(0);
+    let age = world.fleet.nodes[0].confirmation_age(now).unwrap();
+    assert!(age >= seconds(5), "{age:?}");
+}
+
 /// Guards against nodes that stop since every watch is answered with a change.
 #[test]
 fn constant_changes() {
