--- a/crates/seam-protocol/tests/heartbeat_datagrams.rs
+++ b/crates/seam-protocol/tests/heartbeat_datagrams.rs
@@ -1,8 +1,8 @@
 //! Heartbeats as datagrams, also of processes of an earlier version.
 
 use seam_protocol::heartbeat::{
-    ColdReport, ConfigMeaning, CrashReport, QuarantineReport, ServiceReach, StreamReport, Suspect,
-    SuspectPart, TargetLimit,
+    ColdReport, ConfigMeaning, Confirmation, CrashReport, QuarantineReport, ServiceReach,
+    StreamReport, Suspect, SuspectPart, TargetLimit,
 };
 use seam_protocol::{Fingerprint, Heartbeat, RegionId, TargetId, VmId};
 
@@ -232,3 +232,33 @@
         assert_eq!(whole.len() - without.len(), bytes);
     }
 }
+
+/// Guards against confirmations that get lost, or that keep a process of the version before from reading the rest.
+#[test]
+fn confirmation_kept() {
+    let mut heartbeat = heartbeat();
+    heartbeat.items_digest = Some(u32::MAX);
+    heartbeat.items_revision = 40;
+    for (meaning_sent, bytes) in [(true, 14), (false, 20)] {
+        let meaning = ConfigMeaning {
+            item_revision: 40,
+            digest: (1 << 48) - 1,
+        };
+        heartbeat.config = if meaning_sent {
+            meaning
+        } else {
+            ConfigMeaning::default()
+        };
+        heartbeat.confirmation = None;
+        let without = heartbeat.encode();
+        heartbeat.config = meaning;
+        heartbeat.confirmation = Some(Confirmation {
+            item_revision: 40,
+            age: 1200,
+        });
+        let whole = heartbeat.encode();
+        assert_eq!(Heartbeat::decode(&whole), Some(heartbeat.clone()));
+        assert_eq!(Heartbeat::decode(&whole[..whole.len() - 1]), None);
+        assert_eq!(whole.len() - without.len(), bytes);
+    }
+}
