--- a/crates/seam-harness/src/world/adapter.rs
+++ b/crates/seam-harness/src/world/adapter.rs
@@ -109,6 +109,7 @@
             | Command::LogConfig(_)
             | Command::LogDifference(_)
             | Command::LogAllowance(_)
+            | Command::LogAdmission { .. }
             | Command::LogStore(_)
             | Command::Discard(_) => {}
         }
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -199,6 +199,26 @@
     }
 }
 
+/// Rejects a request whose API key was found in a configuration that may be outdated by more than the limit on
+/// revocation. Has to follow the read of the head and the look-up of the key at once.
+fn check_revocation(runtime: &NodeRuntime, snapshot: &Snapshot) -> Result<(), Rejection> {
+    let checked = runtime.update(|node, now| {
+        let checked = node.check_keyed(now, &snapshot.config);
+        checked.map_err(|refusal| (refusal, node.confirmation_age(now)))
+    });
+    checked.map_err(|(refusal, age)| {
+        let age = age.map_or_else(
+            || "never".to_owned(),
+            |age| format!("{} ms ago", age.as_millis()),
+        );
+        Rejection {
+            refusal,
+            detail: format!("the configuration was confirmed {age}"),
+            config: None,
+        }
+    })
+}
+
 /// Rejects a head that exceeds the limit in force. It was read because the configuration may be outdated.
 fn check_head(head: &http::request::Parts, limit: usize) -> Result<(), Rejection> {
     if head_bytes(head) <= limit {
@@ -319,7 +339,9 @@
     };
     let (route, _) = find_route(runtime, snapshot, &host, head.uri.path(), id)?;
     let key = runtime.dialect.api_key(&head.headers);
-    find_tenant(runtime, snapshot, route, &key)?;
+    if find_tenant(runtime, snapshot, route, &key)?.is_some() {
+        check_revocation(runtime, snapshot)?;
+    }
     check_head(&head, super::head_limit(snapshot))?;
     let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
     let stated_budget = options.budget.unwrap_or(Duration::MAX);
--- a/crates/seam-node/src/runtime.rs
+++ b/crates/seam-node/src/runtime.rs
@@ -20,6 +20,7 @@
 use seam_core::config_version::ConfigChange;
 use seam_core::placement::Order;
 use seam_core::spill::RoutingDecision;
+use seam_core::store_call::StoreChange;
 use seam_core::targets::TargetEstimate;
 use seam_core::{
     AttemptKey, Command, ConfigStamp, ConfigVersion, Event, Node, Refusal, Source, Ticket,
@@ -477,10 +478,10 @@
             Command::LogConfig(change) => self.log_change(&change),
             Command::LogDifference(difference) => config_log::log_difference(&difference),
             Command::LogAllowance(event) => allowances::log_event(&event),
-            Command::LogStore(change) => {
-                self.metrics.store_changed(&change);
-                config_log::log_store(&change);
+            Command::LogAdmission { admits, age } => {
+                config_log::log_admission(config, admits, age);
             }
+            Command::LogStore(change) => self.log_store_change(&change),
             Command::Audit(audit) => self.audit_trail.append(audit),
         }
     }
@@ -490,6 +491,11 @@
         config_log::log_change(change);
     }
 
+    fn log_store_change(&self, change: &StoreChange) {
+        self.metrics.store_changed(change);
+        config_log::log_store(change);
+    }
+
     fn cancel(&self, attempt: AttemptKey) {
         let attempts = lock(&self.attempts);
         let ticket = attempts.get(&attempt).copied();
