--- a/crates/seam-core/src/arrival.rs
+++ b/crates/seam-core/src/arrival.rs
@@ -99,8 +99,6 @@
 pub struct RouteRules {
     /// Latency up to which a response keeps its full value.
     pub objective: Duration,
-    /// Longest pause between two events of a stream that is still in time; zero if none is stated.
-    pub pause: Duration,
     /// Maximum number of targets that may run the request.
     pub max_attempts: u32,
     /// Priority that targets are told. 0 is the most urgent.
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -73,7 +73,6 @@
         objective: 800,
         rank: 0,
         attempts,
-        pause: 0,
         public: false,
         home_regions: None,
     }
@@ -535,7 +534,6 @@
         tenant: None,
         route: Some(RouteRules {
             objective: Duration::from_millis(800),
-            pause: Duration::ZERO,
             max_attempts: attempts,
             rank: 0,
             kind: 0,
--- a/crates/seam-core/tests/published/callers.rs
+++ b/crates/seam-core/tests/published/callers.rs
@@ -77,7 +77,6 @@
 pub fn rules(route: &HostRoute) -> RouteRules {
     RouteRules {
         objective: Duration::from_millis(route.objective),
-        pause: Duration::ZERO,
         max_attempts: u32::from(route.attempts),
         rank: route.rank,
         kind: route.rank,
--- a/crates/seam-node/src/inbound.rs
+++ b/crates/seam-node/src/inbound.rs
@@ -170,7 +170,6 @@
 pub fn route_rules(route: &HostRoute, tenant: Option<&Tenant>) -> RouteRules {
     RouteRules {
         objective: Duration::from_millis(route.objective),
-        pause: Duration::from_millis(route.pause),
         max_attempts: u32::from(route.attempts.max(1)),
         rank: tenant
             .and_then(|tenant| tenant.priority)
--- a/crates/seam-protocol/src/route.rs
+++ b/crates/seam-protocol/src/route.rs
@@ -49,10 +49,6 @@
         pub rank: u8,
         /// Maximum number of targets that may run the same request.
         pub attempts: u8,
-        /// Longest pause in milliseconds between two events of a stream that is still in time; zero if none is
-        /// stated.
-        #[serde(default)]
-        pub pause: u64,
         /// Whether its requests need no API key.
         #[serde(default)]
         pub public: bool,
@@ -155,7 +151,7 @@
     /// let route = |prefix: &str, homes: &[u32]| HostRoute {
     ///     name: prefix.into(), prefix: prefix.into(), shares: vec![],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1, pause: 0, public: false,
+    ///     attempts: 1, public: false,
     ///     home_regions: (!homes.is_empty()).then(|| homes.iter().copied().map(RegionId).collect()),
     /// };
     /// let mut table = RouteTable::default();
@@ -181,7 +177,7 @@
     /// let route = |prefix: &str, home: u32| HostRoute {
     ///     name: prefix.into(), prefix: prefix.into(), shares: vec![],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1, pause: 0, public: false, home_regions: Some(BTreeSet::from([RegionId(home)])),
+    ///     attempts: 1, public: false, home_regions: Some(BTreeSet::from([RegionId(home)])),
     /// };
     /// let mut table = RouteTable::default();
     /// table.insert("salon.example", route("/looks/", 1));
@@ -225,7 +221,7 @@
     /// let route = |name: &str, prefix: &str| HostRoute {
     ///     name: name.into(), prefix: prefix.into(), shares: vec![],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1, pause: 0, public: false, home_regions: None,
+    ///     attempts: 1, public: false, home_regions: None,
     /// };
     /// let mut table = RouteTable::default();
     /// table.insert("salon.example", route("all", "/"));
@@ -278,7 +274,7 @@
     /// let route = |name: &str, prefix: &str| HostRoute {
     ///     name: name.into(), prefix: prefix.into(), shares: vec![],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1, pause: 0, public: false, home_regions: None,
+    ///     attempts: 1, public: false, home_regions: None,
     /// };
     /// let book = route("book", "/book/").customer_id("salon.example");
     /// assert_eq!(route("renamed", "/book/").customer_id("Salon.example"), book);
@@ -325,7 +321,7 @@
     /// let route = HostRoute {
     ///     name: "r".into(), prefix: "/".into(), shares: vec![share(1, 90), share(2, 10)],
     ///     retry_policy: RetryPolicy::Once, streams: false, timeout: 1, objective: 1, rank: 0,
-    ///     attempts: 1, pause: 0, public: false, home_regions: None,
+    ///     attempts: 1, public: false, home_regions: None,
     /// };
     /// let second = (0..100).filter(|n| route.service(*n) == Some(ServiceId(2))).count();
     /// assert_eq!(second, 10);
