API keys: an unknown one is refused for a time while the configuration is not confirmed

Cause: a key that was added after the last confirmation got 401, which callers do not retry. Change: 503 with a time to come back, as for other keyed requests at such a node.

--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -301,6 +301,10 @@
     };
     match found {
         Ok(tenant) => Ok(Some(tenant)),
+        // A key that was added since the configuration was last confirmed is unknown here.
+        Err(detail) if !runtime.read(seam_core::Node::admits_keyed) => {
+            Err(Rejection::for_a_time(detail))
+        }
         Err(detail) => Err(Rejection::by_config(runtime, Reason::Credential, detail)),
     }
 }
