tests: the tenants of the engine model are in its configuration

Cause: nodes refuse requests of tenants that the configuration lacks, and the model of competing tenants had none. Change: it publishes them. No bound changed.

--- a/crates/seam-core/tests/live/engines.rs
+++ b/crates/seam-core/tests/live/engines.rs
@@ -2,6 +2,7 @@
 //! for as long as it has tokens.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use seam_core::{Arrival, AttemptKey, AttemptOutcome, Command, Event, Refusal};
@@ -10,9 +11,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use seam_core::prompt::Part;
-use seam_protocol::TenantId;
+use seam_protocol::{Entry, Tenant, TenantId};
 
-use crate::fleet::{ENGINE, Fleet, NORTH, arrival, prompt, settled_fleet};
+use crate::fleet::{ENGINE, Fleet, NORTH, arrival, config, item, prompt, settled_fleet};
 
 /// Objectives of the kinds of requests.
 pub const OBJECTIVES: [Duration; 3] = [
@@ -61,6 +62,24 @@
     End(TargetId),
 }
 
+/// Returns a configuration with tenants without limits.
+fn with_tenants() -> Entry {
+    const COUNT: u64 = 6;
+    let Entry::Config(bundle) = config(8) else {
+        unreachable!("a configuration");
+    };
+    let mut bundle = Arc::unwrap_or_clone(bundle);
+    for number in 1..=COUNT {
+        let tenant = Tenant {
+            name: number.to_string(),
+            home_regions: None,
+            ..Tenant::unread()
+        };
+        bundle.tenants.insert(TenantId(number), tenant);
+    }
+    Entry::Config(Arc::new(bundle))
+}
+
 /// Engines behind the nodes of a fleet.
 pub struct Engines {
     pub fleet: Fleet,
@@ -79,8 +98,14 @@
             .iter()
             .map(|name| (name.as_str(), ENGINE, NORTH))
             .collect();
+        let mut fleet = settled_fleet(regions, &targets);
+        for index in 0..regions.len() {
+            fleet.publish(index, vec![item("config", 100, Some(with_tenants()))], 100);
+        }
+        fleet.wait(Duration::from_secs(1));
+        fleet.commands.clear();
         Self {
-            fleet: settled_fleet(regions, &targets),
+            fleet,
             samples: BTreeMap::new(),
             engines: BTreeMap::new(),
             later: BTreeMap::new(),
