--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -18,11 +18,12 @@
 const RANKS_OF_KIND: u8 = 2;
 
 impl Node {
-    /// Returns whether requests compete for the engines of a service: those of routes, where nodes
-    /// know of each other's work.
+    /// Returns whether requests compete for the engines of a service: those of tenants' routes, where nodes
+    /// know of each other's work. Without tenants, deployments with uneven engines served less with it.
     fn competes(&self, request: &Request) -> bool {
-        let spec = self.bundle.as_ref();
-        let spec = spec.and_then(|bundle| bundle.services.get(&request.service));
+        let bundle = self.bundle.as_ref();
+        let bundle = bundle.filter(|bundle| !bundle.tenants.is_empty());
+        let spec = bundle.and_then(|bundle| bundle.services.get(&request.service));
         request.route.is_some()
             && self.targets.shared()
             && spec.is_some_and(|spec| spec.kind == Kind::Engine)
