engines: speed of a service and of an engine learned apart from slow moments

Times to the first token were predicted with 50 tokens a millisecond and 30 ms for an empty prompt, times one factor. Services differ in both (36.7 to 157 tokens, 70 ms at some), so the factor was right for one length of prompt only, and it moved by 3% with a measurement. A slow moment of 0.6 s was learned when it was over.

- targets/pace.rs estimates three coefficients for each service by recursive least squares, and the slowness of each engine relative to them.
Of a difference, each takes as much as it is uncertain, so the pace is learned first.
A time far longer than expected counts in part, since the engine may have had work that this node did not know of.
What an unused engine is compared with follows the others.
- targets/moment.rs keeps the factor that a target states, with its time.
It fades to 1 within 0.6 s.
A measured time is divided by the mean of the factors at its begin and its end.
- Predictions, the wait of prompts and of plain targets, and the choice by load use the factor.
Without the figure it is 1.
- The log line of an attempt has the factor; predicted_ms is what the choice used.

--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -355,9 +355,9 @@
 
     /// Decays measured times towards the configured ones, so that requests refused during a slow
     /// period are admitted again.
-    pub(super) fn decay_measurements(&mut self) {
+    pub(super) fn decay_measurements(&mut self, now: Time) {
         const DECAY_RATE: f64 = 0.02;
-        self.targets.decay_slowness();
+        self.targets.decay_slowness(now);
         let Some(bundle) = &self.bundle else {
             return;
         };
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -4,6 +4,8 @@
 mod choice;
 mod cold;
 mod engine;
+mod moment;
+mod pace;
 mod rate_limit;
 mod room;
 mod shared_rate;
@@ -25,6 +27,8 @@
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
+pub use moment::Moment;
+pub use pace::{EngineSlowness, PrefillSample, PrefillTimes, ServicePace};
 pub use rate_limit::{AdvertisedLimit, RateLimit, limit_share};
 pub use room::QueueRoom;
 pub use shared_rate::{RateShare, ShareLimiter};
@@ -67,6 +71,8 @@
     shared: bool,
     /// Services whose targets are brittle, and until when that counts.
     brittle: BTreeMap<ServiceId, Time>,
+    /// Usual times of the engines of each service.
+    paces: BTreeMap<ServiceId, ServicePace>,
     /// Services whose targets outside its subset this node uses too, and until when.
     temporary: BTreeMap<ServiceId, Time>,
 }
@@ -107,8 +113,11 @@
             } else {
                 let key = TargetKey(self.arena.len() as u32);
                 self.keys.insert(*id, key);
-                self.arena
-                    .push(TargetState::new(*id, *service, spec.clone(), slow_start));
+                let mut state = TargetState::new(*id, *service, spec.clone(), slow_start);
+                if let Some(pace) = self.paces.get(service) {
+                    state.engine.set_times(pace.times());
+                }
+                self.arena.push(state);
                 self.note_start(key);
             }
         }
@@ -463,7 +472,8 @@
         let waits = open.map(|(_, state)| {
             let load = state.load(now);
             let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
-            state.engine.queue_ms(state.prefill_queue(now), load) + load_penalty
+            let queue_ms = state.engine.queue_ms(state.prefill_queue(now), load);
+            state.moment.slowed_ms(now, queue_ms) + load_penalty
         });
         let shortest = waits.min_by(f64::total_cmp)?;
         Some(Duration::from_secs_f64(shortest / MILLIS))
@@ -486,6 +496,7 @@
             slots += state.spec.slots;
             load += state.load(now);
             if let Some(time) = state.unqueued_time() {
+                let time = time.mul_f64(state.moment.factor(now));
                 rate += f64::from(state.spec.slots) / time.as_secs_f64().max(f64::EPSILON);
             }
         }
@@ -497,19 +508,44 @@
     }
 
     /// Decays the measured slowness of all targets towards 1.
-    pub fn decay_slowness(&mut self) {
+    pub fn decay_slowness(&mut self, now: Time) {
+        for pace in self.paces.values_mut() {
+            pace.decay(now);
+        }
         for state in &mut self.arena {
-            state.engine.decay();
+            state.engine.decay(state.moment.known());
+            if let Some(pace) = self.paces.get(&state.service) {
+                state.engine.set_times(pace.times());
+            }
         }
     }
 
-    /// Records that an engine has prefilled a request's prompt.
-    pub fn record_prefill(&mut self, key: TargetKey, work: PromptWork, duration: Duration) {
+    /// Records that an engine has prefilled a request's prompt. Returns the measurement, if there is one.
+    pub fn record_prefill(
+        &mut self,
+        now: Time,
+        key: TargetKey,
+        work: PromptWork,
+        duration: Duration,
+    ) -> Option<PrefillSample> {
         let state = self.get_mut(key);
-        let (service, pace) = (state.service, state.engine.record_prefill(work, duration));
+        let factor = state.moment.recent_factor(now);
+        let sample = state.engine.record_prefill(work, duration, factor)?;
+        self.record_sample(now, key, sample);
+        Some(sample)
+    }
+
+    /// Records a measured time to the first token at an engine, of this node or another one.
+    pub fn record_sample(&mut self, now: Time, key: TargetKey, sample: PrefillSample) {
+        let state = self.get(key);
+        let (service, mut slowness) = (state.service, state.engine.slowness());
+        let pace = self.paces.entry(service).or_default();
+        pace.record(now, sample, &mut slowness);
+        let times = pace.times();
+        self.get_mut(key).engine.set_slowness(slowness);
         for state in &mut self.arena {
             if state.service == service {
-                state.engine.set_pace(pace);
+                state.engine.set_times(times);
             }
         }
     }
@@ -736,6 +772,9 @@
         };
         let state = self.get_mut(key);
         let own = state.running;
+        if let Some(percent) = report.slowdown {
+            state.moment.record(now, percent);
+        }
         state.report = Some((now, report, own));
     }
 }
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -46,6 +46,8 @@
     pub prefill_tokens: u32,
     /// Predicted time to the first token in milliseconds, or zero if there is no prediction.
     pub predicted_ms: u32,
+    /// How long work takes there at this moment, in percent of the usual time.
+    pub slowdown: u32,
 }
 
 /// A chosen target.
@@ -124,15 +126,22 @@
             return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
         }
         let key = self.pick(now, &available, query, prefixes, rng)?;
-        Some(self.chosen(now, key, PromptWork::default()))
+        let factor = self.get(key).moment.recent_factor(now);
+        let work = PromptWork {
+            factor,
+            ..PromptWork::default()
+        };
+        Some(self.chosen(now, key, work))
     }
 
     /// Creates a choice with the current estimates of a target.
     fn chosen(&self, now: Time, key: TargetKey, work: PromptWork) -> TargetChoice {
+        let state = self.get(key);
         let estimate = TargetEstimate {
-            load: self.get(key).load(now),
+            load: state.load(now),
             prefill_tokens: work.prefill_tokens,
             predicted_ms: work.predicted_ms as u32,
+            slowdown: (state.moment.factor(now) * 100.0).round() as u32,
         };
         TargetChoice {
             key,
@@ -302,12 +311,12 @@
         let prefill_tokens = source.map_or(uncached, |(_, missing)| missing);
         let load = state.load(now);
         let queued_tokens = state.prefill_queue(now);
-        let predicted_ms = EngineModel::typical_first_token_ms(queued_tokens, prefill_tokens, load);
-        let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
-        let delay_ms = state
+        let usual_ms = state
             .engine
-            .first_token_ms(queued_tokens, prefill_tokens, load)
-            + load_penalty;
+            .first_token_ms(queued_tokens, prefill_tokens, load);
+        let predicted_ms = state.moment.slowed_ms(now, usual_ms);
+        let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
+        let delay_ms = predicted_ms + load_penalty;
         let mut total = delay_ms;
         total += PREFILL_WEIGHT * state.engine.prefill_ms(prefill_tokens);
         total += COPY_WEIGHT * state.engine.prefill_ms(uncached - prefill_tokens);
@@ -326,6 +335,9 @@
             prefill_tokens,
             kv_tokens: prompt.peak_tokens(),
             predicted_ms,
+            queued_tokens,
+            running: load,
+            factor: state.moment.recent_factor(now),
         };
         let copy_from = source.map(|(other, _)| other);
         let chosen = TargetChoice {
@@ -430,10 +442,12 @@
         (!serving.is_empty()).then(|| serving[rng.random_range(0..serving.len())])
     }
 
-    /// Returns the load of a target as a fraction of its slots.
+    /// Returns the load of a target as a fraction of its slots. While the target is slow, its requests and
+    /// one more count as many times as work takes longer there.
     fn load_fraction(&self, now: Time, key: TargetKey) -> f64 {
         let state = self.get(key);
-        f64::from(state.load(now)) / f64::from(state.spec.slots.max(1))
+        let slowed = f64::from(state.load(now) + 1) * state.moment.factor(now);
+        (slowed - 1.0) / f64::from(state.spec.slots.max(1))
     }
 
     /// Returns the target with affinity to a prefix: one that has it cached, or else the preferred
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -8,7 +8,7 @@
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use super::brittle::BrittleRoom;
-use super::{ColdShare, EngineModel, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
+use super::{ColdShare, EngineModel, Moment, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
 
 /// Time over which the usable slots of a new or returning target ramp up.
 const SLOW_START: Duration = Duration::from_secs(20);
@@ -89,6 +89,8 @@
     pub share: u32,
     /// Work and speed, if it is an engine.
     pub engine: EngineModel,
+    /// How much slower than usual it works at this moment.
+    pub moment: Moment,
     /// Limit of requests while it is cold.
     pub cold: ColdShare,
     /// Limit of requests that it names for all nodes together.
@@ -145,6 +147,7 @@
             suspects: 0,
             share: 1,
             engine: EngineModel::default(),
+            moment: Moment::default(),
             cold: ColdShare::default(),
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
