engines: memory of all running requests, and cached parts by the room they leave

An engine without memory puts back running streams. Nodes counted memory as a cost of 2,000 ms and filled slots beyond it. What was cached counted up to 0.7 of the memory, whatever ran.

- An engine counts as full for a prompt that does not fit in 0.92 of its memory beside the running requests of all nodes, with those that only its load report tells of; the rest is for what other nodes started since their last update.
While memory is short, a node starts no more than its part of what fits within 300 ms.
A prompt that finds no memory waits in its node, which looks again after 25 ms, and the predicted wait contains the time until a running request ends.
- targets/cache_value.rs: a part is cached with a probability that falls around the point at which the parts used since no longer fit in the memory less that of the running requests.
The time of a prompt at an engine is that of its expected uncached tokens.
A home engine counts less, the less memory there is to keep parts.
- Prefill over 250 ms beside running streams costs more: it pauses them.
- The log line of an attempt has the probability, as cached.

The fixed 0.7 of the memory is gone; with nothing running the whole memory is room, and parts are certainly evicted from 1.5 times that on.

--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -175,7 +175,7 @@
         let prompt_time = request.prompt.as_ref().and_then(|prompt| {
             let fresh = self.just_booted(now);
             self.targets
-                .prompt_time(service, fresh, prompt, &self.prefixes)
+                .prompt_time(now, service, fresh, prompt, &self.prefixes)
         });
         prompt_time.unwrap_or_else(|| self.expected_time(service))
     }
@@ -327,7 +327,9 @@
         /// Wait while no engine accepts work: about the time for which a returning one counts as
         /// cold.
         const NO_OPEN_ENGINE: Duration = Duration::from_secs(2);
-        let wait = self.targets.prompt_wait(now, service, version);
+        let (_, queued) = self.regional_load(now, service);
+        let held = self.slot_time(service).mul_f64(f64::from(queued + 1));
+        let wait = self.targets.prompt_wait(now, service, version, held);
         wait.unwrap_or(NO_OPEN_ENGINE)
     }
 
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -190,10 +190,11 @@
         self.targets.merge_work(now, heartbeat.from, &target_work);
         for part in &heartbeat.prefilled {
             if let Some(key) = self.targets.key(part.target)
-                && let Some(memory) = self.targets.get(key).memory_tokens()
+                && self.targets.get(key).memory_tokens().is_some()
             {
+                let room = self.targets.get(key).cache_room(now);
                 self.prefixes
-                    .record_part(now, key, part.part, part.tokens, memory);
+                    .record_part(now, key, part.part, part.tokens, room);
             }
         }
     }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -1,6 +1,7 @@
 //! Targets of this node's region: load, concurrency limits and ejection.
 
 mod brittle;
+mod cache_value;
 mod choice;
 mod cold;
 mod engine;
@@ -24,6 +25,7 @@
 
 use crate::handle::TargetKey;
 pub use brittle::slot_share;
+pub use cache_value::{CachedPrompt, EVICTED_RATIO, cached_probability};
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
@@ -444,36 +446,50 @@
     }
 
     /// Returns when to look again for room at the targets of a service that queue requests by
-    /// themselves, if there are any: their load changes by what other nodes do. A brittle one is not
+    /// themselves or lack memory, if there are any: their load changes by what other nodes do. A brittle one is not
     /// asked sooner than requests come.
     #[must_use]
     pub fn next_room(&self, now: Time, service: ServiceId) -> Option<Time> {
         const REVIEW_INTERVAL: Duration = Duration::from_millis(25);
         let serving = self.for_service(service);
         let mut serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
-        let queues = self.shared && serving.any(|(_, state)| state.queues_itself());
+        let short = |state: &TargetState| state.queues_itself() || !state.has_usual_memory(now);
+        let queues = self.shared && serving.any(|(_, state)| short(state));
         let sound = !self.is_brittle(now, service);
         (queues && sound).then_some(now + REVIEW_INTERVAL)
     }
 
     /// Returns the shortest predicted wait of a prompt over the engines that accept requests, or
     /// `None` if there is none.
+    ///
+    /// An engine without memory takes the next request when one of those that run there ends. `held` is the
+    /// time for which a request holds its memory, times the requests that wait in this region.
     #[must_use]
     pub fn prompt_wait(
         &self,
         now: Time,
         service: ServiceId,
         version: Option<VersionId>,
+        held: Duration,
     ) -> Option<Duration> {
         const MILLIS: f64 = 1000.0;
         let open = self.for_service(service);
         let open = open.filter(|(_, state)| state.serves(version));
-        let open = open.filter(|(key, _)| self.accepts(now, *key, false));
-        let waits = open.map(|(_, state)| {
+        let open: Vec<&TargetState> = open
+            .filter(|(key, _)| self.accepts(now, *key, false))
+            .map(|(_, state)| state)
+            .collect();
+        let engines = open.len() as f64;
+        let waits = open.into_iter().map(|state| {
             let load = state.load(now);
             let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
             let queue_ms = state.engine.queue_ms(state.prefill_queue(now), load);
-            state.moment.slowed_ms(now, queue_ms) + load_penalty
+            let memory_ms = if state.has_usual_memory(now) {
+                0.0
+            } else {
+                held.as_secs_f64() * MILLIS / (f64::from(load) * engines).max(1.0)
+            };
+            state.moment.slowed_ms(now, queue_ms) + load_penalty + memory_ms
         });
         let shortest = waits.min_by(f64::total_cmp)?;
         Some(Duration::from_secs_f64(shortest / MILLIS))
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -46,6 +46,8 @@
     pub prefill_tokens: u32,
     /// Predicted time to the first token in milliseconds, or zero if there is no prediction.
     pub predicted_ms: u32,
+    /// Probability that the target has the shared parts of the prompt cached, in percent.
+    pub cached: u32,
     /// How long work takes there at this moment, in percent of the usual time.
     pub slowdown: u32,
 }
@@ -119,6 +121,10 @@
         {
             available.retain(|key| !avoid.contains(key));
         }
+        if let Some(prompt) = query.prompt {
+            let tokens = prompt.peak_tokens();
+            available.retain(|key| self.get(*key).has_memory(now, tokens));
+        }
         if let Some(prompt) = query.prompt
             && query.suspect.is_none()
         {
@@ -141,6 +147,7 @@
             load: state.load(now),
             prefill_tokens: work.prefill_tokens,
             predicted_ms: work.predicted_ms as u32,
+            cached: 0,
             slowdown: (state.moment.factor(now) * 100.0).round() as u32,
         };
         TargetChoice {
@@ -157,6 +164,7 @@
     #[must_use]
     pub fn prompt_time(
         &self,
+        now: Time,
         service: ServiceId,
         just_booted: bool,
         prompt: &Prompt,
@@ -169,7 +177,7 @@
             let prefill_tokens = if just_booted {
                 prompt.unshared_tokens()
             } else {
-                prefixes.uncached_tokens(key, prompt)
+                prefixes.cached(key, prompt, state.cache_room(now)).uncached
             };
             state.engine.first_token_ms(0, prefill_tokens, 0)
         });
@@ -234,7 +242,7 @@
                 let holder = (home, prompt.unshared_tokens());
                 BTreeMap::from([(self.get(home).version, holder)])
             }
-            None => self.holders(available, prompt, prefixes),
+            None => self.holders(now, available, prompt, prefixes),
         };
         let costs = available.iter().map(|key| {
             let at_home = home == Some(*key);
@@ -257,6 +265,7 @@
     /// Returns none if engines cannot copy KV tokens from each other. Those of two versions cannot.
     fn holders(
         &self,
+        now: Time,
         available: &[TargetKey],
         prompt: &Prompt,
         prefixes: &PrefixTable,
@@ -269,7 +278,8 @@
             return holders;
         }
         for key in available {
-            let uncached = prefixes.uncached_tokens(*key, prompt);
+            let room = self.get(*key).cache_room(now);
+            let uncached = prefixes.cached(*key, prompt, room).uncached;
             let version = self.get(*key).version;
             let (_, fewest) = holders.entry(version).or_insert((*key, uncached));
             if uncached < *fewest {
@@ -297,14 +307,21 @@
         const PREFILL_WEIGHT: f64 = 1.0;
         /// Fraction of an engine's memory above which running requests are at risk of preemption.
         const PREEMPTION_THRESHOLD: f64 = 0.8;
-        /// Cost of a preemption in milliseconds.
-        const PREEMPTION_MS: f64 = 2000.0;
+        /// Cost of the last of an engine's memory in milliseconds: a preemption costs 2,000 ms, and with the
+        /// usable memory in use one comes with about one request in four.
+        const PREEMPTION_MS: f64 = 500.0;
+        /// Time of prefill in milliseconds beyond which it pauses running streams too long. Pauses over
+        /// 400 ms make them late, and the next prompt may be added before this node knows.
+        const PAUSE_MS: f64 = 250.0;
+        /// Number of running streams that together count like the prompt itself.
+        const PAUSED_STREAMS: f64 = 8.0;
         let state = self.get(key);
+        let cached = prefixes.cached(key, prompt, state.cache_room(now));
         let uncached = match holder {
             // Just after a boot, this is the home engine, to which the previous process sent the
             // shared parts.
             Some((home, missing)) if home == key => missing,
-            _ => prefixes.uncached_tokens(key, prompt),
+            _ => cached.uncached,
         };
         let source = holder
             .filter(|(other, missing)| *other != key && missing + MIN_COPY_TOKENS <= uncached);
@@ -320,17 +337,21 @@
         let mut total = delay_ms;
         total += PREFILL_WEIGHT * state.engine.prefill_ms(prefill_tokens);
         total += COPY_WEIGHT * state.engine.prefill_ms(uncached - prefill_tokens);
+        let memory_fraction = state.memory_fraction(now, prompt.peak_tokens());
         if !at_home
             && source.is_none()
             && let Some(shared_part) = prompt.last_shared()
         {
-            total += state.engine.prefill_ms(shared_part.tokens);
-        }
-        if let Some(memory) = state.memory_tokens()
-            && (state.kv_tokens(now) + prompt.peak_tokens()) as f64 > memory * PREEMPTION_THRESHOLD
-        {
-            total += PREEMPTION_MS;
+            // A part is of use to later prompts at its home only while there is memory to keep it.
+            let kept = (1.0 - memory_fraction).clamp(0.0, 1.0);
+            total += state.engine.prefill_ms(shared_part.tokens) * kept;
         }
+        let excess = (memory_fraction - PREEMPTION_THRESHOLD) / (1.0 - PREEMPTION_THRESHOLD);
+        total += PREEMPTION_MS * excess.clamp(0.0, 1.0);
+        let prefill =
+            state.engine.queue_ms(queued_tokens, 0) + state.engine.prefill_ms(prefill_tokens);
+        let pause = state.moment.slowed_ms(now, prefill) - PAUSE_MS;
+        total += pause.max(0.0) * (f64::from(load) / PAUSED_STREAMS).min(1.0);
         let work = PromptWork {
             prefill_tokens,
             kv_tokens: prompt.peak_tokens(),
@@ -340,10 +361,15 @@
             factor: state.moment.recent_factor(now),
         };
         let copy_from = source.map(|(other, _)| other);
+        let chosen = self.chosen(now, key, work);
         let chosen = TargetChoice {
             copy_from,
             delay: Duration::from_secs_f64(delay_ms / 1000.0),
-            ..self.chosen(now, key, work)
+            estimate: TargetEstimate {
+                cached: (cached.probability * 100.0).round() as u32,
+                ..chosen.estimate
+            },
+            ..chosen
         };
         EngineCost { chosen, total }
     }
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -283,6 +283,56 @@
         self.engine.kv_tokens() + others
     }
 
+    /// Returns the memory of the running requests of all nodes in tokens. Those that only the target's load
+    /// report tells of count as `typical` tokens each.
+    fn used_tokens(&self, now: Time, typical: u64) -> u64 {
+        let by_nodes: u32 = self.others(now).map(|work| work.running).sum();
+        let unknown = self.load(now).saturating_sub(self.running + by_nodes);
+        self.kv_tokens(now) + u64::from(unknown) * typical
+    }
+
+    /// Returns the mean memory of the running requests of all nodes in tokens.
+    fn mean_tokens(&self, now: Time) -> u64 {
+        let by_nodes: u32 = self.others(now).map(|work| work.running).sum();
+        self.kv_tokens(now) / u64::from((self.running + by_nodes).max(1))
+    }
+
+    /// Returns the room for cached parts beside the running requests in tokens, without a limit if the memory
+    /// is not configured.
+    pub(crate) fn cache_room(&self, now: Time) -> f64 {
+        let used = self.used_tokens(now, self.mean_tokens(now)) as f64;
+        let memory = self.memory_tokens().unwrap_or(f64::INFINITY);
+        (memory - used).max(0.0)
+    }
+
+    /// Returns whether a request of some tokens fits in the memory beside the running requests.
+    ///
+    /// An engine without memory puts back a running request, whose stream then pauses. While memory is
+    /// short, a node starts no more than its part of what fits, like with slots.
+    pub(super) fn has_memory(&self, now: Time, tokens: u64) -> bool {
+        /// Fraction of the memory that is used. The rest is for requests that other nodes started since
+        /// their last work update.
+        const USABLE_FRACTION: f64 = 0.92;
+        let Some(memory) = self.memory_tokens() else {
+            return true;
+        };
+        let free = memory * USABLE_FRACTION - self.used_tokens(now, tokens) as f64;
+        let fitting = (free / tokens.max(1) as f64).max(0.0) as u32;
+        self.load(now) == 0 || (fitting > 0 && self.starts.allows(now, fitting))
+    }
+
+    /// Returns whether another request of the usual size fits in the memory.
+    pub(super) fn has_usual_memory(&self, now: Time) -> bool {
+        self.has_memory(now, self.mean_tokens(now))
+    }
+
+    /// Returns the fraction of the memory that is used with a request of some tokens.
+    pub(super) fn memory_fraction(&self, now: Time, tokens: u64) -> f64 {
+        let used = self.used_tokens(now, tokens) + tokens;
+        self.memory_tokens()
+            .map_or(0.0, |memory| used as f64 / memory)
+    }
+
     /// Returns the estimated number of running requests of all nodes.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
--- a/crates/seam-core/tests/live/engines.rs
+++ b/crates/seam-core/tests/live/engines.rs
@@ -90,7 +90,7 @@
     }
 
     /// Returns the memory of the running requests in tokens.
-    fn kv_tokens(&self) -> u64 {
+    pub fn kv_tokens(&self) -> u64 {
         let waiting = self.waiting.iter().filter(|job| job.left.is_some());
         let jobs = waiting.chain(self.decoding.iter().map(|(_, job)| job));
         jobs.map(|job| job.prompt.peak_tokens()).sum()
@@ -136,6 +136,8 @@
     pub refused: usize,
     /// Time from the first token of a request to its end.
     pub decode: Duration,
+    /// Estimates of the last prompt that was sent to an engine.
+    last_estimate: Option<TargetEstimate>,
     prompts: BTreeMap<(usize, u64), (Arc<Prompt>, Time)>,
     ticket: u64,
     ticked: Time,
@@ -173,6 +175,7 @@
             first_tokens: Vec::new(),
             refused: 0,
             decode: Duration::from_millis(500),
+            last_estimate: None,
             prompts: BTreeMap::new(),
             ticket: 0,
             ticked,
@@ -235,6 +238,13 @@
         self.carry_out();
     }
 
+    /// Sends a prompt to a node and returns the estimates of the choice.
+    pub fn estimate(&mut self, node: usize, parts: &[(u64, u32)]) -> TargetEstimate {
+        self.last_estimate = None;
+        self.send_to(node, parts);
+        self.last_estimate.expect("an engine takes the prompt")
+    }
+
     /// Sends prompts at a rate a second for a time. Part 0 is the request's own.
     pub fn play(
         &mut self,
@@ -303,6 +313,7 @@
         estimate: TargetEstimate,
     ) {
         self.fleet.handle(node, Event::Sending(attempt));
+        self.last_estimate = Some(estimate);
         let (prompt, _) = self.prompts[&(node, ticket)].clone();
         let engine = self.engines.get_mut(&target).unwrap();
         engine.waiting.push_back(Job {
