engines: an idle service keeps coefficients below the assumed ones

After 2 s without a measurement the coefficients went back to the assumed ones, also those of a service that is faster. Only the ones above the assumed have a reason to: what is predicted to be too slow is refused, and would not be measured again.

--- a/crates/seam-core/src/targets/pace.rs
+++ b/crates/seam-core/src/targets/pace.rs
@@ -33,8 +33,8 @@
 const MAX_SHORTER: f64 = 3.0;
 /// Range of slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.1, 20.0);
-/// Time without a measurement after which the coefficients return to the assumed ones, so that a service
-/// whose requests were all refused after a slow period is tried again.
+/// Time without a measurement after which coefficients above the assumed ones return to these, so that a
+/// service whose requests were all refused after a slow period is tried again.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 /// Fraction of the difference that is lost at each refresh then.
 const IDLE_RATE: f64 = 0.02;
@@ -181,14 +181,31 @@
         }
     }
 
-    /// Moves the coefficients towards the assumed ones if nothing has been measured for some time.
+    /// Lowers the coefficients towards the assumed ones if nothing has been measured for some time.
+    ///
+    /// ```
+    /// use seam_core::targets::{EngineSlowness, PrefillSample, ServicePace};
+    /// use seam_protocol::Time;
+    /// let mut pace = ServicePace::default();
+    /// for _ in 0..40 {
+    ///     let sample = PrefillSample { tokens: 1000, running: 0, millis: 2000.0, doubt: 0.0 };
+    ///     pace.record(Time(0), sample, &mut EngineSlowness::default());
+    /// }
+    /// let slow = pace.times().first_token_ms(1000, 0);
+    /// pace.decay(Time(1_000_000));
+    /// assert!((pace.times().first_token_ms(1000, 0) - slow).abs() < 1e-9);
+    /// for _ in 0..100 {
+    ///     pace.decay(Time(3_000_000));
+    /// }
+    /// assert!(pace.times().first_token_ms(1000, 0) < slow / 3.0);
+    /// ```
     pub fn decay(&mut self, now: Time) {
         let idle = self
             .measured
             .is_some_and(|measured| now.since(measured) >= IDLE_TIME);
         if idle {
             for (mean, assumed) in self.mean.iter_mut().zip(ASSUMED) {
-                *mean += IDLE_RATE * (assumed - *mean);
+                *mean += IDLE_RATE * (assumed - *mean).min(0.0);
             }
             self.widen(IDLE_RATE);
         }
--- a/crates/seam-core/tests/engine_speeds.rs
+++ b/crates/seam-core/tests/engine_speeds.rs
@@ -132,6 +132,41 @@
     assert!(after > 0.15, "{after}");
 }
 
+/// Guards against a service that counts as slow since requests waited behind others of which the node did not
+/// know.
+///
+/// Load: two nodes that do not hear each other. One sends bursts of six prompts, the other one five a second.
+#[test]
+fn unknown_queues() {
+    let speed = Speed {
+        tokens: 75.0,
+        base: 70.0,
+    };
+    let mut load = Load::new(2, &[speed; 4]);
+    load.fleet.partitions.insert((0, 1));
+    for _ in 0..10 {
+        for _ in 0..6 {
+            let parts = unshared(&mut load);
+            load.send_to(1, &parts);
+        }
+        for _ in 0..5 {
+            let parts = unshared(&mut load);
+            load.send_to(0, &parts);
+            load.rest(Duration::from_millis(200));
+        }
+    }
+    load.rest(Duration::from_secs(1));
+    let alone = load.fleet.now;
+    for _ in 0..10 {
+        let parts = unshared(&mut load);
+        load.send_to(0, &parts);
+        load.rest(Duration::from_millis(400));
+    }
+    let error = load.error(alone);
+    println!("error {error:.3}");
+    assert!(error < 0.2, "{error}");
+}
+
 /// Guards against a new engine that counts as an assumed one: the pace of the service is known by then.
 ///
 /// Load: three engines three times faster than assumed, and a fourth that is idle until then.
