--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -301,7 +301,20 @@
 }
 
 impl SpeedReport {
-    /// Returns whether it says nothing.
+    /// Returns whether it says nothing. Then a heartbeat has no section for it.
+    ///
+    /// ```
+    /// use seam_protocol::heartbeat::TargetMoment;
+    /// use seam_protocol::{Heartbeat, RegionId, TargetId, VmId};
+    /// let mut heartbeat = Heartbeat::empty(VmId(1), RegionId(2));
+    /// let empty = heartbeat.encode();
+    /// let moment = TargetMoment { target: TargetId(3), percent: 250, age: 90 };
+    /// heartbeat.speeds.moments.push(moment);
+    /// let encoded = heartbeat.encode();
+    /// assert!(encoded.len() > empty.len());
+    /// assert_eq!(Heartbeat::decode(&encoded), Some(heartbeat));
+    /// assert!(Heartbeat::decode(&empty).unwrap().speeds.is_empty());
+    /// ```
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.moments.is_empty() && self.samples.is_empty()
