allowances: refuse at once beyond the allowance, with the time of the tokens

Cause: a request of a tenant far beyond its allowance waited up to 400 ms in hope of tokens, and was refused with a fixed Retry-After of 500 ms where a coordinator had granted all of a small question before. Callers that kept to it were mostly refused again.

Change: a bucket that was empty divides its tokens among the regular reports in proportion to what they ask for, so that nodes receive them at a steady rate. A node tells refused callers distinct times at that rate and keeps the tokens for those that return soon. `retry_after` fails if nothing is refused; its second burst has 20 requests, since the one before was never refused. New tests: few_return, all_return, raised_limit, many_tenants, new_node.

--- a/crates/seam-core/src/allowance/balance.rs
+++ b/crates/seam-core/src/allowance/balance.rs
@@ -5,7 +5,7 @@
 
 use seam_protocol::Time;
 
-use super::{COORDINATORS, GRANT_LIFETIME, MAX_WAIT, Terms};
+use super::{COORDINATORS, GRANT_LIFETIME, MAX_WAIT, REPORT_INTERVAL, Terms};
 use crate::handle::Ticket;
 
 /// Time constant of the measured demand.
@@ -24,7 +24,18 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after the last request at which the state of a tenant is dropped.
 const IDLE_TIME: Duration = Duration::from_secs(5);
-/// Maximum number of requests of a tenant that wait at one node.
+/// Time before a refused caller returns at which tokens are kept for it. It covers the interval in which tokens
+/// arrive.
+const KEPT_TIME: Duration = Duration::from_millis(500);
+/// Time after which a refused caller that has not returned is not expected any more.
+const CLAIM_TIME: Duration = Duration::from_millis(200);
+/// Part of the expected rate that refused callers are told to return at, so that the tokens are there by then.
+const PROMISED_PART: f64 = 0.95;
+/// Time for which the answer of a coordinator that lacks tokens counts at least: until its next regular answer.
+const LACKING_TIME: Duration = Duration::from_millis(1200);
+/// Longest time after which a refused caller is told to return, in seconds.
+const MAX_RETRY_S: f64 = 60.0;
+/// Maximum number of requests of a tenant that wait at one node, and of refused ones that it expects back.
 const MAX_WAITING: usize = 1024;
 
 /// Tokens that may be used for some time.
@@ -41,6 +52,8 @@
     /// Part of the share whose coordinator was asked.
     part: usize,
     tokens: f64,
+    /// Whether it asked ahead of demand.
+    regular: bool,
 }
 
 /// Tokens that a coordinator does not have yet.
@@ -48,6 +61,8 @@
 struct Lacking {
     /// When it said so.
     at: Time,
+    /// Time that it expects to need.
+    wait: Duration,
     /// When it is asked again.
     until: Time,
     /// Tokens per second that it expects to have.
@@ -65,6 +80,13 @@
     pub until: Time,
 }
 
+/// A refused request whose caller was told when to return.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    at: Time,
+    cost: f64,
+}
+
 /// This node's own share of an allowance while it is not lent.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnShare {
@@ -107,6 +129,8 @@
     measured: Time,
     last_arrival: Time,
     waiting: VecDeque<Waiting>,
+    /// Refused requests that are expected back, in order of time.
+    expected: VecDeque<Expected>,
     /// Unanswered questions.
     asked: VecDeque<Question>,
     /// What the last answer of each coordinator lacked.
@@ -125,6 +149,7 @@
             measured: now,
             last_arrival: now,
             waiting: VecDeque::new(),
+            expected: VecDeque::new(),
             asked: VecDeque::new(),
             lacking: [None; COORDINATORS],
         }
@@ -184,6 +209,42 @@
         true
     }
 
+    /// Takes tokens that are not kept for a refused caller. The caller that returns cannot be told from others, so
+    /// the first request after the time that it was told is taken for it.
+    fn take_unkept(&mut self, now: Time, cost: f64, terms: Terms, own: Option<OwnShare>) -> bool {
+        while let Some(first) = self.expected.front()
+            && now.since(first.at) >= CLAIM_TIME
+        {
+            self.expected.pop_front();
+        }
+        let due = self.expected.front().is_some_and(|first| first.at <= now);
+        let soon = self.expected.iter().skip(usize::from(due));
+        let soon = soon.take_while(|expected| expected.at <= now + KEPT_TIME);
+        let kept: f64 = soon.map(|expected| expected.cost).sum();
+        let needed = if due { cost } else { cost + kept };
+        if self.held(now, terms, own) < needed || !self.take(now, cost, terms, own) {
+            return false;
+        }
+        if due {
+            self.expected.pop_front();
+        }
+        true
+    }
+
+    /// Returns the time after which the caller of a refused request is to return, and expects it then. `wait` is the
+    /// time until there are tokens for it, zero if that is not known.
+    fn expect(&mut self, now: Time, cost: f64, wait: Duration) -> Duration {
+        if wait.is_zero() || self.expected.len() >= MAX_WAITING {
+            return wait;
+        }
+        // Tokens arrive with the next regular answer at the earliest.
+        let wait = wait.max(REPORT_INTERVAL);
+        let at = now + wait;
+        let index = self.expected.partition_point(|expected| expected.at <= at);
+        self.expected.insert(index, Expected { at, cost });
+        wait
+    }
+
     /// Decides on a request that has arrived, and keeps it if it waits. `left` is the time until its deadline.
     ///
     /// ```
@@ -212,13 +273,13 @@
         self.costs += cost;
         self.requests += 1.0;
         self.last_arrival = now;
-        if self.waiting.is_empty() && self.take(now, cost, terms, own) {
+        if self.waiting.is_empty() && self.take_unkept(now, cost, terms, own) {
             return Decision::Admit;
         }
         let wait = self.wait(now, cost, terms, own);
         let left = left.min(MAX_WAIT);
         if wait > left || self.waiting.len() >= MAX_WAITING {
-            return Decision::Refuse(wait);
+            return Decision::Refuse(self.expect(now, cost, wait));
         }
         let until = now + left;
         self.waiting.push_back(Waiting {
@@ -229,28 +290,38 @@
         Decision::Wait
     }
 
-    /// Returns the time after which a request would have its tokens, as far as is known: zero if a coordinator
-    /// may have them.
+    /// Returns the time after which a request would have its tokens, as far as is known, after the waiting ones
+    /// and the refused ones that are expected back: zero if a coordinator may have them.
     pub fn wait(&mut self, now: Time, cost: f64, terms: Terms, own: Option<OwnShare>) -> Duration {
-        const MAX_WAIT_S: f64 = 60.0;
-        let before: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
-        let mut needed = cost + before - self.held(now, terms, own);
+        let waiting: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
+        let expected: f64 = self.expected.iter().map(|expected| expected.cost).sum();
         let mut rate = own.map_or(0.0, |own| terms.rate * own.share);
+        let mut earned = 0.0;
         for lacking in &self.lacking {
             let Some(lacking) = lacking.filter(|lacking| now < lacking.until) else {
                 return Duration::ZERO;
             };
             rate += lacking.rate;
-            needed -= lacking.rate * now.since(lacking.at).as_secs_f64();
+            earned += lacking.rate * now.since(lacking.at).as_secs_f64();
+        }
+        // A node that refuses requests receives what was earned with its next regular report only.
+        if !self.expected.is_empty() {
+            earned = 0.0;
+        }
+        let rate = (rate * PROMISED_PART).max(f64::MIN_POSITIVE);
+        let needed = cost + waiting + expected - earned - self.held(now, terms, own);
+        let mut wait = needed.max(0.0) / rate;
+        if let Some(last) = self.expected.back() {
+            wait = wait.max(last.at.since(now).as_secs_f64() + cost / rate);
         }
-        let wait = needed.max(0.0) / rate.max(f64::MIN_POSITIVE);
-        Duration::from_secs_f64(wait.min(MAX_WAIT_S))
+        Duration::from_secs_f64(wait.min(MAX_RETRY_S))
     }
 
     /// Records that there is no coordinator for a part of the share.
     pub fn note_absent(&mut self, now: Time, part: usize) {
         self.lacking[part] = Some(Lacking {
             at: now,
+            wait: Duration::ZERO,
             until: now + GRANT_LIFETIME,
             rate: 0.0,
         });
@@ -269,13 +340,19 @@
             self.waiting.pop_front();
             return Some((first, None));
         }
-        let rest = std::mem::take(&mut self.waiting);
+        // Later requests do not delay it.
+        let rest = (
+            std::mem::take(&mut self.waiting),
+            std::mem::take(&mut self.expected),
+        );
         let wait = self.wait(now, first.cost, terms, own);
-        self.waiting = rest;
+        (self.waiting, self.expected) = rest;
         if now < first.until && now + wait <= first.until {
             return None;
         }
         self.waiting.pop_front();
+        let wait = self.wait(now, first.cost, terms, own);
+        let wait = self.expect(now, first.cost, wait);
         Some((first, Some(wait)))
     }
 
@@ -304,8 +381,8 @@
         });
     }
 
-    /// Returns what to ask the coordinator of a part of the share for at `sent`. A regular report also returns unused tokens and asks ahead of demand,
-    /// of which a node with little demand may hold `1 / known` of a part of the burst.
+    /// Returns what to ask the coordinator of a part of the share for at `sent`. A regular report also returns unused
+    /// tokens and asks ahead of demand, of which a node with little demand may hold `1 / known` of a part of the burst.
     pub fn ask(
         &mut self,
         (sent, part): (Time, usize),
@@ -338,13 +415,29 @@
             .map(|question| question.tokens)
             .sum::<f64>();
         let waiting: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
-        let target = waiting + self.ahead(terms, known);
+        // Extra tokens for a node that refuses requests would be missing where callers are expected back.
+        let refusing = !self.expected.is_empty();
+        let ahead = if regular || !refusing {
+            self.ahead(terms, known)
+        } else {
+            0.0
+        };
+        let target = waiting + ahead;
+        let lacking = self.lacking[part].filter(|lacking| sent < lacking.until);
+        if !regular && refusing && lacking.is_some_and(|lacking| lacking.wait >= MAX_WAIT) {
+            return Ask::default();
+        }
         // Small amounts wait for the next regular report.
         let due = regular || waiting > held;
         let tokens = if due { (target - held).max(0.0) } else { 0.0 };
         if tokens > 0.0 {
             let time = sent;
-            self.asked.push_back(Question { time, part, tokens });
+            self.asked.push_back(Question {
+                time,
+                part,
+                tokens,
+                regular,
+            });
         }
         if regular && self.waiting.is_empty() {
             returned += self.take_excess(target, sent);
@@ -394,13 +487,21 @@
             let grants = self.grants.make_contiguous();
             grants.sort_by_key(|grant| grant.until);
         }
-        if let Some(question) = question {
+        // While requests are refused, tokens for one that waits do not show that there are more.
+        let enough = question.is_some_and(|question| question.regular) || self.expected.is_empty();
+        if let Some(question) = question
+            && (enough || !wait.is_zero())
+        {
             let missing = (question.tokens - tokens).max(0.0);
             self.lacking[question.part] = (!wait.is_zero()).then(|| Lacking {
                 at: now,
-                until: now + wait.max(GRANT_LIFETIME),
+                wait,
+                until: now + wait.max(LACKING_TIME),
                 rate: missing / wait.as_secs_f64(),
             });
+            if wait.is_zero() {
+                self.expected.clear();
+            }
         }
     }
 
--- a/crates/seam-core/src/allowance/pool.rs
+++ b/crates/seam-core/src/allowance/pool.rs
@@ -11,8 +11,15 @@
 const MAX_LOWS: usize = 256;
 /// Wait that is reported while no shares are lent, or have just been: about the time until they are.
 const GROWTH_WAIT: Duration = Duration::from_millis(350);
-/// Time constant of the tokens asked for in vain, for which nodes ask again a few times while they wait.
-const LACKING_TIME: Duration = Duration::from_millis(250);
+/// Interval of a node's reports to one coordinator.
+const ROUND: Duration = Duration::from_millis(900);
+/// Rounds over which the tokens that were asked for are averaged. Reports of the nodes come in clusters.
+const ASKED_ROUNDS: f64 = 2.0;
+/// Part of what a bucket receives in a round that it holds on average while nodes ask for more than that, so that
+/// those that report late in a cluster receive as much as the others.
+const RESERVE: f64 = 0.5;
+/// Part of a bucket above which it is not short.
+const FULL_PART: f64 = 0.9;
 /// Time within which lenders choose a new coordinator.
 const GROWTH_TIME: Duration = Duration::from_secs(1);
 
@@ -29,9 +36,11 @@
     tokens: f64,
     /// [`Pool::earned`] at that time.
     earned: f64,
-    /// Tokens that nodes lately asked for in vain, a decaying sum, and when it was counted.
-    lacking: f64,
+    /// Tokens that nodes lately asked for, a decaying sum, and when it was counted.
+    asked: f64,
     counted: Time,
+    /// Whether it was empty, and nodes have asked for more than it receives since.
+    short: bool,
 }
 
 /// A size that the pool had.
@@ -176,7 +185,8 @@
         })
     }
 
-    /// Takes tokens that a node asks for from a tenant's bucket, after adding those that it returns.
+    /// Takes tokens that a node asks for from a tenant's bucket, after adding those that it returns. Tokens for
+    /// requests that have not arrived (`ahead`) are divided evenly if there are few.
     ///
     /// ```
     /// use std::time::Duration;
@@ -185,7 +195,7 @@
     /// let mut pool = Pool::new(Time(0));
     /// pool.lend(Time(0), VmId(1), 0.5, Time(1_200_000));
     /// let terms = Terms { rate: 1000.0, burst: 1000.0 };
-    /// let granted = pool.grant(Time(1_000_000), TenantId(1), terms, (600.0, 0.0));
+    /// let granted = pool.grant(Time(1_000_000), TenantId(1), terms, (600.0, 0.0), false);
     /// assert_eq!(granted.tokens, 500.0);
     /// assert!(granted.wait > Duration::from_millis(199));
     /// ```
@@ -195,6 +205,7 @@
         tenant: TenantId,
         terms: Terms,
         (asked, returned): (f64, f64),
+        ahead: bool,
     ) -> Granted {
         self.advance(now);
         let stored = self.buckets.get(&tenant).copied();
@@ -208,20 +219,35 @@
         let (asked, returned) = (valid(asked), valid(returned));
         let held = self.level(terms, stored) + returned;
         let held = held.min(terms.burst * self.share).max(0.0);
-        let tokens = asked.min(held);
-        let missing = asked - tokens;
         let before = stored.map_or(0.0, |bucket| {
             let age = now.since(bucket.counted).as_secs_f64();
-            bucket.lacking * (-age / LACKING_TIME.as_secs_f64()).exp()
+            bucket.asked * (-age / ROUND.as_secs_f64() / ASKED_ROUNDS).exp()
         });
+        let known = before + if ahead { asked } else { 0.0 };
+        let rate = terms.rate * self.share;
+        let supply = rate * ROUND.as_secs_f64();
+        let short = asked > held
+            || stored.is_some_and(|bucket| bucket.short)
+                && known / ASKED_ROUNDS > supply
+                && held < FULL_PART * terms.burst * self.share;
+        let part = if ahead && short && known > 0.0 {
+            let available = supply + (held - RESERVE * supply) / 2.0;
+            (available * ASKED_ROUNDS / known).clamp(0.0, 1.0)
+        } else {
+            1.0
+        };
+        let tokens = (asked * part).min(held);
+        let missing = asked - tokens;
+        // Questions for waiting requests are repeated, so they count while they are not met.
+        let demand = known + if ahead { 0.0 } else { missing };
         let bucket = Bucket {
             tokens: held - tokens,
             earned: self.earned,
-            lacking: before + missing,
+            asked: demand,
             counted: now,
+            short,
         };
         self.buckets.insert(tenant, bucket);
-        let rate = terms.rate * self.share;
         let growing = now.since(self.grown) < GROWTH_TIME;
         let wait = if missing <= 0.0 {
             Duration::ZERO
@@ -229,7 +255,9 @@
             GROWTH_WAIT
         } else {
             const MAX_WAIT_S: f64 = 60.0;
-            let wait = Duration::from_secs_f64((bucket.lacking / rate).min(MAX_WAIT_S));
+            // The node receives the part of the rate that it has of the demand.
+            let wait = missing / asked * (demand / ASKED_ROUNDS).max(asked) / rate;
+            let wait = Duration::from_secs_f64(wait.min(MAX_WAIT_S));
             if growing { wait.min(GROWTH_WAIT) } else { wait }
         };
         Granted { tokens, wait }
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -441,6 +441,10 @@
         }
         self.allowances.asked = Some((part, now));
         let Some((best, asked)) = chosen else {
+            // A process that has just started knows no coordinator yet.
+            if self.allowances.lender.own(now).is_none() {
+                return;
+            }
             for balance in self.allowances.balances.values_mut() {
                 balance.note_absent(now, part);
             }
@@ -466,7 +470,7 @@
                 self.allowances.pool.lend(now, asked, share, now + LEASE);
             }
             self.allowances.lender.note_answer(asked);
-            let grants = self.grant_tokens(now, bundle, &requests, true);
+            let grants = self.grant_tokens(now, bundle, &requests, (true, regular));
             self.accept_tokens(now, sent, &grants);
             return;
         }
@@ -548,13 +552,13 @@
     }
 
     /// Grants tokens from the shares that are lent to this node. Tokens that were granted by another process
-    /// are not `returnable`. A tenant without a limit in the configuration in force gets what it asks for.
+    /// are not `returnable`. Regular reports ask ahead of demand. A tenant without a limit in the configuration in force gets what it asks for.
     fn grant_tokens(
         &mut self,
         now: Time,
         bundle: &Bundle,
         requests: &[TokenRequest],
-        returnable: bool,
+        (returnable, regular): (bool, bool),
     ) -> Vec<TokenGrant> {
         let grant = |request: &TokenRequest| {
             let returned = if returnable {
@@ -564,10 +568,11 @@
             };
             let asked = (f64::from(request.tokens), returned);
             let granted = match terms(bundle, request.tenant) {
-                Some(terms) => self
-                    .allowances
-                    .pool
-                    .grant(now, request.tenant, terms, asked),
+                Some(terms) => {
+                    self.allowances
+                        .pool
+                        .grant(now, request.tenant, terms, asked, regular)
+                }
                 None => Granted {
                     tokens: asked.0,
                     wait: Duration::ZERO,
@@ -628,7 +633,8 @@
             let pool = &mut self.allowances.pool;
             pool.lend(now, heartbeat.from, share, until);
         }
-        let grants = self.grant_tokens(now, &bundle, &report.requests, echo.is_some());
+        let from = (echo.is_some(), report.lease > 0);
+        let grants = self.grant_tokens(now, &bundle, &report.requests, from);
         let sent = self.next_timestamp(now);
         if let Some((address, mut answer)) = self.new_short_heartbeat(sent, heartbeat.from) {
             answer.allowances.grants = grants;
--- a/crates/seam-core/tests/allowances.rs
+++ b/crates/seam-core/tests/allowances.rs
@@ -95,6 +95,52 @@
     network.check(&[large(0), small(1)]);
 }
 
+/// Plays 6 times the usual rate of a tenant over all nodes, of whose refused callers some return.
+fn steep_demand(returning: u32) {
+    let mut network = settled(&[large(0)]);
+    let all: Vec<usize> = (0..70).collect();
+    network.returning = returning;
+    send(&mut network, 4 * SECOND, large(0), 6.0 / HEADROOM, &all);
+    let before = network.now();
+    network.refusals.clear();
+    send(&mut network, 12 * SECOND, large(0), 6.0 / HEADROOM, &all);
+    let (returned, ran) = network.returned();
+    let used = network.admitted(0, before) / (12.0 * large(0).rate);
+    let refusals = &network.refusals;
+    let prompt = refusals
+        .iter()
+        .filter(|(delay, _)| *delay <= Duration::from_millis(20));
+    let prompt = prompt.count() as f64 / refusals.len() as f64;
+    let mut waits: Vec<Duration> = refusals.iter().map(|(_, wait)| *wait).collect();
+    waits.sort();
+    let part = |part: usize| waits[(waits.len() - 1) * part / 10];
+    println!(
+        "{} refused, {prompt:.3} within 20 ms, retry after {:?}/{:?}/{:?}, {ran} of {returned} admitted, used {used:.3}",
+        refusals.len(),
+        part(1),
+        part(5),
+        part(9),
+    );
+    assert!(prompt > 0.9, "{prompt}");
+    assert!(returned > 100, "{returned}");
+    assert!(2 * ran >= returned, "{ran} of {returned}");
+    assert!(used > 0.95, "{used}");
+    network.check(&[large(0)]);
+}
+
+/// Requests far beyond the allowance must not wait for their refusal, and its time to retry must be right for the
+/// few callers that keep to it.
+#[test]
+fn few_return() {
+    steep_demand(10);
+}
+
+/// Callers that are told to return must not all be told the same time.
+#[test]
+fn all_return() {
+    steep_demand(100);
+}
+
 /// A crash of the coordinator must not break the bound, and must refuse few requests at the usual rate.
 #[test]
 fn dead_coordinator() {
@@ -141,12 +187,30 @@
     };
     play(&mut network);
     network.traffic.clear();
+    network.kinds.clear();
     play(&mut network);
     let mut bytes: Vec<(usize, usize)> = network.traffic.values().copied().collect();
     bytes.sort_by_key(|(_, bytes)| *bytes);
     let per_second = |(count, bytes): (usize, usize)| (count as f64 / 4.0, bytes as f64 / 4.0);
     let (median, most) = (per_second(bytes[35]), per_second(bytes[69]));
     println!("datagrams and bytes a second: median {median:?}, most {most:?}");
+    let busiest = network.traffic.iter().max_by_key(|(_, traffic)| traffic.1);
+    let busiest = busiest.map(|(node, _)| *node);
+    for ((node, kind), sent) in &network.kinds {
+        if Some(*node) == busiest {
+            println!("{kind}s of the busiest node: {:?}", per_second(*sent));
+        }
+    }
+    let all = |wanted: &str| {
+        let kinds = network
+            .kinds
+            .iter()
+            .filter(|((_, kind), _)| *kind == wanted);
+        kinds.fold((0, 0), |sum, (_, one)| (sum.0 + one.0, sum.1 + one.1))
+    };
+    for kind in ["report", "question", "answer"] {
+        println!("{kind}s of all nodes: {:?}", per_second(all(kind)));
+    }
     assert!(median.1 < 2000.0, "{median:?}");
     assert!(network.refused_share() <= 0.0, "{}", network.summary());
 }
@@ -197,6 +261,77 @@
     assert_eq!(network.refused(0), refused, "{}", network.summary());
 }
 
+/// Requests that wait when a limit is raised must not be refused by the old one.
+#[test]
+fn raised_limit() {
+    let mut network = Network::new(&[2], &[small(0)]);
+    network.run(4 * SECOND, |_, _| Vec::new());
+    let mut first = Some(vec![(0, small(0)); 40]);
+    network.run(Duration::from_millis(30), |_, _| {
+        first.take().unwrap_or_default()
+    });
+    let refused = network.refused(0);
+    let waiting = network.status(0).waiting;
+    assert!(waiting > 0, "{}", network.summary());
+    let higher = Limit {
+        rate: 100.0 * small(0).rate,
+        ..small(0)
+    };
+    network.publish(&[higher], &[0, 1]);
+    network.run(SECOND / 2, |_, _| Vec::new());
+    assert_eq!(network.refused(0), refused, "{}", network.summary());
+    network.check(&[higher]);
+}
+
+/// A node that no other one has known must find tokens below the allowance, and must not let the sum exceed the
+/// bound beyond it.
+#[test]
+fn new_node() {
+    for (factor, below) in [(1.0 / HEADROOM, true), (4.0, false)] {
+        let mut network = settled(&[large(0)]);
+        let mut all: Vec<usize> = (0..70).collect();
+        send(&mut network, 3 * SECOND, large(0), factor, &all);
+        all.push(network.fleet.add("north", 4000));
+        send(&mut network, 14 * SECOND, large(0), factor, &all);
+        assert!(network.admitted_at(70) > 0, "{}", network.summary());
+        if below {
+            assert_eq!(network.refused(0), 0, "{}", network.summary());
+        }
+        network.check(&[large(0)]);
+    }
+}
+
+/// Neither a tick nor a datagram may grow with the number of tenants of a platform.
+#[test]
+fn many_tenants() {
+    const MANY: u64 = 28_000;
+    let limits: Vec<Limit> = (0..MANY).map(small).collect();
+    let mut network = Network::new(&[2], &[]);
+    network.tenants = MANY;
+    network.publish(&limits, &[0, 1]);
+    network.run(4 * SECOND, |_, _| Vec::new());
+    let mut next = 0;
+    let mut longest = Duration::ZERO;
+    network.run(SECOND, |network, _| {
+        let begin = std::time::Instant::now();
+        network.fleet.handle(0, seam_core::Event::Tick);
+        longest = longest.max(begin.elapsed());
+        next += 70;
+        (next - 70..next).map(|tenant| (0, small(tenant))).collect()
+    });
+    let (balances, buckets) = network.fleet.nodes[0].allowance_states();
+    println!(
+        "tick {longest:?}, datagram {} bytes, {balances} balances, {buckets} buckets, refused {:.3}",
+        network.largest,
+        network.refused_share()
+    );
+    assert!(network.largest < 1400, "{}", network.largest);
+    assert!(longest < SECOND, "{longest:?}");
+    assert!(balances <= next as usize && buckets <= next as usize);
+    network.run(6 * SECOND, |_, _| Vec::new());
+    assert_eq!(network.fleet.nodes[0].allowance_states(), (0, 0));
+}
+
 /// The tokens of a request that did not run must be usable again.
 #[test]
 fn returned_tokens() {
@@ -256,15 +391,14 @@
     network.run(Duration::from_millis(10), |_, _| {
         first.take().unwrap_or_default()
     });
+    // More than the tokens that are earned until then.
     network.run(SECOND / 2, |_, _| Vec::new());
-    let mut one = Some(vec![(0, small(0))]);
     let before = network.refused(0);
+    let mut next = Some(vec![(0, small(0)); 20]);
     network.run(Duration::from_millis(20), |_, _| {
-        one.take().unwrap_or_default()
+        next.take().unwrap_or_default()
     });
-    if network.refused(0) == before {
-        return;
-    }
+    assert!(network.refused(0) > before, "{}", network.summary());
     let refusal = network.last_refusal.expect("a request was refused");
     assert_eq!(refusal.reason, Reason::Rate);
     let wait = refusal.retry_after.expect("the time is known");
--- a/crates/seam-core/tests/allowances/network.rs
+++ b/crates/seam-core/tests/allowances/network.rs
@@ -64,6 +64,7 @@
 
 /// A request that ran.
 struct Run {
+    node: usize,
     time: Time,
     tenant: u64,
     tokens: f64,
@@ -95,8 +96,22 @@
     arrivals: u64,
     credit: BTreeMap<u64, (Time, f64)>,
     longest_wait: Duration,
+    /// Callers of 100 that return once at the time that their refusal named.
+    pub returning: u32,
+    /// Requests that arrive again: node, limit and time.
+    returns: BTreeMap<(Time, u64), (usize, Limit)>,
+    /// Requests that arrived again, and those of them that ran.
+    returned: BTreeMap<(usize, Ticket), bool>,
+    /// Time from arrival to refusal, and the time after which to retry, of the requests that arrived first.
+    pub refusals: Vec<(Duration, Duration)>,
     /// Datagrams about allowances and their bytes, by sender.
     pub traffic: BTreeMap<usize, (usize, usize)>,
+    /// The same by sender and whether they are reports, extra questions or answers.
+    pub kinds: BTreeMap<(usize, &'static str), (usize, usize)>,
+    /// Bytes of the largest of them.
+    pub largest: usize,
+    /// Number of tenants in the configurations.
+    pub tenants: u64,
     version: u64,
     sizes: Vec<usize>,
 }
@@ -134,7 +149,14 @@
             arrivals: 0,
             credit: BTreeMap::new(),
             longest_wait: Duration::ZERO,
+            returning: 0,
+            returns: BTreeMap::new(),
+            returned: BTreeMap::new(),
+            refusals: Vec::new(),
             traffic: BTreeMap::new(),
+            kinds: BTreeMap::new(),
+            largest: 0,
+            tenants: TENANTS,
             version: 0,
             sizes: sizes.to_vec(),
         };
@@ -156,8 +178,10 @@
             unreachable!()
         };
         let mut bundle: Bundle = (*bundle).clone();
-        let tenants = (0..TENANTS).map(|tenant| {
-            let limit = limits.iter().find(|limit| limit.tenant == tenant);
+        let limits: BTreeMap<u64, Limit> =
+            limits.iter().map(|limit| (limit.tenant, *limit)).collect();
+        let tenants = (0..self.tenants).map(|tenant| {
+            let limit = limits.get(&tenant);
             let tenant = Tenant {
                 name: tenant.to_string(),
                 keys: Vec::new(),
@@ -234,6 +258,15 @@
             if self.steps.is_multiple_of(TICK_STEPS) {
                 self.run_twins(&Event::Tick);
             }
+            while let Some(entry) = self.returns.first_entry()
+                && entry.key().0 <= now
+            {
+                let (node, limit) = entry.remove();
+                // Known before the decision, which may fall at once.
+                let key = (node, Ticket(self.arrivals + 1));
+                self.returned.insert(key, false);
+                self.arrive(node, limit);
+            }
             for (node, limit) in send(self, now) {
                 self.arrive(node, limit);
             }
@@ -324,7 +357,18 @@
                 if !heartbeat.allowances.is_empty() {
                     let traffic = self.traffic.entry(node).or_default();
                     traffic.0 += 1;
-                    traffic.1 += heartbeat.encode().len();
+                    let bytes = heartbeat.encode().len();
+                    traffic.1 += bytes;
+                    let report = &heartbeat.allowances;
+                    let kind = match (report.requested_at, report.lease) {
+                        (0, 0) => "question",
+                        (0, _) => "report",
+                        _ => "answer",
+                    };
+                    let kind = self.kinds.entry((node, kind)).or_default();
+                    kind.0 += 1;
+                    kind.1 += bytes;
+                    self.largest = self.largest.max(bytes);
                 }
                 let to = (0..self.fleet.nodes.len()).find(|other| address(*other) == to);
                 let lost = self.rng.random_range(0..100) < self.loss;
@@ -351,7 +395,11 @@
                 }
                 let time = self.fleet.now;
                 self.longest_wait = self.longest_wait.max(time.since(arrived));
+                if let Some(ran) = self.returned.get_mut(&(node, ticket)) {
+                    *ran = true;
+                }
                 self.runs.push(Run {
+                    node,
                     time,
                     tenant,
                     tokens,
@@ -359,10 +407,18 @@
                 self.fleet.complete(node, attempt);
             }
             Command::Refuse { ticket, refusal } => {
-                let tenant = self.requests[&(node, ticket)].0;
+                let (tenant, tokens, arrived) = self.requests[&(node, ticket)];
                 if refusal.reason == Reason::Rate {
                     *self.refused.entry(tenant).or_default() += 1;
                     self.last_refusal = Some(refusal);
+                    let wait = refusal.retry_after.unwrap_or_default();
+                    if !self.returned.contains_key(&(node, ticket)) {
+                        let delay = self.fleet.now.since(arrived);
+                        self.refusals.push((delay, wait));
+                        if self.rng.random_range(0..100) < self.returning {
+                            self.note_return(node, tenant, tokens, wait);
+                        }
+                    }
                 }
             }
             Command::LogAllowance(event) if std::env::var("SHOW_ALLOWANCES").is_ok() => {
@@ -377,6 +433,24 @@
         }
     }
 
+    fn note_return(&mut self, node: usize, tenant: u64, tokens: f64, wait: Duration) {
+        let cost = tokens as u32;
+        let limit = Limit {
+            tenant,
+            rate: 0.0,
+            cost,
+        };
+        self.sent += 1;
+        let key = (self.fleet.now + wait, self.sent);
+        self.returns.insert(key, (node, limit));
+    }
+
+    /// Returns the number of requests that arrived again, and how many of them ran.
+    pub fn returned(&self) -> (usize, usize) {
+        let ran = self.returned.values().filter(|ran| **ran).count();
+        (self.returned.len(), ran)
+    }
+
     fn reaches(&self, from: usize, to: usize) -> bool {
         let pair = (from.min(to), from.max(to));
         !self.fleet.partitions.contains(&pair)
@@ -465,6 +539,11 @@
         runs.map(|run| run.tokens).sum()
     }
 
+    /// Returns the number of requests that a node admitted.
+    pub fn admitted_at(&self, node: usize) -> usize {
+        self.runs.iter().filter(|run| run.node == node).count()
+    }
+
     /// Checks that no window has more tokens than the limits permit.
     pub fn check(&self, limits: &[Limit]) {
         self.check_after(limits, Time(0));
--- a/crates/seam-core/tests/live/fleet.rs
+++ b/crates/seam-core/tests/live/fleet.rs
@@ -287,6 +287,16 @@
         self.down[index] = false;
     }
 
+    /// Starts a node that no other one knows, and returns its index.
+    pub fn add(&mut self, region: &str, weight: u32) -> usize {
+        self.regions.push(region.to_owned());
+        self.weights.push(weight);
+        self.down.push(false);
+        let node = self.start_node(self.nodes.len());
+        self.nodes.push(node);
+        self.nodes.len() - 1
+    }
+
     /// Returns whether two nodes can reach each other.
     pub fn connected(&self, one: usize, other: usize) -> bool {
         let pair = (one.min(other), one.max(other));
