allowances: a new process keeps to its coordinators until it has started

Cause: nodes do not answer a process that they do not know yet. A new one took its coordinators for silent after 0.65 s, asked others whose pools are empty, and refused requests below the allowance.

Change: coordinators do not count as silent within 2.35 s of the start, in which the process has no tokens of its own, and requests may wait until then.

--- a/crates/seam-core/src/allowance/balance.rs
+++ b/crates/seam-core/src/allowance/balance.rs
@@ -245,7 +245,8 @@
         wait
     }
 
-    /// Decides on a request that has arrived, and keeps it if it waits. `left` is the time until its deadline.
+    /// Decides on a request that has arrived, and keeps it if it waits. `left` is the longest time that it may
+    /// wait.
     ///
     /// ```
     /// use std::time::Duration;
@@ -277,7 +278,6 @@
             return Decision::Admit;
         }
         let wait = self.wait(now, cost, terms, own);
-        let left = left.min(MAX_WAIT);
         if wait > left || self.waiting.len() >= MAX_WAITING {
             return Decision::Refuse(self.expect(now, cost, wait));
         }
--- a/crates/seam-core/src/allowance/lease.rs
+++ b/crates/seam-core/src/allowance/lease.rs
@@ -7,7 +7,7 @@
 use seam_protocol::{Incarnation, RegionId, Time, Vm, VmId};
 
 use super::balance::OwnShare;
-use super::{COORDINATORS, LEASE};
+use super::{COORDINATORS, LEASE, MAX_WAIT};
 
 /// Time without an answer after which a node asks another coordinator. It covers two lost datagrams.
 const ANSWER_LIMIT: Duration = Duration::from_millis(650);
@@ -78,6 +78,15 @@
         }
     }
 
+    /// Returns the longest time that a request waits for tokens. A new process has no tokens of its own, and nodes that do
+    /// not know it yet do not answer it, so requests may wait until it has started.
+    #[must_use]
+    pub fn longest_wait(&self, now: Time) -> Duration {
+        START_WAIT
+            .saturating_sub(now.since(self.boot))
+            .max(MAX_WAIT)
+    }
+
     /// Sets the number of known nodes, alive or not, including this one. `unheard` is the number of seeds if
     /// this node has heard of no other node.
     ///
@@ -248,7 +257,9 @@
     /// Returns whether the coordinator of a part has not answered for so long that another one is asked from now
     /// on.
     pub fn check_answer(&mut self, now: Time, part: usize) -> bool {
-        let late = self.unanswered(now, part) >= ANSWER_LIMIT;
+        // Nodes that do not know a new process yet do not answer it.
+        let started = now.since(self.boot) >= START_WAIT;
+        let late = started && self.unanswered(now, part) >= ANSWER_LIMIT;
         let part = &mut self.parts[part];
         if let Some(vm) = part.asked.filter(|_| late) {
             self.silent.insert(vm, now);
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -194,6 +194,7 @@
         let cost = allowance.cost(tokens);
         self.update_known(now);
         let own = self.allowances.lender.own(now);
+        let left = left.min(self.allowances.lender.longest_wait(now));
         let balance = self.allowances.balance(now, tenant);
         match balance.admit(now, (ticket, cost), left, terms, own) {
             Decision::Admit => {
