--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -553,7 +553,8 @@
     }
 
     /// Grants tokens from the shares that are lent to this node. Tokens that were granted by another process
-    /// are not `returnable`. Regular reports ask ahead of demand. A tenant without a limit in the configuration in force gets what it asks for.
+    /// are not `returnable`. Regular reports ask ahead of demand. A tenant without a limit in the configuration
+    /// in force gets what it asks for.
     fn grant_tokens(
         &mut self,
         now: Time,
