explain: a request is handled by a copy of the node

Cause: operators could ask for a customer and a service only, and the answer came from a second, simpler decision. Change: the choice of a target, the routing decision and the charge of an allowance can be traced for one request in a copy of the node.

--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -45,6 +45,7 @@
 use crate::command::Command;
 use crate::config_version::{ConfigStamp, ConfigVersion, ConfigView};
 use crate::event::Event;
+use crate::explain::Trace;
 use crate::fair::{FairQueue, FlowKey};
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
@@ -330,6 +331,8 @@
     pub(crate) pending_manifest: Option<(u64, Time)>,
     pub(crate) counters: Counters,
     pub(crate) rng: Pcg64Mcg,
+    /// What is decided on one request, in a copy of a node that explains it.
+    pub(crate) trace: Option<Trace>,
 }
 
 /// Requests sent to a region for one service since the region's last summary.
@@ -408,6 +411,7 @@
             pending_manifest: None,
             counters: Counters::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
+            trace: None,
         }
     }
 
--- a/crates/seam-core/src/node/admit.rs
+++ b/crates/seam-core/src/node/admit.rs
@@ -38,6 +38,20 @@
             Origin::Caller => self.counters.arrived += 1,
             Origin::Peer { .. } => self.counters.relayed += 1,
         }
+        let request = self.new_request(now, arrival);
+        self.deadlines.insert((request.deadline, arrival.ticket));
+        self.requests.insert(arrival.ticket, request);
+        if let Err(refusal) = self.check(now, arrival, out) {
+            self.refuse(now, arrival.ticket, refusal, out);
+            return;
+        }
+        if self.charge_tenant(now, arrival.ticket, out) {
+            self.enter(now, arrival.ticket, out);
+        }
+    }
+
+    /// Returns the request of an arrival, with the regions that its customer and its tenant permit.
+    pub(crate) fn new_request(&self, now: Time, arrival: &Arrival) -> Request {
         let mut request = Request::new(now, arrival);
         let customers = self.bundle.as_ref().map(|bundle| &bundle.customers);
         let customer = customers.and_then(|customers| customers.get(&arrival.customer));
@@ -49,15 +63,7 @@
             customer.and_then(|customer| customer.residency.as_ref()),
             tenant.and_then(|tenant| tenant.home_regions.as_ref()),
         );
-        self.deadlines.insert((request.deadline, arrival.ticket));
-        self.requests.insert(arrival.ticket, request);
-        if let Err(refusal) = self.check(now, arrival, out) {
-            self.refuse(now, arrival.ticket, refusal, out);
-            return;
-        }
-        if self.charge_tenant(now, arrival.ticket, out) {
-            self.enter(now, arrival.ticket, out);
-        }
+        request
     }
 
     /// Continues a request that was checked and charged to its tenant, at the owner of its key.
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -73,6 +73,38 @@
     status: AllowanceStatus,
 }
 
+/// What an allowance has to know of a request.
+#[derive(Clone, Copy, Debug)]
+struct Toll {
+    tenant: TenantId,
+    /// Tokens of its prompt and its answer, if stated.
+    tokens: Option<u64>,
+    /// Time for which it may wait.
+    left: Duration,
+}
+
+impl Toll {
+    /// Returns the toll of a request, `None` if it has no tenant or was charged by another node.
+    fn of(now: Time, request: &Request) -> Option<Self> {
+        let tokens = request.prompt.as_ref().map(|prompt| prompt.peak_tokens());
+        Some(Self {
+            tenant: request.tenant.filter(|_| !request.forwarded())?,
+            tokens,
+            // Refused before the deadline passes between two ticks.
+            left: request.budget(now).saturating_sub(TICK),
+        })
+    }
+}
+
+/// The decision of an allowance on a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Charge {
+    pub(crate) tenant: TenantId,
+    /// Tokens that the request costs.
+    pub(crate) cost: f64,
+    pub(crate) decision: Decision,
+}
+
 impl Allowances {
     pub(crate) fn new(now: Time) -> Self {
         Self {
@@ -172,30 +204,14 @@
         ticket: Ticket,
         out: &mut Vec<Command>,
     ) -> bool {
-        let request = &self.requests[&ticket];
-        let Some(tenant) = request.tenant.filter(|_| !request.forwarded()) else {
-            return true;
-        };
-        // Refused before the deadline passes between two ticks.
-        let left = request.budget(now).saturating_sub(TICK);
-        let tokens = request.prompt.clone();
-        let tokens = tokens.map(|prompt| prompt.peak_tokens());
-        let Some(bundle) = self.limited_bundle() else {
+        let Some(toll) = Toll::of(now, &self.requests[&ticket]) else {
             return true;
         };
-        let allowance = bundle
-            .tenants
-            .get(&tenant)
-            .and_then(|known| known.allowance);
-        let Some(allowance) = allowance else {
+        let Some(charge) = self.take_tokens(now, ticket, toll) else {
             return true;
         };
-        let terms = Terms::new(&allowance, &bundle.tenant_bounds);
-        let cost = allowance.cost(tokens);
-        self.update_known(now);
-        let own = self.allowances.lender.own(now);
-        let balance = self.allowances.balance(now, tenant);
-        match balance.admit(now, (ticket, cost), left, terms, own) {
+        let (tenant, cost) = (charge.tenant, charge.cost);
+        match charge.decision {
             Decision::Admit => {
                 self.pay(ticket, cost);
                 true
@@ -203,7 +219,9 @@
             Decision::Wait => {
                 self.request_mut(ticket).stage = Stage::AwaitingTokens;
                 self.allowances.waiting.insert(tenant);
-                self.ask_for_waiting(now, &bundle, out);
+                if let Some(bundle) = self.limited_bundle() {
+                    self.ask_for_waiting(now, &bundle, out);
+                }
                 false
             }
             Decision::Refuse(wait) => {
@@ -213,6 +231,50 @@
         }
     }
 
+    /// Takes the tokens of a caller's request from its tenant's balance, or lets it wait for them. Returns `None`
+    /// if no allowance limits it.
+    fn take_tokens(&mut self, now: Time, ticket: Ticket, toll: Toll) -> Option<Charge> {
+        let Toll {
+            tenant,
+            tokens,
+            left,
+        } = toll;
+        let bundle = self.limited_bundle()?;
+        let allowance = bundle.tenants.get(&tenant)?.allowance?;
+        let terms = Terms::new(&allowance, &bundle.tenant_bounds);
+        let cost = allowance.cost(tokens);
+        self.update_known(now);
+        let own = self.allowances.lender.own(now);
+        let balance = self.allowances.balance(now, tenant);
+        let decision = balance.admit(now, (ticket, cost), left, terms, own);
+        Some(Charge {
+            tenant,
+            cost,
+            decision,
+        })
+    }
+
+    /// Returns the tokens that this node holds for the tenant of a request, what the request costs, and the
+    /// decision on it, `None` if no allowance limits it. Charges nothing.
+    pub(crate) fn preview_charge(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: &Request,
+    ) -> Option<(f64, Charge)> {
+        let toll = Toll::of(now, request)?;
+        let before = self.allowances.clone();
+        let charge = self.take_tokens(now, ticket, toll);
+        self.allowances = before;
+        let charge = charge?;
+        let bundle = self.limited_bundle()?;
+        let terms = terms(&bundle, charge.tenant)?;
+        let own = self.allowances.lender.own(now);
+        let balance = self.allowances.balance(now, charge.tenant);
+        let held = balance.held(now, terms, own);
+        Some((held, charge))
+    }
+
     fn pay(&mut self, ticket: Ticket, cost: f64) {
         self.request_mut(ticket).paid = Some(cost);
         self.allowances.status.admitted += cost;
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -31,7 +31,7 @@
 
     /// Returns what a request leaves to more urgent ones, or what a tenant's request waits for. The rest
     /// of a stream waits for nothing, since what was done for it would be lost.
-    pub(super) fn reserve(&self, now: Time, request: &Request) -> Option<Reserve> {
+    pub(crate) fn reserve(&self, now: Time, request: &Request) -> Option<Reserve> {
         if !self.competes(request) || Self::has_begun(request) {
             return None;
         }
@@ -116,7 +116,7 @@
     }
 
     /// Returns the inputs of the decision about a request, for the log.
-    pub(super) fn contest(&self, now: Time, request: &Request) -> Option<Contest> {
+    pub(crate) fn contest(&self, now: Time, request: &Request) -> Option<Contest> {
         let route = request.route.filter(|_| self.competes(request))?;
         let held = self.reserve(now, request);
         let held = held.filter(|reserve| reserve.holds(route.kind));
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -71,7 +71,7 @@
             let (prompt, avoid) = (request.prompt.clone(), request.avoid.clone());
             let chosen = self.choose(
                 now,
-                service,
+                (ticket, service),
                 TargetQuery {
                     prefix: request.prefix,
                     suspect: suspect.then_some(request.fingerprint),
@@ -110,9 +110,13 @@
     pub(super) fn choose(
         &mut self,
         now: Time,
-        service: ServiceId,
+        (ticket, service): (Ticket, ServiceId),
         query: TargetQuery,
     ) -> Option<TargetChoice> {
+        if let Some(trace) = self.trace.as_mut().filter(|trace| trace.ticket == ticket) {
+            let (targets, prefixes) = (&self.targets, &self.prefixes);
+            trace.targets = targets.verdicts(now, service, query, prefixes, &self.rng);
+        }
         if !self.policy.load_aware {
             let key = self
                 .targets
@@ -127,7 +131,7 @@
     ///
     /// Until then a prompt's shared parts are assumed to be cached at their home engine, where the
     /// previous process sent them.
-    pub(super) fn just_booted(&self, now: Time) -> bool {
+    pub(crate) fn just_booted(&self, now: Time) -> bool {
         const WARM_UP: Duration = Duration::from_secs(8);
         now.since(self.boot) < WARM_UP
     }
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -144,6 +144,9 @@
             choice,
             contest: self.contest(now, request),
         };
+        if let Some(trace) = self.trace.as_mut().filter(|trace| trace.ticket == ticket) {
+            trace.decision = Some(decision);
+        }
         (decision, local_node)
     }
 
@@ -207,7 +210,7 @@
                     reserve: self.reserve(now, request),
                     ..TargetQuery::default()
                 };
-                self.choose(now, service, query)
+                self.choose(now, (ticket, service), query)
             }
             _ => None,
         };
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -11,6 +11,7 @@
 mod start_limit;
 mod state;
 mod subset;
+mod verdict;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 pub use start_limit::StartLimiter;
 pub use state::{Phase, TargetState};
 pub use subset::{NodeSubset, service_nodes, target_nodes};
+pub use verdict::{TargetVerdict, Verdict};
 
 /// Time after which a probe without a result is taken to have none.
 pub const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -8,7 +8,7 @@
 use seam_protocol::id::rank;
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
-use super::{EngineModel, Phase, PromptWork, Targets};
+use super::{EngineModel, Phase, PromptWork, Targets, Verdict};
 use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
@@ -40,6 +40,13 @@
     pub reserve: Option<Reserve>,
 }
 
+impl<'a> TargetQuery<'a> {
+    /// Returns the prompt if it decides the engine. A suspect goes to a target of its own instead.
+    pub(super) fn engine_prompt(&self) -> Option<&'a Prompt> {
+        self.prompt.filter(|_| self.suspect.is_none())
+    }
+}
+
 /// Estimates by which a target was chosen, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetEstimate {
@@ -85,10 +92,10 @@
 
 /// Cost of a prompt at one engine, and the choice that results if it is the lowest.
 #[derive(Clone, Copy, Debug)]
-struct EngineCost {
-    chosen: TargetChoice,
+pub(super) struct EngineCost {
+    pub(super) chosen: TargetChoice,
     /// Time to the first token plus the cost to other requests, in milliseconds.
-    total: f64,
+    pub(super) total: f64,
 }
 
 impl Targets {
@@ -106,17 +113,25 @@
         prefixes: &PrefixTable,
         rng: &mut Pcg64Mcg,
     ) -> Option<TargetChoice> {
-        let heavy = query.heavy.iter().any(|(id, _)| *id == query.customer);
+        let available = self.available(now, service, query);
+        if let Some(prompt) = query.engine_prompt() {
+            let candidates = self.candidates(&available, prompt, prefixes, rng);
+            return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
+        }
+        let key = self.pick(now, &available, query, prefixes, rng)?;
+        Some(self.chosen(now, key, PromptWork::default()))
+    }
+
+    /// Returns the targets among which one is chosen for a request.
+    pub(super) fn available(
+        &self,
+        now: Time,
+        service: ServiceId,
+        query: TargetQuery,
+    ) -> Vec<TargetKey> {
         let mut available: Vec<TargetKey> = self
             .for_service(service)
-            .filter(|(_, state)| state.serves(query.version))
-            .filter(|(key, _)| self.accepts(now, *key, heavy))
-            .filter(|(_, state)| {
-                let tokens = query.prompt.map_or(0, Prompt::peak_tokens);
-                let reserve = query.reserve.as_ref();
-                reserve.is_none_or(|reserve| state.leaves(now, reserve, tokens))
-            })
-            .filter(|(_, state)| query.suspect.is_none() || state.suspects == 0)
+            .filter(|(key, _)| self.exclusion(now, *key, query).is_none())
             .map(|(key, _)| key)
             .collect();
         self.separate_heavy(now, service, query, &mut available);
@@ -128,14 +143,35 @@
         {
             available.retain(|key| !avoid.contains(key));
         }
-        if let Some(prompt) = query.prompt
-            && query.suspect.is_none()
-        {
-            let candidates = self.candidates(&available, prompt, prefixes, rng);
-            return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
+        available
+    }
+
+    /// Returns why a target takes no request of this kind now, `None` if it does.
+    pub(super) fn exclusion(
+        &self,
+        now: Time,
+        key: TargetKey,
+        query: TargetQuery,
+    ) -> Option<Verdict> {
+        let state = self.get(key);
+        if !state.serves(query.version) {
+            let serving = state.phase == Phase::Serving;
+            return Some(if serving {
+                Verdict::Version
+            } else {
+                Verdict::Phase
+            });
         }
-        let key = self.pick(now, &available, query, prefixes, rng)?;
-        Some(self.chosen(now, key, PromptWork::default()))
+        let heavy = query.heavy.iter().any(|(id, _)| *id == query.customer);
+        if !self.accepts(now, key, heavy) {
+            return Some(Verdict::Full);
+        }
+        let tokens = query.prompt.map_or(0, Prompt::peak_tokens);
+        let reserve = query.reserve.as_ref();
+        if reserve.is_some_and(|reserve| !state.leaves(now, reserve, tokens)) {
+            return Some(Verdict::Reserved);
+        }
+        (query.suspect.is_some() && state.suspects > 0).then_some(Verdict::Suspect)
     }
 
     /// Creates a choice with the current estimates of a target.
@@ -185,7 +221,7 @@
     /// If all were considered, nodes that decide at the same time would all choose the engine with
     /// the least work. Each node therefore considers the engines that have the prompt's last shared
     /// part cached, the first home engines of that part, and a few random ones.
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         available: &[TargetKey],
         prompt: &Prompt,
@@ -230,6 +266,20 @@
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> Option<TargetChoice> {
+        let costs = self.costs(now, available, just_booted, prompt, prefixes);
+        let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
+        Some(cheapest.chosen)
+    }
+
+    /// Returns the cost of a prompt at each of some engines.
+    pub(super) fn costs(
+        &self,
+        now: Time,
+        available: &[TargetKey],
+        just_booted: bool,
+        prompt: &Prompt,
+        prefixes: &PrefixTable,
+    ) -> impl Iterator<Item = EngineCost> {
         let home = self.home(available.iter().copied(), prompt);
         let presumed_home = home.filter(|_| just_booted);
         let holders = match presumed_home {
@@ -239,13 +289,11 @@
             }
             None => self.holders(available, prompt, prefixes),
         };
-        let costs = available.iter().map(|key| {
+        available.iter().map(move |key| {
             let at_home = home == Some(*key);
             let holder = holders.get(&self.get(*key).version).copied();
             self.cost(now, *key, prompt, prefixes, (at_home, holder))
-        });
-        let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
-        Some(cheapest.chosen)
+        })
     }
 
     /// Returns the home engine of a prompt's last shared part.
--- a/crates/seam-node/src/admin.rs
+++ b/crates/seam-node/src/admin.rs
@@ -1,5 +1,7 @@
 //! The administration API, served on its own address.
 
+mod explain;
+
 use std::sync::Arc;
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -7,7 +9,7 @@
 use seam_core::Event;
 use seam_core::event::Drainable;
 use seam_http::{Body, Incoming, Listener, Stop, full, json};
-use seam_protocol::{Digest, ServiceId, TargetId};
+use seam_protocol::{Digest, TargetId};
 use serde::Serialize;
 
 use crate::control_port::serve_control;
@@ -31,11 +33,22 @@
 pub async fn serve_admin(runtime: Arc<NodeRuntime>, listener: Listener, stop: Stop) {
     serve_control(listener, stop, move |request, _| {
         let runtime = runtime.clone();
-        async move { handle(&runtime, &request) }
+        async move {
+            if is_explanation(&request) && role(&runtime, &request).is_some() {
+                return explain::by_request(&runtime, request.into_body()).await;
+            }
+            handle(&runtime, &request)
+        }
     })
     .await;
 }
 
+/// Returns whether a call asks for an explanation of a request in its body. It changes nothing, so that every role
+/// may send it.
+fn is_explanation(request: &Request<Incoming>) -> bool {
+    request.method() == Method::POST && request.uri().path() == "/v1/explain"
+}
+
 fn error_response(status: StatusCode, error: &str, help: &str) -> Response<Body> {
     json(status, &ErrorBody { error, help })
 }
@@ -92,7 +105,7 @@
         }
         (&Method::GET, "/v1/audit") => json(StatusCode::OK, &runtime.audit_trail.records()),
         (&Method::GET, "/v1/manifest") => manifest(runtime),
-        (&Method::GET, "/v1/explain") => explain(runtime, request),
+        (&Method::GET, "/v1/explain") => explain::by_names(runtime, request),
         (&Method::GET, "/metrics") => metrics(runtime),
         (&Method::POST, "/v1/drain") => drain(runtime, request, true),
         (&Method::POST, "/v1/undrain") => drain(runtime, request, false),
@@ -137,28 +150,6 @@
         .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy().into_owned())
 }
 
-fn explain(runtime: &NodeRuntime, request: &Request<Incoming>) -> Response<Body> {
-    let parameters = query_parameter(request, "customer").zip(query_parameter(request, "service"));
-    let Some((customer, service)) = parameters else {
-        let help = "add ?customer=NAME&service=NAME";
-        return error_response(StatusCode::BAD_REQUEST, "a parameter is missing", help);
-    };
-    let service = ServiceId::of(&service);
-    let customer = runtime.snapshot().and_then(|snapshot| {
-        let mut customers = snapshot.bundle.customers.iter();
-        customers.find_map(|(id, spec)| (spec.name == customer).then_some(*id))
-    });
-    let explained = customer
-        .and_then(|customer| runtime.read(|node, now| node.explain(now, customer, service)));
-    match explained {
-        Some(explanation) => json(StatusCode::OK, &explanation),
-        None => {
-            let help = "both must be in the configuration in force";
-            error_response(StatusCode::NOT_FOUND, "no such customer or service", help)
-        }
-    }
-}
-
 /// Starts or ends the drain of this node, or of one target in this node's view.
 fn drain(runtime: &Arc<NodeRuntime>, request: &Request<Incoming>, on: bool) -> Response<Body> {
     let what = match query_parameter(request, "target") {
--- a/crates/seam-node/src/dialect.rs
+++ b/crates/seam-node/src/dialect.rs
@@ -30,6 +30,15 @@
     pub resumes: Option<String>,
 }
 
+/// A prompt as a caller states it.
+#[derive(Clone, Debug, Default)]
+pub struct StatedPrompt {
+    /// Identifier and length in tokens of each part, in order.
+    pub parts: Vec<(String, u32)>,
+    /// Length of the prompt in tokens, and the limit of its output.
+    pub tokens: (u32, u32),
+}
+
 /// What a target is sent in addition to the caller's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetContext<'a> {
@@ -93,6 +102,22 @@
     /// What is wrong with the header, without its value.
     fn api_key(&self, headers: &HeaderMap) -> Result<Option<Digest>, String>;
 
+    /// Returns the headers by which a caller states an API key and a prompt, for requests that are explained and
+    /// not sent.
+    ///
+    /// # Errors
+    /// What cannot be stated, without the key.
+    fn caller_headers(
+        &self,
+        api_key: Option<&str>,
+        prompt: Option<&StatedPrompt>,
+    ) -> Result<HeaderMap, String> {
+        if api_key.is_some() || prompt.is_some() {
+            return Err("callers of this platform state no API key and no prompt".to_owned());
+        }
+        Ok(HeaderMap::new())
+    }
+
     /// Sets the headers that a target is sent.
     fn set_target_headers(
         &self,
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -12,7 +12,7 @@
 use seam_core::arrival::Arrival;
 use seam_core::command::{OriginSource, Withheld};
 use seam_core::spill::{RegionChoice, RoutingDecision};
-use seam_core::{AttemptKey, AttemptOutcome, ConfigStamp, Event, Origin, Refusal};
+use seam_core::{AttemptKey, AttemptOutcome, ConfigStamp, Event, Origin, Refusal, Ticket};
 use seam_http::spawn;
 use seam_protocol::{Outcome, Reason, TenantId, Time, VersionId};
 
@@ -59,18 +59,19 @@
     caller_left: bool,
 }
 
-/// Submits a request to the decision core and returns the receiver of its response parts.
-pub fn start(
-    runtime: &Arc<NodeRuntime>,
-    inbound: InboundRequest,
+/// Returns a request as the decision core takes it.
+pub(crate) fn arrival(
+    runtime: &NodeRuntime,
+    inbound: &InboundRequest,
+    ticket: Ticket,
     origin: Origin,
-) -> Receiver<ResponsePart> {
+) -> Arrival {
     let prefix = runtime.snapshot().and_then(|snapshot| {
         let service = snapshot.bundle.services.get(&inbound.service)?;
         inbound.prefix(service)
     });
-    let arrival = Arrival {
-        ticket: runtime.next_ticket(),
+    Arrival {
+        ticket,
         origin,
         customer: inbound.customer,
         service: inbound.service,
@@ -88,7 +89,16 @@
         route: inbound.rules,
         prompt: inbound.prompt.clone(),
         stream: inbound.stream(),
-    };
+    }
+}
+
+/// Submits a request to the decision core and returns the receiver of its response parts.
+pub fn start(
+    runtime: &Arc<NodeRuntime>,
+    inbound: InboundRequest,
+    origin: Origin,
+) -> Receiver<ResponsePart> {
+    let arrival = arrival(runtime, &inbound, runtime.next_ticket(), origin);
     let (sender, commands) = async_channel::unbounded();
     let resumable = inbound.rules.is_some_and(|rules| rules.resumable);
     let (writer, reader) = response_channel(resumable);
@@ -111,7 +121,7 @@
 }
 
 impl RequestTask {
-    async fn run(mut self, ticket: seam_core::Ticket, commands: Receiver<TaskCommand>) {
+    async fn run(mut self, ticket: Ticket, commands: Receiver<TaskCommand>) {
         let mut finished = false;
         loop {
             let next = async { commands.recv().await.ok() };
--- a/crates/seam-node/src/front.rs
+++ b/crates/seam-node/src/front.rs
@@ -21,7 +21,7 @@
 use crate::drive;
 use crate::inbound::InboundRequest;
 use crate::runtime::{NodeRuntime, Snapshot};
-use read::Rejection;
+pub(crate) use read::{ExplainedHead, Rejection, read_explained};
 
 pub use api::{EntriesResponse, Entry, KeyResponse};
 pub use discovery::{serve_directory, serve_readiness};
--- a/crates/seam-node/src/front/read.rs
+++ b/crates/seam-node/src/front/read.rs
@@ -7,7 +7,8 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use http::{HeaderMap, Request, header};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, header};
 use http_body_util::BodyExt;
 use seam_core::{ConfigVersion, Refusal};
 use seam_http::{BodyError, Incoming};
@@ -378,34 +379,115 @@
         .map_err(|rejection| rejection.by(&snapshot))?;
     check_limit(runtime, &body, (limit, body_limit(&snapshot)))
         .map_err(|rejection| rejection.by(&snapshot))?;
+    let path = path.to_owned();
     let mut headers = head.headers;
     runtime.dialect.strip_request_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    let path = path.to_owned();
-    Ok(InboundRequest {
-        id: id.to_owned(),
-        caller: Some(from),
-        repeatable: route.retry_policy != RetryPolicy::Once,
-        fingerprint: fingerprint(service, &head.method, &path, Some(from), body.first()),
-        content: fingerprint(service, &head.method, &path, None, body.first()),
-        tenant: tenant.map(|tenant| tenant.name.clone()),
-        rules: Some(route_rules(route, tenant)),
-        prompt: options.prompt.map(Arc::new),
-        resumes: options.resumes,
-        version: None,
-        customer: route.customer_id(&host),
-        host: Some(host),
-        method: head.method,
+    let budget = budget_on(route).saturating_sub(runtime.now().since(start));
+    let found = Found {
+        snapshot: &snapshot,
+        route,
+        service,
+        tenant,
+        host,
         path,
-        headers,
-        body,
-        customer_name: route.name.clone(),
+    };
+    let head = (head.method, headers);
+    Ok(found.request(id, Some(from), head, body, options, budget))
+}
+
+/// A route that a request matches, and the tenant whose API key it has.
+struct Found<'a> {
+    snapshot: &'a Snapshot,
+    route: &'a HostRoute,
+    service: ServiceId,
+    tenant: Option<&'a Tenant>,
+    host: String,
+    /// Path with the query.
+    path: String,
+}
+
+impl Found<'_> {
+    /// Returns the request with its method and the headers for its target.
+    fn request(
+        self,
+        id: &str,
+        from: Option<IpAddr>,
+        (method, headers): (Method, HeaderMap),
+        body: RequestBody,
+        options: RequestOptions,
+        budget: Duration,
+    ) -> InboundRequest {
+        let (route, service, path) = (self.route, self.service, self.path);
+        InboundRequest {
+            id: id.to_owned(),
+            caller: from,
+            repeatable: route.retry_policy != RetryPolicy::Once,
+            fingerprint: fingerprint(service, &method, &path, from, body.first()),
+            content: fingerprint(service, &method, &path, None, body.first()),
+            tenant: self.tenant.map(|tenant| tenant.name.clone()),
+            rules: Some(route_rules(route, self.tenant)),
+            prompt: options.prompt.map(Arc::new),
+            resumes: options.resumes,
+            version: None,
+            customer: route.customer_id(&self.host),
+            host: Some(self.host),
+            method,
+            path,
+            headers,
+            body,
+            customer_name: route.name.clone(),
+            service,
+            config: self.snapshot.config,
+            key: None,
+            key_text: String::new(),
+            budget,
+        }
+    }
+}
+
+/// The head of a request that is explained and not sent.
+pub struct ExplainedHead {
+    /// HTTP method.
+    pub method: Method,
+    /// Host.
+    pub host: String,
+    /// Path, with the query if there is one.
+    pub path: PathAndQuery,
+    /// Headers by which a caller states its API key and its prompt.
+    pub headers: HeaderMap,
+    /// Identifier, by which a service of the route is chosen.
+    pub id: String,
+}
+
+/// Matches a request that is explained against the published routes, like one that is sent, but with an empty
+/// body. Changes and counts nothing.
+///
+/// # Errors
+/// Why a request with this head is rejected while it is read.
+pub fn read_explained(
+    runtime: &NodeRuntime,
+    head: ExplainedHead,
+) -> Result<InboundRequest, Rejection> {
+    let snapshot = snapshot(runtime)?;
+    let host = head.host.trim_end_matches('.').to_owned();
+    let (route, service) = find_route(runtime, &snapshot, &host, head.path.path(), &head.id)?;
+    let key = runtime.dialect.api_key(&head.headers);
+    let tenant = find_tenant(runtime, &snapshot, route, &key)?;
+    let options = runtime.dialect.request_options(&head.headers);
+    let options = options.map_err(|detail| Rejection::new(Reason::Malformed, detail))?;
+    let found = Found {
+        snapshot: &snapshot,
+        route,
         service,
-        config: snapshot.config,
-        key: None,
-        key_text: String::new(),
-        budget: budget_on(route).saturating_sub(runtime.now().since(start)),
-    })
+        tenant,
+        host,
+        path: head.path.as_str().to_owned(),
+    };
+    let body = RequestBody::whole(Vec::new());
+    let budget = Duration::from_millis(route.timeout);
+    let sent = (head.method, HeaderMap::new());
+    Ok(found.request(&head.id, None, sent, body, options, budget))
 }
 
 /// Reads a request whose path names a service.
