seamctl explain: a request given by host, path, key and prompt

Cause: the call took only a customer and a service, which says nothing of tenants, prompts and allowances.

--- a/crates/seam-ctl/src/error.rs
+++ b/crates/seam-ctl/src/error.rs
@@ -45,6 +45,12 @@
         /// Path of the file.
         path: PathBuf,
     },
+    /// Options of a command do not go together.
+    #[snafu(display("{message}"))]
+    Options {
+        /// What is missing or contradictory.
+        message: &'static str,
+    },
     /// The call to the node failed.
     #[snafu(display("{source}"))]
     Node {
--- a/crates/seam-ctl/src/node.rs
+++ b/crates/seam-ctl/src/node.rs
@@ -6,7 +6,7 @@
 
 use http::{Method, Request, header};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
-use seam_http::{empty, fetch};
+use seam_http::{Body, empty, fetch};
 use serde_json::Value;
 use snafu::{ResultExt, ensure};
 
@@ -33,13 +33,23 @@
     token_file: &Path,
     method: Method,
     path: &str,
+) -> Result<Value, CtlError> {
+    call_with(admin, token_file, (method, path), empty())
+}
+
+/// Calls a node with a body and returns its JSON response.
+pub fn call_with(
+    admin: SocketAddr,
+    token_file: &Path,
+    (method, path): (Method, &str),
+    body: Body,
 ) -> Result<Value, CtlError> {
     let token = read_token(token_file)?;
     let request = Request::builder()
         .method(method)
         .uri(path)
         .header(header::AUTHORIZATION, format!("Bearer {token}"))
-        .body(empty());
+        .body(body);
     let request = match request {
         Ok(request) => request,
         Err(error) => {
--- a/crates/seam-node/src/control_port.rs
+++ b/crates/seam-node/src/control_port.rs
@@ -1,4 +1,4 @@
-//! Ports for short calls without a body: readiness, the directory and administration.
+//! Ports for short calls with a small body or none: readiness, the directory and administration.
 
 use std::future::Future;
 use std::net::SocketAddr;
