--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -338,6 +338,10 @@
         });
         let mut commands = Vec::new();
         copy.handle(now, Event::Arrive(arrival.clone()), &mut commands);
+        let paid = copy
+            .requests
+            .get(&EXPLAINED)
+            .is_some_and(|request| request.paid.is_some());
         let trace = copy.trace.take();
         let decided = trace.as_ref().and_then(|trace| trace.decision);
         let mut verdicts = trace.map_or_else(Vec::new, |trace| trace.targets);
@@ -374,7 +378,11 @@
                 age_ms: self.confirmation_age(now).map(whole_millis),
                 admits: self.admits_keyed(now),
             },
-            allowance: allowance.map(|(held, charge)| allowance_view(held, &charge)),
+            allowance: allowance.map(|(held, charge)| {
+                // A request that waits may get tokens from a pool of this node at once.
+                let admitted = paid || decided.is_some();
+                allowance_view(held, &charge, admitted)
+            }),
             competition: contest.map(competition_view),
             regions: self.region_states(now, &request, &permitted, decided),
             targets: verdicts
@@ -445,12 +453,7 @@
         regions.collect()
     }
 
-    fn target_report(
-        &self,
-        now: Time,
-        verdict: &TargetVerdict,
-        request: &Request,
-    ) -> TargetReport {
+    fn target_report(&self, now: Time, verdict: &TargetVerdict, request: &Request) -> TargetReport {
         let state = self.targets.get(verdict.key);
         let memory = state.memory_tokens();
         let tokens = request.prompt.as_ref().map(|prompt| prompt.input_tokens);
@@ -515,8 +518,13 @@
         let stage = self.requests.get(&EXPLAINED).map(|request| request.stage);
         let (action, reason) = match stage {
             Some(Stage::Queued) => ("queue", "it waits here for a target of this region"),
-            Some(Stage::Parked) => ("wait", "it waits for a free concurrency unit of its customer"),
-            Some(Stage::AwaitingTokens) => ("wait", "it waits for tokens of its tenant's allowance"),
+            Some(Stage::Parked) => (
+                "wait",
+                "it waits for a free concurrency unit of its customer",
+            ),
+            Some(Stage::AwaitingTokens) => {
+                ("wait", "it waits for tokens of its tenant's allowance")
+            }
             Some(Stage::Asking) => ("wait", "it waits for the version that began its stream"),
             Some(Stage::Joined) => ("wait", "it waits for another request with the same key"),
             _ => ("wait", "it is not decided yet"),
@@ -552,7 +560,10 @@
     /// Returns the figures of a routing decision as a text that follows the reason.
     fn basis(&self, decision: &RoutingDecision) -> String {
         let local = if decision.local.possible {
-            format!("the predicted wait here is {:.0} ms", millis(decision.local.wait))
+            format!(
+                "the predicted wait here is {:.0} ms",
+                millis(decision.local.wait)
+            )
         } else {
             "no target here serves it".to_owned()
         };
@@ -651,8 +662,9 @@
     time.as_millis() as u64
 }
 
-fn allowance_view(held: f64, charge: &Charge) -> AllowanceView {
+fn allowance_view(held: f64, charge: &Charge, admitted: bool) -> AllowanceView {
     let (decision, retry) = match charge.decision {
+        _ if admitted => ("admits", None),
         Decision::Admit => ("admits", None),
         Decision::Wait => ("waits", None),
         Decision::Refuse(wait) => ("refuses", Some(wait)),
--- a/crates/seam-ctl/src/commands/explain.rs
+++ b/crates/seam-ctl/src/commands/explain.rs
@@ -103,7 +103,10 @@
     fn from_str(text: &str) -> Result<Self, String> {
         let counts = text.split_once(',');
         let counts = counts.and_then(|(input, output)| {
-            Some(Self(input.trim().parse().ok()?, output.trim().parse().ok()?))
+            Some(Self(
+                input.trim().parse().ok()?,
+                output.trim().parse().ok()?,
+            ))
         });
         counts.ok_or_else(|| format!("{text:?} is no pair of counts INPUT,OUTPUT"))
     }
@@ -179,7 +182,9 @@
         let (host, path) = place.context(OptionsSnafu { message })?;
         let key = self.key_file.as_deref().map(read_key).transpose()?;
         let parts = self.part.iter().map(|Part(id, tokens)| json!([id, tokens]));
-        let tokens = self.tokens.map(|Tokens(input, output)| json!([input, output]));
+        let tokens = self
+            .tokens
+            .map(|Tokens(input, output)| json!([input, output]));
         let call = json!({
             "host": host,
             "path": path,
@@ -268,7 +273,14 @@
         ),
     }
     print_line!();
-    let fields = ["name", "permitted", "known", "round_trip_ms", "wait_ms", "free"];
+    let fields = [
+        "name",
+        "permitted",
+        "known",
+        "round_trip_ms",
+        "wait_ms",
+        "free",
+    ];
     print_list(&explanation["regions"], &fields);
     print_line!();
     let fields = [
--- a/crates/seam-ctl/tests/node_calls.rs
+++ b/crates/seam-ctl/tests/node_calls.rs
@@ -44,6 +44,25 @@
             "booking-desk",
         ];
         assert!(run(&explain).starts_with("sent to region \"erongo\""));
+        let fails = |words: &[&str], code: i32, error: &str| {
+            let start = ["explain", "--admin", &admin, "--token-file", &token];
+            let output = seamctl(&[&start[..], words].concat());
+            assert_eq!(output.status.code(), Some(code), "{words:?}");
+            let text = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert!(text.contains(error), "{words:?}: {text}");
+        };
+        let request = ["--host", "salon.example", "--path", "/book/1"];
+        let missing = [&request[..], &["--key-file", "/nowhere/key"]].concat();
+        let mixed = [&request[..], &["--customer", "salon-swakop"]].concat();
+        fails(&request, 1, "publishes no routes");
+        fails(&request[..2], 1, "give both --host and --path");
+        fails(&missing, 1, "/nowhere/key");
+        fails(&mixed, 1, "give either --host and --path");
+        let customer_only = ["--customer", "salon-swakop"];
+        fails(&customer_only, 1, "give both --customer and --service");
+        fails(&[], 1, "give either --host and --path");
+        let part = [&request[..], &["--part", "4f"]].concat();
+        fails(&part, 2, "is no part ID:TOKENS");
         assert!(run(&["drain", "--actor", "tester"]).starts_with("draining true"));
         assert!(run(&["drain", "--undo"]).starts_with("draining false"));
         assert!(run(&["audit"]).contains("tester"));
--- a/crates/seam-node/tests/admin_calls.rs
+++ b/crates/seam-node/tests/admin_calls.rs
@@ -39,3 +39,24 @@
         assert_eq!(missing.status, 404);
     });
 }
+
+/// Guards against an explanation for callers without a token, and a request in a body that is taken where no routes
+/// are published.
+#[test]
+fn explained_bodies() {
+    with_fleet(|fleet| async move {
+        let address = fleet.node("khomas-1").listen.admin;
+        let reader = Caller::new(address, READ_TOKEN);
+        let call = r#"{"host": "salon.example", "path": "/book/1"}"#;
+        let unrouted = reader.post("/v1/explain", call).await.unwrap();
+        assert_eq!(unrouted.status, 400);
+        assert!(unrouted.text().contains("publishes no routes"));
+        let large = format!("{call}{}", " ".repeat(65 << 10));
+        let large = reader.post("/v1/explain", &large).await.unwrap();
+        assert_eq!(large.status, 400);
+        assert!(large.text().contains("cannot be read"));
+        let stranger = Caller::new(address, "wrong");
+        let unauthorized = stranger.post("/v1/explain", call).await.unwrap();
+        assert_eq!(unauthorized.status, 401);
+    });
+}
