explain: where a request goes once it has tokens

Cause: a node holds no tokens of a tenant that sent it nothing lately, so the answer for it was only that it waits. Change: the copy goes on with the request, and with_tokens says what is decided then.

--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -179,6 +179,8 @@
 pub struct RequestExplanation {
     /// The decision.
     pub decision: DecisionView,
+    /// The decision if it had tokens of its tenant's allowance now, if it waits for them.
+    pub with_tokens: Option<DecisionView>,
     /// Name of the route or the customer.
     pub route: String,
     /// Name of the tenant, if the request has one.
@@ -338,12 +340,19 @@
         });
         let mut commands = Vec::new();
         copy.handle(now, Event::Arrive(arrival.clone()), &mut commands);
-        let paid = copy
-            .requests
-            .get(&EXPLAINED)
-            .is_some_and(|request| request.paid.is_some());
+        let decision = copy.outcome(&commands);
+        let held = copy.requests.get(&EXPLAINED);
+        let paid = held.is_some_and(|request| request.paid.is_some());
+        // A request that waits may get tokens from a pool of this node at once.
+        let admitted = paid || copy.decided().is_some();
+        let awaits = held.is_some_and(|request| request.stage == Stage::AwaitingTokens);
+        let with_tokens = awaits.then(|| {
+            commands.clear();
+            copy.enter_waiting(now, EXPLAINED, &mut commands);
+            copy.outcome(&commands)
+        });
+        let decided = copy.decided();
         let trace = copy.trace.take();
-        let decided = trace.as_ref().and_then(|trace| trace.decision);
         let mut verdicts = trace.map_or_else(Vec::new, |trace| trace.targets);
         if verdicts.is_empty() {
             // It did not come to the choice of a target.
@@ -362,7 +371,8 @@
             None => self.contest(now, &request),
         };
         Some(RequestExplanation {
-            decision: copy.outcome(&commands, decided),
+            decision,
+            with_tokens,
             route: customer.name.clone(),
             tenant: tenant.map(|tenant| tenant.name.clone()),
             service: service.name.clone(),
@@ -378,11 +388,7 @@
                 age_ms: self.confirmation_age(now).map(whole_millis),
                 admits: self.admits_keyed(now),
             },
-            allowance: allowance.map(|(held, charge)| {
-                // A request that waits may get tokens from a pool of this node at once.
-                let admitted = paid || decided.is_some();
-                allowance_view(held, &charge, admitted)
-            }),
+            allowance: allowance.map(|(held, charge)| allowance_view(held, &charge, admitted)),
             competition: contest.map(competition_view),
             regions: self.region_states(now, &request, &permitted, decided),
             targets: verdicts
@@ -475,14 +481,20 @@
         }
     }
 
+    /// Returns the last routing decision on the explained request, in a copy of a node that has handled it.
+    fn decided(&self) -> Option<RoutingDecision> {
+        self.trace.as_ref()?.decision
+    }
+
     /// Returns what became of the explained request, in a copy of a node that has handled it.
-    fn outcome(&self, commands: &[Command], decided: Option<RoutingDecision>) -> DecisionView {
+    fn outcome(&self, commands: &[Command]) -> DecisionView {
         let view = |action: &str, to: Option<String>, reason: String| DecisionView {
             action: action.to_owned(),
             to,
             reason,
             retry_ms: None,
         };
+        let decided = self.decided();
         let basis = decided.map_or_else(String::new, |decision| self.basis(&decision));
         for command in commands {
             match command {
--- a/crates/seam-core/src/node/allowances.rs
+++ b/crates/seam-core/src/node/allowances.rs
@@ -447,7 +447,7 @@
     }
 
     /// Continues a request that waited for tokens, unless the configuration lacks what it needs by now.
-    fn enter_waiting(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
+    pub(crate) fn enter_waiting(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Command>) {
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
--- a/crates/seam-core/tests/explained_requests.rs
+++ b/crates/seam-core/tests/explained_requests.rs
@@ -217,7 +217,12 @@
                 admitted += 1;
             }
             // The fleet delivers the answer of the coordinator at once.
-            "waits" => assert_eq!(explanation.decision.action, "wait"),
+            "waits" => {
+                assert_eq!(explanation.decision.action, "wait");
+                let then = explanation.with_tokens.as_ref();
+                let action = then.map(|decision| decision.action.as_str());
+                assert!(matches!(action, Some("target" | "queue" | "region")));
+            }
             _ => {
                 assert_eq!(explained(&explanation), found, "{explanation:#?}");
                 assert_eq!(found, ("refuse", Some("rate".to_owned())));
--- a/crates/seam-ctl/src/commands/explain.rs
+++ b/crates/seam-ctl/src/commands/explain.rs
@@ -218,14 +218,21 @@
     list.iter().map(cell).collect::<Vec<_>>().join(" ")
 }
 
-fn print_explanation(explanation: &Value) {
-    let decision = &explanation["decision"];
+fn print_decision(decision: &Value) {
     print_line!("{} {}", cell(&decision["action"]), cell(&decision["to"]));
     print_line!("{}", cell(&decision["reason"]));
     if !decision["retry_ms"].is_null() {
         print_line!("to be tried again after {} ms", decision["retry_ms"]);
     }
     print_line!();
+}
+
+fn print_explanation(explanation: &Value) {
+    print_decision(&explanation["decision"]);
+    if !explanation["with_tokens"].is_null() {
+        print_line!("if it had tokens of the allowance now:");
+        print_decision(&explanation["with_tokens"]);
+    }
     for field in ["route", "tenant", "service", "repeatable"] {
         print_line!("{field}: {}", cell(&explanation[field]));
     }
@@ -242,20 +249,23 @@
         explanation["config"]["age_ms"]
     );
     let confirmation = &explanation["confirmation"];
+    let confirmed = if confirmation["limit_ms"].is_null() {
+        "no limit on revocation".to_owned()
+    } else {
+        let (age, limit) = (cell(&confirmation["age_ms"]), &confirmation["limit_ms"]);
+        format!("confirmed {age} ms ago, limit {limit} ms")
+    };
     print_line!(
-        "requests with API keys admitted: {}; confirmed {} ms ago, limit {} ms",
-        confirmation["admits"],
-        cell(&confirmation["age_ms"]),
-        cell(&confirmation["limit_ms"])
+        "requests with API keys admitted: {}; {confirmed}",
+        confirmation["admits"]
     );
     match &explanation["allowance"] {
         Value::Null => print_line!("allowance: no limit"),
         allowance => print_line!(
-            "allowance: {}; costs {} tokens, {} held here, retry after {} ms",
+            "allowance: {}; costs {} tokens, {} held here",
             cell(&allowance["decision"]),
             allowance["cost"],
-            allowance["held"],
-            cell(&allowance["retry_ms"])
+            allowance["held"]
         ),
     }
     match &explanation["competition"] {
