--- a/crates/seam-core/tests/explained_requests.rs
+++ b/crates/seam-core/tests/explained_requests.rs
@@ -193,8 +193,8 @@
 /// refused.
 #[test]
 fn allowance_uncharged() {
-    let mut fleet = fleet_with(tenant(Some(40.0 * COST), None));
     const REQUESTS: u64 = 240;
+    let mut fleet = fleet_with(tenant(Some(40.0 * COST), None));
     let (mut admitted, mut refused) = (0, 0);
     for ticket in 1..=REQUESTS {
         let request = prompt_request(ticket);
