tests: an explanation shows a configuration that is not confirmed in time

Cause: nothing checked what an explanation says of an outdated node. Change: a test that cuts all nodes off from the store, with the state of the node compared before and after.

--- a/crates/seam-core/tests/explained_requests.rs
+++ b/crates/seam-core/tests/explained_requests.rs
@@ -6,6 +6,9 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 #[path = "live/fleet.rs"]
 mod fleet;
+#[allow(dead_code, reason = "each test file uses a part")]
+#[path = "live/revocation.rs"]
+mod world;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,6 +21,7 @@
 use seam_core::{Arrival, Command, Event};
 use seam_protocol::tenant::{Allowance, CostUnit};
 use seam_protocol::{Entry, RegionId, ServiceId, TargetId, Tenant, TenantId};
+use world::{LIMIT, World, seconds};
 use yare::parameterized;
 
 const TENANT: &str = "huka";
@@ -311,6 +315,36 @@
     assert_eq!((confirmation.limit_ms, confirmation.age_ms), (None, None));
 }
 
+/// Guards against an outdated node that is shown as admitting keys, and against an explanation that counts as a
+/// refusal.
+#[test]
+fn confirmation_shown() {
+    let mut world = World::new(&[NORTH; 3]);
+    world.publish(&["a"]);
+    world.run(seconds(5));
+    let keyed = Arrival {
+        tenant: Some(TenantId::of("a")),
+        ..arrival(1 << 40, "view", PLAIN, 1)
+    };
+    let limit_ms = LIMIT.as_millis() as u64;
+    let fresh = explain(&world.fleet, 0, &keyed);
+    assert!(fresh.confirmation.admits);
+    assert_eq!(fresh.confirmation.limit_ms, Some(limit_ms));
+    assert!(fresh.confirmation.age_ms.is_some_and(|age| age < limit_ms));
+    // This fleet has no targets.
+    assert_eq!(explained(&fresh), ("refuse", Some("no-target".to_owned())));
+    world.cut_store(&[0, 1, 2]);
+    world.run(seconds(8));
+    let before = format!("{:?}", world.fleet.nodes[0]);
+    let stale = explain(&world.fleet, 0, &keyed);
+    assert!(!stale.confirmation.admits);
+    assert!(stale.confirmation.age_ms.is_some_and(|age| age > limit_ms));
+    assert_eq!(explained(&stale), ("refuse", Some("stale".to_owned())));
+    assert_eq!(before, format!("{:?}", world.fleet.nodes[0]));
+    let found: Vec<_> = world.arrive(0, true, false);
+    assert_eq!(found[0].reason.slug(), "stale");
+}
+
 /// Guards against an invented answer for a service that the configuration lacks, and before there is one.
 #[test]
 fn unknown_service() {
