--- a/crates/seam-core/src/node.rs
+++ b/crates/seam-core/src/node.rs
@@ -60,7 +60,7 @@
 use crate::roster::Roster;
 use crate::spill::Spill;
 use crate::streams::StreamOrigins;
-use crate::targets::Targets;
+use crate::targets::{KindLoad, Targets};
 use attempts::ProbeResult;
 use item_differences::ItemDifferences;
 use item_exchanges::ItemExchanges;
@@ -88,6 +88,8 @@
     pub(crate) queue: FairQueue,
     /// Recent requests by the rank of their routes.
     pub(crate) demand: Demand,
+    /// Work that was lately sent to its engines, by kind.
+    pub(crate) kinds: KindLoad,
     /// When queued requests become late, so that they are refused then.
     pub(crate) late: BTreeSet<(Time, Ticket)>,
     pub(crate) retry_budget: RetryBudget,
--- a/crates/seam-core/src/node/attempts.rs
+++ b/crates/seam-core/src/node/attempts.rs
@@ -555,8 +555,9 @@
             .get(&attempt.ticket)
             .and_then(|request| request.route)
             .is_some_and(|class| class.streams);
+        let usual = self.usual_time(now, attempt, target);
         self.targets
-            .record_success(target, (!streams).then_some(elapsed));
+            .record_success(target, (!streams).then_some(usual));
         let Some(request) = self.requests.get(&attempt.ticket) else {
             return;
         };
@@ -572,10 +573,17 @@
             let before = state.slot_secs.unwrap_or(sample);
             state.slot_secs = Some(before + SMOOTHING * (sample - before));
         } else {
-            self.record_service_time(service, elapsed);
+            self.record_service_time(service, usual);
         }
     }
 
+    /// Returns how long an attempt has taken, divided by how much slower its target was meanwhile.
+    fn usual_time(&self, now: Time, attempt: &Attempt, target: TargetKey) -> Duration {
+        let end = self.targets.get(target).moment.recent_factor(now);
+        let (factor, _) = attempt.work.mean_factor(end);
+        now.since(attempt.started).div_f64(factor)
+    }
+
     /// Updates a service's mean service time; for streams, the time to the first event.
     fn record_service_time(&mut self, service: ServiceId, elapsed: std::time::Duration) {
         let sample = elapsed.as_secs_f64();
@@ -612,13 +620,19 @@
         let elapsed = now.since(attempt.started);
         self.record_contact(now, self.targets.get(target).service);
         self.targets.record_answer(now, target);
-        self.targets.record_prefill(target, attempt.work, elapsed);
+        let sample = self
+            .targets
+            .record_prefill(now, target, attempt.work, elapsed);
+        if let Some(sample) = sample {
+            self.share_sample(target, sample);
+        }
         self.pending_update.mark_changed();
         let request = self.requests.get(&attempt.ticket);
         let streams = request.and_then(|request| request.route);
         if streams.is_some_and(|class| class.streams) {
             let service = self.targets.get(target).service;
-            self.record_service_time(service, elapsed);
+            let usual = self.usual_time(now, &attempt, target);
+            self.record_service_time(service, usual);
         }
     }
 
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -12,6 +12,7 @@
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
 use crate::spill::{LocalView, RegionChoice, RoutingDecision};
+use crate::targets::KindLoad;
 
 /// Ranks of the queue for each kind of requests: the usual ones, and those in excess of their tenant's
 /// usual load.
@@ -88,6 +89,30 @@
         self.targets.pressure(now, service)
     }
 
+    /// Returns whether requests leave a region with scarce room for one with ample room: those that compete,
+    /// and those of engines that report how long work takes at the moment, whose speeds differ.
+    pub(super) fn leaves_region(&self, request: &Request) -> bool {
+        let reports = self.targets.shared() && self.targets.reports_moments(request.service);
+        self.competes(request) || (reports && request.prompt.is_some())
+    }
+
+    /// Returns the work of a service by kind, if its kinds of prompts are kept on different engines.
+    pub(super) fn separated_kinds(&self, request: &Request) -> Option<KindLoad> {
+        let state = self.service_states.get(&request.service);
+        state
+            .filter(|_| self.leaves_region(request))
+            .map(|state| state.kinds)
+    }
+
+    /// Returns whether a request would take room at the engines of this region that others need.
+    pub(super) fn is_scarce(&self, now: Time, request: &Request) -> bool {
+        let route = request.route.filter(|_| self.leaves_region(request));
+        route.is_some_and(|route| {
+            let pressure = self.pressure(now, request.service);
+            pressure.is_scarce(route.objective)
+        })
+    }
+
     /// Returns how a request competes for room.
     pub(super) fn room(&self, now: Time, request: &Request) -> Room {
         let Some(route) = request.route.filter(|_| self.competes(request)) else {
@@ -176,6 +201,7 @@
                 possible: true,
                 wait,
                 penalty: Duration::ZERO,
+                scarce: true,
             },
             best: None,
             age: Duration::ZERO,
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -82,6 +82,7 @@
                     heavy: &heavy,
                     version,
                     reserve: self.queued_reserve(now, request),
+                    kinds: self.separated_kinds(request),
                 },
             );
             match chosen {
@@ -260,8 +261,13 @@
         self.request_mut(ticket).stage = Stage::Running(attempt);
         let state = self.targets.get(target);
         let id = state.id;
-        if let Some((prompt, memory)) = prompt.zip(state.memory_tokens()) {
-            self.prefixes.record_prompt(now, target, &prompt, memory);
+        if let Some(prompt) = &prompt {
+            let kinds = &mut self.service_states.entry(service).or_default().kinds;
+            kinds.record(now, prompt, chosen.work.prefill_tokens);
+        }
+        if let Some(prompt) = prompt.filter(|_| state.memory_tokens().is_some()) {
+            let room = state.cache_room(now);
+            self.prefixes.record_prompt(now, target, &prompt, room);
             // Parts that no other request shares are reported too, since they evict shared parts
             // from the engine's cache.
             for part in prompt.parts.iter().rev() {
--- a/crates/seam-core/src/node/members.rs
+++ b/crates/seam-core/src/node/members.rs
@@ -108,6 +108,7 @@
         let uninformed = back || self.awaits_echo(heartbeat);
         self.merge_suspects(now, heartbeat, uninformed, out);
         self.merge_work(now, heartbeat);
+        self.merge_speeds(now, heartbeat);
         self.merge_reached(now, heartbeat);
         self.merge_limits(now, heartbeat, out);
         self.merge_leaving(now, heartbeat, out);
@@ -358,9 +359,9 @@
 
     /// Decays measured times towards the configured ones, so that requests refused during a slow
     /// period are admitted again.
-    pub(super) fn decay_measurements(&mut self) {
+    pub(super) fn decay_measurements(&mut self, now: Time) {
         const DECAY_RATE: f64 = 0.02;
-        self.targets.decay_slowness();
+        self.targets.decay_slowness(now);
         let Some(bundle) = &self.bundle else {
             return;
         };
@@ -596,7 +597,9 @@
         out: &mut Vec<Command>,
     ) {
         if let Some(key) = self.targets.key(target) {
-            self.targets.record_report(now, key, report);
+            if self.targets.record_report(now, key, report) {
+                self.pending_update.add_moment(key);
+            }
             let service = self.targets.get(key).service;
             self.dispatch(now, service, out);
         }
--- a/crates/seam-core/src/node/tick.rs
+++ b/crates/seam-core/src/node/tick.rs
@@ -81,7 +81,7 @@
         self.last_refresh = now;
         self.peers.expire(now);
         self.smooth_demand();
-        self.decay_measurements();
+        self.decay_measurements(now);
         self.refresh_members(now);
         self.update_step(now, out);
         if self.catalogue.expire(now) {
--- a/crates/seam-core/src/status.rs
+++ b/crates/seam-core/src/status.rs
@@ -91,6 +91,13 @@
     pub rate_limit: Option<f64>,
     /// Whether it counts as cold, so that it is sent few requests.
     pub cold: bool,
+    /// How long work takes there at this moment, in percent of the usual time.
+    pub slowdown: u32,
+    /// How long a prompt takes there in a usual moment, in percent of the time at the other engines of the
+    /// service; 100 until it is measured.
+    pub slowness: u32,
+    /// Memory of the running requests of all nodes in tokens, zero if it is no engine.
+    pub kv_tokens: u64,
 }
 
 /// Load of a service at this node.
@@ -209,6 +216,9 @@
                 load: state.load(now),
                 rate_limit: state.rate_limit.rate(),
                 cold: state.cold.limiter(now).is_some(),
+                slowdown: (state.moment.factor(now) * 100.0).round() as u32,
+                slowness: (state.engine.slowness().factor() * 100.0).round() as u32,
+                kv_tokens: state.kv_tokens(now),
                 models: state
                     .report
                     .as_ref()
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -1,11 +1,15 @@
 //! Targets of this node's region: load, concurrency limits and ejection.
 
 mod brittle;
+mod cache_value;
 mod choice;
 mod cold;
 mod engine;
+mod moment;
+mod pace;
 mod rate_limit;
 mod room;
+mod separation;
 mod shared_rate;
 mod sliding_window;
 mod start_limit;
@@ -23,11 +27,15 @@
 use crate::admission::Pressure;
 use crate::handle::TargetKey;
 pub use brittle::slot_share;
+pub use cache_value::{CacheRoom, CachedPrompt, cached_probability, prefill_weight};
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
+pub use moment::Moment;
+pub use pace::{EngineSlowness, Pace, PrefillSample, PrefillTimes, ServicePace};
 pub use rate_limit::{AdvertisedLimit, RateLimit, limit_share};
 pub use room::QueueRoom;
+pub use separation::{KindLoad, PromptKind};
 pub use shared_rate::{RateShare, ShareLimiter};
 pub use sliding_window::SlidingWindow;
 pub use start_limit::StartLimiter;
@@ -68,6 +76,8 @@
     shared: bool,
     /// Services whose targets are brittle, and until when that counts.
     brittle: BTreeMap<ServiceId, Time>,
+    /// Usual times of the engines of each service.
+    paces: BTreeMap<ServiceId, Pace>,
     /// Services whose targets outside its subset this node uses too, and until when.
     temporary: BTreeMap<ServiceId, Time>,
 }
@@ -108,8 +118,12 @@
             } else {
                 let key = TargetKey(self.arena.len() as u32);
                 self.keys.insert(*id, key);
-                self.arena
-                    .push(TargetState::new(*id, *service, spec.clone(), slow_start));
+                let mut state = TargetState::new(*id, *service, spec.clone(), slow_start);
+                if let Some(pace) = self.paces.get(service) {
+                    state.engine.set_times(pace.times());
+                    state.reports_moments = pace.is_linear();
+                }
+                self.arena.push(state);
                 self.note_start(key);
             }
         }
@@ -464,7 +478,8 @@
         let waits = open.map(|(_, state)| {
             let load = state.load(now);
             let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
-            state.engine.queue_ms(state.prefill_queue(now), load) + load_penalty
+            let queue_ms = state.engine.queue_ms(state.prefill_queue(now), load);
+            state.moment.slowed_ms(now, queue_ms) + load_penalty
         });
         let shortest = waits.min_by(f64::total_cmp)?;
         Some(Duration::from_secs_f64(shortest / MILLIS))
@@ -522,6 +537,7 @@
             slots += state.spec.slots;
             load += state.load(now);
             if let Some(time) = state.unqueued_time() {
+                let time = time.mul_f64(state.moment.factor(now));
                 rate += f64::from(state.spec.slots) / time.as_secs_f64().max(f64::EPSILON);
             }
         }
@@ -533,19 +549,77 @@
     }
 
     /// Decays the measured slowness of all targets towards 1.
-    pub fn decay_slowness(&mut self) {
+    pub fn decay_slowness(&mut self, now: Time) {
+        for pace in self.paces.values_mut() {
+            pace.decay(now);
+        }
+        for state in &mut self.arena {
+            if let Some(pace) = self.paces.get(&state.service) {
+                let mut slowness = state.engine.slowness();
+                pace.decay_slowness(&mut slowness, state.moment.known());
+                state.engine.set_slowness(slowness);
+                state.engine.set_times(pace.times());
+            }
+        }
+    }
+
+    /// Records that a target of a service told how long work takes there at the moment: its engines then
+    /// differ, and their speeds and memories are weighed.
+    fn note_moments(&mut self, service: ServiceId) {
+        let pace = self.paces.entry(service).or_default();
+        if pace.is_linear() {
+            return;
+        }
+        *pace = Pace::Linear(ServicePace::default());
+        let times = pace.times();
         for state in &mut self.arena {
-            state.engine.decay();
+            if state.service == service {
+                state.reports_moments = true;
+                state.engine.set_slowness(EngineSlowness::default());
+                state.engine.set_times(times);
+            }
         }
     }
 
-    /// Records that an engine has prefilled a request's prompt.
-    pub fn record_prefill(&mut self, key: TargetKey, work: PromptWork, duration: Duration) {
+    /// Returns whether a target of a service has told how long work takes there at the moment.
+    #[must_use]
+    pub fn reports_moments(&self, service: ServiceId) -> bool {
+        self.paces.get(&service).is_some_and(Pace::is_linear)
+    }
+
+    /// Records that an engine has prefilled a request's prompt. Returns the measurement, if there is one.
+    pub fn record_prefill(
+        &mut self,
+        now: Time,
+        key: TargetKey,
+        work: PromptWork,
+        duration: Duration,
+    ) -> Option<PrefillSample> {
         let state = self.get_mut(key);
-        let (service, pace) = (state.service, state.engine.record_prefill(work, duration));
+        let factor = state.moment.recent_factor(now);
+        let sample = state.engine.record_prefill(work, duration, factor)?;
+        self.record_sample(now, key, sample);
+        Some(sample)
+    }
+
+    /// Records a measurement of another node, which shares it only if targets of the service told how long
+    /// work takes at the moment.
+    pub fn record_shared_sample(&mut self, now: Time, key: TargetKey, sample: PrefillSample) {
+        self.note_moments(self.get(key).service);
+        self.record_sample(now, key, sample);
+    }
+
+    /// Records a measured time to the first token at an engine.
+    fn record_sample(&mut self, now: Time, key: TargetKey, sample: PrefillSample) {
+        let state = self.get(key);
+        let (service, mut slowness) = (state.service, state.engine.slowness());
+        let pace = self.paces.entry(service).or_default();
+        pace.record(now, sample, &mut slowness);
+        let times = pace.times();
+        self.get_mut(key).engine.set_slowness(slowness);
         for state in &mut self.arena {
             if state.service == service {
-                state.engine.set_pace(pace);
+                state.engine.set_times(times);
             }
         }
     }
@@ -763,8 +837,14 @@
         self.set_phase(now, key, Phase::Leaving)
     }
 
-    /// Records a target's load report.
-    pub fn record_report(&mut self, now: Time, key: TargetKey, report: LoadReport) {
+    /// Records what another node said of how long work takes at a target.
+    pub fn record_moment(&mut self, reported: Time, key: TargetKey, percent: u32) {
+        self.get_mut(key).moment.record(reported, percent);
+        self.note_moments(self.get(key).service);
+    }
+
+    /// Records a target's load report. Returns whether it tells of an unusual moment, or of the end of one.
+    pub fn record_report(&mut self, now: Time, key: TargetKey, report: LoadReport) -> bool {
         let report = LoadReport {
             running: report.running.min(MAX_COUNT),
             waiting: report.waiting.min(MAX_COUNT),
@@ -772,6 +852,18 @@
         };
         let state = self.get_mut(key);
         let own = state.running;
+        let mut unusual = false;
+        if let Some(percent) = report.slowdown {
+            unusual = state.moment.is_unusual(now);
+            state.moment.record(now, percent);
+            unusual |= state.moment.is_unusual(now);
+        }
+        let service = state.service;
+        let told = report.slowdown.is_some();
         state.report = Some((now, report, own));
+        if told {
+            self.note_moments(service);
+        }
+        unusual
     }
 }
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -8,7 +8,10 @@
 use seam_protocol::id::rank;
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
-use super::{EngineModel, Phase, PromptWork, Targets};
+use super::separation::OTHER_PART_MS;
+use super::{
+    EngineModel, KindLoad, Phase, PromptKind, PromptWork, TargetState, Targets, prefill_weight,
+};
 use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
@@ -38,6 +41,8 @@
     pub version: Option<VersionId>,
     /// What it leaves to more urgent requests.
     pub reserve: Option<Reserve>,
+    /// Work that was lately sent to the engines, if kinds of work are kept on different ones.
+    pub kinds: Option<KindLoad>,
 }
 
 /// Estimates by which a target was chosen, for the log.
@@ -49,6 +54,10 @@
     pub prefill_tokens: u32,
     /// Predicted time to the first token in milliseconds, or zero if there is no prediction.
     pub predicted_ms: u32,
+    /// Probability that the target has the shared parts of the prompt cached, in percent.
+    pub cached: u32,
+    /// How long work takes there at this moment, in percent of the usual time.
+    pub slowdown: u32,
 }
 
 /// A chosen target.
@@ -131,19 +140,40 @@
         if let Some(prompt) = query.prompt
             && query.suspect.is_none()
         {
+            let others = self.split_off_others(now, service, query.kinds, prompt, &mut available);
+            let weight = self.prefill_weight(now, &available, query.kinds, prompt);
             let candidates = self.candidates(&available, prompt, prefixes, rng);
-            return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
+            let own = self.cheapest(now, &candidates, (query, weight), prompt, prefixes);
+            if others.is_empty() {
+                return own.map(|cost| cost.chosen);
+            }
+            let candidates = self.candidates(&others, prompt, prefixes, rng);
+            let other = self.cheapest(now, &candidates, (query, weight), prompt, prefixes);
+            let other_cost = other.map(|cost| cost.total + OTHER_PART_MS);
+            let keeps = own
+                .zip(other_cost)
+                .is_some_and(|(own, cost)| own.total <= cost);
+            let cheapest = if keeps { own } else { other.or(own) };
+            return cheapest.map(|cost| cost.chosen);
         }
         let key = self.pick(now, &available, query, prefixes, rng)?;
-        Some(self.chosen(now, key, PromptWork::default()))
+        let factor = self.get(key).moment.recent_factor(now);
+        let work = PromptWork {
+            factor,
+            ..PromptWork::default()
+        };
+        Some(self.chosen(now, key, work))
     }
 
     /// Creates a choice with the current estimates of a target.
     fn chosen(&self, now: Time, key: TargetKey, work: PromptWork) -> TargetChoice {
+        let state = self.get(key);
         let estimate = TargetEstimate {
-            load: self.get(key).load(now),
+            load: state.load(now),
             prefill_tokens: work.prefill_tokens,
             predicted_ms: work.predicted_ms as u32,
+            cached: 0,
+            slowdown: (state.moment.factor(now) * 100.0).round() as u32,
         };
         TargetChoice {
             key,
@@ -160,6 +190,7 @@
     #[must_use]
     pub fn prompt_time(
         &self,
+        now: Time,
         service: ServiceId,
         just_booted: bool,
         prompt: &Prompt,
@@ -172,7 +203,7 @@
             let prefill_tokens = if just_booted {
                 prompt.unshared_tokens()
             } else {
-                prefixes.uncached_tokens(key, prompt)
+                prefixes.cached(key, prompt, state.cache_room(now)).uncached
             };
             state.engine.first_token_ms(0, prefill_tokens, 0)
         });
@@ -180,6 +211,58 @@
         Some(Duration::from_secs_f64(shortest / MILLIS))
     }
 
+    /// Leaves of the engines that accept a prompt those that prompts of its kind prefer, and returns the
+    /// others. All nodes use the same order.
+    fn split_off_others(
+        &self,
+        now: Time,
+        service: ServiceId,
+        kinds: Option<KindLoad>,
+        prompt: &Prompt,
+        available: &mut Vec<TargetKey>,
+    ) -> Vec<TargetKey> {
+        let serving = self.for_service(service);
+        let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
+        let order = |key: TargetKey| rank(u64::from(service.0), u64::from(self.get(key).id.0));
+        let mut serving: Vec<u64> = serving.map(|(key, _)| order(key)).collect();
+        let count = kinds.and_then(|kinds| kinds.stream_engines(now, serving.len()));
+        let Some(count) = count else {
+            return Vec::new();
+        };
+        serving.sort_unstable();
+        let last = serving[count - 1];
+        let streams = PromptKind::of(prompt) == PromptKind::Stream;
+        let (own, others) = available
+            .iter()
+            .partition(|key| (order(**key) <= last) == streams);
+        *available = own;
+        others
+    }
+
+    /// Returns the weight of prefill, which also delays other requests, relative to the wait of a prompt. It
+    /// is 1 unless kinds of work are weighed.
+    fn prefill_weight(
+        &self,
+        now: Time,
+        engines: &[TargetKey],
+        kinds: Option<KindLoad>,
+        prompt: &Prompt,
+    ) -> f64 {
+        if kinds.is_none() || engines.is_empty() {
+            return 1.0;
+        }
+        let last = prompt.last_shared().map_or(0, |part| part.tokens);
+        let tokens = prompt.unshared_tokens() + last;
+        let count = engines.len() as f64;
+        let sum = |value: fn(&TargetState, Time, u32) -> f64| -> f64 {
+            let values = engines.iter().map(|key| value(self.get(*key), now, tokens));
+            values.sum::<f64>() / count
+        };
+        let wait = sum(|state, now, _| state.engine.queue_ms(state.prefill_queue(now), 0));
+        let prefill = sum(|state, _, tokens| state.engine.prefill_ms(tokens));
+        prefill_weight(wait, prefill)
+    }
+
     /// Returns the engines that are considered for a prompt.
     ///
     /// If all were considered, nodes that decide at the same time would all choose the engine with
@@ -226,26 +309,25 @@
         &self,
         now: Time,
         available: &[TargetKey],
-        just_booted: bool,
+        (query, weight): (TargetQuery, f64),
         prompt: &Prompt,
         prefixes: &PrefixTable,
-    ) -> Option<TargetChoice> {
+    ) -> Option<EngineCost> {
         let home = self.home(available.iter().copied(), prompt);
-        let presumed_home = home.filter(|_| just_booted);
+        let presumed_home = home.filter(|_| query.just_booted);
         let holders = match presumed_home {
             Some(home) => {
                 let holder = (home, prompt.unshared_tokens());
                 BTreeMap::from([(self.get(home).version, holder)])
             }
-            None => self.holders(available, prompt, prefixes),
+            None => self.holders(now, available, prompt, prefixes),
         };
         let costs = available.iter().map(|key| {
             let at_home = home == Some(*key);
             let holder = holders.get(&self.get(*key).version).copied();
-            self.cost(now, *key, prompt, prefixes, (at_home, holder))
+            self.cost(now, *key, (prompt, weight), prefixes, (at_home, holder))
         });
-        let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
-        Some(cheapest.chosen)
+        costs.min_by(|a, b| a.total.total_cmp(&b.total))
     }
 
     /// Returns the home engine of a prompt's last shared part.
@@ -260,6 +342,7 @@
     /// Returns none if engines cannot copy KV tokens from each other. Those of two versions cannot.
     fn holders(
         &self,
+        now: Time,
         available: &[TargetKey],
         prompt: &Prompt,
         prefixes: &PrefixTable,
@@ -272,7 +355,8 @@
             return holders;
         }
         for key in available {
-            let uncached = prefixes.uncached_tokens(*key, prompt);
+            let room = self.get(*key).cache_room(now);
+            let uncached = prefixes.cached(*key, prompt, room).uncached;
             let version = self.get(*key).version;
             let (_, fewest) = holders.entry(version).or_insert((*key, uncached));
             if uncached < *fewest {
@@ -287,7 +371,7 @@
         &self,
         now: Time,
         key: TargetKey,
-        prompt: &Prompt,
+        (prompt, weight): (&Prompt, f64),
         prefixes: &PrefixTable,
         (at_home, holder): (bool, Option<(TargetKey, u32)>),
     ) -> EngineCost {
@@ -295,33 +379,27 @@
         const MIN_COPY_TOKENS: u32 = 512;
         /// Cost of copying a token relative to prefill, including its use of the network.
         const COPY_WEIGHT: f64 = 0.3;
-        /// Weight of prefill work, which also delays other requests, relative to this request's
-        /// wait.
-        const PREFILL_WEIGHT: f64 = 1.0;
-        /// Fraction of an engine's memory above which running requests are at risk of preemption.
-        const PREEMPTION_THRESHOLD: f64 = 0.8;
-        /// Cost of a preemption in milliseconds.
-        const PREEMPTION_MS: f64 = 2000.0;
         let state = self.get(key);
+        let cached = prefixes.cached(key, prompt, state.cache_room(now));
         let uncached = match holder {
             // Just after a boot, this is the home engine, to which the previous process sent the
             // shared parts.
             Some((home, missing)) if home == key => missing,
-            _ => prefixes.uncached_tokens(key, prompt),
+            _ => cached.uncached,
         };
         let source = holder
             .filter(|(other, missing)| *other != key && missing + MIN_COPY_TOKENS <= uncached);
         let prefill_tokens = source.map_or(uncached, |(_, missing)| missing);
         let load = state.load(now);
         let queued_tokens = state.prefill_queue(now);
-        let predicted_ms = EngineModel::typical_first_token_ms(queued_tokens, prefill_tokens, load);
-        let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
-        let delay_ms = state
+        let usual_ms = state
             .engine
-            .first_token_ms(queued_tokens, prefill_tokens, load)
-            + load_penalty;
+            .first_token_ms(queued_tokens, prefill_tokens, load);
+        let predicted_ms = state.moment.slowed_ms(now, usual_ms);
+        let load_penalty = EngineModel::load_penalty_ms(load, state.spec.slots);
+        let delay_ms = predicted_ms + load_penalty;
         let mut total = delay_ms;
-        total += PREFILL_WEIGHT * state.engine.prefill_ms(prefill_tokens);
+        total += weight * state.engine.prefill_ms(prefill_tokens);
         total += COPY_WEIGHT * state.engine.prefill_ms(uncached - prefill_tokens);
         if !at_home
             && source.is_none()
@@ -329,22 +407,26 @@
         {
             total += state.engine.prefill_ms(shared_part.tokens);
         }
-        if let Some(memory) = state.memory_tokens()
-            && (state.kv_tokens(now) + prompt.peak_tokens()) as f64 > memory * PREEMPTION_THRESHOLD
-        {
-            total += PREEMPTION_MS;
-        }
+        total += state.preemption_ms(now, prompt.peak_tokens());
         let work = PromptWork {
             prefill_tokens,
             kv_tokens: prompt.peak_tokens(),
             predicted_ms,
+            queued_tokens,
+            running: load,
+            factor: state.moment.recent_factor(now),
         };
         let copy_from = source.map(|(other, _)| other);
+        let chosen = self.chosen(now, key, work);
         let chosen = TargetChoice {
             copy_from,
             delay: Duration::from_secs_f64(delay_ms / 1000.0),
             penalty: Duration::from_secs_f64(load_penalty / 1000.0),
-            ..self.chosen(now, key, work)
+            estimate: TargetEstimate {
+                cached: (cached.probability * 100.0).round() as u32,
+                ..chosen.estimate
+            },
+            ..chosen
         };
         EngineCost { chosen, total }
     }
@@ -443,10 +525,12 @@
         (!serving.is_empty()).then(|| serving[rng.random_range(0..serving.len())])
     }
 
-    /// Returns the load of a target as a fraction of its slots.
+    /// Returns the load of a target as a fraction of its slots. While the target is slow, its requests and
+    /// one more count as many times as work takes longer there.
     fn load_fraction(&self, now: Time, key: TargetKey) -> f64 {
         let state = self.get(key);
-        f64::from(state.load(now)) / f64::from(state.spec.slots.max(1))
+        let slowed = f64::from(state.load(now) + 1) * state.moment.factor(now);
+        (slowed - 1.0) / f64::from(state.spec.slots.max(1))
     }
 
     /// Returns the target with affinity to a prefix: one that has it cached, or else the preferred
--- a/crates/seam-core/src/targets/engine.rs
+++ b/crates/seam-core/src/targets/engine.rs
@@ -5,47 +5,24 @@
 
 use std::time::Duration;
 
-/// Assumed prefill rate in tokens per millisecond. Measurements scale the predictions made with it.
-const TOKENS_PER_MS: f64 = 50.0;
-/// Assumed time to the first token of an empty prompt, in milliseconds.
-const BASE_MS: f64 = 30.0;
-/// Time that each running request adds, in milliseconds.
-const RUNNING_MS: f64 = 0.5;
+use super::pace::{EngineSlowness, PrefillSample, PrefillTimes};
+
 /// Fraction of the slots in use up to which an engine gets no load penalty.
 const LIGHT_LOAD: f64 = 0.5;
 /// Load penalty in milliseconds, multiplied by the fraction of slots in use above [`LIGHT_LOAD`].
 const LOAD_PENALTY_MS: f64 = 1000.0;
-/// Weight of a new sample in the moving average of an engine's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.15;
-/// Weight of a new sample in the moving average of a service's pace.
-const PACE_WEIGHT: f64 = 0.03;
-/// Fraction of the deviation from 1 that slowness and pace lose at each refresh.
-const DECAY_RATE: f64 = 0.02;
-/// Range to which a sample is clamped.
-const SLOWNESS_RANGE: (f64, f64) = (0.1, 20.0);
 
 /// This node's work at an engine, and the measured speed of the engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct EngineModel {
     /// Queued prefill tokens of this node's requests.
     prefill_queue: u64,
     /// Largest number of KV tokens of this node's running requests.
     kv_tokens: u64,
-    /// Ratio of measured to predicted time to the first token, over all engines of the service.
-    pace: f64,
-    /// The same ratio of this engine, relative to `pace`.
-    slowness: f64,
-}
-
-impl Default for EngineModel {
-    fn default() -> Self {
-        Self {
-            prefill_queue: 0,
-            kv_tokens: 0,
-            pace: 1.0,
-            slowness: 1.0,
-        }
-    }
+    /// Usual times of the service's engines.
+    times: PrefillTimes,
+    /// Slowness relative to `times`.
+    slowness: EngineSlowness,
 }
 
 /// Work that one request adds to an engine.
@@ -55,38 +32,61 @@
     pub prefill_tokens: u32,
     /// Largest number of KV tokens.
     pub kv_tokens: u64,
-    /// Predicted time to the first token at a typical engine, in milliseconds.
+    /// Predicted time to the first token, in milliseconds. Zero if there is no prediction.
     pub predicted_ms: f64,
+    /// Tokens of earlier requests that the engine had not prefilled when the request was placed.
+    pub queued_tokens: u64,
+    /// Running requests at that time.
+    pub running: u32,
+    /// Factor of the moment at that time, if a recent report told it.
+    pub factor: Option<f64>,
+}
+
+impl PromptWork {
+    /// Returns the mean factor of the moment from the placement of a request until `end`, the factor at its
+    /// end, and the deviation of the mean as a fraction of it.
+    ///
+    /// ```
+    /// use seam_core::targets::PromptWork;
+    /// let work = PromptWork { factor: Some(1.0), ..PromptWork::default() };
+    /// assert_eq!(work.mean_factor(Some(1.0)), (1.0, 0.0));
+    /// assert_eq!(work.mean_factor(Some(2.5)).0, 1.75);
+    /// assert_eq!(PromptWork::default().mean_factor(Some(2.5)).0, 2.5);
+    /// ```
+    #[must_use]
+    pub fn mean_factor(&self, end: Option<f64>) -> (f64, f64) {
+        match (self.factor, end) {
+            (Some(begin), Some(end)) => {
+                let mean = f64::midpoint(begin, end);
+                (mean, (end - begin).abs() / 2.0 / mean)
+            }
+            (one, other) => (one.or(other).unwrap_or(1.0), 0.0),
+        }
+    }
 }
 
 impl EngineModel {
-    /// Returns the predicted time to the first token at a typical engine, in milliseconds.
+    /// Returns the predicted time to the first token at this engine in milliseconds, in a usual moment.
     ///
     /// `queued` is the number of prefill tokens queued there, and `prefill_tokens` that of the
     /// request.
     ///
     /// ```
     /// use seam_core::targets::EngineModel;
-    /// let typical = EngineModel::typical_first_token_ms;
-    /// assert!(typical(0, 9000, 0) > typical(0, 3000, 0));
-    /// assert!(typical(9000, 3000, 0) > typical(0, 3000, 0));
+    /// let engine = EngineModel::default();
+    /// assert!(engine.first_token_ms(0, 9000, 0) > engine.first_token_ms(0, 3000, 0));
+    /// assert!(engine.first_token_ms(9000, 3000, 0) > engine.first_token_ms(0, 3000, 0));
     /// ```
     #[must_use]
-    pub fn typical_first_token_ms(queued: u64, prefill_tokens: u32, running: u32) -> f64 {
-        let tokens = queued + u64::from(prefill_tokens);
-        BASE_MS + tokens as f64 / TOKENS_PER_MS + f64::from(running) * RUNNING_MS
-    }
-
-    /// Returns the predicted time to the first token at this engine, in milliseconds.
-    #[must_use]
     pub fn first_token_ms(&self, queued: u64, prefill_tokens: u32, running: u32) -> f64 {
-        Self::typical_first_token_ms(queued, prefill_tokens, running) * self.pace * self.slowness
+        let tokens = queued + u64::from(prefill_tokens);
+        self.times.first_token_ms(tokens, running) * self.slowness.factor()
     }
 
     /// Returns the predicted wait before the prefill of a new request, in milliseconds.
     #[must_use]
     pub fn queue_ms(&self, queued: u64, running: u32) -> f64 {
-        (Self::typical_first_token_ms(queued, 0, running) - BASE_MS) * self.pace * self.slowness
+        (self.times.first_token_ms(queued, running) - self.times.base) * self.slowness.factor()
     }
 
     /// Returns a penalty in milliseconds that makes loaded engines less preferred.
@@ -108,7 +108,7 @@
     /// Returns the predicted prefill time of tokens at this engine, in milliseconds.
     #[must_use]
     pub fn prefill_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) / TOKENS_PER_MS * self.pace * self.slowness
+        f64::from(tokens) * self.times.token * self.slowness.factor()
     }
 
     /// Returns the queued prefill tokens of this node's requests.
@@ -129,33 +129,42 @@
         self.kv_tokens += work.kv_tokens;
     }
 
-    /// Records that a request's prompt was prefilled, and returns the service's new pace.
+    /// Records that a request's prompt was prefilled. Returns the measurement, if there was a prediction.
     ///
-    /// The slowness of an engine is relative to the pace of all, so that an unused engine, which is
-    /// not measured, does not appear slower than the used ones when all of them change.
-    pub fn record_prefill(&mut self, work: PromptWork, duration: Duration) -> f64 {
+    /// `factor` is the factor of the moment that the engine reported with its answer, if it did.
+    pub fn record_prefill(
+        &mut self,
+        work: PromptWork,
+        duration: Duration,
+        factor: Option<f64>,
+    ) -> Option<PrefillSample> {
         const MILLIS: f64 = 1000.0;
         self.prefill_queue = self
             .prefill_queue
             .saturating_sub(u64::from(work.prefill_tokens));
-        if work.predicted_ms <= 0.0 {
-            return self.pace;
-        }
-        let ratio = duration.as_secs_f64() * MILLIS / work.predicted_ms;
-        let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        self.slowness += SLOWNESS_WEIGHT * (ratio / self.pace - self.slowness);
-        self.pace + PACE_WEIGHT * (ratio - self.pace)
+        let (mean, doubt) = work.mean_factor(factor);
+        (work.predicted_ms > 0.0).then(|| PrefillSample {
+            tokens: work.queued_tokens + u64::from(work.prefill_tokens),
+            running: work.running,
+            millis: duration.as_secs_f64() * MILLIS / mean,
+            doubt,
+        })
     }
 
-    /// Sets the pace of the service's engines.
-    pub fn set_pace(&mut self, pace: f64) {
-        self.pace = pace;
+    /// Sets the usual times of the service's engines.
+    pub fn set_times(&mut self, times: PrefillTimes) {
+        self.times = times;
+    }
+
+    /// Returns how much slower this engine is than the usual one of its service.
+    #[must_use]
+    pub fn slowness(&self) -> EngineSlowness {
+        self.slowness
     }
 
-    /// Decays slowness and pace towards 1, so that an engine that was slow is tried again.
-    pub fn decay(&mut self) {
-        self.slowness += DECAY_RATE * (1.0 - self.slowness);
-        self.pace += DECAY_RATE * (1.0 - self.pace);
+    /// Sets how much slower this engine is than the usual one of its service.
+    pub fn set_slowness(&mut self, slowness: EngineSlowness) {
+        self.slowness = slowness;
     }
 
     /// Removes the work of a request that has ended. `prefilled` is whether its prompt was
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -8,7 +8,9 @@
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use super::brittle::BrittleRoom;
-use super::{ColdShare, EngineModel, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
+use super::{
+    CacheRoom, ColdShare, EngineModel, Moment, QueueRoom, RateLimit, ShareLimiter, StartLimiter,
+};
 use crate::admission::Reserve;
 
 /// Time over which the usable slots of a new or returning target ramp up.
@@ -90,6 +92,10 @@
     pub share: u32,
     /// Work and speed, if it is an engine.
     pub engine: EngineModel,
+    /// How much slower than usual it works at this moment.
+    pub moment: Moment,
+    /// Whether a target of its service has told how long work takes there at the moment.
+    pub reports_moments: bool,
     /// Limit of requests while it is cold.
     pub cold: ColdShare,
     /// Limit of requests that it names for all nodes together.
@@ -146,6 +152,8 @@
             suspects: 0,
             share: 1,
             engine: EngineModel::default(),
+            moment: Moment::default(),
+            reports_moments: false,
             cold: ColdShare::default(),
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
@@ -281,6 +289,28 @@
         self.engine.kv_tokens() + others
     }
 
+    /// Returns the room for cached parts.
+    pub(crate) fn cache_room(&self, now: Time) -> CacheRoom {
+        let memory = self.memory_tokens().unwrap_or(f64::INFINITY);
+        if !self.reports_moments {
+            return CacheRoom::Fixed(memory);
+        }
+        CacheRoom::Left((memory - self.kv_tokens(now) as f64).max(0.0))
+    }
+
+    /// Returns the expected cost in milliseconds of running requests that are put back for lack of memory
+    /// if a request of some tokens is added.
+    pub(super) fn preemption_ms(&self, now: Time, tokens: u64) -> f64 {
+        /// Fraction of the memory above which running requests are at risk.
+        const THRESHOLD: f64 = 0.8;
+        /// Cost of a preemption.
+        const PREEMPTION_MS: f64 = 2000.0;
+        let risky = self
+            .memory_tokens()
+            .is_some_and(|memory| (self.kv_tokens(now) + tokens) as f64 > memory * THRESHOLD);
+        if risky { PREEMPTION_MS } else { 0.0 }
+    }
+
     /// Returns the estimated number of running requests of all nodes.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
--- a/crates/seam-core/tests/live_engines.rs
+++ b/crates/seam-core/tests/live_engines.rs
@@ -239,11 +239,12 @@
         fleet.complete(index, attempt);
     };
     send(&mut fleet, 0, 1, 77, 500);
-    for ticket in 2..50 {
+    // More than 1.5 times the memory of 500,000 tokens, which no running request takes.
+    for ticket in 2..110 {
         send(&mut fleet, 1, ticket, 78, 8000);
     }
     fleet.commands.clear();
-    send(&mut fleet, 0, 90, 77, 500);
+    send(&mut fleet, 0, 190, 77, 500);
     let prefill_tokens = fleet
         .commands
         .iter()
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -296,7 +296,7 @@
             target: "request",
             request = self.inbound.id.as_str(), attempt = to.attempt.0, to:% = to.target,
             address:% = to.address, copies = to.copy_from.is_some(), load = to.estimate.load, unread = to.estimate.prefill_tokens,
-            predicted_ms = to.estimate.predicted_ms, version = self.target_version(to).as_str(), age_ms = self.age();
+            predicted_ms = to.estimate.predicted_ms, cached = to.estimate.cached, slowdown = to.estimate.slowdown, version = self.target_version(to).as_str(), age_ms = self.age();
             "sent to a target"
         );
         self.start_attempt(to.attempt, Destination::Target(to));
--- a/crates/seam-node/src/metrics.rs
+++ b/crates/seam-node/src/metrics.rs
@@ -56,6 +56,9 @@
     queued: Gauge<u64>,
     running: Gauge<u64>,
     load: Gauge<u64>,
+    slowdown: Gauge<u64>,
+    slowness: Gauge<u64>,
+    kv_tokens: Gauge<u64>,
     serving: Gauge<u64>,
     limited: Gauge<u64>,
     cold: Gauge<u64>,
@@ -99,6 +102,9 @@
             queued: gauge("seam_queued", "requests that wait, by service"),
             running: gauge("seam_running", "requests at targets, by service"),
             load: gauge("seam_target_load", "estimated requests at a target"),
+            slowdown: gauge("seam_target_slowdown", "percent of the usual time of work"),
+            slowness: gauge("seam_target_slowness", "percent of the service's time"),
+            kv_tokens: gauge("seam_target_kv_tokens", "tokens of running requests"),
             serving: gauge("seam_target_serving", "1 if a target takes new work"),
             limited: gauge("seam_target_limited", "1 if a target names a rate limit"),
             cold: gauge("seam_target_cold", "1 if a target counts as cold"),
@@ -229,6 +235,9 @@
         for target in &status.targets {
             let label = [KeyValue::new("target", target.name.clone())];
             self.load.record(u64::from(target.load), &label);
+            self.slowdown.record(u64::from(target.slowdown), &label);
+            self.slowness.record(u64::from(target.slowness), &label);
+            self.kv_tokens.record(target.kv_tokens, &label);
             let serving = u64::from(target.phase == "serving");
             self.serving.record(serving, &label);
             let limited = u64::from(target.rate_limit.is_some());
--- a/crates/seam-protocol/src/heartbeat.rs
+++ b/crates/seam-protocol/src/heartbeat.rs
@@ -11,6 +11,9 @@
     VersionId, VmId,
 };
 
+/// Largest number of tokens of a measurement, beyond any prompt with those before it.
+const MAX_SAMPLE_TOKENS: u32 = 1 << 24;
+
 /// Largest count of requests or units in a heartbeat, beyond what a node can hold at once.
 pub const MAX_COUNT: u32 = 1 << 18;
 /// Largest number of tokens in a heartbeat, beyond the memory of any engine.
@@ -264,6 +267,60 @@
     pub tokens: u32,
 }
 
+/// How much longer work takes at a target at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetMoment {
+    /// Target.
+    pub target: TargetId,
+    /// Time of work in percent of the usual one.
+    pub percent: u32,
+    /// Milliseconds from the target's answer until the heartbeat was sent.
+    pub age: u32,
+}
+
+/// A measured time to the first token at an engine, in a usual moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetSample {
+    /// Engine.
+    pub target: TargetId,
+    /// Tokens that it had to prefill.
+    pub tokens: u32,
+    /// Requests that ran there.
+    pub running: u32,
+    /// Microseconds to the first token.
+    pub micros: u32,
+}
+
+/// What the sender just learned of the speeds of targets of its region.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Unusual moments, and those that ended.
+    pub moments: Vec<TargetMoment>,
+    /// Measurements at engines whose speed is not well known.
+    pub samples: Vec<TargetSample>,
+}
+
+impl SpeedReport {
+    /// Returns whether it says nothing. Then a heartbeat has no section for it.
+    ///
+    /// ```
+    /// use seam_protocol::heartbeat::TargetMoment;
+    /// use seam_protocol::{Heartbeat, RegionId, TargetId, VmId};
+    /// let mut heartbeat = Heartbeat::empty(VmId(1), RegionId(2));
+    /// let empty = heartbeat.encode();
+    /// let moment = TargetMoment { target: TargetId(3), percent: 250, age: 90 };
+    /// heartbeat.speeds.moments.push(moment);
+    /// let encoded = heartbeat.encode();
+    /// assert!(encoded.len() > empty.len());
+    /// assert_eq!(Heartbeat::decode(&encoded), Some(heartbeat));
+    /// assert!(Heartbeat::decode(&empty).unwrap().speeds.is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.moments.is_empty() && self.samples.is_empty()
+    }
+}
+
 /// How long ago the store showed that the sender's configuration is the present one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmation {
@@ -398,6 +455,9 @@
     /// Leases and tokens of the tenants' allowances, in one section with the confirmation.
     #[serde(skip)]
     pub allowances: AllowanceReport,
+    /// Speeds of targets. They follow in a section of their own.
+    #[serde(skip)]
+    pub speeds: SpeedReport,
 }
 
 impl Heartbeat {
@@ -414,7 +474,8 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("a heartbeat always serializes");
-        let tenants = self.confirmation.is_some() || !self.allowances.is_empty();
+        let speeds = !self.speeds.is_empty();
+        let tenants = speeds || self.confirmation.is_some() || !self.allowances.is_empty();
         let refused = tenants || !self.refused.is_empty();
         let epoch = refused || self.items_epoch != 0;
         let items = epoch || self.items_digest.is_some() || self.config != ConfigMeaning::default();
@@ -465,7 +526,11 @@
             return bytes;
         }
         let section = (self.confirmation, &self.allowances);
-        postcard::to_extend(&section, bytes).expect("numbers always serialize")
+        let bytes = postcard::to_extend(&section, bytes).expect("numbers always serialize");
+        if !speeds {
+            return bytes;
+        }
+        postcard::to_extend(&self.speeds, bytes).expect("numbers always serialize")
     }
 
     /// Decodes a datagram. Returns `None` if it is not a heartbeat. Counts that no node reaches are
@@ -499,6 +564,10 @@
             limit(&mut work.running);
             work.kv_tokens = work.kv_tokens.min(MAX_TOKENS);
         }
+        for sample in &mut self.speeds.samples {
+            sample.tokens = sample.tokens.min(MAX_SAMPLE_TOKENS);
+            limit(&mut sample.running);
+        }
         for shortage in &mut self.shortages {
             limit(&mut shortage.held);
             limit(&mut shortage.more);
@@ -551,8 +620,13 @@
         }
         let (refused, rest) = postcard::take_from_bytes(rest).ok()?;
         heartbeat.refused = refused;
+        if rest.is_empty() {
+            return Some(heartbeat);
+        }
+        let (section, rest) = postcard::take_from_bytes(rest).ok()?;
+        (heartbeat.confirmation, heartbeat.allowances) = section;
         if !rest.is_empty() {
-            (heartbeat.confirmation, heartbeat.allowances) = postcard::from_bytes(rest).ok()?;
+            heartbeat.speeds = postcard::from_bytes(rest).ok()?;
         }
         Some(heartbeat)
     }
@@ -590,6 +664,7 @@
             refused: Vec::new(),
             confirmation: None,
             allowances: AllowanceReport::default(),
+            speeds: SpeedReport::default(),
         }
     }
 }
