engines, regions: trial of their utilization by prefill

Cause: a queue and the time to the first token do not show that an engine spends its time on prefill. Change: tokens that all nodes sent to an engine lately, in the choice of engines and regions, with tests of the load.

--- a/crates/seam-core/src/admission.rs
+++ b/crates/seam-core/src/admission.rs
@@ -49,18 +49,18 @@
 
 /// A count that halves within a time.
 #[derive(Clone, Copy, Debug, Default)]
-struct DecayingCount {
+pub(crate) struct DecayingCount {
     count: f64,
     updated: Time,
 }
 
 impl DecayingCount {
-    fn value(self, now: Time, half_life: Duration) -> f64 {
+    pub(crate) fn value(self, now: Time, half_life: Duration) -> f64 {
         let half_lives = now.since(self.updated).as_secs_f64() / half_life.as_secs_f64();
         self.count * (-half_lives).exp2()
     }
 
-    fn add(&mut self, now: Time, half_life: Duration, weight: f64) {
+    pub(crate) fn add(&mut self, now: Time, half_life: Duration, weight: f64) {
         self.count = self.value(now, half_life) + weight;
         self.updated = now;
     }
@@ -133,6 +133,8 @@
     pub slots: f64,
     /// Fraction of the memory in use, zero if its size is not known.
     pub memory: f64,
+    /// Mean fraction of their time that the engines spend on prefill.
+    pub prefill: f64,
 }
 
 impl Reserve {
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -12,6 +12,7 @@
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
 use crate::spill::{LocalView, RegionChoice, RoutingDecision};
+use crate::targets::{AMPLE_UTILIZATION, SCARCE_UTILIZATION};
 
 /// Ranks of the queue for each kind of requests: the usual ones, and those in excess of their tenant's
 /// usual load.
@@ -88,6 +89,31 @@
         self.targets.pressure(now, service)
     }
 
+    /// Returns whether the time that a service's engines spend on prefill is weighed, here and between
+    /// regions: where tenants compete for them, and where they report how long work takes at the moment.
+    pub(super) fn weighs(&self, service: ServiceId) -> bool {
+        let bundle = self.bundle.as_ref();
+        let tenants = bundle.is_some_and(|bundle| !bundle.tenants.is_empty());
+        let spec = bundle.and_then(|bundle| bundle.services.get(&service));
+        self.targets.shared()
+            && spec.is_some_and(|spec| spec.kind == Kind::Engine)
+            && (tenants || self.targets.reports_moments(service))
+    }
+
+    /// Returns whether a request would take room at the engines of this region that others need.
+    pub(super) fn is_scarce(&self, now: Time, request: &Request) -> bool {
+        let route = request.route.filter(|_| self.weighs(request.service));
+        route.is_some_and(|route| {
+            let pressure = self.pressure(now, request.service);
+            pressure.is_scarce(route.objective) || pressure.prefill > SCARCE_UTILIZATION
+        })
+    }
+
+    /// Returns whether a service's engines here have ample time for the prompts of other regions.
+    pub(super) fn has_ample_time(&self, now: Time, service: ServiceId) -> bool {
+        !self.weighs(service) || self.pressure(now, service).prefill <= AMPLE_UTILIZATION
+    }
+
     /// Returns how a request competes for room.
     pub(super) fn room(&self, now: Time, request: &Request) -> Room {
         let Some(route) = request.route.filter(|_| self.competes(request)) else {
@@ -176,6 +202,7 @@
                 possible: true,
                 wait,
                 penalty: Duration::ZERO,
+                scarce: true,
             },
             best: None,
             age: Duration::ZERO,
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -82,6 +82,7 @@
                     heavy: &heavy,
                     version,
                     reserve: self.queued_reserve(now, request),
+                    weighs_prefill: self.weighs(service),
                 },
             );
             match chosen {
@@ -264,7 +265,10 @@
         self.request_mut(ticket).stage = Stage::Running(attempt);
         let state = self.targets.get(target);
         let id = state.id;
-        if let Some((prompt, memory)) = prompt.zip(state.memory_tokens()) {
+        let memory = state.memory_tokens();
+        self.targets
+            .record_tokens(now, target, chosen.work.prefill_tokens);
+        if let Some((prompt, memory)) = prompt.zip(memory) {
             self.prefixes.record_prompt(now, target, &prompt, memory);
             // Parts that no other request shares are reported too, since they evict shared parts
             // from the engine's cache.
--- a/crates/seam-core/src/node/summaries.rs
+++ b/crates/seam-core/src/node/summaries.rs
@@ -97,7 +97,8 @@
             };
             let target_wait = prompt_wait.max(self.granted_wait(now, service, None));
             let ample = free >= ample_slots(spec.slots_in(self.id.region));
-            if ample && target_wait < MIN_REPORTED_WAIT {
+            let has_time = self.has_ample_time(now, service);
+            if ample && has_time && target_wait < MIN_REPORTED_WAIT {
                 continue;
             }
             let ahead = f64::from((queued + 1).saturating_sub(slots.saturating_sub(running)));
--- a/crates/seam-core/src/node/work_update.rs
+++ b/crates/seam-core/src/node/work_update.rs
@@ -115,6 +115,9 @@
             if let Some(key) = self.targets.key(part.target)
                 && let Some(memory) = self.targets.get(key).memory_tokens()
             {
+                if !self.prefixes.holds(key, part.part) {
+                    self.targets.record_tokens(now, key, part.tokens);
+                }
                 self.prefixes
                     .record_part(now, key, part.part, part.tokens, memory);
             }
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -11,6 +11,7 @@
 mod start_limit;
 mod state;
 mod subset;
+mod utilization;
 mod verdict;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +35,9 @@
 pub use start_limit::StartLimiter;
 pub use state::{Phase, TargetState};
 pub use subset::{NodeSubset, service_nodes, target_nodes};
+pub use utilization::{
+    AMPLE_UTILIZATION, PrefillMeter, SCARCE_UTILIZATION, prefill_weight, stream_delay_ms,
+};
 pub use verdict::{TargetVerdict, Verdict};
 
 /// Time after which a probe without a result is taken to have none.
@@ -70,6 +74,8 @@
     shared: bool,
     /// Services whose targets are brittle, and until when that counts.
     brittle: BTreeMap<ServiceId, Time>,
+    /// Services of which a target told how long work takes there at the moment.
+    reports_moments: BTreeSet<ServiceId>,
     /// Services whose targets outside its subset this node uses too, and until when.
     temporary: BTreeMap<ServiceId, Time>,
 }
@@ -486,6 +492,7 @@
         let serving = self.for_service(service);
         let serving = serving.filter(|(_, state)| state.phase == Phase::Serving);
         let (mut slots, mut load, mut memory, mut tokens) = (0, 0, 0.0, 0);
+        let (mut prefill, mut engines) = (0.0, 0.0);
         let mut wait: Option<f64> = None;
         for (_, state) in serving {
             let running = state.load(now);
@@ -493,6 +500,8 @@
             load += running;
             memory += state.memory_tokens().unwrap_or_default();
             tokens += state.kv_tokens(now);
+            prefill += state.utilization(now);
+            engines += 1.0;
             let queue_ms = state.engine.queue_ms(state.prefill_queue(now), running);
             wait = Some(wait.map_or(queue_ms, |wait| wait.min(queue_ms)));
         }
@@ -504,6 +513,7 @@
             } else {
                 0.0
             },
+            prefill: prefill / f64::max(engines, 1.0),
         }
     }
 
@@ -765,6 +775,17 @@
         self.set_phase(now, key, Phase::Leaving)
     }
 
+    /// Returns whether a target of a service has told how long work takes there at the moment.
+    #[must_use]
+    pub fn reports_moments(&self, service: ServiceId) -> bool {
+        self.reports_moments.contains(&service)
+    }
+
+    /// Records that an engine has to prefill tokens of a prompt.
+    pub fn record_tokens(&mut self, now: Time, key: TargetKey, tokens: u32) {
+        self.get_mut(key).prefills.record(now, tokens);
+    }
+
     /// Records a target's load report.
     pub fn record_report(&mut self, now: Time, key: TargetKey, report: LoadReport) {
         let report = LoadReport {
@@ -774,6 +795,11 @@
         };
         let state = self.get_mut(key);
         let own = state.running;
+        let service = state.service;
+        let told = report.slowdown.is_some();
         state.report = Some((now, report, own));
+        if told {
+            self.reports_moments.insert(service);
+        }
     }
 }
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -8,7 +8,7 @@
 use seam_protocol::id::rank;
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
-use super::{EngineModel, Phase, PromptWork, Targets, Verdict};
+use super::{EngineModel, Phase, PromptWork, Targets, Verdict, prefill_weight, stream_delay_ms};
 use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
@@ -38,6 +38,8 @@
     pub version: Option<VersionId>,
     /// What it leaves to more urgent requests.
     pub reserve: Option<Reserve>,
+    /// Whether the time that engines spend on prefill is weighed.
+    pub weighs_prefill: bool,
 }
 
 impl<'a> TargetQuery<'a> {
@@ -116,7 +118,7 @@
         let available = self.available(now, service, query);
         if let Some(prompt) = query.engine_prompt() {
             let candidates = self.candidates(&available, prompt, prefixes, rng);
-            return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
+            return self.cheapest(now, &candidates, query, prompt, prefixes);
         }
         let key = self.pick(now, &available, query, prefixes, rng)?;
         Some(self.chosen(now, key, PromptWork::default()))
@@ -262,11 +264,11 @@
         &self,
         now: Time,
         available: &[TargetKey],
-        just_booted: bool,
+        query: TargetQuery,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> Option<TargetChoice> {
-        let costs = self.costs(now, available, just_booted, prompt, prefixes);
+        let costs = self.costs(now, available, query, prompt, prefixes);
         let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
         Some(cheapest.chosen)
     }
@@ -276,12 +278,12 @@
         &self,
         now: Time,
         available: &[TargetKey],
-        just_booted: bool,
+        query: TargetQuery,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> impl Iterator<Item = EngineCost> {
         let home = self.home(available.iter().copied(), prompt);
-        let presumed_home = home.filter(|_| just_booted);
+        let presumed_home = home.filter(|_| query.just_booted);
         let holders = match presumed_home {
             Some(home) => {
                 let holder = (home, prompt.unshared_tokens());
@@ -292,7 +294,8 @@
         available.iter().map(move |key| {
             let at_home = home == Some(*key);
             let holder = holders.get(&self.get(*key).version).copied();
-            self.cost(now, *key, prompt, prefixes, (at_home, holder))
+            let weighs = query.weighs_prefill;
+            self.cost(now, *key, (prompt, weighs), prefixes, (at_home, holder))
         })
     }
 
@@ -335,7 +338,7 @@
         &self,
         now: Time,
         key: TargetKey,
-        prompt: &Prompt,
+        (prompt, weighs): (&Prompt, bool),
         prefixes: &PrefixTable,
         (at_home, holder): (bool, Option<(TargetKey, u32)>),
     ) -> EngineCost {
@@ -343,14 +346,12 @@
         const MIN_COPY_TOKENS: u32 = 512;
         /// Cost of copying a token relative to prefill, including its use of the network.
         const COPY_WEIGHT: f64 = 0.3;
-        /// Weight of prefill work, which also delays other requests, relative to this request's
-        /// wait.
-        const PREFILL_WEIGHT: f64 = 1.0;
         /// Fraction of an engine's memory above which running requests are at risk of preemption.
         const PREEMPTION_THRESHOLD: f64 = 0.8;
         /// Cost of a preemption in milliseconds.
         const PREEMPTION_MS: f64 = 2000.0;
         let state = self.get(key);
+        let utilization = if weighs { state.utilization(now) } else { 0.0 };
         let uncached = match holder {
             // Just after a boot, this is the home engine, to which the previous process sent the
             // shared parts.
@@ -369,7 +370,8 @@
             .first_token_ms(queued_tokens, prefill_tokens, load)
             + load_penalty;
         let mut total = delay_ms;
-        total += PREFILL_WEIGHT * state.engine.prefill_ms(prefill_tokens);
+        total += prefill_weight(utilization) * state.engine.prefill_ms(prefill_tokens);
+        total += stream_delay_ms(utilization, prompt.output_limit);
         total += COPY_WEIGHT * state.engine.prefill_ms(uncached - prefill_tokens);
         if !at_home
             && source.is_none()
--- a/crates/seam-core/src/targets/state.rs
+++ b/crates/seam-core/src/targets/state.rs
@@ -8,7 +8,9 @@
 use seam_protocol::{LoadReport, ServiceId, Target, TargetId, Time, VersionId, VmId};
 
 use super::brittle::BrittleRoom;
-use super::{ColdShare, EngineModel, QueueRoom, RateLimit, ShareLimiter, StartLimiter};
+use super::{
+    ColdShare, EngineModel, PrefillMeter, QueueRoom, RateLimit, ShareLimiter, StartLimiter,
+};
 use crate::admission::Reserve;
 
 /// Time over which the usable slots of a new or returning target ramp up.
@@ -90,6 +92,8 @@
     pub share: u32,
     /// Work and speed, if it is an engine.
     pub engine: EngineModel,
+    /// Tokens that were lately sent to it for prefill.
+    pub prefills: PrefillMeter,
     /// Limit of requests while it is cold.
     pub cold: ColdShare,
     /// Limit of requests that it names for all nodes together.
@@ -146,6 +150,7 @@
             suspects: 0,
             share: 1,
             engine: EngineModel::default(),
+            prefills: PrefillMeter::default(),
             cold: ColdShare::default(),
             rate_limit: RateLimit::default(),
             starts: StartLimiter::default(),
@@ -281,6 +286,12 @@
         self.engine.kv_tokens() + others
     }
 
+    /// Returns the fraction of its time that it spends on prefill.
+    #[must_use]
+    pub fn utilization(&self, now: Time) -> f64 {
+        self.prefills.utilization(now, self.engine.prefill_ms(1))
+    }
+
     /// Returns the estimated number of running requests of all nodes.
     #[must_use]
     pub fn load(&self, now: Time) -> u32 {
--- a/crates/seam-core/tests/full_targets.rs
+++ b/crates/seam-core/tests/full_targets.rs
@@ -134,6 +134,8 @@
         let report = LoadReport {
             running: server.running.len() as u32,
             waiting: server.queue.len() as u32,
+            slots: None,
+            slowdown: None,
             models: Vec::new(),
             fence: 0,
         };
--- a/crates/seam-core/tests/odd_figures.rs
+++ b/crates/seam-core/tests/odd_figures.rs
@@ -43,6 +43,8 @@
         let report = LoadReport {
             running,
             waiting,
+            slots: None,
+            slowdown: None,
             models: Vec::new(),
             fence: 0,
         };
--- a/crates/seam-emulator/src/engine.rs
+++ b/crates/seam-emulator/src/engine.rs
@@ -111,6 +111,8 @@
             let report = LoadReport {
                 running: state.running,
                 waiting: 0,
+                slots: None,
+                slowdown: None,
                 models: state.models.clone(),
                 fence: state.fence,
             };
--- a/crates/seam-emulator/src/plain.rs
+++ b/crates/seam-emulator/src/plain.rs
@@ -91,6 +91,8 @@
             &LoadReport {
                 running,
                 waiting: 0,
+                slots: None,
+                slowdown: None,
                 models: Vec::new(),
                 fence: 0,
             },
--- a/crates/seam-harness/src/world/platform.rs
+++ b/crates/seam-harness/src/world/platform.rs
@@ -235,6 +235,8 @@
         up.then(|| LoadReport {
             running: fake.running.len() as u32,
             waiting: fake.waiting.len() as u32,
+            slots: None,
+            slowdown: None,
             models: Vec::new(),
             fence: self
                 .orders
--- a/crates/seam-node/src/polls.rs
+++ b/crates/seam-node/src/polls.rs
@@ -102,6 +102,8 @@
     Some(LoadReport {
         running: readable_field(fields, "running")?,
         waiting: readable_field(fields, "waiting").unwrap_or_default(),
+        slots: readable_field(fields, "slots"),
+        slowdown: readable_field(fields, "slowdown"),
         models: readable_elements(models, "models"),
         fence: readable_field(fields, "fence").unwrap_or_default(),
     })
--- a/crates/seam-protocol/src/report.rs
+++ b/crates/seam-protocol/src/report.rs
@@ -7,6 +7,12 @@
         pub running: u32,
         /// Requests that wait in the target's own queue.
         pub waiting: u32,
+        /// Slots, if the target states them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub slots: Option<u32>,
+        /// How long work takes at this moment, in percent of the usual time, if the target states it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub slowdown: Option<u32>,
         /// Loaded models and adapters.
         #[serde(default)]
         pub models: Vec<String>,
