engines, regions: trial of relief, and of prefill weighed by the wait that it causes

Cause: regions idle beside full ones, and shared parts of prompts are read again at busy engines. Change: requests of tenants leave a region with scarce room, and a cached part is worth more the longer the engines' queues are, with tests of both decisions.

--- a/crates/seam-core/src/explain.rs
+++ b/crates/seam-core/src/explain.rs
@@ -409,6 +409,7 @@
             just_booted: self.just_booted(now),
             version: request.version(),
             reserve: self.reserve(now, request),
+            weighs_prefill: self.competes(request),
             ..TargetQuery::default()
         };
         let (service, prefixes) = (request.service, &self.prefixes);
--- a/crates/seam-core/src/node/competition.rs
+++ b/crates/seam-core/src/node/competition.rs
@@ -20,7 +20,7 @@
 impl Node {
     /// Returns whether requests compete for the engines of a service: those of tenants' routes, where nodes
     /// know of each other's work. Without tenants, deployments with uneven engines served less with it.
-    fn competes(&self, request: &Request) -> bool {
+    pub(crate) fn competes(&self, request: &Request) -> bool {
         let bundle = self.bundle.as_ref();
         let bundle = bundle.filter(|bundle| !bundle.tenants.is_empty());
         let spec = bundle.and_then(|bundle| bundle.services.get(&request.service));
@@ -88,6 +88,15 @@
         self.targets.pressure(now, service)
     }
 
+    /// Returns whether a request would take room at the engines of this region that others need.
+    pub(super) fn is_scarce(&self, now: Time, request: &Request) -> bool {
+        let route = request.route.filter(|_| self.competes(request));
+        route.is_some_and(|route| {
+            let pressure = self.pressure(now, request.service);
+            pressure.is_scarce(route.objective)
+        })
+    }
+
     /// Returns how a request competes for room.
     pub(super) fn room(&self, now: Time, request: &Request) -> Room {
         let Some(route) = request.route.filter(|_| self.competes(request)) else {
@@ -176,6 +185,7 @@
                 possible: true,
                 wait,
                 penalty: Duration::ZERO,
+                scarce: true,
             },
             best: None,
             age: Duration::ZERO,
--- a/crates/seam-core/src/node/dispatch.rs
+++ b/crates/seam-core/src/node/dispatch.rs
@@ -82,6 +82,7 @@
                     heavy: &heavy,
                     version,
                     reserve: self.queued_reserve(now, request),
+                    weighs_prefill: self.competes(request),
                 },
             );
             match chosen {
--- a/crates/seam-core/src/node/routing.rs
+++ b/crates/seam-core/src/node/routing.rs
@@ -17,7 +17,9 @@
 use crate::peers::Peer;
 use crate::refusal::Refusal;
 use crate::request::{Request, Stage};
-use crate::spill::{LocalView, RegionChoice, RemoteView, RoutingDecision, RoutingRequest};
+use crate::spill::{
+    LocalView, RELIEF_FRACTION, RegionChoice, RemoteView, RoutingDecision, RoutingRequest,
+};
 use crate::targets::{NodeSubset, TargetQuery, service_nodes};
 
 /// Longest predicted wait at which a region accepts forwarded requests that the sender's region is
@@ -109,7 +111,10 @@
         }
         // No other region is faster than this one without a wait. A forwarded request is not
         // forwarded again.
-        let no_wait = local.possible && local.wait.is_zero() && routing.expected <= routing.budget;
+        let no_wait = local.possible
+            && local.wait.is_zero()
+            && !local.scarce
+            && routing.expected <= routing.budget;
         let remotes = match retry_regions {
             _ if no_wait || request.forwarded() => Vec::new(),
             Some(regions) => regions,
@@ -208,6 +213,7 @@
                     just_booted: self.just_booted(now),
                     version: request.version(),
                     reserve: self.reserve(now, request),
+                    weighs_prefill: self.competes(request),
                     ..TargetQuery::default()
                 };
                 self.choose(now, (ticket, service), query)
@@ -220,6 +226,7 @@
                 possible: true,
                 wait: chosen.delay.saturating_sub(unqueued) + self.slot_wait(now, request),
                 penalty: self.refusal_penalty(request, chosen.penalty),
+                scarce: self.is_scarce(now, request),
             },
             None => self.local_view(now, request),
         }
@@ -238,6 +245,7 @@
             possible: self.possible_here(request),
             wait: self.local_wait(now, request),
             penalty: Duration::ZERO,
+            scarce: self.is_scarce(now, request),
         }
     }
 
@@ -407,13 +415,25 @@
             && sender_region
                 .is_some_and(|region| region != self.id.region && self.allows(request, region));
         let in_time = local.wait + routing.expected <= routing.budget;
-        if local.possible && in_time && (!spilled || local.wait <= MAX_SPILL_WAIT) {
+        let short = local.wait <= self.spill_limit(request, routing);
+        if local.possible && in_time && (!spilled || short) {
             RegionChoice::Local
         } else {
             RegionChoice::Refuse(local.possible.then_some(local.wait))
         }
     }
 
+    /// Returns the longest predicted wait at which a forwarded request is accepted that the sender's region
+    /// may serve itself. One that competes was sent because room is scarce there, so it is worth more here
+    /// than refused, as long as it is in time.
+    fn spill_limit(&self, request: &Request, routing: RoutingRequest) -> Duration {
+        if !self.competes(request) {
+            return MAX_SPILL_WAIT;
+        }
+        let objective = routing.objective.mul_f64(RELIEF_FRACTION);
+        MAX_SPILL_WAIT.max(objective.saturating_sub(routing.expected))
+    }
+
     /// Returns the other regions that a request may be sent to.
     pub(crate) fn remote_views(&self, now: Time, request: &Request) -> Vec<RemoteView> {
         let Some(bundle) = &self.bundle else {
@@ -461,6 +481,7 @@
             wait: 0,
         };
         let capacity = self.peers.service_capacity(now, region, service.tag());
+        let listed = capacity.is_some();
         let capacity = capacity.unwrap_or(unlisted);
         if capacity.wait == WAIT_NO_TARGET {
             return None;
@@ -484,6 +505,7 @@
             round_trip,
             wait,
             free,
+            ample: !listed && !full,
         })
     }
 
--- a/crates/seam-core/src/spill.rs
+++ b/crates/seam-core/src/spill.rs
@@ -13,6 +13,9 @@
 const RETURN_THRESHOLD_FACTOR: f64 = 0.7;
 /// Time over which the traffic to a region ramps up after a partition.
 pub const RETURN_RAMP: Duration = Duration::from_secs(30);
+/// Fraction of what is left of its objective that the way to a region with ample room and the expected
+/// service time may take together. The rest is for prediction errors.
+pub const RELIEF_FRACTION: f64 = 0.75;
 /// Fraction of a region's free slots that is used right after a partition.
 const INITIAL_FRACTION: f64 = 0.1;
 
@@ -26,6 +29,8 @@
     /// Part of the wait that does not delay the request, but makes a region with many requests less
     /// preferred.
     pub penalty: Duration,
+    /// Whether the request would take room here that others need.
+    pub scarce: bool,
 }
 
 /// State of another region for a request.
@@ -39,13 +44,16 @@
     pub wait: Duration,
     /// Reported free slots, minus the requests that this node has sent there since the report.
     pub free: u32,
+    /// Whether it has ample free slots and no wait.
+    pub ample: bool,
 }
 
 impl RemoteView {
-    /// Returns the sort key of a region: the delay that it adds to a request, then its identifier.
+    /// Returns the sort key of a region: the delay that it adds to a request, whether it lacks ample room,
+    /// then its identifier.
     #[must_use]
-    pub fn cost(&self) -> (Duration, RegionId) {
-        (self.round_trip + self.wait, self.region)
+    pub fn cost(&self) -> (Duration, bool, RegionId) {
+        (self.round_trip + self.wait, !self.ample, self.region)
     }
 }
 
@@ -137,6 +145,10 @@
     /// wait here exceeds the cost of that region by a margin: the request's slack times one minus
     /// the weight. The threshold is lowered while the service's requests are sent to other regions.
     ///
+    /// If room is scarce here and the best other region has ample room, a request goes there as soon as
+    /// its objective allows for the way. The wait here says too little then: where slots are nearly used
+    /// up, all responses take longer, and the next requests find no slot.
+    ///
     /// ```
     /// use std::time::Duration;
     /// use seam_core::spill::{LocalView, RegionChoice, RemoteView, RoutingRequest, Spill};
@@ -153,12 +165,22 @@
     ///     round_trip: Duration::from_millis(160),
     ///     wait: Duration::ZERO,
     ///     free: 3,
+    ///     ample: true,
+    /// };
+    /// let idle = LocalView {
+    ///     possible: true,
+    ///     wait: Duration::ZERO,
+    ///     penalty: Duration::ZERO,
+    ///     scarce: false,
     /// };
-    /// let idle = LocalView { possible: true, wait: Duration::ZERO, penalty: Duration::ZERO };
     /// let busy = LocalView { wait: Duration::from_secs(1), ..idle };
+    /// let scarce = LocalView { scarce: true, ..idle };
     /// let mut spill = Spill::default();
     /// assert_eq!(spill.choose(request, idle, &[remote]), RegionChoice::Local);
     /// assert_eq!(spill.choose(request, busy, &[remote]), RegionChoice::Remote(RegionId(2)));
+    /// assert_eq!(spill.choose(request, scarce, &[remote]), RegionChoice::Remote(RegionId(2)));
+    /// let full = RemoteView { ample: false, ..remote };
+    /// assert_eq!(spill.choose(request, scarce, &[full]), RegionChoice::Local);
     /// ```
     pub fn choose(
         &mut self,
@@ -185,6 +207,10 @@
             return RegionChoice::Remote(best.region);
         }
         let cost = best.round_trip + best.wait;
+        let way = best.round_trip + request.expected;
+        if local.scarce && best.ample && way <= request.objective.mul_f64(RELIEF_FRACTION) {
+            return RegionChoice::Remote(best.region);
+        }
         let slack = request.objective.saturating_sub(request.expected + cost);
         let spilling = self.spilling.entry(request.service).or_default();
         let factor = if *spilling {
--- a/crates/seam-core/src/targets.rs
+++ b/crates/seam-core/src/targets.rs
@@ -1,6 +1,7 @@
 //! Targets of this node's region: load, concurrency limits and ejection.
 
 mod brittle;
+mod cache_value;
 mod choice;
 mod cold;
 mod engine;
@@ -24,6 +25,7 @@
 use crate::admission::Pressure;
 use crate::handle::TargetKey;
 pub use brittle::slot_share;
+pub use cache_value::prefill_weight;
 pub use choice::{TargetChoice, TargetEstimate, TargetQuery};
 pub use cold::{ColdShare, cold_share};
 pub use engine::{EngineModel, PromptWork};
--- a/crates/seam-core/src/targets/choice.rs
+++ b/crates/seam-core/src/targets/choice.rs
@@ -8,7 +8,7 @@
 use seam_protocol::id::rank;
 use seam_protocol::{CustomerId, Fingerprint, ServiceId, Time, VersionId};
 
-use super::{EngineModel, Phase, PromptWork, Targets, Verdict};
+use super::{EngineModel, Phase, PromptWork, Targets, Verdict, prefill_weight};
 use crate::admission::Reserve;
 use crate::handle::TargetKey;
 use crate::prefix::PrefixTable;
@@ -38,6 +38,8 @@
     pub version: Option<VersionId>,
     /// What it leaves to more urgent requests.
     pub reserve: Option<Reserve>,
+    /// Whether prefill is weighed by the wait that it causes for others.
+    pub weighs_prefill: bool,
 }
 
 impl<'a> TargetQuery<'a> {
@@ -116,7 +118,7 @@
         let available = self.available(now, service, query);
         if let Some(prompt) = query.engine_prompt() {
             let candidates = self.candidates(&available, prompt, prefixes, rng);
-            return self.cheapest(now, &candidates, query.just_booted, prompt, prefixes);
+            return self.cheapest(now, &candidates, query, prompt, prefixes);
         }
         let key = self.pick(now, &available, query, prefixes, rng)?;
         Some(self.chosen(now, key, PromptWork::default()))
@@ -262,11 +264,11 @@
         &self,
         now: Time,
         available: &[TargetKey],
-        just_booted: bool,
+        query: TargetQuery,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> Option<TargetChoice> {
-        let costs = self.costs(now, available, just_booted, prompt, prefixes);
+        let costs = self.costs(now, available, query, prompt, prefixes);
         let cheapest = costs.min_by(|a, b| a.total.total_cmp(&b.total))?;
         Some(cheapest.chosen)
     }
@@ -276,12 +278,17 @@
         &self,
         now: Time,
         available: &[TargetKey],
-        just_booted: bool,
+        query: TargetQuery,
         prompt: &Prompt,
         prefixes: &PrefixTable,
     ) -> impl Iterator<Item = EngineCost> {
+        let weight = if query.weighs_prefill {
+            self.prefill_weight(now, available, prompt)
+        } else {
+            1.0
+        };
         let home = self.home(available.iter().copied(), prompt);
-        let presumed_home = home.filter(|_| just_booted);
+        let presumed_home = home.filter(|_| query.just_booted);
         let holders = match presumed_home {
             Some(home) => {
                 let holder = (home, prompt.unshared_tokens());
@@ -292,10 +299,24 @@
         available.iter().map(move |key| {
             let at_home = home == Some(*key);
             let holder = holders.get(&self.get(*key).version).copied();
-            self.cost(now, *key, prompt, prefixes, (at_home, holder))
+            self.cost(now, *key, (prompt, weight), prefixes, (at_home, holder))
         })
     }
 
+    /// Returns the weight of prefill, which also delays other requests, relative to the wait of a prompt
+    /// that is considered for some engines.
+    fn prefill_weight(&self, now: Time, engines: &[TargetKey], prompt: &Prompt) -> f64 {
+        let last = prompt.last_shared().map_or(0, |part| part.tokens);
+        let tokens = prompt.unshared_tokens() + last;
+        let (mut wait, mut prefill) = (0.0, 0.0);
+        for key in engines {
+            let state = self.get(*key);
+            wait += state.engine.queue_ms(state.prefill_queue(now), 0);
+            prefill += state.engine.prefill_ms(tokens);
+        }
+        prefill_weight(wait, prefill)
+    }
+
     /// Returns the home engine of a prompt's last shared part.
     fn home(&self, engines: impl Iterator<Item = TargetKey>, prompt: &Prompt) -> Option<TargetKey> {
         let shared_part = prompt.last_shared()?;
@@ -335,7 +356,7 @@
         &self,
         now: Time,
         key: TargetKey,
-        prompt: &Prompt,
+        (prompt, weight): (&Prompt, f64),
         prefixes: &PrefixTable,
         (at_home, holder): (bool, Option<(TargetKey, u32)>),
     ) -> EngineCost {
@@ -343,9 +364,6 @@
         const MIN_COPY_TOKENS: u32 = 512;
         /// Cost of copying a token relative to prefill, including its use of the network.
         const COPY_WEIGHT: f64 = 0.3;
-        /// Weight of prefill work, which also delays other requests, relative to this request's
-        /// wait.
-        const PREFILL_WEIGHT: f64 = 1.0;
         /// Fraction of an engine's memory above which running requests are at risk of preemption.
         const PREEMPTION_THRESHOLD: f64 = 0.8;
         /// Cost of a preemption in milliseconds.
@@ -369,7 +387,7 @@
             .first_token_ms(queued_tokens, prefill_tokens, load)
             + load_penalty;
         let mut total = delay_ms;
-        total += PREFILL_WEIGHT * state.engine.prefill_ms(prefill_tokens);
+        total += weight * state.engine.prefill_ms(prefill_tokens);
         total += COPY_WEIGHT * state.engine.prefill_ms(uncached - prefill_tokens);
         if !at_home
             && source.is_none()
--- a/crates/seam-core/src/targets/verdict.rs
+++ b/crates/seam-core/src/targets/verdict.rs
@@ -105,7 +105,7 @@
         };
         let costs: BTreeMap<_, _> = prompt
             .into_iter()
-            .flat_map(|prompt| self.costs(now, &candidates, query.just_booted, prompt, prefixes))
+            .flat_map(|prompt| self.costs(now, &candidates, query, prompt, prefixes))
             .map(|cost| (cost.chosen.key, cost))
             .collect();
         let used: BTreeSet<_> = self.for_service(service).map(|(key, _)| key).collect();
--- a/crates/seam-core/tests/live/engines.rs
+++ b/crates/seam-core/tests/live/engines.rs
@@ -63,7 +63,7 @@
 }
 
 /// Returns a configuration with tenants without limits.
-fn with_tenants() -> Entry {
+pub fn with_tenants() -> Entry {
     const COUNT: u64 = 6;
     let Entry::Config(bundle) = config(8) else {
         unreachable!("a configuration");
--- a/crates/seam-node/src/drive.rs
+++ b/crates/seam-node/src/drive.rs
@@ -206,7 +206,7 @@
             excess = contest.is_some_and(|contest| contest.excess),
             room = contest.map_or("", |contest| contest.room.name()),
             urgent_wait_ms = millis(pressure.wait), slots_percent = percent(pressure.slots),
-            memory_percent = percent(pressure.memory), age_ms = self.age();
+            memory_percent = percent(pressure.memory), scarce = local.scarce, age_ms = self.age();
             "placed"
         );
     }
