--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -98,7 +98,7 @@
 
 /// Callers that leave while their requests, with long bodies, wait for a server (rule GONE).
 pub fn gone_callers(folder: &str) -> Option<bool> {
-    const CALLERS: usize = 80;
+    const CALLERS: usize = 200;
     /// Of ten callers, three leave.
     const LEAVING: usize = 3;
     const BODY_BYTES: usize = 100_000;
@@ -109,14 +109,14 @@
     const ALLOWED: usize = 5;
     let work = Work {
         slots: 6,
-        time: Duration::from_millis(300),
+        time: Duration::from_millis(60),
     };
     let mut deployment = Deployment::start("gone", work, 5000, BUDGET_MS)?;
     let record = deployment.record.clone();
     let left: Arc<Mutex<Vec<(String, u16, Instant)>>> = Arc::default();
     let address = deployment.nodes[0].caller;
     let callers = (0..CALLERS).map(|index| {
-        thread::sleep(Duration::from_millis(3));
+        thread::sleep(Duration::from_millis(1));
         let (record, left) = (record.clone(), left.clone());
         thread::spawn(move || -> std::io::Result<()> {
             let route = if index / 10 % 2 == 0 { "view" } else { "book" };
