--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -95,8 +95,8 @@
 
 /// Callers that leave while their requests, with long bodies, wait for a server (rule GONE).
 pub fn gone_callers(folder: &str, trouble: bool) -> Option<bool> {
-    const CALLERS: usize = 300;
-    /// Their interval: 245 a second for 1.2 s, a zone's peak (62.7 * 2.3) with the `burst` of a zone (1.7).
+    const CALLERS: usize = 500;
+    /// Their interval: 245 a second for 2.0 s, a zone's peak (62.7 * 2.3) with the `burst` of a zone (1.7).
     const INTERVAL: Duration = Duration::from_micros(4080);
     /// Of ten callers, three leave.
     const LEAVING: usize = 3;
